First whole path from declaration to account

Cause: the repository was empty; a request could not be served from one end to the other.

Change: decisions (claims, admission, queueing, placement, attempts, membership, configuration, accounts) as pure steps in one package; adapters for HTTP, peers, workers and the store at the edge; stand-ins for the store and workers; a command line; a supervisor tree; a build of one executable.

No tests yet, so nothing under failure is claimed.

Conclusion: the thin path stands; tests of each part come next.

--- /dev/null
+++ b/src/main/java/org/marjoramhoist/cli/Main.java
@@ -0,0 +1,106 @@
+package org.marjoramhoist.cli;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.marjoramhoist.log.Logging;
+
+/**
+ * The entry point of the program.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+public final class Main {
+
+  private static final String COMMAND = "command";
+
+  private Main() {}
+
+  /** Runs a command and ends the process with its exit code. */
+  public static void main(String[] arguments) {
+    System.exit(run(arguments).code());
+  }
+
+  /** Runs a command. */
+  public static ExitCode run(String... arguments) {
+    Map<String, Command> commands = new LinkedHashMap<>();
+    for (Command command : commands()) {
+      commands.put(command.name(), command);
+    }
+    ArgumentParser parser = parser(commands);
+    try {
+      Namespace parsed = parser.parseArgs(arguments);
+      Logging.configure(parsed.getString("log_format"), parsed.getString("log_level"));
+      return commands.get(parsed.getString(COMMAND)).run(parsed);
+    } catch (HelpScreenException e) {
+      return ExitCode.OK;
+    } catch (ArgumentParserException e) {
+      parser.handleError(e);
+      return ExitCode.BAD_INPUT;
+    } catch (CommandFailure e) {
+      System.err.println(e.getMessage());
+      return e.exitCode();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return ExitCode.FAILED;
+    } catch (Exception e) {
+      System.err.println("fault of the program: " + e);
+      return ExitCode.FAILED;
+    }
+  }
+
+  private static List<Command> commands() {
+    return List.of(
+        new ServeCommand(),
+        new CheckCommand(),
+        new ApplyCommand(),
+        new GetCommand(),
+        new DeleteCommand(),
+        new SubmitCommand(),
+        new CancelCommand(),
+        new StatusCommand(),
+        new ReportCommand(),
+        new DrainCommand(),
+        new LoadCommand(),
+        new StandInCommand(),
+        new DevCommand());
+  }
+
+  private static ArgumentParser parser(Map<String, Command> commands) {
+    ArgumentParser parser =
+        ArgumentParsers.newFor("marjoramhoist")
+            .build()
+            .description("Dispatches sub-second tasks from callers to upstreams.")
+            .epilog(
+                "Exit codes: 0 done, 1 failed, 2 bad input, 3 unreachable, 4 conflict,"
+                    + " 5 bound missed.");
+    parser
+        .addArgument("--log-format")
+        .choices("text", "json")
+        .setDefault("text")
+        .help("form of log events");
+    parser
+        .addArgument("--log-level")
+        .choices("debug", "info", "warn", "error")
+        .setDefault("info")
+        .help("least level of log events");
+    Subparsers subparsers = parser.addSubparsers().dest(COMMAND).metavar("COMMAND");
+    for (Command command : commands.values()) {
+      Subparser sub =
+          subparsers
+              .addParser(command.name())
+              .help(command.summary())
+              .description(command.summary())
+              .epilog("Example: " + command.example());
+      command.declare(sub);
+    }
+    return parser;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package org.marjoramhoist.cli;
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/http/HttpFailure.java
@@ -0,0 +1,29 @@
+package org.marjoramhoist.http;
+
+/**
+ * Tells that a call yielded no reply, and whether the request may have been acted on.
+ *
+ * <p>Immutable.
+ */
+public final class HttpFailure extends Exception {
+
+  private static final long serialVersionUID = 1L;
+
+  private final boolean sent;
+
+  /**
+   * Creates the failure.
+   *
+   * @param sent whether any part of the request may have reached the server
+   * @param message what went wrong
+   */
+  public HttpFailure(boolean sent, String message) {
+    super(message);
+    this.sent = sent;
+  }
+
+  /** Tells whether any part of the request may have reached the server. */
+  public boolean isSent() {
+    return sent;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/load/package-info.java
@@ -0,0 +1,2 @@
+/** A bounded load tool that compares response times with the ideal. */
+package org.marjoramhoist.load;
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/log/EventLog.java
@@ -0,0 +1,53 @@
+package org.marjoramhoist.log;
+
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.ParameterizedMessage;
+import org.apache.logging.log4j.message.StringMapMessage;
+
+/**
+ * Writes numbered log events.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class EventLog {
+
+  private static final Logger LOGGER = LogManager.getLogger("marjoramhoist");
+
+  private EventLog() {}
+
+  /** Writes an event of ordinary running. */
+  public static void info(LogEvent event, String pattern, Object... fields) {
+    write(Level.INFO, event, pattern, fields);
+  }
+
+  /** Writes an event that an operator may have to look at. */
+  public static void warn(LogEvent event, String pattern, Object... fields) {
+    write(Level.WARN, event, pattern, fields);
+  }
+
+  /** Writes an event for the search for faults. */
+  public static void debug(LogEvent event, String pattern, Object... fields) {
+    write(Level.DEBUG, event, pattern, fields);
+  }
+
+  /** Writes a fault of the program with its stack. */
+  public static void fault(String what, Throwable error) {
+    LOGGER.error(messageOf(LogEvent.INTERNAL_FAULT, what + " " + error), error);
+  }
+
+  private static void write(Level level, LogEvent event, String pattern, Object... fields) {
+    if (LOGGER.isEnabled(level)) {
+      String detail = new ParameterizedMessage(pattern, fields).getFormattedMessage();
+      LOGGER.log(level, messageOf(event, detail));
+    }
+  }
+
+  private static StringMapMessage messageOf(LogEvent event, String detail) {
+    return new StringMapMessage()
+        .with("code", event.code())
+        .with("event", event.name())
+        .with("detail", detail);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -0,0 +1,94 @@
+package org.marjoramhoist.log;
+
+/**
+ * The numbered log events; {@code docs/EVENTS.md} lists the same numbers, and a test compares them.
+ */
+public enum LogEvent {
+  /** The process started. */
+  PROCESS_STARTED(1001),
+  /** The process stops in an orderly way. */
+  PROCESS_STOPPING(1002),
+  /** The process has stopped. */
+  PROCESS_STOPPED(1003),
+  /** A supervised part failed and is started again. */
+  PART_RESTARTED(1004),
+  /** A supervised part failed too often; the process stops. */
+  PART_GAVE_UP(1005),
+  /** The drain deadline passed with work in flight. */
+  DRAIN_INCOMPLETE(1006),
+  /** A host was heard for the first time. */
+  PEER_JOINED(2001),
+  /** A host was not heard for the suspicion time. */
+  PEER_SUSPECTED(2002),
+  /** A host was not heard for the death time, or a newer incarnation replaced it. */
+  PEER_DEAD(2003),
+  /** A host was refused at the hello. */
+  PEER_REFUSED(2004),
+  /** A connection to a host broke. */
+  PEER_LINK_LOST(2005),
+  /** A frame could not be read; its connection was closed. */
+  PEER_BAD_FRAME(2006),
+  /** A message to a host was dropped since its queue was full. */
+  PEER_QUEUE_FULL(2007),
+  /** This host became the owner of a shard. */
+  SHARD_OWNED(3001),
+  /** This host is no longer a member of a shard. */
+  SHARD_LOST(3002),
+  /** A standby holds all claims of a shard and was named in its record. */
+  SHARD_STANDBY_NAMED(3003),
+  /** A shard can't decide: its members are gone or the store can't be reached. */
+  SHARD_UNAVAILABLE(3004),
+  /** The claim layout in the store differs from the settings. */
+  LAYOUT_MISMATCH(3005),
+  /** A submission was accepted. */
+  JOB_ACCEPTED(4001),
+  /** A submission was refused. */
+  JOB_REFUSED(4002),
+  /** A job is complete. */
+  JOB_COMPLETED(4003),
+  /** A job failed. */
+  JOB_FAILED(4004),
+  /** An attempt ended without a known outcome. */
+  ATTEMPT_UNKNOWN(4101),
+  /** A worker refused an attempt. */
+  ATTEMPT_REFUSED(4102),
+  /** An attempt failed on its worker. */
+  ATTEMPT_FAILED(4103),
+  /** A worker was ejected. */
+  WORKER_EJECTED(4201),
+  /** A worker is tried again. */
+  WORKER_ON_PROBATION(4202),
+  /** A worker is healthy again. */
+  WORKER_HEALTHY(4203),
+  /** A worker leaves and gets no new work. */
+  WORKER_LEAVING(4204),
+  /** A configuration revision is in force at this host. */
+  CONFIG_APPLIED(5001),
+  /** An older configuration revision was refused. */
+  CONFIG_OLDER_REFUSED(5002),
+  /** A stored resource can't be read and was left out. */
+  CONFIG_RESOURCE_INVALID(5003),
+  /** The store can't be reached. */
+  STORE_DOWN(6001),
+  /** The store can be reached again. */
+  STORE_UP(6002),
+  /** The store call budget of this host is used up. */
+  STORE_BUDGET_USED(6003),
+  /** Accounts were written. */
+  ACCOUNTS_WRITTEN(7001),
+  /** Accounts were dropped since the backlog is full; the report shows a gap. */
+  ACCOUNTS_DROPPED(7002),
+  /** A fault of the program itself. */
+  INTERNAL_FAULT(9001);
+
+  private final int code;
+
+  LogEvent(int code) {
+    this.code = code;
+  }
+
+  /** Returns the event's number, which never changes. */
+  public int code() {
+    return code;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/log/Logging.java
@@ -0,0 +1,57 @@
+package org.marjoramhoist.log;
+
+import java.util.Locale;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.config.Configurator;
+import org.apache.logging.log4j.core.config.builder.api.AppenderComponentBuilder;
+import org.apache.logging.log4j.core.config.builder.api.ConfigurationBuilder;
+import org.apache.logging.log4j.core.config.builder.api.ConfigurationBuilderFactory;
+import org.apache.logging.log4j.core.config.builder.api.LayoutComponentBuilder;
+import org.apache.logging.log4j.core.config.builder.impl.BuiltConfiguration;
+
+/**
+ * Sets up Log4j: events go to standard error, as text or as JSON lines.
+ *
+ * <p>Stateless; to be called once at the start of the process.
+ */
+public final class Logging {
+
+  private static final String TIME = "%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z'}{UTC}";
+  private static final String TEXT_PATTERN = TIME + " %-5p E%K{code} %K{event} %K{detail}%n%ex";
+  private static final String JSON_PATTERN =
+      "{\"time\":\""
+          + TIME
+          + "\",\"level\":\"%p\",\"code\":%K{code},\"event\":\"%K{event}\","
+          + "\"detail\":\"%enc{%K{detail}}{JSON}\",\"exception\":\"%enc{%ex}{JSON}\"}%n";
+  private static final String APPENDER = "stderr";
+
+  private Logging() {}
+
+  /**
+   * Sets the form and level of log events.
+   *
+   * @param format {@code text} or {@code json}
+   * @param level the least level
+   */
+  public static void configure(String format, String level) {
+    ConfigurationBuilder<BuiltConfiguration> builder =
+        ConfigurationBuilderFactory.newConfigurationBuilder();
+    builder.setStatusLevel(Level.ERROR);
+    String pattern = format.equals("json") ? JSON_PATTERN : TEXT_PATTERN;
+    LayoutComponentBuilder layout =
+        builder
+            .newLayout("PatternLayout")
+            .addAttribute("pattern", pattern)
+            .addAttribute("alwaysWriteExceptions", false);
+    AppenderComponentBuilder appender =
+        builder.newAppender(APPENDER, "Console").addAttribute("target", "SYSTEM_ERR").add(layout);
+    builder.add(appender);
+    builder.add(
+        builder
+            .newLogger("marjoramhoist", Level.valueOf(level.toUpperCase(Locale.ROOT)))
+            .addAttribute("additivity", false)
+            .add(builder.newAppenderRef(APPENDER)));
+    builder.add(builder.newRootLogger(Level.ERROR).add(builder.newAppenderRef(APPENDER)));
+    Configurator.reconfigure(builder.build());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/message/package-info.java
@@ -0,0 +1,2 @@
+/** Typed messages between entry hosts. */
+package org.marjoramhoist.message;
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/model/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable values that every other package shares: identifiers, jobs, answers and error kinds. */
+package org.marjoramhoist.model;
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/package-info.java
@@ -0,0 +1,2 @@
+/** Dispatcher for sub-second tasks: entry hosts between callers and upstreams. */
+package org.marjoramhoist;
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Connections between entry hosts: TCP frames of MessagePack. */
+package org.marjoramhoist.peer;
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/platform/Keys.java
@@ -0,0 +1,53 @@
+package org.marjoramhoist.platform;
+
+import org.marjoramhoist.resource.ResourceKey;
+
+/**
+ * The keys under which the system keeps its state in the store.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+public final class Keys {
+
+  /** The prefix of all keys. */
+  public static final String ROOT = "/marjoramhoist/";
+
+  /** The prefix of the configuration. */
+  public static final String CONFIG = ROOT + "config/";
+
+  /** Its last change is the last change of the configuration, deletions included. */
+  public static final String CONFIG_HEAD = CONFIG + "~head";
+
+  /** The prefix of the accounts. */
+  public static final String ACCOUNTS = ROOT + "accounts/";
+
+  /** The prefix of the registered hosts. */
+  public static final String HOSTS = ROOT + "hosts/";
+
+  private Keys() {}
+
+  /** Returns the key of a resource. */
+  public static String resource(ResourceKey key) {
+    return CONFIG + key;
+  }
+
+  /** Returns the key of a shard's record. */
+  public static String shard(String shard) {
+    return ROOT + "shards/" + shard;
+  }
+
+  /** Returns the prefix of a shard's logged claims. */
+  public static String claims(String shard) {
+    return ROOT + "claims/" + shard + "/";
+  }
+
+  /** Returns the key of a batch of logged claims; later batches sort after earlier ones. */
+  public static String claimBatch(String shard, long epoch, long batch) {
+    return claims(shard) + String.format("%016d-%012d", epoch, batch);
+  }
+
+  /** Returns the key of a batch of accounts. */
+  public static String accountBatch(String host, long boot, long seq) {
+    return ACCOUNTS + host + "/" + boot + "/" + String.format("%012d", seq);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/resource/package-info.java
@@ -0,0 +1,2 @@
+/** Resources that operators declare: upstreams, teams and classes of request. */
+package org.marjoramhoist.resource;
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** The adapter to upstreams' workers. */
+package org.marjoramhoist.upstream;
