Keep a standby's claims while it tries to take over with an old record

Cause: a host that knew an old record, in which both members had ended, cleared its table of claims before it tried to take the shard over blindly. The store refused the write, since the host had become the standby meanwhile; it then took over as standby with an empty table, and a submission started twice.

Change: the table is kept on a blind takeover; stale claims only refuse more.

--- a/src/main/java/org/marjoramhoist/decision/Policy.java
+++ b/src/main/java/org/marjoramhoist/decision/Policy.java
@@ -81,4 +81,26 @@
         20_000,
         MICROS_PER_SECOND);
   }
+
+  /** Returns this policy with another number of shards for each domain. */
+  public Policy withShardsPerDomain(int shards) {
+    return new Policy(
+        self,
+        address,
+        domain,
+        domains,
+        shards,
+        heartbeat,
+        remoteHeartbeat,
+        suspectAfter,
+        deadAfter,
+        claimTimeout,
+        resubmitGrace,
+        maxDeadline,
+        maxQueuedTasks,
+        maxClaimsPerShard,
+        maxAnswerBytes,
+        maxAccountRows,
+        accountInterval);
+  }
 }
--- a/src/main/java/org/marjoramhoist/decision/ShardKeeper.java
+++ b/src/main/java/org/marjoramhoist/decision/ShardKeeper.java
@@ -311,7 +311,6 @@
       write(now, record.next(policy.self(), null), LogChange.KEEP, out);
     } else if (haveEnded(record)) {
       long blindUntil = now + policy.maxDeadline() + policy.resubmitGrace();
-      table.clear();
       ShardRecord next = new ShardRecord(record.epoch() + 1, policy.self(), null, blindUntil);
       write(now, next, LogChange.REPLACE, out);
     } else {
