--- a/src/main/java/org/marjoramhoist/host/EntryHost.java
+++ b/src/main/java/org/marjoramhoist/host/EntryHost.java
@@ -150,6 +150,7 @@
                 }));
     supervisor.add("ticks", RestartPolicy.STATELESS, this::startTicks);
     supervisor.add("peers", RestartPolicy.STATELESS, this::startPeers);
+    supervisor.add("registry", RestartPolicy.STATELESS, this::startRegistry);
     addGauges();
     supervisor.add(
         "operators",
@@ -211,6 +212,14 @@
     return Part.of(started::close);
   }
 
+  private Part startRegistry() {
+    HostRegistry registry = new HostRegistry(store, self, settings.listen().peers(), network::dial);
+    var beats =
+        timer.scheduleWithFixedDelay(
+            registry::renew, 0, HostRegistry.RENEW_SECONDS, TimeUnit.SECONDS);
+    return Part.of(() -> beats.cancel(false));
+  }
+
   private Part listener(String address, HttpHandler handler) {
     int colon = address.lastIndexOf(':');
     GracefulShutdownHandler graceful = new GracefulShutdownHandler(handler);
--- a/src/main/java/org/marjoramhoist/standin/KeyValues.java
+++ b/src/main/java/org/marjoramhoist/standin/KeyValues.java
@@ -23,9 +23,11 @@
   /** A change, for watches. */
   record Change(long revision, Item item, boolean deleted) {}
 
+  private record Lease(long ttlMillis, long deadline) {}
+
   private final NavigableMap<String, Item> items = new TreeMap<>();
   private final List<Change> history = new ArrayList<>();
-  private final Map<Long, Long> leases = new HashMap<>();
+  private final Map<Long, Lease> leases = new HashMap<>();
   private long revision = 1;
   private long nextLease = 1_000;
 
@@ -109,22 +111,25 @@
     return low;
   }
 
-  /** Grants a lease until a time in milliseconds. */
-  synchronized long grant(long until) {
-    leases.put(++nextLease, until);
+  /** Grants a lease of so many milliseconds. */
+  synchronized long grant(long now, long ttlMillis) {
+    leases.put(++nextLease, new Lease(ttlMillis, now + ttlMillis));
     return nextLease;
   }
 
-  synchronized boolean renew(long lease, long until) {
-    return leases.computeIfPresent(lease, (id, old) -> until) != null;
+  /** Renews a lease; returns its time to live in milliseconds, 0 if it has lapsed. */
+  synchronized long renew(long lease, long now) {
+    Lease renewed =
+        leases.computeIfPresent(lease, (id, old) -> new Lease(old.ttlMillis, now + old.ttlMillis));
+    return renewed == null ? 0 : renewed.ttlMillis;
   }
 
   /** Deletes the keys of leases that have lapsed; returns whether there were any. */
   synchronized boolean expire(long now) {
     List<Long> lapsed = new ArrayList<>();
     leases.forEach(
-        (id, until) -> {
-          if (until <= now) {
+        (id, lease) -> {
+          if (lease.deadline <= now) {
             lapsed.add(id);
           }
         });
--- a/src/main/java/org/marjoramhoist/standin/StoreStandIn.java
+++ b/src/main/java/org/marjoramhoist/standin/StoreStandIn.java
@@ -242,7 +242,7 @@
 
   private ObjectNode grant(JsonNode request) {
     long ttl = request.path("TTL").asLong();
-    long id = data.grant(System.currentTimeMillis() + ttl * MILLIS_PER_SECOND);
+    long id = data.grant(System.currentTimeMillis(), ttl * MILLIS_PER_SECOND);
     ObjectNode node = withHeader();
     node.put("ID", String.valueOf(id));
     node.put("TTL", String.valueOf(ttl));
@@ -251,11 +251,11 @@
 
   private ObjectNode keepAlive(JsonNode request) {
     long id = request.path("ID").asLong();
-    long until = System.currentTimeMillis() + 10 * MILLIS_PER_SECOND;
+    long ttl = data.renew(id, System.currentTimeMillis()) / MILLIS_PER_SECOND;
     ObjectNode node = JsonText.MAPPER.createObjectNode();
     ObjectNode result = node.putObject("result");
     result.put("ID", String.valueOf(id));
-    result.put("TTL", data.renew(id, until) ? "10" : "0");
+    result.put("TTL", String.valueOf(ttl));
     return node;
   }
 
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/platform/EtcdStoreTest.java
@@ -0,0 +1,144 @@
+package org.marjoramhoist.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.http.HttpCaller;
+import org.marjoramhoist.platform.Store.Condition;
+import org.marjoramhoist.platform.Store.Op;
+import org.marjoramhoist.standin.StoreStandIn;
+
+class EtcdStoreTest {
+
+  private static final int NO_LIMIT = 10_000;
+  private static final long PATIENCE_SECONDS = 10;
+
+  private final StoreStandIn standIn = new StoreStandIn("127.0.0.1:0");
+  private final EtcdStore store = storeWith(NO_LIMIT);
+
+  private EtcdStore storeWith(int callsPerSecond) {
+    return new EtcdStore(List.of(standIn.address()), new HttpCaller("test", 1), callsPerSecond);
+  }
+
+  @AfterEach
+  void stop() {
+    store.close();
+    standIn.close();
+  }
+
+  private Store.TxnResult put(String key, String value, long expected) throws Exception {
+    return store
+        .txn(List.of(new Condition(key, expected)), List.of(new Op.Put(key, value, 0)))
+        .get();
+  }
+
+  private String valueOf(String key) throws Exception {
+    List<Store.Entry> entries = store.range(key, key + '\0').get().entries();
+    return entries.isEmpty() ? null : entries.get(0).value();
+  }
+
+  @Test
+  void changesOnlyWhatStillHasTheExpectedRevision() throws Exception {
+    Store.TxnResult created = put("/a", "1", 0);
+    assertThat(created.done()).isTrue();
+    assertThat(put("/a", "2", 0).done()).isFalse();
+    assertThat(put("/a", "2", created.revision()).done()).isTrue();
+    assertThat(valueOf("/a")).isEqualTo("2");
+  }
+
+  @Test
+  void tellsThatChangeMayHaveTakenEffectWhenReplyIsLost() throws Exception {
+    standIn.loseReplies(1);
+    ExecutionException error = assertThrows(ExecutionException.class, () -> put("/lost", "1", 0));
+    StoreFailure failure = (StoreFailure) error.getCause();
+    assertThat(failure.mayHaveTakenEffect()).isTrue();
+    assertThat(valueOf("/lost")).isEqualTo("1");
+  }
+
+  @Test
+  void failsWhileStoreIsDownAndServesAfterwards() throws Exception {
+    standIn.setDown(true);
+    assertThrows(ExecutionException.class, () -> valueOf("/a"));
+    standIn.setDown(false);
+    assertThat(valueOf("/a")).isNull();
+  }
+
+  @Test
+  void failsWhenStoreIsTooSlow() {
+    standIn.setSlow(3_000);
+    assertThrows(ExecutionException.class, () -> valueOf("/a"));
+  }
+
+  @Test
+  void hearsChangesAndTheEndOfTheWatch() throws Exception {
+    BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+    put("/w/old", "0", 0);
+    store.watch(
+        "/w/",
+        0,
+        new Store.WatchListener() {
+          @Override
+          public void changed(long revision, List<Store.Entry> changed, List<String> deleted) {
+            changed.forEach(entry -> heard.add(entry.key() + "=" + entry.value()));
+            deleted.forEach(key -> heard.add("-" + key));
+          }
+
+          @Override
+          public void ended() {
+            heard.add("end");
+          }
+        });
+    Thread.sleep(200);
+    put("/w/a", "1", 0);
+    put("/other", "1", 0);
+    store.txn(List.of(), List.of(new Op.Delete("/w/a", "/w/b"))).get();
+    assertThat(heard.poll(PATIENCE_SECONDS, TimeUnit.SECONDS)).isEqualTo("/w/a=1");
+    assertThat(heard.poll(PATIENCE_SECONDS, TimeUnit.SECONDS)).isEqualTo("-/w/a");
+    standIn.setDown(true);
+    assertThat(heard.poll(PATIENCE_SECONDS, TimeUnit.SECONDS)).isEqualTo("end");
+  }
+
+  @Test
+  void dropsKeysOfLapsedLeases() throws Exception {
+    long lease = store.grantLease(1).get();
+    store.txn(List.of(), List.of(new Op.Put("/leased", "1", lease))).get();
+    assertThat(store.keepAlive(lease).get()).isTrue();
+    Thread.sleep(1_500);
+    assertThat(valueOf("/leased")).isNull();
+    assertThat(store.keepAlive(lease).get()).isFalse();
+  }
+
+  @Test
+  void sendsNoMoreCallsThanItsBudget() {
+    int sent = 0;
+    try (EtcdStore limited = storeWith(5)) {
+      for (int i = 0; i < 50; i++) {
+        sent += limited.range("/a", "/b").isCompletedExceptionally() ? 0 : 1;
+      }
+    }
+    assertThat(sent).isAtMost(11);
+  }
+
+  @Test
+  void refillsBudgetWithTime() {
+    AtomicLong nanos = new AtomicLong();
+    CallBudget budget = new CallBudget(10, nanos::get);
+    nanos.addAndGet(TimeUnit.SECONDS.toNanos(10));
+    int taken = 0;
+    while (budget.take()) {
+      taken++;
+    }
+    assertThat(taken).isEqualTo(20);
+    nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(100));
+    assertThat(budget.take()).isTrue();
+    assertThat(budget.take()).isFalse();
+  }
+}
