Measure the policy in virtual time; lend free slots between hosts

Change: hosts split each worker's slots evenly and lend what they leave free, in short loans that end by themselves (`SlotLending`). A cancellation of an ended job made the host fail in one event; it is answered now, with a test.

--- a/src/main/java/org/marjoramhoist/cli/Main.java
+++ b/src/main/java/org/marjoramhoist/cli/Main.java
@@ -69,6 +69,7 @@
         new ReportCommand(),
         new DrainCommand(),
         new LoadCommand(),
+        new ExperimentCommand(),
         new StandInCommand(),
         new DevCommand());
   }
--- a/src/main/java/org/marjoramhoist/decision/Admission.java
+++ b/src/main/java/org/marjoramhoist/decision/Admission.java
@@ -23,11 +23,13 @@
   private final Policy policy;
   private final Configuration config;
   private final TeamUsage usage;
+  private final SlotLending lending;
 
-  Admission(Policy policy, Configuration config, TeamUsage usage) {
+  Admission(Policy policy, Configuration config, TeamUsage usage, SlotLending lending) {
     this.policy = policy;
     this.config = config;
     this.usage = usage;
+    this.lending = lending;
   }
 
   /** Returns the refusal of the job; empty if it is taken. */
@@ -58,7 +60,7 @@
       long now, JobSpec job, TeamSpec team, ClassSpec requestClass, UpstreamState upstream) {
     int tasks = job.tasks().size();
     double work = expectedWork(job, requestClass, upstream);
-    int slots = Math.max(1, upstream.pool().usableSlots());
+    int slots = Math.max(1, upstream.pool().usableSlots() + lending.knownFree(upstream.id()));
     double wait = upstream.queuedWork() / slots;
     long retryAt = now + Math.max(MIN_RETRY_MICROS, (long) (wait / 2));
     if (usage.total(job.team()) + tasks > team.quotaTasks()) {
--- a/src/main/java/org/marjoramhoist/decision/HostCore.java
+++ b/src/main/java/org/marjoramhoist/decision/HostCore.java
@@ -177,6 +177,12 @@
       claims.locate(now, from, m, out);
     } else if (message instanceof PeerMessage.Cancel m) {
       submissions.cancel(now, m.id(), m.team(), false, out);
+    } else if (message instanceof PeerMessage.LoanRequest m) {
+      scheduler().loanAsked(now, from, m, out);
+    } else if (message instanceof PeerMessage.LoanGrant m) {
+      scheduler().loanGranted(now, from, m, out);
+    } else if (message instanceof PeerMessage.LoanReturn m) {
+      scheduler().loanReturned(now, from, m, out);
     } else if (message instanceof PeerMessage.ConfigRequest m) {
       follower.asked(from, m.sinceRevision(), out);
     } else if (message instanceof PeerMessage.ConfigUpdate m) {
@@ -187,11 +193,13 @@
   }
 
   private void heard(long now, HostRef from, PeerMessage.Heartbeat beat) {
-    membership.heard(now, from, beat, out);
+    final boolean changed = membership.heard(now, from, beat, out);
     claims.heard(from, beat);
     follower.heard(now, from, beat.configRevision(), out);
     peers.heard(now, from, beat, scheduler(), out);
-    shareSlots(now);
+    if (changed) {
+      shareSlots(now);
+    }
   }
 
   private void tick(long now) {
@@ -204,9 +212,7 @@
     }
     follower.tick(now, out);
     submissions.tick(now, out);
-    if (peers.tick(now, this, out)) {
-      shareSlots(now);
-    }
+    peers.tick(now, this, out);
     ledger.tick(now, out);
     if (draining) {
       tickDrain(now);
--- a/src/main/java/org/marjoramhoist/decision/PeerView.java
+++ b/src/main/java/org/marjoramhoist/decision/PeerView.java
@@ -21,6 +21,7 @@
 final class PeerView {
 
   private static final int KNOWN_PER_BEAT = 8;
+  private static final String FREE_PREFIX = "free:";
   private static final String TEAM_PREFIX = "team:";
   private static final int TEAM_TASKS_TO_TELL = 50;
 
@@ -33,7 +34,6 @@
   private long nextLocal;
   private long nextRemote;
   private int rotation;
-  private Map<String, Integer> toldDemand = Map.of();
 
   PeerView(Policy policy) {
     this.policy = policy;
@@ -51,17 +51,12 @@
     links.remove(host);
   }
 
-  /** Returns the demand that the other hosts have last been told. */
-  Map<String, Integer> toldDemand() {
-    return toldDemand;
-  }
-
-  /** Sends the heartbeats that are due; returns whether any was. */
-  boolean tick(long now, HostCore core, Actions out) {
+  /** Sends the heartbeats that are due. */
+  void tick(long now, HostCore core, Actions out) {
     boolean local = now >= nextLocal;
     boolean remote = now >= nextRemote;
     if (!local && !remote) {
-      return false;
+      return;
     }
     Heartbeat beat = beat(core);
     for (Link link : links.values()) {
@@ -75,13 +70,12 @@
     if (remote) {
       nextRemote = now + policy.remoteHeartbeat();
     }
-    return true;
   }
 
   private Heartbeat beat(HostCore core) {
     Scheduler scheduler = core.scheduler();
-    toldDemand = scheduler.demand();
-    Map<String, Integer> demand = new TreeMap<>(toldDemand);
+    Map<String, Integer> demand = new TreeMap<>(scheduler.demand());
+    scheduler.freeSlots().forEach((upstream, free) -> demand.put(FREE_PREFIX + upstream, free));
     scheduler
         .usage()
         .atLeast(TEAM_TASKS_TO_TELL)
@@ -119,27 +113,31 @@
       }
     }
     Map<TeamId, Integer> teams = new HashMap<>();
+    Map<String, Integer> free = new HashMap<>();
     beat.demand()
         .forEach(
             (key, count) -> {
               if (key.startsWith(TEAM_PREFIX)) {
                 teams.put(new TeamId(key.substring(TEAM_PREFIX.length())), count);
+              } else if (key.startsWith(FREE_PREFIX)) {
+                free.put(key.substring(FREE_PREFIX.length()), count);
               }
             });
+    scheduler.lending().heard(from, free);
     scheduler.usage().heard(from.host(), teams);
     for (WorkerHint hint : beat.workerHints()) {
       scheduler.hinted(now, hint, out);
     }
   }
 
-  /** Returns the hosts that split the workers' slots with this one. */
+  /** Returns the hosts that split the workers' slots with this one, and this one. */
   List<SlotShares.Sharer> sharers(Membership membership) {
     List<SlotShares.Sharer> sharers = new ArrayList<>();
-    sharers.add(new SlotShares.Sharer(policy.self().host(), policy.domain(), toldDemand));
+    sharers.add(new SlotShares.Sharer(policy.self().host(), policy.domain()));
     for (Membership.Peer peer : membership.peers()) {
       boolean idle = peer.last().draining() && peer.last().demand().isEmpty();
       if (peer.state() != Membership.State.DEAD && !idle) {
-        sharers.add(new SlotShares.Sharer(peer.ref().host(), peer.domain(), peer.last().demand()));
+        sharers.add(new SlotShares.Sharer(peer.ref().host(), peer.domain()));
       }
     }
     return sharers;
--- a/src/main/java/org/marjoramhoist/decision/Scheduler.java
+++ b/src/main/java/org/marjoramhoist/decision/Scheduler.java
@@ -10,10 +10,12 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
+import org.marjoramhoist.message.PeerMessage;
 import org.marjoramhoist.message.PeerMessage.WorkerHint;
 import org.marjoramhoist.model.AttemptId;
 import org.marjoramhoist.model.ClassId;
 import org.marjoramhoist.model.ErrorKind;
+import org.marjoramhoist.model.HostRef;
 import org.marjoramhoist.model.JobAnswer;
 import org.marjoramhoist.model.JobSpec;
 import org.marjoramhoist.model.RunState;
@@ -49,6 +51,7 @@
   private final TeamUsage usage = new TeamUsage();
   private final Admission admission;
   private final Attempts attempts;
+  private final SlotLending lending;
   private final Map<UpstreamId, UpstreamState> upstreams = new TreeMap<>();
   private final Map<SubmissionId, JobRun> jobs = new HashMap<>();
   private final PriorityQueue<JobRun> byDeadline =
@@ -57,13 +60,15 @@
   private long jobSeq;
 
   /** Creates a scheduler without upstreams. */
-  public Scheduler(Policy policy, Configuration config, Ledger ledger, JobSink sink) {
+  public Scheduler(
+      Policy policy, Membership membership, Configuration config, Ledger ledger, JobSink sink) {
     this.policy = policy;
     this.config = config;
     this.ledger = ledger;
     this.sink = sink;
-    this.admission = new Admission(policy, config, usage);
     this.attempts = new Attempts(ledger, new Callback());
+    this.lending = new SlotLending(membership);
+    this.admission = new Admission(policy, config, usage, lending);
   }
 
   /** What becomes of a job when one of its attempts has ended. */
@@ -89,6 +94,46 @@
     }
   }
 
+  SlotLending lending() {
+    return lending;
+  }
+
+  /** Lends slots to a host that asks for them. */
+  void loanAsked(long now, HostRef from, PeerMessage.LoanRequest request, Actions out) {
+    UpstreamState upstream = upstreams.get(new UpstreamId(request.upstream()));
+    lending.asked(now, from, request, upstream, out);
+  }
+
+  /** Takes in slots that another host lends. */
+  void loanGranted(long now, HostRef from, PeerMessage.LoanGrant grant, Actions out) {
+    UpstreamState upstream = upstreams.get(new UpstreamId(grant.upstream()));
+    lending.granted(now, from, grant, upstream, out);
+    if (upstream != null) {
+      dispatch(now, upstream, out);
+    }
+  }
+
+  /** Takes in slots that another host gives back. */
+  void loanReturned(long now, HostRef from, PeerMessage.LoanReturn loan, Actions out) {
+    UpstreamState upstream = upstreams.get(new UpstreamId(loan.upstream()));
+    if (upstream != null) {
+      lending.returned(now, from, loan, upstream);
+      dispatch(now, upstream, out);
+    }
+  }
+
+  /** Returns the free slots of each upstream for which nothing waits here. */
+  Map<String, Integer> freeSlots() {
+    Map<String, Integer> free = new TreeMap<>();
+    for (UpstreamState upstream : upstreams.values()) {
+      int slots = upstream.pool().freeSlots();
+      if (upstream.queue().isEmpty() && slots > 0) {
+        free.put(upstream.id().value(), slots);
+      }
+    }
+    return free;
+  }
+
   TeamUsage usage() {
     return usage;
   }
@@ -234,6 +279,7 @@
     }
     attempts.tick(now, out);
     upstreams.values().forEach(upstream -> upstream.pool().tick(now));
+    upstreams.values().forEach(upstream -> lending.tick(now, upstream, out));
     dispatchAll(now, out);
   }
 
@@ -258,7 +304,7 @@
     while (upstream.pool().hasAvailable()) {
       JobRun job = upstream.queue().next(leftOut);
       if (job == null) {
-        return;
+        break;
       }
       double expected = Admission.expected(job.peek(), job.requestClass(), upstream);
       WorkerState worker = upstream.pool().choose(job, expected, upstream.queue().waitingTasks());
@@ -268,6 +314,7 @@
         start(now, upstream, job, worker, expected, out);
       }
     }
+    lending.ask(now, upstream, out);
   }
 
   private void start(
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/decision/SlotLending.java
@@ -0,0 +1,255 @@
+package org.marjoramhoist.decision;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.marjoramhoist.message.PeerMessage.LoanGrant;
+import org.marjoramhoist.message.PeerMessage.LoanRequest;
+import org.marjoramhoist.message.PeerMessage.LoanReturn;
+import org.marjoramhoist.message.PeerMessage.Slots;
+import org.marjoramhoist.model.HostRef;
+import org.marjoramhoist.model.UpstreamId;
+import org.marjoramhoist.model.WorkerId;
+
+/**
+ * Lends slots that this host leaves free to hosts with waiting tasks, and borrows from others.
+ *
+ * <p>A slot is used by one host at a time: the lender counts it as used until it is given back, or
+ * its borrower is surely done with it. A loan is short; on its end the slot takes no further
+ * attempt and is given back as soon as it is free. Confined to one thread.
+ */
+final class SlotLending {
+
+  private static final long LOAN_TIME = Policy.MICROS_PER_SECOND;
+  private static final long RECLAIM_AFTER = 10 * Policy.MICROS_PER_SECOND;
+  private static final long EMPTY_PAUSE = 50 * Policy.MICROS_PER_MILLI;
+  private static final long ANSWER_TIMEOUT = 200 * Policy.MICROS_PER_MILLI;
+  private static final int MAX_ASKED_AT_ONCE = 3;
+
+  private record Loan(
+      HostRef other, UpstreamState upstream, WorkerId worker, int count, long until) {}
+
+  /** What is known of another host as a lender. */
+  private static final class Lender {
+    private HostRef ref;
+    private Map<String, Integer> free = Map.of();
+    private long nextAsk;
+    private boolean asked;
+  }
+
+  private final Membership membership;
+  private final Map<HostRef, Lender> lenders = new TreeMap<>();
+  private final Deque<Loan> borrowed = new ArrayDeque<>();
+  private final List<Loan> closing = new ArrayList<>();
+  private final List<Loan> lent = new ArrayList<>();
+
+  SlotLending(Membership membership) {
+    this.membership = membership;
+  }
+
+  /** Takes in how many slots of each upstream a host leaves free. */
+  void heard(HostRef from, Map<String, Integer> free) {
+    Lender lender = lenders.computeIfAbsent(from, ref -> new Lender());
+    lender.ref = from;
+    lender.free = new HashMap<>(free);
+  }
+
+  /** Returns how many slots other hosts are known to leave free. */
+  int knownFree(UpstreamId upstream) {
+    int free = 0;
+    for (Lender lender : lenders.values()) {
+      if (membership.isAlive(lender.ref)) {
+        free += lender.free.getOrDefault(upstream.value(), 0);
+      }
+    }
+    return free;
+  }
+
+  /** Asks the hosts with the most free slots, if tasks wait here. */
+  void ask(long now, UpstreamState upstream, Actions out) {
+    int wanted = upstream.queue().waitingTasks();
+    if (wanted == 0) {
+      return;
+    }
+    String name = upstream.id().value();
+    int open = 0;
+    for (Lender lender : lenders.values()) {
+      if (lender.asked && now < lender.nextAsk) {
+        wanted -= lender.free.getOrDefault(name, 0);
+        open++;
+      }
+    }
+    while (wanted > 0 && open < MAX_ASKED_AT_ONCE) {
+      Lender best = bestLender(now, name);
+      if (best == null) {
+        return;
+      }
+      int count = Math.min(wanted, best.free.get(name));
+      best.asked = true;
+      best.nextAsk = now + ANSWER_TIMEOUT;
+      out.send(best.ref.host(), new LoanRequest(name, count));
+      wanted -= count;
+      open++;
+    }
+  }
+
+  private Lender bestLender(long now, String upstream) {
+    Lender best = null;
+    for (Iterator<Lender> all = lenders.values().iterator(); all.hasNext(); ) {
+      Lender lender = all.next();
+      if (!membership.isAlive(lender.ref)) {
+        all.remove();
+        continue;
+      }
+      int free = lender.free.getOrDefault(upstream, 0);
+      boolean better = best == null || free > best.free.getOrDefault(upstream, 0);
+      if (free > 0 && now >= lender.nextAsk && better) {
+        best = lender;
+      }
+    }
+    return best;
+  }
+
+  /** Lends what is free here, the slowest workers first. */
+  void asked(long now, HostRef from, LoanRequest request, UpstreamState upstream, Actions out) {
+    List<Slots> slots = new ArrayList<>();
+    if (upstream != null && upstream.queue().isEmpty()) {
+      int left = request.count();
+      for (WorkerState worker : upstream.pool().slowestAvailable()) {
+        int count = Math.min(left, worker.free(now));
+        if (count > 0 && worker.borrowed() == 0) {
+          slots.add(new Slots(worker.id().value(), count));
+          worker.lend(count);
+          upstream.pool().refresh(now, worker);
+          lent.add(new Loan(from, upstream, worker.id(), count, now + RECLAIM_AFTER));
+          left -= count;
+        }
+        if (left == 0) {
+          break;
+        }
+      }
+    }
+    out.send(from.host(), new LoanGrant(request.upstream(), slots, now + LOAN_TIME));
+  }
+
+  /** Takes in slots that another host lends, or that it has none. */
+  void granted(long now, HostRef from, LoanGrant grant, UpstreamState upstream, Actions out) {
+    Lender lender = lenders.get(from);
+    if (lender != null) {
+      lender.asked = false;
+      lender.nextAsk = grant.slots().isEmpty() ? now + EMPTY_PAUSE : now;
+      int got = grant.slots().stream().mapToInt(Slots::count).sum();
+      lender.free.merge(grant.upstream(), -got, Integer::sum);
+      if (got == 0) {
+        lender.free.remove(grant.upstream());
+        out.add(new Action.CountWaste(Waste.PROBE));
+      }
+    }
+    List<Slots> unusable = new ArrayList<>();
+    for (Slots slots : grant.slots()) {
+      WorkerId id = new WorkerId(slots.worker());
+      WorkerState worker = upstream == null ? null : upstream.pool().get(id);
+      if (worker == null) {
+        unusable.add(slots);
+        continue;
+      }
+      worker.borrow(slots.count());
+      borrowed.add(new Loan(from, upstream, id, slots.count(), grant.until()));
+      upstream.pool().refresh(now, worker);
+    }
+    if (!unusable.isEmpty()) {
+      out.send(from.host(), new LoanReturn(grant.upstream(), unusable));
+    }
+  }
+
+  /** Takes in slots that a borrower gives back. */
+  void returned(long now, HostRef from, LoanReturn loan, UpstreamState upstream) {
+    for (Slots slots : loan.slots()) {
+      reclaim(now, from, upstream, new WorkerId(slots.worker()), slots.count());
+    }
+  }
+
+  private void reclaim(long now, HostRef from, UpstreamState upstream, WorkerId id, int count) {
+    int left = count;
+    for (int i = 0; i < lent.size() && left > 0; i++) {
+      Loan loan = lent.get(i);
+      if (!loan.other.equals(from) || !loan.worker.equals(id) || loan.upstream != upstream) {
+        continue;
+      }
+      int taken = Math.min(left, loan.count);
+      left -= taken;
+      takeBack(now, loan, taken);
+      lent.remove(i--);
+      if (taken < loan.count) {
+        lent.add(new Loan(loan.other, loan.upstream, loan.worker, loan.count - taken, loan.until));
+      }
+    }
+  }
+
+  private static void takeBack(long now, Loan loan, int count) {
+    WorkerState worker = loan.upstream.pool().get(loan.worker);
+    if (worker != null) {
+      worker.takeBack(count);
+      loan.upstream.pool().refresh(now, worker);
+    }
+  }
+
+  /** Ends loans that are over or not needed, and gives free slots back. */
+  void tick(long now, UpstreamState upstream, Actions out) {
+    lent.removeIf(
+        loan -> {
+          boolean over = now >= loan.until;
+          if (over) {
+            takeBack(now, loan, loan.count);
+          }
+          return over;
+        });
+    boolean idle = upstream.queue().isEmpty();
+    for (Iterator<Loan> all = borrowed.iterator(); all.hasNext(); ) {
+      Loan loan = all.next();
+      if (loan.upstream == upstream && (idle || now >= loan.until)) {
+        all.remove();
+        close(now, loan);
+      }
+    }
+    giveBack(upstream, out);
+  }
+
+  private void close(long now, Loan loan) {
+    WorkerState worker = loan.upstream.pool().get(loan.worker);
+    if (worker != null) {
+      worker.closeLoan(loan.count);
+      loan.upstream.pool().refresh(now, worker);
+      closing.add(loan);
+    }
+  }
+
+  private void giveBack(UpstreamState upstream, Actions out) {
+    Map<HostRef, List<Slots>> back = new TreeMap<>();
+    for (int i = 0; i < closing.size(); i++) {
+      Loan loan = closing.get(i);
+      WorkerState worker = upstream.pool().get(loan.worker);
+      if (loan.upstream != upstream || worker == null) {
+        continue;
+      }
+      int count = Math.min(loan.count, worker.returnable());
+      if (count == 0) {
+        continue;
+      }
+      worker.returned(count);
+      back.computeIfAbsent(loan.other, ref -> new ArrayList<>())
+          .add(new Slots(loan.worker.value(), count));
+      closing.remove(i--);
+      if (count < loan.count) {
+        closing.add(new Loan(loan.other, upstream, loan.worker, loan.count - count, loan.until));
+      }
+    }
+    back.forEach(
+        (ref, slots) -> out.send(ref.host(), new LoanReturn(upstream.id().value(), slots)));
+  }
+}
--- a/src/main/java/org/marjoramhoist/decision/SlotShares.java
+++ b/src/main/java/org/marjoramhoist/decision/SlotShares.java
@@ -2,38 +2,31 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import org.marjoramhoist.model.DomainId;
 import org.marjoramhoist.model.HostId;
 
 /**
  * Splits the slots of each worker among the entry hosts that use it.
  *
- * <p>A worker is used by the hosts of its own failure domain; if that has none, by all hosts. Each
- * host's weight follows its demand. Every host that has heard the same heartbeats comes to the same
- * split; a transient difference offers a worker too much, which its guard refuses. Stateless.
+ * <p>A worker is shared in equal parts by the hosts of its own failure domain; if that has none, by
+ * all hosts. What a host leaves free it lends to others ({@link SlotLending}). Every host that
+ * hears the same others comes to the same split; a transient difference offers a worker too much,
+ * which its guard refuses. Stateless.
  */
 final class SlotShares {
 
-  private static final double BASE_WEIGHT = 1;
-
   private SlotShares() {}
 
   /** A host that may use a worker. */
-  record Sharer(HostId host, DomainId domain, Map<String, Integer> demand) {
-
-    double weight(String upstream) {
-      return BASE_WEIGHT + demand.getOrDefault(upstream, 0);
-    }
-  }
+  record Sharer(HostId host, DomainId domain) {}
 
   /** Sets this host's share of every worker of the upstream. */
   static void apply(long now, UpstreamState upstream, HostId self, List<Sharer> hosts) {
     for (WorkerState worker : upstream.pool().workers()) {
       List<Sharer> sharers = sharersOf(worker, hosts);
-      int share = shareOf(worker, upstream.id().value(), self, sharers);
-      if (share != worker.share()) {
-        worker.setShare(share);
+      int share = shareOf(worker, self, sharers);
+      if (share != worker.base()) {
+        worker.setBase(share);
         upstream.pool().refresh(now, worker);
       }
     }
@@ -49,42 +42,21 @@
     return local.isEmpty() ? hosts : local;
   }
 
-  /** Splits by largest remainder; the order of hosts differs from worker to worker. */
-  private static int shareOf(
-      WorkerState worker, String upstream, HostId self, List<Sharer> sharers) {
-    int slots = worker.spec().slots();
-    double total = sharers.stream().mapToDouble(host -> host.weight(upstream)).sum();
-    int given = 0;
-    int own = -1;
-    double ownFraction = 0;
-    for (Sharer host : sharers) {
-      double exact = slots * host.weight(upstream) / total;
-      given += (int) exact;
-      if (host.host.equals(self)) {
-        own = (int) exact;
-        ownFraction = exact - own;
-      }
-    }
-    if (own < 0) {
-      return 0;
-    }
+  /** Splits evenly; which hosts get one slot more differs from worker to worker. */
+  private static int shareOf(WorkerState worker, HostId self, List<Sharer> sharers) {
+    String key = worker.id().value();
     int ahead = 0;
+    boolean included = false;
     for (Sharer host : sharers) {
-      double exact = slots * host.weight(upstream) / total;
-      if (!host.host.equals(self)
-          && goesFirst(worker, host.host, exact - (int) exact, self, ownFraction)) {
-        ahead++;
-      }
+      included |= host.host.equals(self);
+      boolean first = Shards.preference(key).compare(host.host, self) < 0;
+      ahead += first ? 1 : 0;
     }
-    return ahead < slots - given ? own + 1 : own;
-  }
-
-  private static boolean goesFirst(
-      WorkerState worker, HostId other, double fraction, HostId self, double ownFraction) {
-    if (fraction != ownFraction) {
-      return fraction > ownFraction;
+    if (!included) {
+      return 0;
     }
-    String key = worker.id().value();
-    return Shards.preference(key).compare(other, self) < 0;
+    int slots = worker.spec().slots();
+    int rest = slots % sharers.size();
+    return slots / sharers.size() + (ahead < rest ? 1 : 0);
   }
 }
--- a/src/main/java/org/marjoramhoist/decision/Submission.java
+++ b/src/main/java/org/marjoramhoist/decision/Submission.java
@@ -5,6 +5,7 @@
 import org.marjoramhoist.message.PeerMessage.ClaimEntry;
 import org.marjoramhoist.model.JobSpec;
 import org.marjoramhoist.model.SubmissionId;
+import org.marjoramhoist.model.TeamId;
 
 /**
  * What this host remembers of one submission.
@@ -16,6 +17,7 @@
 
   private final SubmissionId id;
   private final String digest;
+  private final TeamId team;
   private final long keepUntil;
   private JobSpec job;
   private List<Waiter> waiters = new ArrayList<>(1);
@@ -28,6 +30,7 @@
   Submission(JobSpec job, long keepUntil) {
     this.id = job.id();
     this.digest = job.digest();
+    this.team = job.team();
     this.job = job;
     this.keepUntil = keepUntil;
   }
@@ -36,6 +39,10 @@
     return id;
   }
 
+  TeamId team() {
+    return team;
+  }
+
   boolean hasDigest(String other) {
     return digest.equals(other);
   }
--- a/src/main/java/org/marjoramhoist/decision/Submissions.java
+++ b/src/main/java/org/marjoramhoist/decision/Submissions.java
@@ -67,7 +67,7 @@
     this.membership = membership;
     this.claims = claims;
     this.forwards = new Forwards(policy, membership);
-    this.scheduler = new Scheduler(policy, config, ledger, this);
+    this.scheduler = new Scheduler(policy, membership, config, ledger, this);
     this.answers = new AnswerStore(policy.maxAnswerBytes());
   }
 
@@ -406,7 +406,7 @@
   public void cancel(long now, SubmissionId id, TeamId team, boolean mayForward, Actions out) {
     Submission submission = known.get(id);
     if (submission != null && !submission.isGivenUp()) {
-      if (submission.job().team().equals(team)) {
+      if (submission.team().equals(team)) {
         scheduler.cancel(now, id, out);
       }
     } else if (mayForward) {
--- a/src/main/java/org/marjoramhoist/decision/WorkerPool.java
+++ b/src/main/java/org/marjoramhoist/decision/WorkerPool.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.TreeSet;
@@ -24,7 +25,7 @@
   private static final double EJECTED_SHARE = 1.0 / 3;
 
   /** A worker at its place in the order. */
-  private record Place(int speed, double load, long tie, WorkerState worker) {}
+  private record Place(int speed, double load, long tie, int free, WorkerState worker) {}
 
   private record Wake(long at, WorkerState worker) {}
 
@@ -42,6 +43,7 @@
   private final Map<Integer, Integer> slotsBySpeed = new HashMap<>();
   private final Map<WorkerId, int[]> counted = new HashMap<>();
   private int usableSlots;
+  private int freeSlots;
   private long tie;
 
   WorkerPool(RunTimes runTimes) {
@@ -88,6 +90,7 @@
     Place old = places.remove(worker.id());
     if (old != null) {
       available.remove(old);
+      freeSlots -= old.free;
     }
     count(now, worker);
     if (worker.free(now) <= 0) {
@@ -95,9 +98,10 @@
     }
     int speed = speedOf(worker);
     double load = (double) worker.running() / worker.spec().slots();
-    Place place = new Place(speed, load, tie++, worker);
+    Place place = new Place(speed, load, tie++, worker.free(now), worker);
     places.put(worker.id(), place);
     available.add(place);
+    freeSlots += place.free;
   }
 
   private int speedOf(WorkerState worker) {
@@ -118,6 +122,16 @@
     usableSlots += usable;
   }
 
+  /** Returns how many slots this host leaves free at present. */
+  int freeSlots() {
+    return freeSlots;
+  }
+
+  /** Returns the workers with a free slot, the slowest first. */
+  List<WorkerState> slowestAvailable() {
+    return available.descendingSet().stream().map(Place::worker).toList();
+  }
+
   /** Returns how many slots this host may use at present. */
   int usableSlots() {
     return usableSlots;
--- a/src/main/java/org/marjoramhoist/decision/WorkerState.java
+++ b/src/main/java/org/marjoramhoist/decision/WorkerState.java
@@ -14,7 +14,10 @@
   private WorkerSpec spec;
   private final WorkerHealth health = new WorkerHealth();
   private int running;
-  private int share;
+  private int base;
+  private int borrowed;
+  private int closing;
+  private int lent;
   private boolean leaving;
   private long refusedUntil;
   private boolean removed;
@@ -22,7 +25,7 @@
   WorkerState(WorkerSpec spec) {
     this.spec = spec;
     this.leaving = spec.leaving();
-    this.share = spec.slots();
+    this.base = spec.slots();
   }
 
   WorkerId id() {
@@ -57,12 +60,50 @@
     running--;
   }
 
+  /** Returns how many attempts this host may hold: its own share and what it has borrowed. */
   int share() {
-    return share;
+    return base - lent + borrowed;
   }
 
-  void setShare(int slots) {
-    share = slots;
+  /** Returns this host's own share of the slots. */
+  int base() {
+    return base;
+  }
+
+  void setBase(int slots) {
+    base = slots;
+  }
+
+  void borrow(int slots) {
+    borrowed += slots;
+  }
+
+  /** Lets borrowed slots take no further attempts; each is given back once it is free. */
+  void closeLoan(int slots) {
+    borrowed -= slots;
+    closing += slots;
+  }
+
+  /** Returns how many closed slots are free to be given back. */
+  int returnable() {
+    return Math.max(0, Math.min(closing, share() + closing - running));
+  }
+
+  void returned(int slots) {
+    closing -= slots;
+  }
+
+  /** Returns how many borrowed slots take attempts. */
+  int borrowed() {
+    return borrowed;
+  }
+
+  void lend(int slots) {
+    lent += slots;
+  }
+
+  void takeBack(int slots) {
+    lent = Math.max(0, lent - slots);
   }
 
   boolean isLeaving() {
@@ -87,6 +128,6 @@
     if (leaving || removed || now < refusedUntil) {
       return 0;
     }
-    return Math.min(share, health.limit(now, spec.slots())) - running;
+    return Math.min(share(), health.limit(now, spec.slots())) - running;
   }
 }
--- a/src/main/java/org/marjoramhoist/experiment/VirtualFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/VirtualFleet.java
@@ -13,6 +13,7 @@
 import org.marjoramhoist.decision.HostCore;
 import org.marjoramhoist.decision.Outcome;
 import org.marjoramhoist.decision.Policy;
+import org.marjoramhoist.message.PeerMessage;
 import org.marjoramhoist.model.AttemptId;
 import org.marjoramhoist.model.DomainId;
 import org.marjoramhoist.model.HostId;
@@ -57,6 +58,7 @@
   private final Set<String> cutFromStore = new HashSet<>();
   private final Map<String, Long> lastArrival = new HashMap<>();
   private long requests;
+  private long submitDelay;
 
   /** One host of the fleet, with its present incarnation. */
   private final class VirtualHost {
@@ -208,6 +210,9 @@
   private void send(VirtualHost from, Action.Send send) {
     VirtualHost to = host(send.to());
     history.count("peer");
+    if (send.message() instanceof PeerMessage.LoanGrant grant && grant.slots().isEmpty()) {
+      history.count("empty loan");
+    }
     if (to == null || isCut(from, to) || !to.running) {
       time.after(SHORTEST_LATENCY, eventTo(from, new Event.LinkLost(send.to())));
       return;
@@ -332,6 +337,11 @@
     time.runUntil(when);
   }
 
+  /** Delays every submission by so many microseconds, in place of what the decisions leave out. */
+  void setSubmitDelay(long micros) {
+    submitDelay = micros;
+  }
+
   /** Declares resources in the store. */
   public void declare(List<ResourceDoc> docs) {
     store.declare(docs);
@@ -482,6 +492,11 @@
     return store.calls();
   }
 
+  /** Tells whether a host's process runs. */
+  public boolean isRunning(int index) {
+    return hosts.get(index).running;
+  }
+
   /** Returns how many hosts there are. */
   public int hostCount() {
     return hosts.size();
--- a/src/main/java/org/marjoramhoist/message/PeerMessage.java
+++ b/src/main/java/org/marjoramhoist/message/PeerMessage.java
@@ -30,6 +30,9 @@
   @JsonSubTypes.Type(value = PeerMessage.ForwardReply.class, name = "fr"),
   @JsonSubTypes.Type(value = PeerMessage.Locate.class, name = "lq"),
   @JsonSubTypes.Type(value = PeerMessage.Cancel.class, name = "cn"),
+  @JsonSubTypes.Type(value = PeerMessage.LoanRequest.class, name = "oq"),
+  @JsonSubTypes.Type(value = PeerMessage.LoanGrant.class, name = "og"),
+  @JsonSubTypes.Type(value = PeerMessage.LoanReturn.class, name = "or"),
   @JsonSubTypes.Type(value = PeerMessage.ConfigRequest.class, name = "gq"),
   @JsonSubTypes.Type(value = PeerMessage.ConfigUpdate.class, name = "gu")
 })
@@ -183,6 +186,34 @@
   /** Asks the starter of a submission to cancel it. */
   record Cancel(SubmissionId id, TeamId team) implements PeerMessage {}
 
+  /**
+   * Slots of one worker.
+   *
+   * @param worker the worker
+   * @param count how many
+   */
+  record Slots(String worker, int count) {}
+
+  /**
+   * Asks a host for the use of slots that it leaves free.
+   *
+   * @param upstream the upstream
+   * @param count how many are wanted
+   */
+  record LoanRequest(String upstream, int count) implements PeerMessage {}
+
+  /**
+   * Lends slots; an empty list says that none is free.
+   *
+   * @param upstream the upstream
+   * @param slots the slots
+   * @param until when no further attempt may be started on them, in microseconds since the epoch
+   */
+  record LoanGrant(String upstream, List<Slots> slots, long until) implements PeerMessage {}
+
+  /** Gives lent slots back. */
+  record LoanReturn(String upstream, List<Slots> slots) implements PeerMessage {}
+
   /** Asks for the configuration after a revision. */
   record ConfigRequest(long sinceRevision) implements PeerMessage {}
 
--- a/src/test/java/org/marjoramhoist/experiment/ClaimsTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/ClaimsTest.java
@@ -294,4 +294,18 @@
     List<History.Answer> answers = fleet.history().answers();
     assertThat(answers.stream().filter(a -> a.answer().isComplete()).count()).isEqualTo(jobs);
   }
+
+  @Test
+  void cancelsOnceAndIgnoresCancellationOfEndedJob() {
+    JobSpec job = job("d0~m");
+    final long request = fleet.submit(0, job);
+    run(100 * MILLI);
+    fleet.cancel(1, job.id(), job.team());
+    run(100 * MILLI);
+    assertThat(answer(request).error()).isEqualTo(ErrorKind.CANCELLED);
+    assertThat(answer(request).runState()).isEqualTo(RunState.RAN);
+    fleet.cancel(0, job.id(), job.team());
+    run(SECOND);
+    assertNoBreach();
+  }
 }
