Order by due time within shares, push loans, avoid a worker that failed a job

Cause: teams took turns in steps of 2 s of work, so a single task waited behind another team's hundred; hosts asked others for slots in vain; slow workers seemed 25% faster or slower by chance and tasks were held back for them; a failed task was tried again on the worker that had failed it.

--- a/src/main/java/org/marjoramhoist/decision/Admission.java
+++ b/src/main/java/org/marjoramhoist/decision/Admission.java
@@ -61,7 +61,7 @@
     int tasks = job.tasks().size();
     double work = expectedWork(job, requestClass, upstream);
     int slots = Math.max(1, upstream.pool().usableSlots() + lending.knownFree(upstream.id()));
-    double wait = upstream.queuedWork() / slots;
+    double wait = upstream.queue().workBefore(job.team(), upstream.queuedWork()) / slots;
     long retryAt = now + Math.max(MIN_RETRY_MICROS, (long) (wait / 2));
     if (usage.total(job.team()) + tasks > team.quotaTasks()) {
       String detail = "quota of " + team.quotaTasks() + " tasks is used up";
--- a/src/main/java/org/marjoramhoist/decision/Attempts.java
+++ b/src/main/java/org/marjoramhoist/decision/Attempts.java
@@ -257,6 +257,7 @@
             && budget.spend(job.spec().team());
     if (allowed) {
       out.add(new Action.CountWaste(Waste.RETRY));
+      job.avoid(attempt.worker().id());
       waitAgain(now, attempt);
     } else {
       String text = "task " + attempt.task().id() + ": " + detail;
--- a/src/main/java/org/marjoramhoist/decision/JobRun.java
+++ b/src/main/java/org/marjoramhoist/decision/JobRun.java
@@ -13,6 +13,7 @@
 import org.marjoramhoist.model.TaskId;
 import org.marjoramhoist.model.TaskResult;
 import org.marjoramhoist.model.TaskSpec;
+import org.marjoramhoist.model.WorkerId;
 import org.marjoramhoist.resource.ClassSpec;
 
 /**
@@ -33,6 +34,7 @@
   private final Map<TaskId, Integer> starts = new HashMap<>();
   private final Set<AttemptId> attempts = new HashSet<>();
   private final Map<String, Integer> racks = new HashMap<>();
+  private final Set<WorkerId> avoided = new HashSet<>();
   private double expectedEach;
   private long due;
   private boolean ended;
@@ -159,6 +161,16 @@
     return attempts;
   }
 
+  /** Notes that a task of the job has failed on the worker. */
+  void avoid(WorkerId worker) {
+    avoided.add(worker);
+  }
+
+  /** Tells whether a task of the job has failed on the worker. */
+  boolean avoids(WorkerId worker) {
+    return avoided.contains(worker);
+  }
+
   int runningInRack(String rack) {
     return racks.getOrDefault(rack, 0);
   }
--- a/src/main/java/org/marjoramhoist/decision/RunTimes.java
+++ b/src/main/java/org/marjoramhoist/decision/RunTimes.java
@@ -36,7 +36,7 @@
   double expected(ClassId id, long declaredMicros, long fallbackMicros) {
     ClassTimes times = classes.get(id);
     if (times == null) {
-      return declaredMicros > 0 ? declaredMicros : fallbackMicros;
+      return fallbackMicros;
     }
     return times.declaredError < times.plainError ? byDeclared(times, declaredMicros) : times.mean;
   }
@@ -62,8 +62,8 @@
     ClassTimes times = classes.computeIfAbsent(id, key -> new ClassTimes());
     if (times.samples > 0) {
       learnErrors(times, declaredMicros, normal);
-      double ratio = run / predictedBy(times, declaredMicros);
-      double next = factor + WORKER_GAIN * (ratio - factor);
+      double ratio = Math.log(run / predictedBy(times, declaredMicros));
+      double next = factor * Math.exp(WORKER_GAIN * (ratio - Math.log(factor)));
       factors.put(worker, Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, next)));
     }
     times.samples++;
--- a/src/main/java/org/marjoramhoist/decision/Scheduler.java
+++ b/src/main/java/org/marjoramhoist/decision/Scheduler.java
@@ -42,7 +42,7 @@
   }
 
   private static final int RADIX = 36;
-  private static final double DUE_FACTOR = 2;
+  private static final double DUE_FACTOR = 5;
 
   private final Policy policy;
   private final Configuration config;
@@ -76,7 +76,7 @@
     @Override
     public void taskWaits(long now, JobRun job, UpstreamState upstream) {
       upstream.addQueuedWork(job.expectedEach());
-      upstream.queue().addOne(job);
+      upstream.queue().addOne(now, job);
     }
 
     @Override
@@ -122,12 +122,12 @@
     }
   }
 
-  /** Returns the free slots of each upstream for which nothing waits here. */
+  /** Returns the slots of each upstream that this host would lend. */
   Map<String, Integer> freeSlots() {
     Map<String, Integer> free = new TreeMap<>();
     for (UpstreamState upstream : upstreams.values()) {
-      int slots = upstream.pool().freeSlots();
-      if (upstream.queue().isEmpty() && slots > 0) {
+      int slots = SlotLending.lendable(upstream);
+      if (slots > 0) {
         free.put(upstream.id().value(), slots);
       }
     }
@@ -209,7 +209,7 @@
     byDeadline.add(job);
     usage.add(spec.team(), spec.tasks().size());
     upstream.addQueuedWork(work);
-    upstream.queue().add(job);
+    upstream.queue().add(now, job);
     dispatch(now, upstream, out);
   }
 
@@ -230,7 +230,7 @@
     }
     UpstreamState upstream = upstreams.get(job.requestClass().upstream());
     upstream.addQueuedWork(-job.expectedEach() * job.waitingCount());
-    upstream.queue().remove(job);
+    upstream.queue().remove(now, job);
     int open = job.waitingCount() + job.attempts().size();
     job.end();
     jobs.remove(job.spec().id());
@@ -278,7 +278,10 @@
       expire(now, byDeadline.poll(), out);
     }
     attempts.tick(now, out);
-    upstreams.values().forEach(upstream -> upstream.pool().tick(now));
+    for (UpstreamState upstream : upstreams.values()) {
+      upstream.pool().tick(now);
+      upstream.queue().tick(now, upstream.pool().usableSlots());
+    }
     upstreams.values().forEach(upstream -> lending.tick(now, upstream, out));
     dispatchAll(now, out);
   }
@@ -315,6 +318,7 @@
       }
     }
     lending.ask(now, upstream, out);
+    lending.serve(now, upstream, out);
   }
 
   private void start(
@@ -327,7 +331,7 @@
     AttemptId id = nextAttempt();
     final TaskSpec task = job.start(id, worker.spec().rack(), now);
     TeamSpec team = config.team(job.spec().team());
-    upstream.queue().started(job, expected, team == null ? 1 : team.share());
+    upstream.queue().started(now, job, expected, team == null ? 1 : team.share());
     upstream.addQueuedWork(-job.expectedEach());
     upstream.addRunning(1);
     worker.started();
--- a/src/main/java/org/marjoramhoist/decision/SlotLending.java
+++ b/src/main/java/org/marjoramhoist/decision/SlotLending.java
@@ -27,19 +27,24 @@
 
   private static final long LOAN_TIME = Policy.MICROS_PER_SECOND;
   private static final long RECLAIM_AFTER = 10 * Policy.MICROS_PER_SECOND;
-  private static final long EMPTY_PAUSE = 50 * Policy.MICROS_PER_MILLI;
-  private static final long ANSWER_TIMEOUT = 200 * Policy.MICROS_PER_MILLI;
+  private static final long ANSWER_TIMEOUT = 300 * Policy.MICROS_PER_MILLI;
+  private static final int MAX_ASKERS = 256;
+  private static final int ASKED_UNKNOWN = 2;
   private static final int MAX_ASKED_AT_ONCE = 3;
+  private static final int KEPT_PART = 8;
 
   private record Loan(
       HostRef other, UpstreamState upstream, WorkerId worker, int count, long until) {}
 
+  /** A host that waits for slots. */
+  private record Asker(HostRef from, UpstreamState upstream, int count, long until) {}
+
   /** What is known of another host as a lender. */
   private static final class Lender {
     private HostRef ref;
     private Map<String, Integer> free = Map.of();
     private long nextAsk;
-    private boolean asked;
+    private int asked;
   }
 
   private final Membership membership;
@@ -47,6 +52,8 @@
   private final Deque<Loan> borrowed = new ArrayDeque<>();
   private final List<Loan> closing = new ArrayList<>();
   private final List<Loan> lent = new ArrayList<>();
+  private final List<Asker> askers = new ArrayList<>();
+  private int turn;
 
   SlotLending(Membership membership) {
     this.membership = membership;
@@ -79,23 +86,41 @@
     String name = upstream.id().value();
     int open = 0;
     for (Lender lender : lenders.values()) {
-      if (lender.asked && now < lender.nextAsk) {
-        wanted -= lender.free.getOrDefault(name, 0);
+      if (lender.asked > 0 && now < lender.nextAsk) {
+        wanted -= lender.asked;
         open++;
       }
     }
     while (wanted > 0 && open < MAX_ASKED_AT_ONCE) {
       Lender best = bestLender(now, name);
       if (best == null) {
-        return;
+        break;
       }
       int count = Math.min(wanted, best.free.get(name));
-      best.asked = true;
-      best.nextAsk = now + ANSWER_TIMEOUT;
-      out.send(best.ref.host(), new LoanRequest(name, count));
+      ask(now, best, name, count, out);
       wanted -= count;
       open++;
     }
+    if (wanted > 0 && open == 0) {
+      askAny(now, name, Math.min(wanted, ASKED_UNKNOWN), out);
+    }
+  }
+
+  private static void ask(long now, Lender lender, String upstream, int count, Actions out) {
+    lender.asked = count;
+    lender.nextAsk = now + ANSWER_TIMEOUT;
+    out.send(lender.ref.host(), new LoanRequest(upstream, count));
+  }
+
+  /** Asks one host in turn that is not known to have free slots; it answers once it has some. */
+  private void askAny(long now, String upstream, int count, Actions out) {
+    List<Lender> idle =
+        lenders.values().stream()
+            .filter(lender -> now >= lender.nextAsk && membership.isAlive(lender.ref))
+            .toList();
+    if (!idle.isEmpty()) {
+      ask(now, idle.get(turn++ % idle.size()), upstream, count, out);
+    }
   }
 
   private Lender bestLender(long now, String upstream) {
@@ -115,40 +140,83 @@
     return best;
   }
 
-  /** Lends what is free here, the slowest workers first. */
+  /** Returns how many free slots may be lent; a part is kept for what arrives here. */
+  static int lendable(UpstreamState upstream) {
+    if (!upstream.queue().isEmpty()) {
+      return 0;
+    }
+    int kept = upstream.pool().usableSlots() / KEPT_PART;
+    return Math.max(0, upstream.pool().freeSlots() - kept);
+  }
+
+  /** Lends what is free here; what is not free yet is lent as it becomes free, for a short time. */
   void asked(long now, HostRef from, LoanRequest request, UpstreamState upstream, Actions out) {
-    List<Slots> slots = new ArrayList<>();
-    if (upstream != null && upstream.queue().isEmpty()) {
-      int left = request.count();
-      for (WorkerState worker : upstream.pool().slowestAvailable()) {
-        int count = Math.min(left, worker.free(now));
-        if (count > 0 && worker.borrowed() == 0) {
-          slots.add(new Slots(worker.id().value(), count));
-          worker.lend(count);
-          upstream.pool().refresh(now, worker);
-          lent.add(new Loan(from, upstream, worker.id(), count, now + RECLAIM_AFTER));
-          left -= count;
-        }
-        if (left == 0) {
-          break;
+    if (upstream == null) {
+      return;
+    }
+    askers.removeIf(asker -> asker.from.equals(from) && asker.upstream == upstream);
+    if (askers.size() < MAX_ASKERS) {
+      askers.add(new Asker(from, upstream, request.count(), now + ANSWER_TIMEOUT));
+    }
+    serve(now, upstream, out);
+  }
+
+  /** Lends to the hosts that have asked, in the order in which they asked. */
+  void serve(long now, UpstreamState upstream, Actions out) {
+    if (askers.isEmpty()) {
+      return;
+    }
+    int left = lendable(upstream);
+    for (Iterator<Asker> all = askers.iterator(); all.hasNext() && left > 0; ) {
+      Asker asker = all.next();
+      if (now >= asker.until) {
+        all.remove();
+      } else if (asker.upstream == upstream) {
+        int given = lend(now, asker, left, out);
+        left = given == 0 ? 0 : left - given;
+        if (given > 0) {
+          all.remove();
         }
       }
     }
-    out.send(from.host(), new LoanGrant(request.upstream(), slots, now + LOAN_TIME));
   }
 
-  /** Takes in slots that another host lends, or that it has none. */
+  /** Lends slots of the slowest workers first; returns how many. */
+  private int lend(long now, Asker asker, int most, Actions out) {
+    UpstreamState upstream = asker.upstream;
+    List<Slots> slots = new ArrayList<>();
+    int left = Math.min(most, asker.count);
+    int given = 0;
+    for (WorkerState worker : upstream.pool().slowestAvailable()) {
+      int count = Math.min(left - given, worker.free(now));
+      if (count > 0 && worker.borrowed() == 0) {
+        slots.add(new Slots(worker.id().value(), count));
+        worker.lend(count);
+        upstream.pool().refresh(now, worker);
+        lent.add(new Loan(asker.from, upstream, worker.id(), count, now + RECLAIM_AFTER));
+        given += count;
+      }
+    }
+    if (given > 0) {
+      out.send(asker.from.host(), new LoanGrant(upstream.id().value(), slots, now + LOAN_TIME));
+    }
+    return given;
+  }
+
+  /** Takes in slots that another host lends. */
   void granted(long now, HostRef from, LoanGrant grant, UpstreamState upstream, Actions out) {
+    int got = grant.slots().stream().mapToInt(Slots::count).sum();
     Lender lender = lenders.get(from);
     if (lender != null) {
-      lender.asked = false;
-      lender.nextAsk = grant.slots().isEmpty() ? now + EMPTY_PAUSE : now;
-      int got = grant.slots().stream().mapToInt(Slots::count).sum();
+      lender.nextAsk = now;
       lender.free.merge(grant.upstream(), -got, Integer::sum);
-      if (got == 0) {
+      if (got < lender.asked) {
         lender.free.remove(grant.upstream());
-        out.add(new Action.CountWaste(Waste.PROBE));
       }
+      lender.asked = 0;
+    }
+    if (upstream == null || upstream.queue().isEmpty()) {
+      out.add(new Action.CountWaste(Waste.PROBE));
     }
     List<Slots> unusable = new ArrayList<>();
     for (Slots slots : grant.slots()) {
--- a/src/main/java/org/marjoramhoist/decision/WorkerPool.java
+++ b/src/main/java/org/marjoramhoist/decision/WorkerPool.java
@@ -22,6 +22,7 @@
 
   private static final double SPEED_STEP = Math.log(1.25);
   private static final int CANDIDATES = 4;
+  private static final double WORTH_WAITING = 1.5;
   private static final double EJECTED_SHARE = 1.0 / 3;
 
   /** A worker at its place in the order. */
@@ -176,7 +177,8 @@
       if (best != null && (place.speed > best.speed || seen >= CANDIDATES)) {
         break;
       }
-      if (!place.worker.spec().needs().covers(job.requestClass().needs())) {
+      boolean fits = place.worker.spec().needs().covers(job.requestClass().needs());
+      if (!fits || (job.avoids(place.worker.id()) && workers.size() > 1)) {
         continue;
       }
       seen++;
@@ -207,6 +209,9 @@
       return false;
     }
     double fast = fasterSlots / fasterRate;
+    if (slow < WORTH_WAITING * fast) {
+      return false;
+    }
     double wait = waiting * expected / fasterRate;
     return wait + fast * expected < slow * expected;
   }
--- a/src/main/java/org/marjoramhoist/experiment/PolicyBench.java
+++ b/src/main/java/org/marjoramhoist/experiment/PolicyBench.java
@@ -235,7 +235,7 @@
         history.messages("refused") * perTask,
         repeated(history) * perTask,
         late(history, answers) * perTask,
-        (history.messages("probe") + history.messages("empty loan")) * perTask,
+        history.messages("core.PROBE") * perTask,
         history.messages("cancel") * perTask,
         outcomes.size(),
         count(outcomes, true),
--- a/src/main/java/org/marjoramhoist/experiment/VirtualFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/VirtualFleet.java
@@ -13,7 +13,6 @@
 import org.marjoramhoist.decision.HostCore;
 import org.marjoramhoist.decision.Outcome;
 import org.marjoramhoist.decision.Policy;
-import org.marjoramhoist.message.PeerMessage;
 import org.marjoramhoist.model.AttemptId;
 import org.marjoramhoist.model.DomainId;
 import org.marjoramhoist.model.HostId;
@@ -210,9 +209,6 @@
   private void send(VirtualHost from, Action.Send send) {
     VirtualHost to = host(send.to());
     history.count("peer");
-    if (send.message() instanceof PeerMessage.LoanGrant grant && grant.slots().isEmpty()) {
-      history.count("empty loan");
-    }
     if (to == null || isCut(from, to) || !to.running) {
       time.after(SHORTEST_LATENCY, eventTo(from, new Event.LinkLost(send.to())));
       return;
