Start run times from the declared class, ask for slots only when it pays

Cause: the first few samples alone made run times, so that jobs were refused as too late at half load; tasks a little longer than usual were asked about; slots were borrowed for tasks that an own slot took first.

Change: the class's expected time counts as five samples; an attempt is asked about after eight times its expected time, not four; slots are asked for when the own queue would take 5 ms or more.

--- a/src/main/java/org/marjoramhoist/decision/Attempts.java
+++ b/src/main/java/org/marjoramhoist/decision/Attempts.java
@@ -33,7 +33,7 @@
   private static final long LEASE_GRACE = 2 * Policy.MICROS_PER_SECOND;
   private static final long CLOCK_MARGIN = 500 * Policy.MICROS_PER_MILLI;
   private static final long REFUSAL_HOLD = 100 * Policy.MICROS_PER_MILLI;
-  private static final double CHECK_FACTOR = 4;
+  private static final double CHECK_FACTOR = 8;
 
   /** Hears what became of a job's tasks. */
   interface JobEvents {
@@ -204,6 +204,7 @@
             job.spec().classId(),
             worker.id(),
             attempt.task().declaredMillis() * Policy.MICROS_PER_MILLI,
+            job.requestClass().expectedMillis() * Policy.MICROS_PER_MILLI,
             success.runMicros());
     attempt.upstream().pool().refresh(now, worker);
     ledger.ran(now, attempt, null, success.runMicros());
--- a/src/main/java/org/marjoramhoist/decision/RunTimes.java
+++ b/src/main/java/org/marjoramhoist/decision/RunTimes.java
@@ -14,7 +14,8 @@
 final class RunTimes {
 
   private static final double CLASS_GAIN = 0.02;
-  private static final double FIRST_SAMPLES = 20;
+  private static final double FIRST_SAMPLES = 50;
+  private static final double PRIOR_SAMPLES = 5;
   private static final double WORKER_GAIN = 0.05;
   private static final double ERROR_GAIN = 0.02;
   private static final double MIN_FACTOR = 0.05;
@@ -24,9 +25,14 @@
   private static final class ClassTimes {
     private double mean;
     private double declaredMean;
-    private double samples;
+    private double samples = PRIOR_SAMPLES;
     private double plainError = 1;
     private double declaredError = 2;
+
+    ClassTimes(double prior) {
+      mean = prior;
+      declaredMean = prior;
+    }
   }
 
   private final Map<ClassId, ClassTimes> classes = new HashMap<>();
@@ -55,12 +61,13 @@
   }
 
   /** Takes in how long a task ran. */
-  void learn(ClassId id, WorkerId worker, long declaredMicros, long runMicros) {
+  void learn(
+      ClassId id, WorkerId worker, long declaredMicros, long fallbackMicros, long runMicros) {
     double run = Math.max(1, runMicros);
     double factor = factor(worker);
     double normal = run / factor;
-    ClassTimes times = classes.computeIfAbsent(id, key -> new ClassTimes());
-    if (times.samples > 0) {
+    ClassTimes times = classes.computeIfAbsent(id, key -> new ClassTimes(fallbackMicros));
+    if (times.samples > PRIOR_SAMPLES) {
       learnErrors(times, declaredMicros, normal);
       double ratio = Math.log(run / predictedBy(times, declaredMicros));
       double next = factor * Math.exp(WORKER_GAIN * (ratio - Math.log(factor)));
--- a/src/main/java/org/marjoramhoist/decision/SlotLending.java
+++ b/src/main/java/org/marjoramhoist/decision/SlotLending.java
@@ -28,6 +28,7 @@
   private static final long LOAN_TIME = Policy.MICROS_PER_SECOND;
   private static final long RECLAIM_AFTER = 10 * Policy.MICROS_PER_SECOND;
   private static final long ANSWER_TIMEOUT = 300 * Policy.MICROS_PER_MILLI;
+  private static final long MIN_WAIT = 5 * Policy.MICROS_PER_MILLI;
   private static final int MAX_ASKERS = 256;
   private static final int ASKED_UNKNOWN = 2;
   private static final int MAX_ASKED_AT_ONCE = 3;
@@ -80,7 +81,8 @@
   /** Asks the hosts with the most free slots, if tasks wait here. */
   void ask(long now, UpstreamState upstream, Actions out) {
     int wanted = upstream.queue().waitingTasks();
-    if (wanted == 0) {
+    double wait = upstream.queuedWork() / Math.max(1, upstream.pool().usableSlots());
+    if (wanted == 0 || wait < MIN_WAIT) {
       return;
     }
     String name = upstream.id().value();
