--- a/src/main/java/org/marjoramhoist/decision/Admission.java
+++ b/src/main/java/org/marjoramhoist/decision/Admission.java
@@ -61,7 +61,7 @@
     int tasks = job.tasks().size();
     double work = expectedWork(job, requestClass, upstream);
     int slots = Math.max(1, upstream.pool().usableSlots() + lending.knownFree(upstream.id()));
-    double wait = upstream.queue().workBefore(job.team(), upstream.queuedWork()) / slots;
+    double wait = upstream.queue().workBefore(now, job.team(), upstream.queuedWork()) / slots;
     long retryAt = now + Math.max(MIN_RETRY_MICROS, (long) (wait / 2));
     if (usage.total(job.team()) + tasks > team.quotaTasks()) {
       String detail = "quota of " + team.quotaTasks() + " tasks is used up";
@@ -71,7 +71,8 @@
       return refuse(job, ErrorKind.OVERLOADED, "the queue is full", retryAt);
     }
     double each = work / tasks;
-    double last = Math.max(each, work / slots);
+    double stretch = upstream.queue().stretch(now, job.team());
+    double last = Math.max(each, stretch * work / slots);
     long excess = (long) (now + wait + last) - job.deadlineMillis() * Policy.MICROS_PER_MILLI;
     if (excess > 0) {
       String detail = "the job would end about " + excess / Policy.MICROS_PER_MILLI + " ms late";
--- a/src/main/java/org/marjoramhoist/decision/Attempts.java
+++ b/src/main/java/org/marjoramhoist/decision/Attempts.java
@@ -33,6 +33,7 @@
   private static final long LEASE_GRACE = 2 * Policy.MICROS_PER_SECOND;
   private static final long CLOCK_MARGIN = 500 * Policy.MICROS_PER_MILLI;
   private static final long REFUSAL_HOLD = 100 * Policy.MICROS_PER_MILLI;
+  private static final long NOT_WORTH_STOPPING = 100 * Policy.MICROS_PER_MILLI;
   private static final double CHECK_FACTOR = 8;
 
   /** Hears what became of a job's tasks. */
@@ -91,10 +92,14 @@
     checks.add(new Check(attempt.nextCheck(), attempt));
   }
 
-  /** Tells the worker of an ended job that the attempt is not wanted any more. */
+  /** Tells the worker of an ended job to stop, unless the task is about to end by itself. */
   void abort(long now, AttemptId id, Actions out) {
     Attempt attempt = open.get(id);
-    if (attempt != null) {
+    if (attempt == null) {
+      return;
+    }
+    double left = attempt.startedAt() + attempt.expected() - now;
+    if (left <= 0 || left > NOT_WORTH_STOPPING) {
       out.add(new Action.CountWaste(Waste.CANCEL));
       out.add(new Action.Abort(id, attempt.worker().spec()));
     }
--- a/src/main/java/org/marjoramhoist/decision/JobQueue.java
+++ b/src/main/java/org/marjoramhoist/decision/JobQueue.java
@@ -23,6 +23,7 @@
   private static final double MEMORY_MICROS = 10.0 * Policy.MICROS_PER_SECOND;
   private static final double ALLOWANCE = 2;
   private static final double FORGOTTEN_MICROS = 1_000;
+  private static final double LEAST_PART_LEFT = 0.25;
   private static final long REFRESH = 100 * Policy.MICROS_PER_MILLI;
 
   private static final Comparator<JobRun> BY_DUE =
@@ -75,6 +76,7 @@
   private final TreeSet<Lane> lanes = new TreeSet<>(BY_TURN);
   private int waitingTasks;
   private double activeShares = 1;
+  private double totalUse;
   private double slots = 1;
   private long nextRefresh;
 
@@ -180,7 +182,9 @@
     nextRefresh = now + REFRESH;
     slots = Math.max(1, usableSlots);
     activeShares = 0;
+    totalUse = 0;
     for (TeamUse team : teams.values()) {
+      totalUse += team.usedAt(now);
       if (team.waiting > 0 || team.usedAt(now) > FORGOTTEN_MICROS) {
         activeShares += team.share;
       }
@@ -206,15 +210,31 @@
   }
 
   /**
-   * Returns the expected worker time that goes before a new job of the team, in microseconds: all
-   * that waits, or what fair shares let go first, whichever is less.
+   * Returns the expected worker time that goes before a new job of the team, in microseconds.
+   *
+   * <ul>
+   *   <li>Within its share: all that waits, or what fair shares let go first, whichever is less.
+   *   <li>Beyond its share: what the team itself has waiting, stretched since only the slots that
+   *       the others leave serve it.
+   * </ul>
    */
-  double workBefore(TeamId id, double queuedWork) {
+  double workBefore(long now, TeamId id, double queuedWork) {
     TeamUse team = teams.get(id);
     if (team == null) {
       return 0;
     }
     double turns = Math.max(1, activeShares / team.share);
-    return Math.min(queuedWork, team.queuedWork * turns);
+    double fair = Math.min(queuedWork, team.queuedWork * turns);
+    return Math.max(fair, team.queuedWork * stretch(now, id));
+  }
+
+  /** Returns how much longer work of the team takes since others go first; 1 within its share. */
+  double stretch(long now, TeamId id) {
+    TeamUse team = teams.get(id);
+    if (team == null || stepOf(now, team) == 0) {
+      return 1;
+    }
+    double others = Math.max(0, totalUse - team.usedAt(now)) / MEMORY_MICROS;
+    return slots / Math.max(slots * LEAST_PART_LEFT, slots - others);
   }
 }
