--- a/src/main/java/org/marjoramhoist/experiment/VirtualFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/VirtualFleet.java
@@ -432,6 +432,11 @@
   public void cutFromStore(String domain, boolean cut) {
     if (cut) {
       cutFromStore.add(domain);
+      for (VirtualHost host : hosts) {
+        if (host.domain.value().equals(domain)) {
+          store.cutWatch(host.ref.toString());
+        }
+      }
     } else {
       cutFromStore.remove(domain);
     }
--- a/src/main/java/org/marjoramhoist/experiment/VirtualStore.java
+++ b/src/main/java/org/marjoramhoist/experiment/VirtualStore.java
@@ -26,7 +26,7 @@
   private final Map<String, Held> shards = new HashMap<>();
   private final Map<String, TreeMap<String, List<ClaimEntry>>> logs = new HashMap<>();
   private final Map<String, ResourceDoc> config = new TreeMap<>();
-  private final List<Consumer<Event>> watchers = new ArrayList<>();
+  private final Map<String, Consumer<Event>> watchers = new TreeMap<>();
   private long revision = 1;
   private long configRevision;
   private long calls;
@@ -40,9 +40,15 @@
   void setDown(boolean isDown) {
     down = isDown;
     if (isDown) {
-      List<Consumer<Event>> all = new ArrayList<>(watchers);
-      watchers.clear();
-      all.forEach(watcher -> watcher.accept(new Event.WatchLost()));
+      List.copyOf(watchers.keySet()).forEach(this::cutWatch);
+    }
+  }
+
+  /** Ends the watch of a host's incarnation, if it has one. */
+  void cutWatch(String host) {
+    Consumer<Event> watcher = watchers.remove(host);
+    if (watcher != null) {
+      watcher.accept(new Event.WatchLost());
     }
   }
 
@@ -69,7 +75,7 @@
       stored.add(next);
     }
     Event event = new Event.ConfigSeen(base, configRevision, stored, List.of());
-    watchers.forEach(watcher -> watcher.accept(event));
+    List.copyOf(watchers.values()).forEach(watcher -> watcher.accept(event));
   }
 
   /** Returns the event that answers an action; null for none. */
@@ -84,7 +90,7 @@
     } else if (action instanceof Action.WriteAccounts a) {
       return account(host, a);
     } else if (action instanceof Action.WatchConfig a) {
-      return watch(a, watcher);
+      return watch(host, a, watcher);
     }
     throw new IllegalArgumentException("not a store action: " + action);
   }
@@ -174,15 +180,15 @@
     return new Event.AccountsWritten(a.seq(), !down && !losesReply());
   }
 
-  private Event watch(Action.WatchConfig a, Consumer<Event> watcher) {
-    watchers.remove(watcher);
+  private Event watch(String host, Action.WatchConfig a, Consumer<Event> watcher) {
+    watchers.remove(host);
     if (!a.on()) {
       return null;
     }
     if (down) {
       return new Event.WatchLost();
     }
-    watchers.add(watcher);
+    watchers.put(host, watcher);
     return new Event.ConfigSeen(-1, configRevision, List.copyOf(config.values()), List.of());
   }
 
