--- a/src/main/java/org/marjoramhoist/cli/GetCommand.java
+++ b/src/main/java/org/marjoramhoist/cli/GetCommand.java
@@ -73,10 +73,25 @@
               item.path("kind").asText(),
               item.path("name").asText(),
               item.path("version").asText(),
+              conditions(item.path("status").path("conditions")),
               describe(item.path("spec"))));
     }
     System.out.println("revision " + reply.path("revision").asLong());
-    System.out.print(Tables.of(List.of("KIND", "NAME", "VERSION", "SPEC"), rows));
+    System.out.print(Tables.of(List.of("KIND", "NAME", "VERSION", "CONDITIONS", "SPEC"), rows));
+  }
+
+  private static String conditions(JsonNode conditions) {
+    List<String> texts = new ArrayList<>();
+    for (JsonNode condition : conditions) {
+      texts.add(
+          condition.path("type").asText()
+              + "="
+              + condition.path("status").asText()
+              + " ("
+              + condition.path("reason").asText()
+              + ")");
+    }
+    return String.join(", ", texts);
   }
 
   private static String describe(JsonNode spec) {
--- a/src/main/java/org/marjoramhoist/decision/SlotLending.java
+++ b/src/main/java/org/marjoramhoist/decision/SlotLending.java
@@ -28,7 +28,7 @@
   private static final long LOAN_TIME = Policy.MICROS_PER_SECOND;
   private static final long RECLAIM_AFTER = 10 * Policy.MICROS_PER_SECOND;
   private static final long ANSWER_TIMEOUT = 100 * Policy.MICROS_PER_MILLI;
-  private static final long MIN_WAIT = 10 * Policy.MICROS_PER_MILLI;
+  private static final long MIN_WAIT = 3 * Policy.MICROS_PER_MILLI;
   private static final int MAX_ASKERS = 256;
   private static final int ASKED_UNKNOWN = 2;
   private static final int MAX_ASKED_AT_ONCE = 3;
--- a/src/main/java/org/marjoramhoist/host/OperatorApi.java
+++ b/src/main/java/org/marjoramhoist/host/OperatorApi.java
@@ -1,5 +1,6 @@
 package org.marjoramhoist.host;
 
+import com.fasterxml.jackson.databind.util.RawValue;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -44,6 +45,7 @@
   private final Requests requests;
   private final Consumer<Event> events;
   private final ConfigService configService;
+  private final Conditions conditions = new Conditions();
   private final ConfigFeed feed;
   private final Store store;
   private final Metrics metrics;
@@ -122,11 +124,24 @@
 
   /** Shows what is in force at this host, so that it works in a store outage too. */
   private void list(HttpServerExchange exchange, String name) {
+    Replies.later(
+        exchange,
+        requests.ask(Event.StatusAsked::new, STATUS_WAIT_MILLIS),
+        value -> {
+          if (value instanceof HostStatus status) {
+            list(exchange, name, status);
+          } else {
+            Replies.error(exchange, ErrorKind.OVERLOADED, "the host is overloaded");
+          }
+        });
+  }
+
+  private void list(HttpServerExchange exchange, String name, HostStatus status) {
     ConfigView view = feed.view();
     List<Map<String, Object>> items = new ArrayList<>();
     for (ResourceDoc doc : view.docs()) {
       if (matches(doc.key(), name)) {
-        items.add(item(doc));
+        items.add(item(doc, view, status));
       }
     }
     if (items.isEmpty() && name.contains("/")) {
@@ -143,13 +158,17 @@
     return name.isEmpty() || key.equals(name) || key.startsWith(name + "/");
   }
 
-  private static Map<String, Object> item(ResourceDoc doc) {
+  private Map<String, Object> item(ResourceDoc doc, ConfigView view, HostStatus status) {
     ResourceKey key = ResourceKey.parse(doc.key());
     Map<String, Object> item = new LinkedHashMap<>();
     item.put("kind", key.kind().label());
     item.put("name", key.name());
     item.put("version", doc.version());
-    item.put("spec", new com.fasterxml.jackson.databind.util.RawValue(doc.json()));
+    item.put("spec", new RawValue(doc.json()));
+    Map<String, Object> observed = new LinkedHashMap<>();
+    observed.put("observedRevision", view.revision());
+    observed.put("conditions", conditions.of(doc, view, status, System.currentTimeMillis()));
+    item.put("status", observed);
     return item;
   }
 
