--- a/src/main/java/org/marjoramhoist/decision/JobQueue.java
+++ b/src/main/java/org/marjoramhoist/decision/JobQueue.java
@@ -58,7 +58,7 @@
     private double queuedWork;
 
     double usedAt(long now) {
-      return used * Math.exp((usedAt - now) / MEMORY_MICROS);
+      return used * StrictMath.exp((usedAt - now) / MEMORY_MICROS);
     }
 
     void use(long now, double micros) {
@@ -171,7 +171,7 @@
   private int stepOf(long now, TeamUse team) {
     double fair = slots * MEMORY_MICROS * team.share / Math.max(team.share, activeShares);
     double excess = team.usedAt(now) / (ALLOWANCE * fair);
-    return excess <= 1 ? 0 : 1 + (int) (Math.log(excess) / Math.log(2));
+    return excess <= 1 ? 0 : 1 + (int) (StrictMath.log(excess) / StrictMath.log(2));
   }
 
   /** Lets use be forgotten and shares follow the teams that are active. */
--- a/src/main/java/org/marjoramhoist/decision/RunTimes.java
+++ b/src/main/java/org/marjoramhoist/decision/RunTimes.java
@@ -69,8 +69,8 @@
     ClassTimes times = classes.computeIfAbsent(id, key -> new ClassTimes(fallbackMicros));
     if (times.samples > PRIOR_SAMPLES) {
       learnErrors(times, declaredMicros, normal);
-      double ratio = Math.log(run / predictedBy(times, declaredMicros));
-      double next = factor * Math.exp(WORKER_GAIN * (ratio - Math.log(factor)));
+      double ratio = StrictMath.log(run / predictedBy(times, declaredMicros));
+      double next = factor * StrictMath.exp(WORKER_GAIN * (ratio - StrictMath.log(factor)));
       factors.put(worker, Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, next)));
     }
     times.samples++;
@@ -87,8 +87,9 @@
   }
 
   private static void learnErrors(ClassTimes times, long declaredMicros, double normal) {
-    double plain = Math.abs(Math.log(normal / Math.max(1, times.mean)));
-    double declared = Math.abs(Math.log(normal / Math.max(1, byDeclared(times, declaredMicros))));
+    double plain = Math.abs(StrictMath.log(normal / Math.max(1, times.mean)));
+    double declared =
+        Math.abs(StrictMath.log(normal / Math.max(1, byDeclared(times, declaredMicros))));
     times.plainError += ERROR_GAIN * (plain - times.plainError);
     times.declaredError += ERROR_GAIN * (declared - times.declaredError);
   }
--- a/src/main/java/org/marjoramhoist/decision/WorkerPool.java
+++ b/src/main/java/org/marjoramhoist/decision/WorkerPool.java
@@ -20,7 +20,7 @@
  */
 final class WorkerPool {
 
-  private static final double SPEED_STEP = Math.log(1.25);
+  private static final double SPEED_STEP = StrictMath.log(1.25);
   private static final int CANDIDATES = 4;
   private static final double WORTH_WAITING = 1.5;
   private static final double EJECTED_SHARE = 1.0 / 3;
@@ -106,7 +106,7 @@
   }
 
   private int speedOf(WorkerState worker) {
-    return (int) Math.round(Math.log(runTimes.factor(worker.id())) / SPEED_STEP);
+    return (int) Math.round(StrictMath.log(runTimes.factor(worker.id())) / SPEED_STEP);
   }
 
   /** Keeps the number of usable slots by speed. */
@@ -196,13 +196,13 @@
 
   /** Tells whether a slot of a faster worker, once free, would still end the task sooner. */
   private boolean isWorthWaiting(Place best, double expected, int waiting) {
-    double slow = Math.exp(best.speed * SPEED_STEP);
+    double slow = StrictMath.exp(best.speed * SPEED_STEP);
     int fasterSlots = 0;
     double fasterRate = 0;
     for (Map.Entry<Integer, Integer> entry : slotsBySpeed.entrySet()) {
       if (entry.getKey() < best.speed) {
         fasterSlots += entry.getValue();
-        fasterRate += entry.getValue() / Math.exp(entry.getKey() * SPEED_STEP);
+        fasterRate += entry.getValue() / StrictMath.exp(entry.getKey() * SPEED_STEP);
       }
     }
     if (fasterSlots == 0) {
--- a/src/main/java/org/marjoramhoist/experiment/Workload.java
+++ b/src/main/java/org/marjoramhoist/experiment/Workload.java
@@ -49,7 +49,7 @@
 
   /** Returns the time to the next arrival, in microseconds. */
   long gap(double jobsPerSecond) {
-    double seconds = -Math.log(1 - random.nextDouble()) / jobsPerSecond;
+    double seconds = -StrictMath.log(1 - random.nextDouble()) / jobsPerSecond;
     return Math.max(1, (long) (seconds * Policy.MICROS_PER_SECOND));
   }
 
@@ -64,8 +64,14 @@
     return draw < 0.95 ? 20 : 100;
   }
 
+  /** Returns a normal variate, the same on every machine. */
+  private double gaussian() {
+    double radius = Math.sqrt(-2 * StrictMath.log(1 - random.nextDouble()));
+    return radius * StrictMath.cos(2 * Math.PI * random.nextDouble());
+  }
+
   private double sizeMillis() {
-    double size = MEDIAN_MILLIS * Math.exp(SIGMA * random.nextGaussian());
+    double size = MEDIAN_MILLIS * StrictMath.exp(SIGMA * gaussian());
     return Math.min(MAX_MILLIS, Math.max(MIN_MILLIS, size));
   }
 
@@ -80,7 +86,7 @@
     int count = tasks();
     for (int i = 0; i < count; i++) {
       double size = sizeMillis();
-      double error = Math.pow(declaredError, 2 * random.nextDouble() - 1);
+      double error = StrictMath.pow(declaredError, 2 * random.nextDouble() - 1);
       long micros = (long) (size * Policy.MICROS_PER_MILLI);
       long declared = Math.max(1, Math.round(size * error));
       list.add(new TaskSpec(new TaskId("t" + i), String.valueOf(micros), declared, true));
