--- a/src/main/java/org/marjoramhoist/cli/ExperimentCommand.java
+++ b/src/main/java/org/marjoramhoist/cli/ExperimentCommand.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.marjoramhoist.experiment.CoreBench;
 import org.marjoramhoist.experiment.PolicyBench;
 
 /** Runs the policy bench in virtual time. */
@@ -36,12 +37,20 @@
         .addArgument("--alone")
         .action(net.sourceforge.argparse4j.impl.Arguments.storeTrue())
         .help("leave the plain dispatchers out");
+    parser
+        .addArgument("--core")
+        .action(net.sourceforge.argparse4j.impl.Arguments.storeTrue())
+        .help("measure the cost of decisions by workers and teams instead");
     parser.addArgument("--known").help("a file that lists bounds known to be missed");
     parser.addArgument("--seed").type(Long.class).setDefault(DEFAULT_SEED).help("the seed");
   }
 
   @Override
   public ExitCode run(Namespace arguments) throws CommandFailure {
+    if (arguments.getBoolean("core")) {
+      CoreBench.run();
+      return ExitCode.OK;
+    }
     List<String> missed =
         new PolicyBench(arguments.getLong("seed"))
             .run(arguments.getString("scenario"), arguments.getBoolean("alone"));
