--- a/src/main/java/org/marjoramhoist/host/EntryHost.java
+++ b/src/main/java/org/marjoramhoist/host/EntryHost.java
@@ -40,7 +40,7 @@
  */
 public final class EntryHost implements AutoCloseable {
 
-  private static final long TICK_MILLIS = 10;
+  private static final long TICK_MILLIS = 25;
   private static final int WORKER_IO_THREADS = 2;
   private static final int LISTENER_IO_THREADS = 2;
   private static final int HEADER_BYTES = 16 * 1024;
