Give the calls for claims a class of their own

Change: ClaimCalls holds the calls; Submissions hears their outcome through an interface. Behaviour stays.

Measured: 49 tests of claims, attempts, configuration, hosts and drain pass before and after.

Conclusion: no change to be seen from outside.

--- a/src/main/java/org/marjoramhoist/decision/Submissions.java
+++ b/src/main/java/org/marjoramhoist/decision/Submissions.java
@@ -11,7 +11,6 @@
 import org.marjoramhoist.message.PeerMessage;
 import org.marjoramhoist.message.PeerMessage.ClaimEntry;
 import org.marjoramhoist.message.PeerMessage.ClaimReply;
-import org.marjoramhoist.message.PeerMessage.ClaimRequest;
 import org.marjoramhoist.model.ErrorKind;
 import org.marjoramhoist.model.HostId;
 import org.marjoramhoist.model.HostRef;
@@ -39,28 +38,19 @@
 
   private static final long RETRY_DELAY = 200 * Policy.MICROS_PER_MILLI;
   private static final long CLAIM_PATIENCE = 3 * Policy.MICROS_PER_SECOND;
-  private static final long CLAIM_PAUSE = 50 * Policy.MICROS_PER_MILLI;
-
-  /** A claim that is to be looked at again. */
-  private record Due(long time, long call, Submission submission) {}
 
   private final Policy policy;
   private final Membership membership;
   private final ClaimAuthority claims;
+  private final ClaimCalls claimCalls;
   private final Forwards forwards;
   private final Scheduler scheduler;
   private final Map<SubmissionId, Submission> known = new HashMap<>();
-  private final Map<Long, Submission> claiming = new HashMap<>();
   private final Map<Long, Long> locating = new HashMap<>();
   private final Map<Long, Submission> byRequest = new HashMap<>();
   private final PriorityQueue<Submission> byExpiry =
       new PriorityQueue<>(Comparator.comparingLong(Submission::keepUntil));
-  private final PriorityQueue<Due> claimDeadlines =
-      new PriorityQueue<>(Comparator.comparingLong(Due::time));
-  private final PriorityQueue<Due> claimRetries =
-      new PriorityQueue<>(Comparator.comparingLong(Due::time));
   private final AnswerStore answers;
-  private long calls;
   private long tickets;
 
   /** Creates an empty set of submissions. */
@@ -73,6 +63,7 @@
     this.policy = policy;
     this.membership = membership;
     this.claims = claims;
+    this.claimCalls = new ClaimCalls(policy, membership, claims, new ClaimOutcomes());
     this.forwards = new Forwards(policy, membership);
     this.scheduler = new Scheduler(policy, membership, config, ledger, this);
     this.answers = new AnswerStore(policy.maxAnswerBytes());
@@ -90,10 +81,7 @@
 
   /** Tells whether no job runs and nobody waits. */
   public boolean isIdle() {
-    return scheduler.jobCount() == 0
-        && claiming.isEmpty()
-        && claimRetries.isEmpty()
-        && forwards.isEmpty();
+    return scheduler.jobCount() == 0 && claimCalls.isEmpty() && forwards.isEmpty();
   }
 
   /** Issues a submission id that only this incarnation can start. */
@@ -234,93 +222,45 @@
     submission.addWaiter(waiter);
     index(waiter, submission);
     submission.setPatience(Math.min(now + CLAIM_PATIENCE, deadlineOf(job)));
-    sendClaim(now, submission, out);
-  }
-
-  private void sendClaim(long now, Submission submission, Actions out) {
-    String shard = Shards.shardOf(submission.id(), policy);
-    HostId owner = claims.ownerOf(shard);
-    if (owner == null) {
-      claimLater(now, submission, "nobody decides on shard " + shard + " at present", out);
-      return;
-    }
-    long call = ++calls;
-    ClaimEntry entry =
-        new ClaimEntry(
-            submission.id(), submission.digest(), policy.self(), call, submission.keepUntil());
-    submission.startClaim(shard, entry);
-    claiming.put(call, submission);
-    claimDeadlines.add(new Due(now + policy.claimTimeout(), call, submission));
-    ClaimRequest request = new ClaimRequest(call, shard, entry);
-    if (owner.equals(policy.self().host())) {
-      claims.claim(now, policy.self(), request, out);
-    } else {
-      out.send(owner, request);
-    }
-  }
-
-  /** Tries the claim again shortly, unless nobody of the home domain is there or time is up. */
-  private void claimLater(long now, Submission submission, String detail, Actions out) {
-    String shard = Shards.shardOf(submission.id(), policy);
-    boolean hopeful = now + CLAIM_PAUSE < submission.patience() && membership.hasHostFor(shard);
-    if (hopeful) {
-      claimRetries.add(new Due(now + CLAIM_PAUSE, 0, submission));
-    } else {
-      giveUp(submission, unclaimed(now, submission.id(), ErrorKind.CLAIM_UNAVAILABLE, detail), out);
-    }
+    claimCalls.send(now, submission, out);
   }
 
-  /** Takes in what the owner of a shard has decided. */
+  /** Takes in what the owner of a shard has decided, or knows. */
   public void claimReplied(long now, HostRef from, ClaimReply reply, Actions out) {
     Long request = locating.remove(reply.call());
     if (request != null) {
       located(now, request, reply, out);
-      return;
-    }
-    Submission submission = claiming.remove(reply.call());
-    if (submission == null) {
-      if (reply.verdict() == PeerMessage.ClaimVerdict.GRANTED) {
-        releaseLate(from, reply, out);
-      }
-      return;
-    }
-    switch (reply.verdict()) {
-      case GRANTED -> start(now, submission, true, out);
-      case TAKEN -> taken(now, submission, reply.holder(), out);
-      case CONFLICT -> giveUp(submission, conflict(submission.id()), out);
-      default -> {
-        String detail = "the shard's owner can't decide at present";
-        giveUp(
-            submission, unclaimed(now, submission.id(), ErrorKind.CLAIM_UNAVAILABLE, detail), out);
-        release(submission, out);
-      }
+    } else {
+      claimCalls.replied(now, from, reply, out);
     }
   }
 
-  private void releaseLate(HostRef from, ClaimReply reply, Actions out) {
-    ClaimEntry entry = reply.holder();
-    String shard = Shards.shardOf(entry.id(), policy);
-    sendRelease(from.host(), shard, entry, out);
-  }
+  /** What becomes of a submission once its claim is decided. */
+  private final class ClaimOutcomes implements ClaimCalls.Outcomes {
+    @Override
+    public void granted(long now, Submission submission, Actions out) {
+      start(now, submission, true, out);
+    }
 
-  private void sendRelease(HostId owner, String shard, ClaimEntry entry, Actions out) {
-    PeerMessage.ClaimRelease release = new PeerMessage.ClaimRelease(shard, entry);
-    if (owner.equals(policy.self().host())) {
-      claims.release(policy.self(), release, out);
-    } else {
-      out.send(owner, release);
+    @Override
+    public void taken(long now, Submission submission, ClaimEntry holder, Actions out) {
+      passWaitersOn(now, submission, holder, out);
+    }
+
+    @Override
+    public void conflicting(Submission submission, Actions out) {
+      giveUp(submission, conflict(submission.id()), out);
     }
-  }
 
-  private void release(Submission submission, Actions out) {
-    HostId owner = claims.ownerOf(submission.shard());
-    if (owner != null) {
-      sendRelease(owner, submission.shard(), submission.entry(), out);
+    @Override
+    public void undecided(long now, Submission submission, String detail, Actions out) {
+      ErrorKind kind = ErrorKind.CLAIM_UNAVAILABLE;
+      giveUp(submission, unclaimed(now, submission.id(), kind, detail), out);
     }
   }
 
   /** Another incarnation holds the claim: what this host keeps is only who waits. */
-  private void taken(long now, Submission submission, ClaimEntry holder, Actions out) {
+  private void passWaitersOn(long now, Submission submission, ClaimEntry holder, Actions out) {
     List<Waiter> waiters = giveUpQuietly(submission);
     HostRef starter = holder.starter();
     for (Waiter waiter : waiters) {
@@ -352,7 +292,7 @@
         LogEvent.JOB_REFUSED, "submission=" + submission.id() + " error=" + refusal.get().error());
     giveUp(submission, refusal.get(), out);
     if (claimed) {
-      release(submission, out);
+      claimCalls.release(submission, out);
     }
   }
 
@@ -391,7 +331,7 @@
       reply(waiter, unclaimed(now, id, ErrorKind.CLAIM_UNAVAILABLE, detail), out);
       return;
     }
-    long call = ++calls;
+    long call = claimCalls.nextCall();
     locating.put(call, request);
     forwards.remember(request, id, now + policy.claimTimeout());
     PeerMessage.Locate question = new PeerMessage.Locate(call, shard, id);
@@ -457,19 +397,7 @@
 
   /** Does what is due: gives up late claims, answers for lost hosts, forgets old submissions. */
   public void tick(long now, Actions out) {
-    while (!claimDeadlines.isEmpty() && claimDeadlines.peek().time <= now) {
-      Due due = claimDeadlines.poll();
-      if (claiming.remove(due.call) != null) {
-        release(due.submission, out);
-        claimLater(now, due.submission, "the shard's owner did not answer in time", out);
-      }
-    }
-    while (!claimRetries.isEmpty() && claimRetries.peek().time <= now) {
-      Submission submission = claimRetries.poll().submission;
-      if (!submission.isGivenUp()) {
-        sendClaim(now, submission, out);
-      }
-    }
+    claimCalls.tick(now, out);
     forwards.tick(now, (waiter, answer) -> reply(waiter, answer, out));
     while (!byExpiry.isEmpty() && byExpiry.peek().keepUntil() <= now) {
       Submission submission = byExpiry.poll();
