Log until the process ends, tick less while idle

Cause: Log4j's own shutdown hook silenced the log at SIGTERM, so the end of a graceful shutdown was never written; found in a trial with three processes, whose last event was PROCESS_STOPPING. A host without work ticked 40 times a second.

Change: the hook is disabled and the console appender follows standard error; a test holds both and reads an event back as JSON. Without callers, workers or store heard for a second, every fourth tick is made.

--- a/src/main/java/org/marjoramhoist/host/CoreLoop.java
+++ b/src/main/java/org/marjoramhoist/host/CoreLoop.java
@@ -42,6 +42,7 @@
   private final Disruptor<Slot> disruptor;
   private final Deque<Event> own = new ArrayDeque<>();
   private volatile Thread thread;
+  private volatile boolean active;
   private long lastTime;
 
   /**
@@ -76,6 +77,9 @@
 
   /** Publishes an event, and waits for room if the ring is full. */
   void publish(Event event) {
+    if (!(event instanceof Event.Tick) && !(event instanceof Event.Received)) {
+      active = true;
+    }
     if (Thread.currentThread() == thread) {
       own.add(event);
       return;
@@ -83,6 +87,13 @@
     disruptor.publishEvent((slot, sequence) -> slot.event = event);
   }
 
+  /** Tells whether callers, workers or the store were heard since this was last asked. */
+  boolean wasActive() {
+    boolean was = active;
+    active = false;
+    return was;
+  }
+
   /** Publishes an event unless the ring is nearly full. */
   boolean tryPublish(Event event) {
     if (!disruptor.getRingBuffer().hasAvailableCapacity(RING_SIZE / 4)) {
--- a/src/main/java/org/marjoramhoist/host/EntryHost.java
+++ b/src/main/java/org/marjoramhoist/host/EntryHost.java
@@ -41,6 +41,8 @@
 public final class EntryHost implements AutoCloseable {
 
   private static final long TICK_MILLIS = 25;
+  private static final int TICKS_UNTIL_IDLE = 40;
+  private static final int IDLE_TICK_INTERVAL = 4;
   private static final int WORKER_IO_THREADS = 2;
   private static final int LISTENER_IO_THREADS = 2;
   private static final int HEADER_BYTES = 16 * 1024;
@@ -61,6 +63,7 @@
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
   private volatile PeerNetwork network;
   private volatile boolean draining;
+  private int idleTicks;
 
   private EntryHost(Settings settings, HostRef self, LongSupplier clock) {
     this.settings = settings;
@@ -185,7 +188,7 @@
         timer.scheduleAtFixedRate(
             () -> {
               try {
-                loop.publish(new Event.Tick());
+                tick();
               } catch (RuntimeException e) {
                 ended.completeExceptionally(e);
               }
@@ -196,6 +199,14 @@
     return Part.of(ended, () -> ticks.cancel(false));
   }
 
+  /** Ticks each time while there is work, and less often while there is none. */
+  private void tick() {
+    idleTicks = loop.wasActive() ? 0 : idleTicks + 1;
+    if (idleTicks < TICKS_UNTIL_IDLE || idleTicks % IDLE_TICK_INTERVAL == 0) {
+      loop.publish(new Event.Tick());
+    }
+  }
+
   private Part startPeers() throws IOException {
     String layout = settings.domains() + "x" + settings.limits().shardsPerDomain();
     Hello hello =
--- a/src/main/java/org/marjoramhoist/log/Logging.java
+++ b/src/main/java/org/marjoramhoist/log/Logging.java
@@ -10,7 +10,8 @@
 import org.apache.logging.log4j.core.config.builder.impl.BuiltConfiguration;
 
 /**
- * Sets up Log4j: events go to standard error, as text or as JSON lines.
+ * Sets up Log4j: events go to standard error, as text or as JSON lines, up to the end of the
+ * process.
  *
  * <p>Stateless; to be called once at the start of the process.
  */
@@ -37,6 +38,7 @@
     ConfigurationBuilder<BuiltConfiguration> builder =
         ConfigurationBuilderFactory.newConfigurationBuilder();
     builder.setStatusLevel(Level.ERROR);
+    builder.setShutdownHook("disable");
     String pattern = format.equals("json") ? JSON_PATTERN : TEXT_PATTERN;
     LayoutComponentBuilder layout =
         builder
@@ -44,7 +46,11 @@
             .addAttribute("pattern", pattern)
             .addAttribute("alwaysWriteExceptions", false);
     AppenderComponentBuilder appender =
-        builder.newAppender(APPENDER, "Console").addAttribute("target", "SYSTEM_ERR").add(layout);
+        builder
+            .newAppender(APPENDER, "Console")
+            .addAttribute("target", "SYSTEM_ERR")
+            .addAttribute("follow", true)
+            .add(layout);
     builder.add(appender);
     builder.add(
         builder
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/log/LoggingTest.java
@@ -0,0 +1,47 @@
+package org.marjoramhoist.log;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.core.LoggerContext;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.json.JsonText;
+
+class LoggingTest {
+
+  @AfterEach
+  void restore() {
+    Logging.configure("text", "info");
+  }
+
+  @Test
+  void goesOnWhileTheProcessShutsDown() {
+    Logging.configure("text", "info");
+    LoggerContext context = (LoggerContext) LogManager.getContext(false);
+    assertThat(context.getConfiguration().isShutdownHookEnabled()).isFalse();
+  }
+
+  @Test
+  void writesEventAsOneJsonObjectPerLine() throws Exception {
+    PrintStream before = System.err;
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    System.setErr(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+    try {
+      Logging.configure("json", "info");
+      EventLog.info(LogEvent.STORE_UP, "a \"quoted\"\nline {}", 7);
+    } finally {
+      System.setErr(before);
+    }
+    String text = bytes.toString(StandardCharsets.UTF_8);
+    assertThat(text.strip().lines().count()).isEqualTo(1);
+    JsonNode event = JsonText.MAPPER.readTree(text);
+    assertThat(event.path("code").asInt()).isEqualTo(LogEvent.STORE_UP.code());
+    assertThat(event.path("event").asText()).isEqualTo("STORE_UP");
+    assertThat(event.path("detail").asText()).isEqualTo("a \"quoted\"\nline 7");
+  }
+}
