Start the store call budget full; remove Log4j's hook for good

Cause: the call budget said it started full but started empty, so a host's first calls, an operator's apply among them, were refused with STORE_UNAVAILABLE for the first 20 ms or more. Ruled out: the watch, the ticks. Besides, disabling the shutdown hook in the configuration was not enough, since Log4j registers it with its default configuration first.

Change: the budget starts with its burst; the test takes one call from a new budget, and DrainTest checks the answer to its apply. The hook is stopped after each configuration; the test asks for its state.

Measured: EtcdStoreTest.refillsBudgetWithTime would fail before (a new budget gave nothing); DrainTest passes.

--- a/src/main/java/org/marjoramhoist/log/Logging.java
+++ b/src/main/java/org/marjoramhoist/log/Logging.java
@@ -2,12 +2,15 @@
 
 import java.util.Locale;
 import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.core.LifeCycle;
 import org.apache.logging.log4j.core.config.Configurator;
 import org.apache.logging.log4j.core.config.builder.api.AppenderComponentBuilder;
 import org.apache.logging.log4j.core.config.builder.api.ConfigurationBuilder;
 import org.apache.logging.log4j.core.config.builder.api.ConfigurationBuilderFactory;
 import org.apache.logging.log4j.core.config.builder.api.LayoutComponentBuilder;
 import org.apache.logging.log4j.core.config.builder.impl.BuiltConfiguration;
+import org.apache.logging.log4j.core.impl.Log4jContextFactory;
 
 /**
  * Sets up Log4j: events go to standard error, as text or as JSON lines, up to the end of the
@@ -59,5 +62,14 @@
             .add(builder.newAppenderRef(APPENDER)));
     builder.add(builder.newRootLogger(Level.ERROR).add(builder.newAppenderRef(APPENDER)));
     Configurator.reconfigure(builder.build());
+    keepUntilTheEnd();
+  }
+
+  /** Removes the hook that stops logging at the start of a shutdown, which itself is logged. */
+  private static void keepUntilTheEnd() {
+    if (LogManager.getFactory() instanceof Log4jContextFactory factory
+        && factory.getShutdownCallbackRegistry() instanceof LifeCycle hook) {
+      hook.stop();
+    }
   }
 }
--- a/src/main/java/org/marjoramhoist/platform/CallBudget.java
+++ b/src/main/java/org/marjoramhoist/platform/CallBudget.java
@@ -26,7 +26,8 @@
   CallBudget(int callsPerSecond, LongSupplier nanoClock) {
     this.nanoClock = nanoClock;
     this.nanosPerCall = TimeUnit.SECONDS.toNanos(1) / callsPerSecond;
-    this.paidUntil = new AtomicLong(nanoClock.getAsLong());
+    long full = nanoClock.getAsLong() - TimeUnit.SECONDS.toNanos(BURST_SECONDS);
+    this.paidUntil = new AtomicLong(full);
   }
 
   /** Takes one call out of the budget, if there is one. */
--- a/src/test/java/org/marjoramhoist/host/DrainTest.java
+++ b/src/test/java/org/marjoramhoist/host/DrainTest.java
@@ -50,7 +50,8 @@
       final String callers = cluster.hosts().get(0).listen().callers();
       String operators = cluster.hosts().get(0).listen().operators();
       String other = cluster.hosts().get(1).listen().operators();
-      send(operators, "POST", "/v1/apply", cluster.declarations()).get();
+      HttpReply applied = send(operators, "POST", "/v1/apply", cluster.declarations()).get();
+      assertWithMessage(applied.body()).that(applied.status()).isEqualTo(200);
       await(operators, "/v1/status", "configRevision", 1);
       await(other, "/v1/status", "configRevision", 1);
       await(operators, "/v1/status", "hosts", 1);
--- a/src/test/java/org/marjoramhoist/log/LoggingTest.java
+++ b/src/test/java/org/marjoramhoist/log/LoggingTest.java
@@ -7,7 +7,9 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.core.LifeCycle;
 import org.apache.logging.log4j.core.LoggerContext;
+import org.apache.logging.log4j.core.impl.Log4jContextFactory;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.json.JsonText;
@@ -24,6 +26,9 @@
     Logging.configure("text", "info");
     LoggerContext context = (LoggerContext) LogManager.getContext(false);
     assertThat(context.getConfiguration().isShutdownHookEnabled()).isFalse();
+    Log4jContextFactory factory = (Log4jContextFactory) LogManager.getFactory();
+    LifeCycle hook = (LifeCycle) factory.getShutdownCallbackRegistry();
+    assertThat(hook.isStarted()).isFalse();
   }
 
   @Test
--- a/src/test/java/org/marjoramhoist/platform/EtcdStoreTest.java
+++ b/src/test/java/org/marjoramhoist/platform/EtcdStoreTest.java
@@ -131,6 +131,7 @@
   void refillsBudgetWithTime() {
     AtomicLong nanos = new AtomicLong();
     CallBudget budget = new CallBudget(10, nanos::get);
+    assertThat(budget.take()).isTrue();
     nanos.addAndGet(TimeUnit.SECONDS.toNanos(10));
     int taken = 0;
     while (budget.take()) {
