Tell the changes of a watch one by one, in their order

Cause: EtcdJson.readEvents folded the events of one reply by key, so that a put and a deletion that arrived together reached the listener as the deletion alone; hearsChangesAndTheEndOfTheWatch failed whenever the store's two changes shared a reply. Ruled out: a wrong order at the store, whose events are numbered. Change: WatchListener.changed takes one typed Change an event; StoreAdapter, which wants the last state of a key, folds them itself. A new test replays the two events in one reply.

--- a/src/main/java/org/marjoramhoist/host/StoreAdapter.java
+++ b/src/main/java/org/marjoramhoist/host/StoreAdapter.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.type.TypeReference;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
@@ -205,7 +207,18 @@
           private long seen = head;
 
           @Override
-          public void changed(long revision, List<Store.Entry> changed, List<String> deleted) {
+          public void changed(long revision, List<Store.Change> changes) {
+            Map<String, Store.Change> last = new LinkedHashMap<>();
+            changes.forEach(change -> last.put(change.key(), change));
+            List<Store.Entry> changed = new ArrayList<>();
+            List<String> deleted = new ArrayList<>();
+            for (Store.Change change : last.values()) {
+              if (change instanceof Store.Change.Put put) {
+                changed.add(put.entry());
+              } else {
+                deleted.add(change.key());
+              }
+            }
             long next = Math.max(seen, headOf(changed));
             List<String> keys =
                 deleted.stream().map(key -> key.substring(Keys.CONFIG.length())).toList();
--- a/src/main/java/org/marjoramhoist/platform/EtcdJson.java
+++ b/src/main/java/org/marjoramhoist/platform/EtcdJson.java
@@ -112,20 +112,14 @@
     if (result.path("canceled").asBoolean()) {
       throw new IllegalStateException("the watch was cancelled");
     }
-    List<Store.Entry> changed = new ArrayList<>();
-    List<String> deleted = new ArrayList<>();
+    List<Store.Change> changes = new ArrayList<>();
     for (JsonNode event : result.path("events")) {
       Store.Entry entry = readEntry(event.path("kv"));
-      changed.removeIf(earlier -> earlier.key().equals(entry.key()));
-      deleted.remove(entry.key());
-      if ("DELETE".equals(event.path("type").asText())) {
-        deleted.add(entry.key());
-      } else {
-        changed.add(entry);
-      }
+      boolean deleted = "DELETE".equals(event.path("type").asText());
+      changes.add(deleted ? new Store.Change.Deletion(entry.key()) : new Store.Change.Put(entry));
     }
-    if (!changed.isEmpty() || !deleted.isEmpty()) {
-      listener.changed(revisionOf(result), changed, deleted);
+    if (!changes.isEmpty()) {
+      listener.changed(revisionOf(result), changes);
     }
   }
 }
--- a/src/main/java/org/marjoramhoist/platform/Store.java
+++ b/src/main/java/org/marjoramhoist/platform/Store.java
@@ -52,16 +52,32 @@
    */
   record TxnResult(boolean done, long revision, List<Range> reads) {}
 
+  /** One change of one key. */
+  sealed interface Change {
+    /** Returns the key. */
+    String key();
+
+    /** The key was set. */
+    record Put(Entry entry) implements Change {
+      @Override
+      public String key() {
+        return entry.key();
+      }
+    }
+
+    /** The key was deleted. */
+    record Deletion(String key) implements Change {}
+  }
+
   /** Hears of changes under a prefix. */
   interface WatchListener {
     /**
      * Takes the changes of one revision or of several together.
      *
      * @param revision the last revision that is covered
-     * @param changed keys that were set
-     * @param deleted keys that were deleted
+     * @param changes the changes, in the order in which the store made them
      */
-    void changed(long revision, List<Entry> changed, List<String> deleted);
+    void changed(long revision, List<Change> changes);
 
     /** Takes in that the watch has ended; nothing more is heard. */
     void ended();
--- a/src/test/java/org/marjoramhoist/platform/EtcdStoreTest.java
+++ b/src/test/java/org/marjoramhoist/platform/EtcdStoreTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ExecutionException;
@@ -12,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.http.HttpCaller;
+import org.marjoramhoist.json.JsonText;
 import org.marjoramhoist.platform.Store.Condition;
 import org.marjoramhoist.platform.Store.Op;
 import org.marjoramhoist.standin.StoreStandIn;
@@ -86,9 +88,8 @@
         0,
         new Store.WatchListener() {
           @Override
-          public void changed(long revision, List<Store.Entry> changed, List<String> deleted) {
-            changed.forEach(entry -> heard.add(entry.key() + "=" + entry.value()));
-            deleted.forEach(key -> heard.add("-" + key));
+          public void changed(long revision, List<Store.Change> changes) {
+            changes.forEach(change -> heard.add(textOf(change)));
           }
 
           @Override
@@ -106,6 +107,35 @@
     assertThat(heard.poll(PATIENCE_SECONDS, TimeUnit.SECONDS)).isEqualTo("end");
   }
 
+  private static String textOf(Store.Change change) {
+    return change instanceof Store.Change.Put put
+        ? put.key() + "=" + put.entry().value()
+        : "-" + change.key();
+  }
+
+  @Test
+  void passesOnPutAndDeletionOfOneKeyThatArriveTogether() throws Exception {
+    String put = "{\"kv\":{\"key\":\"YQ==\",\"value\":\"MQ==\",\"mod_revision\":\"7\"}}";
+    String deletion = "{\"type\":\"DELETE\",\"kv\":{\"key\":\"YQ==\",\"mod_revision\":\"8\"}}";
+    String line =
+        "{\"result\":{\"header\":{\"revision\":\"8\"},\"events\":[" + put + "," + deletion + "]}}";
+    List<String> heard = new ArrayList<>();
+    EtcdJson.readEvents(
+        JsonText.MAPPER.readTree(line),
+        new Store.WatchListener() {
+          @Override
+          public void changed(long revision, List<Store.Change> changes) {
+            changes.forEach(change -> heard.add(textOf(change)));
+          }
+
+          @Override
+          public void ended() {
+            heard.add("end");
+          }
+        });
+    assertThat(heard).containsExactly("a=1", "-a").inOrder();
+  }
+
   @Test
   void dropsKeysOfLapsedLeases() throws Exception {
     long lease = store.grantLease(1).get();
