--- /dev/null
+++ b/src/main/java/org/marjoramhoist/cli/EntryCommand.java
@@ -0,0 +1,65 @@
+package org.marjoramhoist.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import org.marjoramhoist.config.NodeSettings;
+import org.marjoramhoist.entry.EntryNode;
+import org.marjoramhoist.json.InvalidDocumentException;
+
+/** Runs an entry host on the platform until it is told to stop. */
+final class EntryCommand implements Command {
+
+  @Override
+  public String name() {
+    return "entry";
+  }
+
+  @Override
+  public String summary() {
+    return "Run an entry host on the platform; SIGTERM stops it without cutting a request short.";
+  }
+
+  @Override
+  public String example() {
+    return "marjoramhoist entry --settings deploy/example.jsonc";
+  }
+
+  @Override
+  public void declare(Subparser parser) {
+    parser.addArgument("--settings").required(true).help("the settings file");
+  }
+
+  @Override
+  public ExitCode run(Namespace arguments) throws Exception {
+    NodeSettings settings = settings(Path.of(arguments.getString("settings")));
+    EntryNode node;
+    try {
+      node = EntryNode.start(settings);
+    } catch (IOException | RuntimeException e) {
+      throw new CommandFailure(ExitCode.FAILED, "can't start: " + e.getMessage());
+    }
+    Thread hook =
+        new Thread(
+            () -> {
+              node.drain();
+              node.close();
+            },
+            "shutdown");
+    Runtime.getRuntime().addShutdownHook(hook);
+    new CountDownLatch(1).await();
+    return ExitCode.OK;
+  }
+
+  private static NodeSettings settings(Path file) throws CommandFailure {
+    try {
+      return NodeSettings.load(file);
+    } catch (IOException e) {
+      throw new CommandFailure(ExitCode.BAD_INPUT, "can't read " + file + ": " + e.getMessage());
+    } catch (InvalidDocumentException e) {
+      throw new CommandFailure(ExitCode.BAD_INPUT, e.getMessage());
+    }
+  }
+}
--- a/src/main/java/org/marjoramhoist/cli/Main.java
+++ b/src/main/java/org/marjoramhoist/cli/Main.java
@@ -59,6 +59,7 @@
   private static List<Command> commands() {
     return List.of(
         new ServeCommand(),
+        new EntryCommand(),
         new CheckCommand(),
         new ApplyCommand(),
         new GetCommand(),
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/config/NodeSettings.java
@@ -0,0 +1,95 @@
+package org.marjoramhoist.config;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.marjoramhoist.json.InvalidDocumentException;
+import org.marjoramhoist.json.Problems;
+import org.marjoramhoist.json.StrictObject;
+
+/**
+ * The settings of an entry host that uses the platform's store and workers.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param host the host's name, unique in the fleet
+ * @param failureDomain its failure domain
+ * @param listen the addresses of its listeners
+ * @param store {@code host:port} of the platform's store
+ * @param leaseMillis how far ahead the lease of a run may end
+ * @param farFactor how many times as long a task runs away from its data
+ * @param drainMillis how long a graceful shutdown may take
+ * @param logLevel the least level of log events
+ */
+public record NodeSettings(
+    String host,
+    String failureDomain,
+    Listen listen,
+    String store,
+    long leaseMillis,
+    double farFactor,
+    long drainMillis,
+    String logLevel) {
+
+  private static final long MINUTE_MILLIS = 60_000;
+  private static final double SECOND_MILLIS = 1_000;
+  private static final double MAX_FACTOR = 100;
+  private static final double MAX_DRAIN_SECONDS = 600;
+
+  /**
+   * Addresses, {@code host:port}, of the listeners.
+   *
+   * @param callers for callers
+   * @param ready for the load balancer's checks
+   * @param peers for other hosts
+   * @param metrics for metrics; empty for none
+   */
+  public record Listen(String callers, String ready, String peers, String metrics) {}
+
+  /**
+   * Reads a settings file.
+   *
+   * @throws IOException if the file can't be read
+   * @throws InvalidDocumentException with every fault found
+   */
+  public static NodeSettings load(Path file) throws IOException, InvalidDocumentException {
+    return parse(file.toString(), Files.readString(file));
+  }
+
+  /**
+   * Reads settings from a text.
+   *
+   * @param source names the text, for the messages
+   * @throws InvalidDocumentException with every fault found
+   */
+  public static NodeSettings parse(String source, String text) throws InvalidDocumentException {
+    Problems problems = new Problems(source);
+    NodeSettings settings;
+    try (StrictObject root = StrictObject.parse(text, problems)) {
+      settings = read(root);
+    }
+    problems.throwIfAny();
+    return settings;
+  }
+
+  private static NodeSettings read(StrictObject root) {
+    try (StrictObject listen = root.object("listen")) {
+      Listen addresses =
+          new Listen(
+              listen.text("callers"),
+              listen.text("ready"),
+              listen.text("peers"),
+              listen.text("metrics", ""));
+      double drainSeconds = root.decimal("drainSeconds", 0, MAX_DRAIN_SECONDS, 5);
+      return new NodeSettings(
+          root.text("host"),
+          root.text("failureDomain", ""),
+          addresses,
+          root.text("store"),
+          root.number("leaseMillis", 100, MINUTE_MILLIS, 1_000),
+          root.decimal("farFactor", 1, MAX_FACTOR, 1),
+          (long) (drainSeconds * SECOND_MILLIS),
+          root.text("logLevel", "info"));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -0,0 +1,85 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.job.RunRef;
+
+/**
+ * What a leader's decisions hear. Immutable and safe for use by several threads.
+ *
+ * <p>All times are in microseconds on the host's steady clock.
+ */
+public sealed interface DispatchEvent {
+
+  /**
+   * A job was handed in, or handed on by an entry host after a change of leader.
+   *
+   * @param job the job
+   * @param requestClass its class, as the entry host's configuration has it
+   * @param entry the entry host that waits for the end
+   * @param arrivedAt when the caller's request came in
+   * @param deadline when the caller stops waiting
+   * @param generation how many leaders were given the job before this one
+   */
+  record JobSubmitted(
+      JobDescription job,
+      RequestClass requestClass,
+      String entry,
+      long arrivedAt,
+      long deadline,
+      int generation)
+      implements DispatchEvent {}
+
+  /** An entry host no longer waits for a job, or its caller cancelled it. */
+  record JobWithdrawn(JobId job, String entry) implements DispatchEvent {}
+
+  /** An entry host is gone, and with it the callers that it served. */
+  record EntryLost(String entry) implements DispatchEvent {}
+
+  /** The list of workers was read. */
+  record WorkersListed(List<WorkerInfo> workers) implements DispatchEvent {}
+
+  /**
+   * A worker answered a renewal.
+   *
+   * @param worker its id
+   * @param sentAt when the renewal was sent
+   * @param report what it said; empty if another worker or life of it answered
+   */
+  record Renewed(String worker, long sentAt, Optional<WorkerReport> report)
+      implements DispatchEvent {}
+
+  /** A renewal got no answer. */
+  record RenewalFailed(String worker) implements DispatchEvent {}
+
+  /**
+   * A worker answered an order to start.
+   *
+   * @param worker its id
+   * @param run the run
+   * @param sentAt when the order was sent
+   * @param reply what it said
+   */
+  record StartAnswered(String worker, RunRef run, long sentAt, StartReply reply)
+      implements DispatchEvent {}
+
+  /**
+   * An order to start got no answer.
+   *
+   * @param mayRun whether the order may have been carried out, or may still be
+   */
+  record StartUnanswered(String worker, RunRef run, boolean mayRun) implements DispatchEvent {}
+
+  /**
+   * An order to stop ended.
+   *
+   * @param answered whether the worker confirmed it
+   */
+  record StopEnded(String worker, RunRef run, boolean answered) implements DispatchEvent {}
+
+  /** Time has passed. */
+  record Tick() implements DispatchEvent {}
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -0,0 +1,359 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.marjoramhoist.dispatch.DispatchAction.Log;
+import org.marjoramhoist.dispatch.DispatchEvent.EntryLost;
+import org.marjoramhoist.dispatch.DispatchEvent.JobSubmitted;
+import org.marjoramhoist.dispatch.DispatchEvent.JobWithdrawn;
+import org.marjoramhoist.dispatch.DispatchEvent.RenewalFailed;
+import org.marjoramhoist.dispatch.DispatchEvent.Renewed;
+import org.marjoramhoist.dispatch.DispatchEvent.StartAnswered;
+import org.marjoramhoist.dispatch.DispatchEvent.StartUnanswered;
+import org.marjoramhoist.dispatch.DispatchEvent.StopEnded;
+import org.marjoramhoist.dispatch.DispatchEvent.Tick;
+import org.marjoramhoist.dispatch.DispatchEvent.WorkersListed;
+import org.marjoramhoist.job.JobOutcome;
+import org.marjoramhoist.job.Resources;
+import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.StepSpec;
+import org.marjoramhoist.job.TaskRef;
+import org.marjoramhoist.log.LogEvent;
+
+/**
+ * The decisions of a partition's leader during one term.
+ *
+ * <p>Invariant: of each task at most one run may be at work. A refused job had no task started.
+ * Confined to one thread.
+ */
+public final class Dispatcher {
+
+  /** How long runs that an earlier leader ordered may last on a worker that is out of reach. */
+  private static final long EARLIER_LEASES_MICROS = 2_200_000;
+
+  /** How long after the start of a term entry hosts may hand on the jobs of an earlier leader. */
+  private static final long CLAIM_MICROS = 1_000_000;
+
+  private static final long RETRY_AFTER_MILLIS = 1_000;
+
+  private final DispatchPolicy policy;
+  private final long since;
+  private final DurationModel durations = new DurationModel();
+  private final Placement placement;
+  private final WaitingOrder order = new WaitingOrder(durations);
+  private final Map<String, Worker> workers = new LinkedHashMap<>();
+  private final Jobs jobs = new Jobs();
+  private final RunControl runs;
+  private boolean listed;
+  private boolean mayPlace;
+
+  /**
+   * Creates the decisions of a term.
+   *
+   * @param policy bounds and time-outs
+   * @param now the start of the term
+   */
+  public Dispatcher(DispatchPolicy policy, long now) {
+    this.policy = policy;
+    this.since = now;
+    this.placement = new Placement(policy, durations);
+    this.runs = new RunControl(policy, new Ends());
+  }
+
+  /**
+   * Takes in an event and returns what must be done, in order.
+   *
+   * @param now the time, in microseconds on the host's steady clock; never goes back
+   */
+  public List<DispatchAction> step(long now, DispatchEvent event) {
+    List<DispatchAction> out = new ArrayList<>();
+    take(now, event, out);
+    if (mayPlace) {
+      mayPlace = false;
+      placeWaiting(now, out);
+    }
+    return out;
+  }
+
+  private void take(long now, DispatchEvent event, List<DispatchAction> out) {
+    if (event instanceof JobSubmitted submitted) {
+      submitted(submitted, now, out);
+    } else if (event instanceof JobWithdrawn withdrawn) {
+      withdrawn(jobs.find(withdrawn.job()), withdrawn.entry(), now, out);
+    } else if (event instanceof EntryLost lost) {
+      for (Job job : List.copyOf(jobs.all())) {
+        withdrawn(job, lost.entry(), now, out);
+      }
+    } else if (event instanceof WorkersListed list) {
+      workersListed(list.workers(), now, out);
+    } else if (event instanceof Tick) {
+      tick(now, out);
+    } else {
+      fromWorker(now, event, out);
+    }
+  }
+
+  private void fromWorker(long now, DispatchEvent event, List<DispatchAction> out) {
+    if (event instanceof Renewed renewed) {
+      Worker worker = workers.get(renewed.worker());
+      if (worker != null && renewed.report().isPresent()) {
+        mayPlace |= !worker.synced;
+        runs.renewed(worker, renewed.sentAt(), renewed.report().get(), now, out);
+      } else if (worker != null) {
+        runs.renewalFailed(worker, true, now, out);
+      }
+    } else if (event instanceof RenewalFailed failed) {
+      Worker worker = workers.get(failed.worker());
+      if (worker != null) {
+        runs.renewalFailed(worker, false, now, out);
+      }
+    } else if (event instanceof StartAnswered answered) {
+      Worker worker = workers.get(answered.worker());
+      if (worker != null) {
+        runs.startAnswered(worker, answered.run(), answered.sentAt(), answered.reply(), now, out);
+      }
+    } else if (event instanceof StartUnanswered unanswered) {
+      Worker worker = workers.get(unanswered.worker());
+      if (worker != null) {
+        runs.startUnanswered(worker, unanswered.run(), unanswered.mayRun(), now, out);
+      }
+    } else if (event instanceof StopEnded ended) {
+      Worker worker = workers.get(ended.worker());
+      if (worker != null) {
+        runs.stopEnded(worker, ended.run(), ended.answered(), now, out);
+      }
+    }
+  }
+
+  private void submitted(JobSubmitted event, long now, List<DispatchAction> out) {
+    Job job = jobs.submit(event, now, out);
+    if (job == null) {
+      return;
+    }
+    runs.claimForeign(job, workers.values(), now, out);
+    if (job.isComplete()) {
+      end(job, JobOutcome.SUCCEEDED, "done before", now, out);
+    } else if (listed && !job.started && !canEverRun(job)) {
+      end(job, JobOutcome.FAILED, "no worker can run it", now, out);
+    } else {
+      mayPlace = true;
+    }
+  }
+
+  private boolean canEverRun(Job job) {
+    for (StepSpec step : job.description().steps()) {
+      if (workers.values().stream().noneMatch(w -> Placement.canEverRun(job, step, w))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private void withdrawn(Job job, String entry, long now, List<DispatchAction> out) {
+    if (job != null && job.entries.remove(entry) && job.entries.isEmpty()) {
+      end(job, JobOutcome.CANCELLED, "withdrawn", now, out);
+    }
+  }
+
+  private void workersListed(List<WorkerInfo> list, long now, List<DispatchAction> out) {
+    listed = true;
+    Set<String> ids = new HashSet<>();
+    for (WorkerInfo info : list) {
+      ids.add(info.id());
+      Worker known = workers.get(info.id());
+      if (known == null) {
+        workers.put(info.id(), new Worker(info));
+      } else {
+        update(known, info, out);
+      }
+    }
+    for (Worker worker : List.copyOf(workers.values())) {
+      worker.listed = ids.contains(worker.id());
+      if (!worker.listed && worker.runs.isEmpty()) {
+        workers.remove(worker.id());
+        durations.forget(worker.id());
+      }
+    }
+    tick(now, out);
+    mayPlace = true;
+  }
+
+  private static void update(Worker known, WorkerInfo info, List<DispatchAction> out) {
+    if (info.draining() && !known.info().draining()) {
+      out.add(new Log(LogEvent.WORKER_LEAVING, "worker=" + info.id()));
+    }
+    if (!info.address().equals(known.info().address())) {
+      known.synced = false;
+    }
+    known.setInfo(info);
+  }
+
+  private void tick(long now, List<DispatchAction> out) {
+    for (Worker worker : workers.values()) {
+      runs.tick(worker, now, out);
+    }
+    for (Job job : List.copyOf(jobs.all())) {
+      expire(job, now, out);
+    }
+    jobs.prune(now);
+    mayPlace = true;
+  }
+
+  private void expire(Job job, long now, List<DispatchAction> out) {
+    if (now > job.deadline) {
+      JobOutcome outcome = job.started ? JobOutcome.ABANDONED : JobOutcome.REFUSED;
+      end(job, outcome, "deadline passed", now, out);
+    } else if (!job.started && now > order.lateLimit(job)) {
+      end(job, JobOutcome.REFUSED, "no room in time", now, out);
+    }
+  }
+
+  private void end(Job job, JobOutcome outcome, String reason, long now, List<DispatchAction> out) {
+    long retryAfter = outcome == JobOutcome.REFUSED ? RETRY_AFTER_MILLIS : 0;
+    for (Run run : jobs.end(job, outcome, reason, retryAfter, now, out)) {
+      runs.stop(run, out);
+    }
+  }
+
+  /** Tells whether no run of an earlier leader can be at work out of sight. */
+  private boolean isSettled(long now) {
+    return now - since > EARLIER_LEASES_MICROS
+        || listed && workers.values().stream().allMatch(worker -> worker.synced);
+  }
+
+  private void placeWaiting(long now, List<DispatchAction> out) {
+    Set<Job> waiting = jobs.waiting();
+    waiting.removeIf(job -> job.waitingTasks().isEmpty());
+    if (waiting.isEmpty()) {
+      return;
+    }
+    boolean settled = isSettled(now);
+    Resources least = leastNeed(waiting);
+    for (Job job : order.sort(waiting, now)) {
+      if (!Placement.anyRoom(workers.values(), least, now)) {
+        return;
+      }
+      boolean mayHaveRun = job.resumed || now - since > CLAIM_MICROS;
+      if (!jobs.isHeldBack(job) && (settled || !mayHaveRun)) {
+        place(job, now, out);
+      }
+    }
+  }
+
+  private static Resources leastNeed(Set<Job> waiting) {
+    long cpu = Long.MAX_VALUE;
+    for (Job job : waiting) {
+      for (StepSpec step : job.description().steps()) {
+        cpu = Math.min(cpu, step.need().cpuMillis());
+      }
+    }
+    return new Resources(cpu, 0, 0);
+  }
+
+  private void place(Job job, long now, List<DispatchAction> out) {
+    for (Task task : job.waitingTasks()) {
+      Placement.Choice choice = placement.choose(task, workers.values(), now);
+      if (choice == null) {
+        continue;
+      }
+      runs.start(task, choice.worker(), choice.micros(), now, out);
+    }
+  }
+
+  /** Returns how many jobs have no started task, by the name of their class. */
+  public Map<String, Integer> waitingByClass() {
+    return jobs.waitingByClass();
+  }
+
+  /** Returns how many workers can be given work. */
+  public int usableWorkers(long now) {
+    return (int) workers.values().stream().filter(worker -> worker.isUsable(now)).count();
+  }
+
+  /** What the ends of runs mean for their jobs. */
+  private final class Ends implements RunListener {
+
+    @Override
+    public void runDone(Run run, long now, List<DispatchAction> out) {
+      run.worker.succeeded();
+      learn(run, now);
+      mayPlace = true;
+      taskDone(run.task, now, out);
+    }
+
+    private void learn(Run run, long now) {
+      StepSpec step = run.task.spec();
+      if (run.predictedMicros <= 0) {
+        return;
+      }
+      double micros = (now - run.orderedAt) / placement.distanceFactor(step, run.worker);
+      Job job = run.task.job;
+      double expected =
+          durations.predictMicros(job.requestClass().name(), run.worker, step.estimateMillis());
+      job.bias = Math.log(Math.max(1, micros) / expected);
+      durations.learn(job.requestClass().name(), run.worker, step.estimateMillis(), micros);
+    }
+
+    private void taskDone(Task task, long now, List<DispatchAction> out) {
+      Job job = task.job;
+      if (jobs.find(job.id()) != job) {
+        return;
+      }
+      job.markDone(task);
+      if (job.isComplete()) {
+        end(job, JobOutcome.SUCCEEDED, "done", now, out);
+      } else {
+        jobs.markWaiting(job);
+      }
+    }
+
+    @Override
+    public void runFailed(Run run, long now, List<DispatchAction> out) {
+      mayPlace = true;
+      Task task = run.task;
+      out.add(new Log(LogEvent.RUN_FAILED, RunControl.describe(run)));
+      final boolean firstOfJob = task.job.failures == 0;
+      task.failures++;
+      task.job.failures++;
+      task.failedOn = run.worker.id();
+      if (firstOfJob && run.worker.failed(now)) {
+        out.add(new Log(LogEvent.WORKER_EJECTED, "worker=" + run.worker.id() + " fails runs"));
+      }
+      if (jobs.find(task.job.id()) != task.job) {
+        return;
+      }
+      if (task.failures >= task.job.requestClass().attempts()) {
+        end(task.job, JobOutcome.FAILED, "a task failed " + task.failures + " times", now, out);
+      } else {
+        jobs.markWaiting(task.job);
+      }
+    }
+
+    @Override
+    public void runLost(Run run, String why, long now, List<DispatchAction> out) {
+      mayPlace = true;
+      out.add(new Log(LogEvent.RUN_LOST, RunControl.describe(run) + " why=" + why));
+      jobs.markWaiting(run.task.job);
+    }
+
+    @Override
+    public Task taskFor(RunRef ref) {
+      Job job = jobs.find(ref.task().job());
+      return job == null ? null : job.task(ref.task().step(), ref.task().index());
+    }
+
+    @Override
+    public void doneBefore(Task task, long now, List<DispatchAction> out) {
+      taskDone(task, now, out);
+    }
+
+    @Override
+    public boolean mayBeClaimed(TaskRef ref, long now) {
+      return now - since < CLAIM_MICROS;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -0,0 +1,191 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.RequestClass;
+
+/**
+ * A job that has not ended. Confined to one thread.
+ *
+ * <p>Invariant: a step's tasks are ready only once all tasks of the steps before it are done.
+ */
+final class Job {
+
+  private static final int RUNS_PER_GENERATION = 32;
+
+  private final JobDescription description;
+  private final RequestClass requestClass;
+  private final List<List<Task>> steps = new ArrayList<>();
+  private final int[] openTasks;
+
+  final Set<String> entries = new HashSet<>();
+  final long arrivedAt;
+  long deadline;
+
+  /** Whether a run of it was ever ordered, by this leader or an earlier one. */
+  boolean started;
+
+  /** Whether runs that an earlier leader ordered may be at work where they can't be seen. */
+  boolean resumed;
+
+  /** How many runs of it failed. */
+  int failures;
+
+  /** How much longer than predicted its tasks run, as a logarithm; learned from those done. */
+  double bias;
+
+  Job(
+      JobDescription description,
+      RequestClass requestClass,
+      long arrivedAt,
+      long deadline,
+      int generation) {
+    this.description = description;
+    this.requestClass = requestClass;
+    this.arrivedAt = arrivedAt;
+    this.deadline = deadline;
+    this.resumed = generation > 0;
+    this.started = resumed;
+    this.openTasks = new int[description.steps().size()];
+    for (int step = 0; step < openTasks.length; step++) {
+      openTasks[step] = description.steps().get(step).count();
+      List<Task> tasks = new ArrayList<>();
+      for (int i = 0; i < openTasks[step]; i++) {
+        tasks.add(new Task(this, step, i, generation * RUNS_PER_GENERATION));
+      }
+      steps.add(tasks);
+    }
+  }
+
+  JobId id() {
+    return description.id();
+  }
+
+  JobDescription description() {
+    return description;
+  }
+
+  RequestClass requestClass() {
+    return requestClass;
+  }
+
+  /** Returns the task with these numbers; null if there is none. */
+  Task task(int step, int index) {
+    if (step < 0 || step >= steps.size() || index < 0 || index >= steps.get(step).size()) {
+      return null;
+    }
+    return steps.get(step).get(index);
+  }
+
+  void markDone(Task task) {
+    if (!task.done) {
+      task.done = true;
+      openTasks[task.ref.step()]--;
+    }
+  }
+
+  boolean isComplete() {
+    for (int open : openTasks) {
+      if (open > 0) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private boolean isReady(int step) {
+    for (int before : description.steps().get(step).after()) {
+      if (openTasks[before] > 0) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Returns the tasks that may start now, in their order. */
+  List<Task> waitingTasks() {
+    List<Task> waiting = new ArrayList<>();
+    for (int step = 0; step < openTasks.length; step++) {
+      if (openTasks[step] > 0 && isReady(step)) {
+        for (Task task : steps.get(step)) {
+          if (task.isWaiting()) {
+            waiting.add(task);
+          }
+        }
+      }
+    }
+    return waiting;
+  }
+
+  /** Returns the tasks that may be at work. */
+  List<Run> runs() {
+    List<Run> runs = new ArrayList<>();
+    for (List<Task> tasks : steps) {
+      for (Task task : tasks) {
+        if (task.run != null) {
+          runs.add(task.run);
+        }
+      }
+    }
+    return runs;
+  }
+
+  /** Returns the highest run number that any of its tasks has had. */
+  int lastRun() {
+    int last = 0;
+    for (List<Task> tasks : steps) {
+      for (Task task : tasks) {
+        last = Math.max(last, task.lastRun);
+      }
+    }
+    return last;
+  }
+
+  void raiseRunNumbers(int atLeast) {
+    for (List<Task> tasks : steps) {
+      for (Task task : tasks) {
+        task.lastRun = Math.max(task.lastRun, atLeast);
+      }
+    }
+  }
+
+  /** Returns the longest chain of the estimates, in milliseconds. */
+  long longestChainMillis() {
+    long[] ends = new long[openTasks.length];
+    long longest = 0;
+    for (int step = 0; step < ends.length; step++) {
+      long begin = 0;
+      for (int before : description.steps().get(step).after()) {
+        begin = Math.max(begin, ends[before]);
+      }
+      ends[step] = begin + description.steps().get(step).estimateMillis();
+      longest = Math.max(longest, ends[step]);
+    }
+    return longest;
+  }
+
+  /** Returns the estimate of the steps that are not done, along the longest chain, in millis. */
+  long remainingChainMillis() {
+    long[] ends = new long[openTasks.length];
+    long longest = 0;
+    for (int step = 0; step < ends.length; step++) {
+      long begin = 0;
+      for (int before : description.steps().get(step).after()) {
+        begin = Math.max(begin, ends[before]);
+      }
+      long own = openTasks[step] == 0 ? 0 : description.steps().get(step).estimateMillis();
+      ends[step] = begin + own;
+      longest = Math.max(longest, ends[step]);
+    }
+    return longest;
+  }
+
+  List<Task> tasksOf(int step) {
+    return Collections.unmodifiableList(steps.get(step));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/Placement.java
@@ -0,0 +1,106 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.Collection;
+import org.marjoramhoist.job.Resources;
+import org.marjoramhoist.job.StepSpec;
+
+/**
+ * Chooses the worker for a task: the one on which it is done first, and among equals the one that
+ * it fills best.
+ *
+ * <p>Confined to one thread.
+ */
+final class Placement {
+
+  /** Run times that differ by less than this share are taken for equal. */
+  private static final double TIE_SHARE = 0.05;
+
+  private final DispatchPolicy policy;
+  private final DurationModel durations;
+
+  Placement(DispatchPolicy policy, DurationModel durations) {
+    this.policy = policy;
+    this.durations = durations;
+  }
+
+  /**
+   * A worker for a task.
+   *
+   * @param worker the worker
+   * @param micros the expected run time there
+   */
+  record Choice(Worker worker, double micros) {}
+
+  /** Returns the best worker that has room now; null if there is none. */
+  Choice choose(Task task, Collection<Worker> workers, long now) {
+    Worker best = null;
+    double bestMicros = Double.MAX_VALUE;
+    long bestLeft = Long.MAX_VALUE;
+    for (Worker worker : workers) {
+      if (!worker.free.covers(task.spec().need()) || !mayRun(task, worker, now)) {
+        continue;
+      }
+      double micros = predict(task, worker);
+      long left = worker.free.cpuMillis() - task.spec().need().cpuMillis();
+      boolean shorter = micros < bestMicros * (1 - TIE_SHARE);
+      boolean equal = micros < bestMicros * (1 + TIE_SHARE);
+      if (best == null || shorter || equal && left < bestLeft) {
+        best = worker;
+        bestMicros = micros;
+        bestLeft = left;
+      }
+    }
+    return best == null ? null : new Choice(best, bestMicros);
+  }
+
+  private static boolean mayRun(Task task, Worker worker, long now) {
+    return worker.isUsable(now)
+        && fits(task.job, task.spec(), worker)
+        && !worker.id().equals(task.failedOn)
+        && hasRoomForStep(task, worker);
+  }
+
+  private static boolean hasRoomForStep(Task task, Worker worker) {
+    int most = task.spec().maxPerWorker();
+    return most == 0 || worker.countOf(task.job, task.ref.step()) < most;
+  }
+
+  /** Tells whether a worker could run a step if it were empty. */
+  static boolean canEverRun(Job job, StepSpec step, Worker worker) {
+    return worker.info().capacity().covers(step.need()) && fits(job, step, worker);
+  }
+
+  private static boolean fits(Job job, StepSpec step, Worker worker) {
+    return worker.info().upstream().equals(job.requestClass().upstream())
+        && (step.requiredLabel().isEmpty()
+            || worker.info().labels().contains(step.requiredLabel()));
+  }
+
+  /** Tells whether a worker is away from the data of a step. */
+  static boolean isFar(StepSpec step, Worker worker) {
+    return !step.preferredRack().isEmpty() && !step.preferredRack().equals(worker.info().rack());
+  }
+
+  /** Returns how many times as long a step runs on a worker for its distance to the data. */
+  double distanceFactor(StepSpec step, Worker worker) {
+    return isFar(step, worker) ? policy.farFactor() : 1;
+  }
+
+  /** Returns the expected run time of a task on a worker, in microseconds. */
+  double predict(Task task, Worker worker) {
+    double base =
+        durations.predictMicros(
+            task.job.requestClass().name(), worker, task.spec().estimateMillis());
+    return base * Math.exp(task.job.bias) * distanceFactor(task.spec(), worker);
+  }
+
+  /** Tells whether any worker has room for the least need among those that wait. */
+  static boolean anyRoom(Collection<Worker> workers, Resources least, long now) {
+    for (Worker worker : workers) {
+      if (worker.free.covers(least) && worker.isUsable(now)) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/RunControl.java
@@ -0,0 +1,372 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import org.marjoramhoist.dispatch.DispatchAction.Log;
+import org.marjoramhoist.dispatch.WorkerReport.Ended;
+import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
+import org.marjoramhoist.dispatch.WorkerReport.Running;
+import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.TaskRef;
+import org.marjoramhoist.log.LogEvent;
+
+/**
+ * Starts and stops runs, renews their leases, and finds out what became of each.
+ *
+ * <p>Invariant: a run is told over only when the worker said so, when the worker rejected it, when
+ * a report asked for after a confirmed stop does not show it, or when its lease has surely run out.
+ * Confined to one thread.
+ */
+final class RunControl {
+
+  private static final long LAPSE_MARGIN_MILLIS = 60;
+  private static final long ACK_DELAY_MICROS = 60_000;
+  private static final long IDLE_LOOK_MICROS = 4_000_000;
+  private static final long STOP_REPORT_WAIT_MILLIS = 10;
+  private static final long RETRY_MICROS = 100_000;
+  private static final long LONG_RETRY_MICROS = 500_000;
+  private static final long FOREIGN_STOP_MICROS = 300_000;
+  private static final long NO_ROOM_PAUSE_MICROS = 50_000;
+  private static final long UNHEALTHY_PAUSE_MICROS = 500_000;
+  private static final int STALE_RUN_STEP = 8;
+
+  private final DispatchPolicy policy;
+  private final RunListener listener;
+
+  RunControl(DispatchPolicy policy, RunListener listener) {
+    this.policy = policy;
+    this.listener = listener;
+  }
+
+  /** Orders a run of a task. */
+  void start(Task task, Worker worker, double predictedMicros, long now, List<DispatchAction> out) {
+    task.lastRun++;
+    long lease = leaseEnd(worker, now);
+    RunRef ref = new RunRef(task.ref, task.lastRun);
+    Run run = new Run(ref, task, worker, now, lease, predictedMicros);
+    task.run = run;
+    task.job.started = true;
+    worker.add(run);
+    worker.leaseUntilMillis = Math.max(worker.leaseUntilMillis, lease);
+    out.add(new DispatchAction.Start(worker.info(), ref, task.job.description().payload(), lease));
+  }
+
+  /** Orders a run to stop. */
+  void stop(Run run, List<DispatchAction> out) {
+    if (run.phase == Run.Phase.STARTING || run.phase == Run.Phase.RUNNING) {
+      run.phase = Run.Phase.STOPPING;
+      out.add(new DispatchAction.Stop(run.worker.info(), run.ref));
+    }
+  }
+
+  private long leaseEnd(Worker worker, long now) {
+    return worker.clock.estimate(now) + policy.leaseMillis();
+  }
+
+  /** Takes in an answer to an order to start. */
+  void startAnswered(
+      Worker worker,
+      RunRef ref,
+      long sentAt,
+      StartReply reply,
+      long now,
+      List<DispatchAction> out) {
+    worker.callAnswered();
+    worker.clock.read(reply.clockMillis(), sentAt, now);
+    Run run = worker.runs.get(ref);
+    if (run == null || run.phase != Run.Phase.STARTING) {
+      return;
+    }
+    if (reply.verdict() == StartReply.Verdict.STARTED) {
+      run.answered(now);
+      renewIfDue(worker, now, out);
+      return;
+    }
+    startRejected(worker, run, reply.verdict(), now, out);
+  }
+
+  private void startRejected(
+      Worker worker, Run run, StartReply.Verdict verdict, long now, List<DispatchAction> out) {
+    switch (verdict) {
+      case STALE_TOKEN -> {
+        out.add(new DispatchAction.StepDown("worker " + worker.id() + " has a higher token"));
+        return;
+      }
+      case STALE_RUN -> run.task.lastRun += STALE_RUN_STEP;
+      case NO_ROOM -> worker.pauseUntil(now + NO_ROOM_PAUSE_MICROS);
+      case UNHEALTHY -> worker.pauseUntil(now + UNHEALTHY_PAUSE_MICROS);
+      case OTHER_WORKER, LATE -> worker.synced = false;
+      default -> worker.failed(now);
+    }
+    over(run);
+    out.add(
+        new Log(LogEvent.RUN_REJECTED, describe(run) + " verdict=" + verdict.name().toLowerCase()));
+    listener.runLost(run, "rejected", now, out);
+  }
+
+  /** Takes in that an order to start got no answer. */
+  void startUnanswered(
+      Worker worker, RunRef ref, boolean mayRun, long now, List<DispatchAction> out) {
+    worker.callFailed();
+    Run run = worker.runs.get(ref);
+    if (run == null || run.phase != Run.Phase.STARTING) {
+      return;
+    }
+    out.add(new Log(LogEvent.RUN_UNANSWERED, describe(run) + " mayRun=" + mayRun));
+    if (mayRun) {
+      stop(run, out);
+    } else {
+      over(run);
+      listener.runLost(run, "not sent", now, out);
+    }
+    renewIfDue(worker, now, out);
+  }
+
+  /** Takes in the end of an order to stop. */
+  void stopEnded(Worker worker, RunRef ref, boolean answered, long now, List<DispatchAction> out) {
+    Run run = worker.runs.get(ref);
+    if (run == null || run.phase != Run.Phase.STOPPING) {
+      return;
+    }
+    if (answered) {
+      worker.callAnswered();
+      run.phase = Run.Phase.STOPPED;
+      run.answeredAt = now;
+      renewIfDue(worker, now, out);
+    } else {
+      worker.callFailed();
+      run.phase = Run.Phase.RUNNING;
+      run.answeredAt = Long.MAX_VALUE;
+    }
+  }
+
+  /** Takes in a report. */
+  void renewed(
+      Worker worker, long sentAt, WorkerReport report, long now, List<DispatchAction> out) {
+    worker.renewing = false;
+    worker.callAnswered();
+    worker.synced = true;
+    worker.lastReportAt = now;
+    if (report.bornMillis() != worker.reportedBorn) {
+      worker.reportedBorn = report.bornMillis();
+      worker.acknowledged = 0;
+      worker.acknowledgedSent = 0;
+      worker.clock.reset();
+    }
+    worker.clock.read(report.clockMillis(), sentAt, now);
+    for (Ended end : report.ended()) {
+      if (end.number() > worker.acknowledged) {
+        worker.acknowledged = end.number();
+        ended(worker, end, now, out);
+      }
+    }
+    Set<RunRef> running = new HashSet<>();
+    for (Running each : report.running()) {
+      running.add(each.run());
+      atWork(worker, each, now, out);
+    }
+    worker.foreignRuns.keySet().retainAll(running);
+    findMissing(worker, sentAt, report.clockMillis(), running, now, out);
+    renewIfDue(worker, now, out);
+  }
+
+  private void ended(Worker worker, Ended end, long now, List<DispatchAction> out) {
+    Run run = worker.runs.get(end.run());
+    if (run == null) {
+      endedUnknown(worker, end, now, out);
+      return;
+    }
+    over(run);
+    switch (end.how()) {
+      case DONE -> listener.runDone(run, now, out);
+      case FAILED -> listener.runFailed(run, now, out);
+      default -> listener.runLost(run, end.how().name().toLowerCase(), now, out);
+    }
+  }
+
+  private void endedUnknown(Worker worker, Ended end, long now, List<DispatchAction> out) {
+    if (end.how() != RunEnd.DONE) {
+      return;
+    }
+    Task task = listener.taskFor(end.run());
+    if (task != null) {
+      if (task.isWaiting()) {
+        listener.doneBefore(task, now, out);
+      }
+    } else if (listener.mayBeClaimed(end.run().task(), now)) {
+      worker.foreignDone.add(end.run().task());
+    }
+  }
+
+  private void atWork(Worker worker, Running each, long now, List<DispatchAction> out) {
+    Run run = worker.runs.get(each.run());
+    if (run != null) {
+      if (run.phase == Run.Phase.STARTING) {
+        run.answered(now);
+      }
+      run.noteProgress(each.percent(), now);
+      return;
+    }
+    Task task = listener.taskFor(each.run());
+    if (task != null && task.isWaiting()) {
+      adopt(worker, task, each.run(), now);
+      return;
+    }
+    boolean claimable = task == null && listener.mayBeClaimed(each.run().task(), now);
+    Long since = worker.foreignRuns.putIfAbsent(each.run(), now);
+    boolean due = since == null || now - since > FOREIGN_STOP_MICROS;
+    if (!claimable && due) {
+      worker.foreignRuns.put(each.run(), now);
+      out.add(new DispatchAction.Stop(worker.info(), each.run()));
+    }
+  }
+
+  /** Takes over a run that an earlier leader ordered. */
+  private void adopt(Worker worker, Task task, RunRef ref, long now) {
+    Run run = new Run(ref, task, worker, now, worker.leaseUntilMillis, 0);
+    run.answered(now);
+    task.run = run;
+    task.lastRun = Math.max(task.lastRun, ref.number());
+    worker.foreignRuns.remove(ref);
+    worker.add(run);
+  }
+
+  /** Gives a job that an entry host handed on what is at work or done of it. */
+  void claimForeign(Job job, Iterable<Worker> workers, long now, List<DispatchAction> out) {
+    for (Worker worker : workers) {
+      for (RunRef ref : List.copyOf(worker.foreignRuns.keySet())) {
+        Task task = taskOf(job, ref);
+        if (task != null && task.isWaiting()) {
+          adopt(worker, task, ref, now);
+          renewIfDue(worker, now, out);
+        }
+      }
+      Iterator<TaskRef> done = worker.foreignDone.iterator();
+      while (done.hasNext()) {
+        TaskRef ref = done.next();
+        if (ref.job().equals(job.id())) {
+          done.remove();
+          Task task = job.task(ref.step(), ref.index());
+          if (task != null && task.isWaiting()) {
+            job.markDone(task);
+          }
+        }
+      }
+    }
+  }
+
+  private static Task taskOf(Job job, RunRef ref) {
+    return ref.task().job().equals(job.id())
+        ? job.task(ref.task().step(), ref.task().index())
+        : null;
+  }
+
+  private void findMissing(
+      Worker worker,
+      long sentAt,
+      long clockMillis,
+      Set<RunRef> running,
+      long now,
+      List<DispatchAction> out) {
+    for (Run run : new ArrayList<>(worker.runs.values())) {
+      if (running.contains(run.ref)) {
+        continue;
+      }
+      boolean confirmed = run.phase == Run.Phase.RUNNING || run.phase == Run.Phase.STOPPED;
+      boolean askedLater = confirmed && run.answeredAt < sentAt;
+      boolean tooLateToStart = clockMillis > run.startLeaseMillis + LAPSE_MARGIN_MILLIS;
+      if (askedLater || tooLateToStart) {
+        over(run);
+        listener.runLost(run, "not there", now, out);
+      }
+    }
+  }
+
+  /** Takes in that a renewal got no answer, or one from another life of the worker. */
+  void renewalFailed(Worker worker, boolean otherLife, long now, List<DispatchAction> out) {
+    worker.renewing = false;
+    worker.callFailed();
+    if (otherLife) {
+      worker.synced = false;
+    } else if (worker.isReachable()) {
+      renewIfDue(worker, now, out);
+    }
+  }
+
+  private void over(Run run) {
+    run.worker.remove(run);
+    if (run.task.run == run) {
+      run.task.run = null;
+    }
+  }
+
+  /** Renews, repeats orders and finds expired leases. */
+  void tick(Worker worker, long now, List<DispatchAction> out) {
+    for (Run run : new ArrayList<>(worker.runs.values())) {
+      long lease = Math.max(run.startLeaseMillis, worker.leaseUntilMillis);
+      boolean silent = !worker.isReachable() || run.answeredAt == Long.MAX_VALUE;
+      if (silent && worker.clock.surelyPast(lease + LAPSE_MARGIN_MILLIS, now)) {
+        over(run);
+        listener.runLost(run, "lease expired", now, out);
+      } else if (run.phase == Run.Phase.RUNNING && run.answeredAt == Long.MAX_VALUE) {
+        stop(run, out);
+      }
+    }
+    renewIfDue(worker, now, out);
+  }
+
+  private void renewIfDue(Worker worker, long now, List<DispatchAction> out) {
+    if (worker.renewing) {
+      return;
+    }
+    if (!worker.isReachable() || !worker.synced) {
+      long pause = worker.runs.isEmpty() ? LONG_RETRY_MICROS : RETRY_MICROS;
+      if (worker.renewedAt == 0 || now - worker.renewedAt > pause) {
+        renew(worker, 0, 0, now, out);
+      }
+      return;
+    }
+    boolean mustWatch = false;
+    boolean stopped = false;
+    for (Run run : worker.runs.values()) {
+      mustWatch |= run.phase != Run.Phase.STARTING;
+      stopped |= run.phase == Run.Phase.STOPPED || run.phase == Run.Phase.STOPPING;
+    }
+    if (mustWatch || !worker.foreignRuns.isEmpty()) {
+      long wait = stopped ? STOP_REPORT_WAIT_MILLIS : policy.renewWaitMillis();
+      renew(worker, leaseEnd(worker, now), wait, now, out);
+      return;
+    }
+    boolean mustAcknowledge =
+        worker.acknowledged > worker.acknowledgedSent
+            && now - worker.lastReportAt > ACK_DELAY_MICROS;
+    boolean mustLook = worker.runs.isEmpty() && now - worker.lastReportAt > IDLE_LOOK_MICROS;
+    if (mustAcknowledge || mustLook) {
+      renew(worker, 0, 0, now, out);
+    }
+  }
+
+  private void renew(Worker worker, long lease, long wait, long now, List<DispatchAction> out) {
+    worker.renewing = true;
+    worker.renewedAt = now;
+    worker.leaseUntilMillis = Math.max(worker.leaseUntilMillis, lease);
+    worker.acknowledgedSent = worker.acknowledged;
+    out.add(new DispatchAction.Renew(worker.info(), worker.acknowledged, lease, wait));
+  }
+
+  static String describe(Run run) {
+    return "job="
+        + run.ref.task().job()
+        + " step="
+        + run.ref.task().step()
+        + " task="
+        + run.ref.task().index()
+        + " run="
+        + run.ref.number()
+        + " worker="
+        + run.worker.id();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/RunListener.java
@@ -0,0 +1,27 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.List;
+import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.TaskRef;
+
+/** Hears how runs end. Called from one thread only. */
+interface RunListener {
+
+  /** The task is done. */
+  void runDone(Run run, long now, List<DispatchAction> out);
+
+  /** The run failed, through its own fault or the worker's. */
+  void runFailed(Run run, long now, List<DispatchAction> out);
+
+  /** The run is over without a result, or never began; its task may run again. */
+  void runLost(Run run, String why, long now, List<DispatchAction> out);
+
+  /** Returns the task that a run of an earlier leader may belong to; null if none is known. */
+  Task taskFor(RunRef ref);
+
+  /** A task was done in a run that an earlier leader ordered. */
+  void doneBefore(Task task, long now, List<DispatchAction> out);
+
+  /** Tells whether a job with such a task may still be handed on by an entry host. */
+  boolean mayBeClaimed(TaskRef ref, long now);
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -0,0 +1,152 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.marjoramhoist.job.Resources;
+import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.TaskRef;
+
+/**
+ * A worker as the leader knows it.
+ *
+ * <p>Invariant: {@link #free} is its capacity less the needs of {@link #runs}. Confined to one
+ * thread.
+ */
+final class Worker {
+
+  private static final long FIRST_PAUSE_MICROS = 1_000_000;
+  private static final long LONGEST_PAUSE_MICROS = 16_000_000;
+  private static final int FAILURES_BEFORE_PAUSE = 3;
+  private static final int CALLS_BEFORE_UNREACHABLE = 2;
+
+  private WorkerInfo info;
+  private int failureStreak;
+  private long pauseMicros = FIRST_PAUSE_MICROS;
+  private long pausedUntil;
+  private int failedCalls;
+
+  final Map<RunRef, Run> runs = new LinkedHashMap<>();
+  final WorkerClock clock = new WorkerClock();
+
+  /** Runs at work that no known job has; their needs are unknown. */
+  final Map<RunRef, Long> foreignRuns = new HashMap<>();
+
+  /** Tasks of unknown jobs that ended as done here. */
+  final Set<TaskRef> foreignDone = new HashSet<>();
+
+  Resources free;
+
+  /** Whether it stands in the list of workers. */
+  boolean listed = true;
+
+  /** Whether it has answered this leader. */
+  boolean synced;
+
+  boolean renewing;
+  long renewedAt;
+  long lastReportAt;
+  long acknowledged;
+  long acknowledgedSent;
+  long reportedBorn;
+
+  /** The latest end of a lease that this leader sent it, on its clock. */
+  long leaseUntilMillis;
+
+  Worker(WorkerInfo info) {
+    setInfo(info);
+    this.free = info.capacity();
+  }
+
+  /** Takes in its newest entry in the list of workers. */
+  void setInfo(WorkerInfo next) {
+    if (info != null) {
+      free = free.plus(next.capacity().minus(info.capacity()));
+    }
+    info = next;
+  }
+
+  String id() {
+    return info.id();
+  }
+
+  WorkerInfo info() {
+    return info;
+  }
+
+  void add(Run run) {
+    runs.put(run.ref, run);
+    free = free.minus(run.need);
+  }
+
+  void remove(Run run) {
+    if (runs.remove(run.ref) != null) {
+      free = free.plus(run.need);
+    }
+  }
+
+  boolean isReachable() {
+    return failedCalls < CALLS_BEFORE_UNREACHABLE;
+  }
+
+  void callAnswered() {
+    failedCalls = 0;
+  }
+
+  void callFailed() {
+    failedCalls++;
+  }
+
+  /** Tells whether it may be given work. */
+  boolean isUsable(long now) {
+    boolean known = listed && synced && clock.isKnown() && isReachable();
+    if (!known || info.draining() || !foreignRuns.isEmpty() || now < pausedUntil) {
+      return false;
+    }
+    return failureStreak < FAILURES_BEFORE_PAUSE || runs.isEmpty();
+  }
+
+  /** Tells whether it failed what it was given and is being tried again. */
+  boolean isOnProbation() {
+    return failureStreak >= FAILURES_BEFORE_PAUSE;
+  }
+
+  void succeeded() {
+    failureStreak = 0;
+    pauseMicros = FIRST_PAUSE_MICROS;
+    pausedUntil = 0;
+  }
+
+  /**
+   * Takes in a failure that may be its fault.
+   *
+   * @return whether it now gets no work for a time
+   */
+  boolean failed(long now) {
+    failureStreak++;
+    if (failureStreak < FAILURES_BEFORE_PAUSE) {
+      return false;
+    }
+    pausedUntil = now + pauseMicros;
+    pauseMicros = Math.min(LONGEST_PAUSE_MICROS, 2 * pauseMicros);
+    return true;
+  }
+
+  /** Gives it no work until a time, without regard to failures. */
+  void pauseUntil(long time) {
+    pausedUntil = Math.max(pausedUntil, time);
+  }
+
+  /** Counts the runs of a step of a job that may be at work on it. */
+  int countOf(Job job, int step) {
+    int count = 0;
+    for (Run run : runs.values()) {
+      if (run.task.job == job && run.ref.task().step() == step) {
+        count++;
+      }
+    }
+    return count;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
@@ -0,0 +1,38 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.Set;
+import org.marjoramhoist.job.Resources;
+
+/**
+ * What a worker says of itself in the list of workers.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param id the worker's id
+ * @param upstream the upstream it belongs to
+ * @param address {@code host:port} of its interface
+ * @param failureDomain its failure domain
+ * @param capacity what it has for tasks
+ * @param kind its kind; workers of one kind run at about one speed
+ * @param rack the rack it stands in
+ * @param labels its kind, its rack and what else it is labelled with
+ * @param draining whether it is leaving and must get no new work
+ * @param bornMillis its start, in milliseconds since the epoch; tells its lives apart
+ */
+public record WorkerInfo(
+    String id,
+    String upstream,
+    String address,
+    String failureDomain,
+    Resources capacity,
+    String kind,
+    String rack,
+    Set<String> labels,
+    boolean draining,
+    long bornMillis) {
+
+  /** Creates the info with a copy of the labels. */
+  public WorkerInfo {
+    labels = Set.copyOf(labels);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/ConfigWatch.java
@@ -0,0 +1,75 @@
+package org.marjoramhoist.entry;
+
+import java.io.IOException;
+import java.util.List;
+import org.marjoramhoist.job.RouteTable;
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.LogEvent;
+import org.marjoramhoist.platform.Declarations;
+import org.marjoramhoist.platform.KeyValueClient.Change;
+import org.marjoramhoist.platform.KeyValueClient.Item;
+
+/**
+ * The configuration in force at this host.
+ *
+ * <p>Invariant: its version never goes back. Confined to the loop's thread, but for {@link
+ * #current}.
+ */
+final class ConfigWatch implements PrefixWatch.Listener {
+
+  private volatile RouteTable current = RouteTable.EMPTY;
+  private String text = "";
+
+  /** Returns the configuration in force; empty at first. */
+  RouteTable current() {
+    return current;
+  }
+
+  /** Returns the configuration as the operator wrote it; empty at first. */
+  String text() {
+    return text;
+  }
+
+  /** Tells whether a configuration is in force. */
+  boolean isKnown() {
+    return !text.isEmpty();
+  }
+
+  @Override
+  public void replaced(List<Item> items, long asOf) {
+    items.forEach(this::take);
+  }
+
+  @Override
+  public void changed(Change change) {
+    if (!change.isDeletion()) {
+      take(change.item());
+    }
+  }
+
+  private void take(Item item) {
+    if (item.key().equals(Declarations.CONFIG_KEY)) {
+      offer(item.value(), "store revision " + item.revision());
+    }
+  }
+
+  /** Puts a configuration in force if it is newer. */
+  void offer(String candidate, String source) {
+    RouteTable table;
+    try {
+      table = Declarations.readConfig(candidate);
+    } catch (IOException e) {
+      EventLog.warn(LogEvent.CONFIG_RESOURCE_INVALID, "reason={}", e.getMessage());
+      return;
+    }
+    if (isKnown() && table.version() <= current.version()) {
+      if (table.version() < current.version()) {
+        EventLog.info(LogEvent.CONFIG_OLDER_REFUSED, "version={}", table.version());
+      }
+      return;
+    }
+    text = candidate;
+    current = table;
+    EventLog.info(LogEvent.CONFIG_APPLIED, "version={} source={}", table.version(), source);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -0,0 +1,226 @@
+package org.marjoramhoist.entry;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.marjoramhoist.config.NodeSettings;
+import org.marjoramhoist.dispatch.DispatchPolicy;
+import org.marjoramhoist.http.HttpCaller;
+import org.marjoramhoist.lead.Election;
+import org.marjoramhoist.lead.ElectionEvent;
+import org.marjoramhoist.lead.ElectionPolicy;
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.LogEvent;
+import org.marjoramhoist.peer.FrameNetwork;
+import org.marjoramhoist.platform.Declarations;
+import org.marjoramhoist.platform.KeyValueClient;
+import org.marjoramhoist.platform.WorkerCalls;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * An entry host: its listeners, its part in the partition, and the callers' open jobs.
+ *
+ * <p>All parts run on one I/O thread; {@link #drain} and {@link #close} may be called from any.
+ */
+public final class EntryNode implements AutoCloseable {
+
+  private static final long STORE_TIMEOUT_MILLIS = 500;
+  private static final long RENEW_WAIT_MILLIS = 250;
+  private static final long JOBS_TICK_MILLIS = 50;
+  private static final long SUSPECT_MICROS = 450_000;
+  private static final long CONTACT_MICROS = 1_200_000;
+  private static final long RANK_MICROS = 30_000;
+  private static final long LEASE_SLACK_MILLIS = 20;
+  private static final int BUFFER_BYTES = 8 * 1024;
+  private static final int MAX_BODY_BYTES = 1 << 20;
+
+  /** How long after a stop signal new connections may still arrive. */
+  private static final long LAST_CONNECTIONS_MILLIS = 2_300;
+
+  /** What is kept of the time for a shutdown, for the answers to leave. */
+  private static final long DRAIN_RESERVE_MILLIS = 700;
+
+  private static final long DRAIN_LOOK_MILLIS = 50;
+
+  private final NodeSettings settings;
+  private final XnioWorker worker;
+  private final Loop loop;
+  private final FrameNetwork network;
+  private final Undertow http;
+  private final OpenJobs jobs = new OpenJobs();
+  private final ConfigWatch config = new ConfigWatch();
+  private final StoreLink storeLink;
+  private final Partition partition;
+  private volatile boolean draining;
+
+  private EntryNode(NodeSettings settings) throws IOException {
+    this.settings = settings;
+    this.worker = createWorker();
+    this.loop = new Loop(worker.getIoThread());
+    HttpCaller caller = new HttpCaller(worker);
+    KeyValueClient store = new KeyValueClient(settings.store(), caller, STORE_TIMEOUT_MILLIS);
+    WorkerCalls calls = new WorkerCalls(caller);
+    long incarnation = System.currentTimeMillis();
+    ElectionPolicy times = new ElectionPolicy(SUSPECT_MICROS, CONTACT_MICROS, RANK_MICROS);
+    Election election = new Election(settings.host(), incarnation, times, Loop.now());
+    Partition[] made = new Partition[1];
+    StoreHealth health = new StoreHealth(() -> made[0].take(new ElectionEvent.StoreReached()));
+    this.storeLink =
+        new StoreLink(
+            store,
+            loop,
+            health,
+            settings.host(),
+            incarnation,
+            settings.listen().peers(),
+            event -> made[0].take(event));
+    DispatchPolicy policy =
+        new DispatchPolicy(
+            settings.leaseMillis() - LEASE_SLACK_MILLIS, settings.farFactor(), RENEW_WAIT_MILLIS);
+    this.partition =
+        new Partition(
+            settings.host(),
+            loop,
+            election,
+            storeLink,
+            health,
+            config,
+            jobs,
+            term ->
+                new LeaderDuty(
+                    term,
+                    policy,
+                    loop,
+                    store,
+                    health,
+                    calls,
+                    (host, end) -> made[0].deliver(host, end),
+                    reason -> made[0].take(new ElectionEvent.MustStepDown(reason, false))));
+    made[0] = partition;
+    this.network = new FrameNetwork(worker, address(settings.listen().peers()), partition);
+    this.http = http();
+    PrefixWatch operator =
+        new PrefixWatch(store, Declarations.OPERATOR_PREFIX, loop, health, config);
+    loop.execute(
+        () -> {
+          partition.start(network);
+          storeLink.start();
+          operator.start();
+          loop.every(JOBS_TICK_MILLIS, this::tick);
+        });
+  }
+
+  private static XnioWorker createWorker() throws IOException {
+    return Xnio.getInstance()
+        .createWorker(
+            OptionMap.builder()
+                .set(Options.WORKER_NAME, "entry")
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.THREAD_DAEMON, true)
+                .getMap());
+  }
+
+  private static InetSocketAddress address(String text) {
+    int colon = text.lastIndexOf(':');
+    return new InetSocketAddress(
+        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+  }
+
+  private Undertow http() {
+    HttpHandler front = new FrontApi(config, jobs, partition::waiting, () -> draining);
+    HttpHandler ready =
+        exchange -> {
+          exchange.setStatusCode(isReady() ? 200 : 503);
+          exchange.endExchange();
+        };
+    InetSocketAddress callers = address(settings.listen().callers());
+    InetSocketAddress checks = address(settings.listen().ready());
+    Undertow server =
+        Undertow.builder()
+            .setWorker(worker)
+            .setBufferSize(BUFFER_BYTES)
+            .setDirectBuffers(true)
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY_BYTES)
+            .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+            .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
+            .addHttpListener(callers.getPort(), callers.getHostString(), front)
+            .addHttpListener(checks.getPort(), checks.getHostString(), ready)
+            .build();
+    server.start();
+    return server;
+  }
+
+  private boolean isReady() {
+    return !draining && config.isKnown() && jobs.mayReachLeader();
+  }
+
+  private void tick() {
+    jobs.tick();
+    partition.dropSilentLeader();
+  }
+
+  /**
+   * Starts a host.
+   *
+   * @throws IOException if a listener can't be opened
+   */
+  public static EntryNode start(NodeSettings settings) throws IOException {
+    EntryNode node = new EntryNode(settings);
+    EventLog.info(
+        LogEvent.PROCESS_STARTED,
+        "host={} failureDomain={}",
+        settings.host(),
+        settings.failureDomain());
+    return node;
+  }
+
+  /** Hands over, answers what is open, and returns once nothing is or the time is over. */
+  public void drain() {
+    EventLog.info(LogEvent.PROCESS_STOPPING, "host={}", settings.host());
+    draining = true;
+    CountDownLatch drained = new CountDownLatch(1);
+    long begin = Loop.now();
+    loop.execute(
+        () -> {
+          partition.retire();
+          loop.after(200, storeLink::leave);
+          awaitDrained(begin, drained);
+        });
+    try {
+      if (!drained.await(settings.drainMillis(), TimeUnit.MILLISECONDS)) {
+        EventLog.warn(LogEvent.DRAIN_INCOMPLETE, "host={}", settings.host());
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void awaitDrained(long begin, CountDownLatch drained) {
+    long elapsed = Loop.now() - begin;
+    boolean mayEnd = elapsed > Loop.micros(LAST_CONNECTIONS_MILLIS) && jobs.count() == 0;
+    if (mayEnd || elapsed > Loop.micros(settings.drainMillis() - DRAIN_RESERVE_MILLIS)) {
+      jobs.abandonAll();
+      loop.after(DRAIN_LOOK_MILLIS, drained::countDown);
+    } else {
+      loop.after(DRAIN_LOOK_MILLIS, () -> awaitDrained(begin, drained));
+    }
+  }
+
+  @Override
+  public void close() {
+    network.close();
+    http.stop();
+    worker.shutdownNow();
+    EventLog.info(LogEvent.PROCESS_STOPPED, "host={}", settings.host());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/FollowerLinks.java
@@ -0,0 +1,161 @@
+package org.marjoramhoist.entry;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.marjoramhoist.message.HostMessage;
+import org.marjoramhoist.peer.FrameLink;
+import org.marjoramhoist.peer.FrameNetwork;
+
+/**
+ * The leader's links to the other registered hosts, one each.
+ *
+ * <p>A link that stays silent is replaced; a host that stays without one is told lost. Confined to
+ * the loop's thread.
+ */
+final class FollowerLinks implements AutoCloseable {
+
+  private static final long OPEN_TIMEOUT_MILLIS = 300;
+  private static final long SILENCE_MICROS = 700_000;
+  private static final long LOST_MICROS = 1_000_000;
+
+  private static final class Follower {
+    private String address;
+    private FrameLink link;
+    private boolean opening;
+    private long heardAt = Loop.now();
+    private boolean lost = true;
+  }
+
+  private final String self;
+  private final FrameNetwork network;
+  private final Supplier<Map<String, String>> addresses;
+  private final BiConsumer<String, HostMessage> onMessage;
+  private final Consumer<String> onLost;
+  private final Map<String, Follower> followers = new HashMap<>();
+  private boolean closed;
+
+  /**
+   * Creates the links.
+   *
+   * @param self this host, which needs none
+   * @param network opens links
+   * @param addresses the peer addresses of the registered hosts
+   * @param onMessage takes what hosts send
+   * @param onLost takes hosts that are gone
+   */
+  FollowerLinks(
+      String self,
+      FrameNetwork network,
+      Supplier<Map<String, String>> addresses,
+      BiConsumer<String, HostMessage> onMessage,
+      Consumer<String> onLost) {
+    this.self = self;
+    this.network = network;
+    this.addresses = addresses;
+    this.onMessage = onMessage;
+    this.onLost = onLost;
+  }
+
+  /** Sends a heartbeat on each link, and opens those that are missing. */
+  void beat(HostMessage heartbeat) {
+    long now = Loop.now();
+    Set<String> names = new HashSet<>(followers.keySet());
+    names.addAll(addresses.get().keySet());
+    for (String name : names) {
+      if (!name.equals(self)) {
+        beat(name, heartbeat, now);
+      }
+    }
+  }
+
+  private void beat(String name, HostMessage heartbeat, long now) {
+    Follower follower = followers.computeIfAbsent(name, key -> new Follower());
+    String address = addresses.get().get(name);
+    if (address != null) {
+      follower.address = address;
+    }
+    if (follower.link != null && now - follower.heardAt > SILENCE_MICROS) {
+      follower.link.close();
+    }
+    if (follower.link != null) {
+      follower.link.send(heartbeat);
+    } else if (!follower.opening && follower.address != null) {
+      open(name, follower, heartbeat);
+    }
+    if (!follower.lost && follower.link == null && now - follower.heardAt > LOST_MICROS) {
+      follower.lost = true;
+      onLost.accept(name);
+      if (address == null) {
+        followers.remove(name);
+      }
+    }
+  }
+
+  private void open(String name, Follower follower, HostMessage heartbeat) {
+    follower.opening = true;
+    network.open(
+        follower.address,
+        OPEN_TIMEOUT_MILLIS,
+        new NamedListener(name),
+        link -> {
+          follower.opening = false;
+          if (closed) {
+            link.close();
+            return;
+          }
+          follower.link = link;
+          follower.heardAt = Loop.now();
+          follower.lost = false;
+          link.send(heartbeat);
+        },
+        refused -> follower.opening = false);
+  }
+
+  /** Sends a message to a host, if there is a link. */
+  void send(String host, HostMessage message) {
+    Follower follower = followers.get(host);
+    if (follower != null && follower.link != null) {
+      follower.link.send(message);
+    }
+  }
+
+  private final class NamedListener implements FrameLink.Listener {
+    private final String name;
+
+    NamedListener(String name) {
+      this.name = name;
+    }
+
+    @Override
+    public void received(FrameLink link, HostMessage message) {
+      Follower follower = followers.get(name);
+      if (!closed && follower != null && follower.link == link) {
+        follower.heardAt = Loop.now();
+        onMessage.accept(name, message);
+      }
+    }
+
+    @Override
+    public void closed(FrameLink link) {
+      Follower follower = followers.get(name);
+      if (follower != null && follower.link == link) {
+        follower.link = null;
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    for (Follower follower : followers.values()) {
+      if (follower.link != null) {
+        follower.link.close();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/FrontApi.java
@@ -0,0 +1,168 @@
+package org.marjoramhoist.entry;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.ToIntFunction;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobFeature;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.JobOutcome;
+import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.LogEvent;
+import org.marjoramhoist.message.HostMessage.Finished;
+import org.marjoramhoist.platform.JobBodies;
+
+/**
+ * The HTTP interface for callers: hand in a job, ask for it, cancel it, count a class's waiting
+ * jobs.
+ *
+ * <p>Confined to the loop's thread, which is the listener's only I/O thread.
+ */
+final class FrontApi implements HttpHandler {
+
+  private static final int OK = 200;
+  private static final int BAD_REQUEST = 400;
+  private static final int NOT_FOUND = 404;
+  private static final int GONE = 410;
+  private static final int METHOD_NOT_ALLOWED = 405;
+  private static final int UNAVAILABLE = 503;
+  private static final int GATEWAY_TIMEOUT = 504;
+  private static final long DEFAULT_PATIENCE_MILLIS = 10_000;
+  private static final String EMPTY = "{}";
+
+  private final ConfigWatch config;
+  private final OpenJobs jobs;
+  private final ToIntFunction<String> waiting;
+  private final BooleanSupplier draining;
+
+  /**
+   * Creates the interface.
+   *
+   * @param waiting counts the waiting jobs of a class
+   * @param draining whether connections are to be closed after their answers
+   */
+  FrontApi(
+      ConfigWatch config, OpenJobs jobs, ToIntFunction<String> waiting, BooleanSupplier draining) {
+    this.config = config;
+    this.jobs = jobs;
+    this.waiting = waiting;
+    this.draining = draining;
+  }
+
+  @Override
+  public void handleRequest(HttpServerExchange exchange) {
+    if (!config.isKnown()) {
+      reply(exchange, UNAVAILABLE, EMPTY);
+      return;
+    }
+    String authority = exchange.getRequestHeaders().getFirst(Headers.HOST);
+    String path = exchange.getRequestPath();
+    Optional<RequestClass> found = config.current().find(authority == null ? "" : authority, path);
+    if (found.isEmpty()) {
+      reply(exchange, NOT_FOUND, EMPTY);
+      return;
+    }
+    route(exchange, found.get(), path.substring(found.get().pathPrefix().length()));
+  }
+
+  private void route(HttpServerExchange exchange, RequestClass requestClass, String rest) {
+    if (exchange.getRequestMethod().equals(Methods.GET) && rest.isEmpty()) {
+      reply(exchange, OK, JobBodies.waiting(waiting.applyAsInt(requestClass.name())));
+      return;
+    }
+    JobId id;
+    try {
+      id = new JobId(rest);
+    } catch (IllegalArgumentException e) {
+      reply(exchange, NOT_FOUND, EMPTY);
+      return;
+    }
+    if (exchange.getRequestMethod().equals(Methods.POST)) {
+      post(exchange, requestClass, id);
+    } else if (exchange.getRequestMethod().equals(Methods.GET)) {
+      boolean open = jobs.isOpen(id);
+      reply(exchange, open ? OK : GONE, open ? JobBodies.open(true) : EMPTY);
+    } else if (exchange.getRequestMethod().equals(Methods.DELETE)) {
+      reply(exchange, jobs.cancel(id) ? OK : GONE, EMPTY);
+    } else {
+      reply(exchange, METHOD_NOT_ALLOWED, EMPTY);
+    }
+  }
+
+  private void post(HttpServerExchange exchange, RequestClass requestClass, JobId id) {
+    long arrivedAt = Loop.now();
+    exchange.dispatch(
+        SameThreadExecutor.INSTANCE,
+        () ->
+            exchange
+                .getRequestReceiver()
+                .receiveFullBytes(
+                    (same, body) ->
+                        same.dispatch(
+                            SameThreadExecutor.INSTANCE,
+                            () -> submit(same, requestClass, id, arrivedAt, body)),
+                    (same, error) -> same.endExchange()));
+  }
+
+  private void submit(
+      HttpServerExchange exchange,
+      RequestClass requestClass,
+      JobId id,
+      long arrivedAt,
+      byte[] body) {
+    JobDescription job;
+    try {
+      job = JobBodies.readJob(id, body);
+    } catch (IOException e) {
+      EventLog.info(LogEvent.JOB_REFUSED, "job={} reason={}", id, e.getMessage());
+      reply(exchange, BAD_REQUEST, EMPTY);
+      return;
+    }
+    Optional<JobFeature> unsupported = job.unsupported();
+    if (unsupported.isPresent() || requestClass.advised()) {
+      String feature = unsupported.map(JobFeature::name).orElse("ADVICE");
+      EventLog.info(LogEvent.JOB_REFUSED, "job={} reason=unsupported {}", id, feature);
+      reply(exchange, UNAVAILABLE, EMPTY);
+      return;
+    }
+    long patience = JobBodies.patienceMillis(exchange.getRequestHeaders(), DEFAULT_PATIENCE_MILLIS);
+    long deadline = arrivedAt + Loop.micros(patience);
+    jobs.submit(job, requestClass, arrivedAt, deadline, end -> finish(exchange, end));
+  }
+
+  private void finish(HttpServerExchange exchange, Finished end) {
+    switch (end.outcome()) {
+      case SUCCEEDED, FAILED, CANCELLED -> reply(exchange, OK, JobBodies.ended(end.outcome()));
+      case REFUSED -> refuse(exchange, end);
+      default -> reply(exchange, GATEWAY_TIMEOUT, JobBodies.ended(JobOutcome.ABANDONED));
+    }
+  }
+
+  private void refuse(HttpServerExchange exchange, Finished end) {
+    if (end.retryAfterMillis() > 0 && !exchange.isResponseStarted()) {
+      long seconds = TimeUnit.MILLISECONDS.toSeconds(end.retryAfterMillis() + 999);
+      exchange.getResponseHeaders().put(Headers.RETRY_AFTER, seconds);
+    }
+    reply(exchange, UNAVAILABLE, JobBodies.ended(JobOutcome.REFUSED));
+  }
+
+  private void reply(HttpServerExchange exchange, int status, String body) {
+    if (exchange.isResponseStarted()) {
+      return;
+    }
+    exchange.setStatusCode(status);
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+    if (draining.getAsBoolean()) {
+      exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+    }
+    exchange.getResponseSender().send(body);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
@@ -0,0 +1,254 @@
+package org.marjoramhoist.entry;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.marjoramhoist.dispatch.DispatchAction;
+import org.marjoramhoist.dispatch.DispatchEvent;
+import org.marjoramhoist.dispatch.DispatchPolicy;
+import org.marjoramhoist.dispatch.Dispatcher;
+import org.marjoramhoist.dispatch.WorkerInfo;
+import org.marjoramhoist.http.HttpFailure;
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.LogEvent;
+import org.marjoramhoist.message.HostMessage;
+import org.marjoramhoist.message.HostMessage.Finished;
+import org.marjoramhoist.message.HostMessage.Submit;
+import org.marjoramhoist.message.HostMessage.Withdraw;
+import org.marjoramhoist.platform.Declarations;
+import org.marjoramhoist.platform.KeyValueClient;
+import org.marjoramhoist.platform.KeyValueClient.Page;
+import org.marjoramhoist.platform.WorkerCalls;
+
+/**
+ * One term of leading: feeds the decisions and carries out what they ask for.
+ *
+ * <p>After {@link #close} nothing more is decided or ordered. Confined to the loop's thread.
+ */
+final class LeaderDuty implements AutoCloseable {
+
+  private static final long TICK_MILLIS = 20;
+  private static final long LIST_WORKERS_MILLIS = 500;
+  private static final long START_TIMEOUT_MILLIS = 100;
+  private static final long STOP_TIMEOUT_MILLIS = 150;
+  private static final long RENEW_TIMEOUT_MILLIS = 150;
+
+  /** Delivers the end of a job to the host whose caller waits. */
+  interface Delivery {
+    void deliver(String host, Finished end);
+  }
+
+  private final long term;
+  private final Loop loop;
+  private final KeyValueClient store;
+  private final StoreHealth health;
+  private final WorkerCalls workers;
+  private final Delivery delivery;
+  private final Consumer<String> onStale;
+  private final Dispatcher dispatcher;
+  private final Deque<DispatchEvent> events = new ArrayDeque<>();
+  private boolean stepping;
+  private boolean closed;
+
+  LeaderDuty(
+      long term,
+      DispatchPolicy policy,
+      Loop loop,
+      KeyValueClient store,
+      StoreHealth health,
+      WorkerCalls workers,
+      Delivery delivery,
+      Consumer<String> onStale) {
+    this.term = term;
+    this.loop = loop;
+    this.store = store;
+    this.health = health;
+    this.workers = workers;
+    this.delivery = delivery;
+    this.onStale = onStale;
+    this.dispatcher = new Dispatcher(policy, Loop.now());
+  }
+
+  void start() {
+    listWorkers();
+    tick();
+  }
+
+  long term() {
+    return term;
+  }
+
+  Map<String, Integer> waiting() {
+    return dispatcher.waitingByClass();
+  }
+
+  /** Takes in a message of an entry host, which may be this one. */
+  void fromEntry(String host, HostMessage message) {
+    long now = Loop.now();
+    if (message instanceof Submit submit) {
+      take(
+          new DispatchEvent.JobSubmitted(
+              submit.job(),
+              submit.requestClass(),
+              host,
+              now - submit.ageMicros(),
+              now + submit.patienceMicros(),
+              submit.generation()));
+    } else if (message instanceof Withdraw withdraw) {
+      take(new DispatchEvent.JobWithdrawn(withdraw.job(), host));
+    }
+  }
+
+  /** Takes in that an entry host is gone. */
+  void entryLost(String host) {
+    take(new DispatchEvent.EntryLost(host));
+  }
+
+  private void tick() {
+    if (!closed) {
+      take(new DispatchEvent.Tick());
+      loop.after(TICK_MILLIS, this::tick);
+    }
+  }
+
+  private void listWorkers() {
+    if (!closed) {
+      store
+          .readAll(Declarations.WORKERS_PREFIX)
+          .whenComplete((page, error) -> loop.execute(() -> listed(page, error)));
+    }
+  }
+
+  private void listed(Page page, Throwable error) {
+    if (closed) {
+      return;
+    }
+    loop.after(LIST_WORKERS_MILLIS, this::listWorkers);
+    if (error != null) {
+      health.failed(error);
+      return;
+    }
+    health.reached();
+    List<WorkerInfo> all =
+        page.items().stream()
+            .map(item -> Declarations.readWorker(item.key(), item.value()))
+            .flatMap(Optional::stream)
+            .toList();
+    take(new DispatchEvent.WorkersListed(all));
+  }
+
+  private void take(DispatchEvent event) {
+    events.add(event);
+    if (stepping) {
+      return;
+    }
+    stepping = true;
+    try {
+      while (!events.isEmpty() && !closed) {
+        for (DispatchAction action : dispatcher.step(Loop.now(), events.poll())) {
+          run(action);
+        }
+      }
+    } finally {
+      stepping = false;
+    }
+  }
+
+  private void run(DispatchAction action) {
+    if (closed) {
+      return;
+    }
+    if (action instanceof DispatchAction.Start start) {
+      orderStart(start);
+    } else if (action instanceof DispatchAction.Renew renew) {
+      renew(renew);
+    } else if (action instanceof DispatchAction.Stop stop) {
+      stop(stop);
+    } else if (action instanceof DispatchAction.Finish finish) {
+      Finished end =
+          new Finished(finish.job(), finish.outcome(), finish.reason(), finish.retryAfterMillis());
+      finish.entries().forEach(host -> delivery.deliver(host, end));
+    } else if (action instanceof DispatchAction.StepDown stepDown) {
+      onStale.accept(stepDown.reason());
+    } else if (action instanceof DispatchAction.Log log) {
+      log(log);
+    }
+  }
+
+  private static void log(DispatchAction.Log log) {
+    switch (log.event()) {
+      case JOB_COMPLETED -> EventLog.debug(log.event(), "{}", log.detail());
+      case WORKER_EJECTED -> EventLog.warn(log.event(), "{}", log.detail());
+      default -> EventLog.info(log.event(), "{}", log.detail());
+    }
+  }
+
+  private void orderStart(DispatchAction.Start start) {
+    long sentAt = Loop.now();
+    WorkerInfo worker = start.worker();
+    EventLog.debug(LogEvent.RUN_ORDERED, "run={} worker={}", start.run(), worker.id());
+    workers
+        .start(
+            worker.address(),
+            worker.id(),
+            start.run(),
+            start.payload(),
+            start.leaseUntilMillis(),
+            term,
+            START_TIMEOUT_MILLIS)
+        .whenComplete(
+            (reply, error) -> {
+              if (error == null) {
+                take(new DispatchEvent.StartAnswered(worker.id(), start.run(), sentAt, reply));
+              } else {
+                take(new DispatchEvent.StartUnanswered(worker.id(), start.run(), mayRun(error)));
+              }
+            });
+  }
+
+  private static boolean mayRun(Throwable error) {
+    Throwable cause = error.getCause() == null ? error : error.getCause();
+    return !(cause instanceof HttpFailure failure) || failure.isSent();
+  }
+
+  private void stop(DispatchAction.Stop stop) {
+    WorkerInfo worker = stop.worker();
+    workers
+        .stop(worker.address(), worker.id(), stop.run(), term, STOP_TIMEOUT_MILLIS)
+        .whenComplete(
+            (done, error) -> {
+              boolean answered = error == null && done;
+              take(new DispatchEvent.StopEnded(worker.id(), stop.run(), answered));
+            });
+  }
+
+  private void renew(DispatchAction.Renew renew) {
+    long sentAt = Loop.now();
+    WorkerInfo worker = renew.worker();
+    workers
+        .renew(
+            worker.address(),
+            worker.id(),
+            term,
+            renew.acknowledged(),
+            renew.leaseUntilMillis(),
+            renew.waitMillis(),
+            RENEW_TIMEOUT_MILLIS)
+        .whenComplete(
+            (report, error) -> {
+              if (error == null) {
+                take(new DispatchEvent.Renewed(worker.id(), sentAt, report));
+              } else {
+                take(new DispatchEvent.RenewalFailed(worker.id()));
+              }
+            });
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/Loop.java
@@ -0,0 +1,63 @@
+package org.marjoramhoist.entry;
+
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.marjoramhoist.log.EventLog;
+import org.xnio.XnioIoThread;
+
+/**
+ * The one thread on which a host runs, and its clock.
+ *
+ * <p>A fault in a task is logged and does not end the loop. Safe for use by several threads.
+ */
+final class Loop {
+
+  private static final long MICROS_PER_MILLI = 1_000;
+
+  private final XnioIoThread thread;
+
+  Loop(XnioIoThread thread) {
+    this.thread = thread;
+  }
+
+  /** Returns the time in microseconds on the host's steady clock. */
+  static long now() {
+    return TimeUnit.NANOSECONDS.toMicros(System.nanoTime());
+  }
+
+  static long micros(long millis) {
+    return millis * MICROS_PER_MILLI;
+  }
+
+  void execute(Runnable task) {
+    thread.execute(() -> guarded(task));
+  }
+
+  /** Runs a task once after a time in milliseconds. */
+  void after(long millis, Runnable task) {
+    thread.executeAfter(() -> guarded(task), millis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Runs a task once after a time in milliseconds that is drawn up to half as long again. */
+  void afterAbout(long millis, Runnable task) {
+    after(millis + ThreadLocalRandom.current().nextLong(millis / 2 + 1), task);
+  }
+
+  /** Runs a task again and again, with a pause in milliseconds between. */
+  void every(long millis, Runnable task) {
+    after(
+        millis,
+        () -> {
+          guarded(task);
+          every(millis, task);
+        });
+  }
+
+  private static void guarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      EventLog.fault("loop", e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -0,0 +1,323 @@
+package org.marjoramhoist.entry;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.marjoramhoist.lead.Election;
+import org.marjoramhoist.lead.ElectionAction;
+import org.marjoramhoist.lead.ElectionEvent;
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.LogEvent;
+import org.marjoramhoist.message.HostMessage;
+import org.marjoramhoist.message.HostMessage.ConfigCopy;
+import org.marjoramhoist.message.HostMessage.ConfigQuery;
+import org.marjoramhoist.message.HostMessage.Finished;
+import org.marjoramhoist.message.HostMessage.HandOver;
+import org.marjoramhoist.message.HostMessage.Heartbeat;
+import org.marjoramhoist.message.HostMessage.HeartbeatReply;
+import org.marjoramhoist.message.HostMessage.LeaderQuery;
+import org.marjoramhoist.message.HostMessage.LeaderQueryReply;
+import org.marjoramhoist.peer.FrameLink;
+import org.marjoramhoist.peer.FrameNetwork;
+
+/**
+ * This host's part in its partition: follows the leader that it hears, or leads.
+ *
+ * <p>Invariant: jobs go to one leader at a time, the one of the highest term heard. Confined to the
+ * loop's thread.
+ */
+final class Partition implements FrameLink.Listener {
+
+  private static final long TICK_MILLIS = 25;
+  private static final long HEARTBEAT_MILLIS = 100;
+  private static final long UNSERVED_MICROS = 1_500_000;
+
+  private final String self;
+  private final Loop loop;
+  private final Election election;
+  private final StoreLink store;
+  private final StoreHealth health;
+  private final ConfigWatch config;
+  private final OpenJobs jobs;
+  private final Function<Long, LeaderDuty> duties;
+  private FrameNetwork network;
+  private LeaderDuty duty;
+  private LeaderPort ownPort;
+  private FollowerLinks followers;
+  private LinkPort leaderPort;
+  private Map<String, Integer> waiting = Map.of();
+  private final Map<String, Long> servedAt = new LinkedHashMap<>();
+
+  /** The way to another host that leads. */
+  private record LinkPort(long term, FrameLink link) implements LeaderPort {
+    @Override
+    public void send(HostMessage message) {
+      link.send(message);
+    }
+  }
+
+  /** The way to this host as leader. */
+  private final class OwnPort implements LeaderPort {
+    private final long term;
+
+    private OwnPort(long term) {
+      this.term = term;
+    }
+
+    @Override
+    public long term() {
+      return term;
+    }
+
+    @Override
+    public void send(HostMessage message) {
+      if (duty != null && duty.term() == term) {
+        duty.fromEntry(self, message);
+      }
+    }
+  }
+
+  Partition(
+      String self,
+      Loop loop,
+      Election election,
+      StoreLink store,
+      StoreHealth health,
+      ConfigWatch config,
+      OpenJobs jobs,
+      Function<Long, LeaderDuty> duties) {
+    this.self = self;
+    this.loop = loop;
+    this.election = election;
+    this.store = store;
+    this.health = health;
+    this.config = config;
+    this.jobs = jobs;
+    this.duties = duties;
+  }
+
+  void start(FrameNetwork peers) {
+    network = peers;
+    loop.every(TICK_MILLIS, () -> take(new ElectionEvent.Tick()));
+    loop.every(HEARTBEAT_MILLIS, this::beat);
+  }
+
+  /** Returns how many jobs of a class wait, as far as this host knows. */
+  int waiting(String requestClass) {
+    Map<String, Integer> counts = duty != null ? duty.waiting() : waiting;
+    return counts.getOrDefault(requestClass, 0);
+  }
+
+  boolean isLeader() {
+    return duty != null;
+  }
+
+  /** Takes in an event of the election and carries out what follows. */
+  void take(ElectionEvent event) {
+    for (ElectionAction action : election.step(Loop.now(), event)) {
+      run(action);
+    }
+  }
+
+  private void run(ElectionAction action) {
+    if (action instanceof ElectionAction.AskHosts) {
+      ask();
+    } else if (action instanceof ElectionAction.ReadRecord) {
+      store.readRecord();
+    } else if (action instanceof ElectionAction.TakeRecord take) {
+      store.takeRecord(take.expectedRevision());
+    } else if (action instanceof ElectionAction.Lead lead) {
+      lead(lead.term());
+    } else if (action instanceof ElectionAction.StepDown stepDown) {
+      EventLog.warn(
+          LogEvent.LEADER_STEPPED_DOWN, "term={} reason={}", stepDown.term(), stepDown.reason());
+      endDuty();
+    }
+  }
+
+  private void ask() {
+    Map<String, String> others = new LinkedHashMap<>(store.addresses());
+    others.remove(self);
+    EventLog.info(
+        LogEvent.LEADER_SUSPECTED, "term={} asks={}", election.knownTerm(), others.size());
+    HostSurvey.start(
+        self,
+        others.values(),
+        network,
+        loop,
+        (answered, heard) -> take(new ElectionEvent.HostsAsked(answered, heard)));
+  }
+
+  private void lead(long term) {
+    endDuty();
+    EventLog.info(LogEvent.LEADER_ELECTED, "term={}", term);
+    dropLeader();
+    duty = duties.apply(term);
+    followers =
+        new FollowerLinks(
+            self, network, store::addresses, this::fromFollower, host -> entryLost(host));
+    ownPort = new OwnPort(term);
+    duty.start();
+    beat();
+    jobs.leaderFound(ownPort);
+  }
+
+  private void entryLost(String host) {
+    if (duty != null) {
+      EventLog.info(LogEvent.PEER_DEAD, "host={}", host);
+      duty.entryLost(host);
+    }
+  }
+
+  private void endDuty() {
+    if (duty == null) {
+      return;
+    }
+    final LeaderPort port = ownPort;
+    duty.close();
+    duty = null;
+    followers.close();
+    followers = null;
+    ownPort = null;
+    jobs.leaderLost(port);
+  }
+
+  /** Delivers the end of a job to the host whose caller waits for it. */
+  void deliver(String host, Finished end) {
+    if (host.equals(self)) {
+      jobs.finished(end);
+    } else if (followers != null) {
+      followers.send(host, end);
+    }
+  }
+
+  private void beat() {
+    if (duty == null) {
+      return;
+    }
+    followers.beat(new Heartbeat(duty.term(), self, config.current().version(), duty.waiting()));
+    handOverIfUnserved();
+  }
+
+  /** A leader that the store turns away hands over to a host that is served. */
+  private void handOverIfUnserved() {
+    if (health.silenceMicros() < UNSERVED_MICROS) {
+      return;
+    }
+    long now = Loop.now();
+    for (Map.Entry<String, Long> each : servedAt.entrySet()) {
+      if (now - each.getValue() < 4 * Loop.micros(HEARTBEAT_MILLIS)) {
+        handOver(each.getKey(), "the store turns this host away");
+        return;
+      }
+    }
+  }
+
+  private void handOver(String host, String reason) {
+    followers.send(host, new HandOver(duty.term()));
+    loop.after(1, () -> take(new ElectionEvent.MustStepDown(reason, false)));
+  }
+
+  /** Stops leading for good, in favour of another host if there is one. */
+  void retire() {
+    if (duty != null && !servedAt.isEmpty()) {
+      String heir = servedAt.keySet().iterator().next();
+      followers.send(heir, new HandOver(duty.term()));
+    }
+    loop.after(1, () -> take(new ElectionEvent.MustStepDown("the host stops", true)));
+  }
+
+  private void fromFollower(String host, HostMessage message) {
+    if (duty == null) {
+      return;
+    }
+    if (message instanceof HeartbeatReply reply) {
+      if (reply.term() > duty.term()) {
+        take(new ElectionEvent.MustStepDown("host " + host + " knows a later term", false));
+        return;
+      }
+      servedAt.remove(host);
+      if (reply.storeServed()) {
+        servedAt.put(host, Loop.now());
+      }
+      take(new ElectionEvent.HeartbeatConfirmed(host));
+      askForConfig(reply.configVersion(), answer -> followers.send(host, answer));
+    } else if (message instanceof ConfigCopy copy) {
+      config.offer(copy.text(), "host " + host);
+    } else if (message instanceof ConfigQuery) {
+      followers.send(host, new ConfigCopy(config.text()));
+    } else {
+      duty.fromEntry(host, message);
+    }
+  }
+
+  private void askForConfig(long version, Consumer<HostMessage> sender) {
+    if (version > config.current().version()) {
+      sender.accept(new ConfigQuery(config.current().version()));
+    }
+  }
+
+  @Override
+  public void received(FrameLink link, HostMessage message) {
+    if (message instanceof Heartbeat heartbeat) {
+      heard(link, heartbeat);
+    } else if (message instanceof LeaderQuery) {
+      link.send(new LeaderQueryReply(self, election.hearsLeader(Loop.now()), election.knownTerm()));
+    } else if (message instanceof HandOver handOver) {
+      take(new ElectionEvent.HandedOver(handOver.term()));
+    } else if (message instanceof ConfigCopy copy) {
+      config.offer(copy.text(), "leader");
+    } else if (message instanceof ConfigQuery) {
+      link.send(new ConfigCopy(config.text()));
+    } else if (message instanceof Finished end && isLeaderLink(link)) {
+      jobs.finished(end);
+    }
+  }
+
+  private boolean isLeaderLink(FrameLink link) {
+    return leaderPort != null && leaderPort.link() == link;
+  }
+
+  private void heard(FrameLink link, Heartbeat heartbeat) {
+    if (heartbeat.term() >= election.knownTerm() && duty == null) {
+      take(new ElectionEvent.LeaderHeard(heartbeat.term(), heartbeat.host()));
+      waiting = heartbeat.waiting();
+      if (!isLeaderLink(link)) {
+        EventLog.info(
+            LogEvent.LEADER_CHANGED, "leader={} term={}", heartbeat.host(), heartbeat.term());
+        dropLeader();
+        leaderPort = new LinkPort(heartbeat.term(), link);
+        jobs.leaderFound(leaderPort);
+      }
+      askForConfig(heartbeat.configVersion(), link::send);
+    }
+    link.send(
+        new HeartbeatReply(
+            election.knownTerm(), self, config.current().version(), health.isServed()));
+  }
+
+  private void dropLeader() {
+    if (leaderPort != null) {
+      LinkPort old = leaderPort;
+      leaderPort = null;
+      jobs.leaderLost(old);
+    }
+  }
+
+  @Override
+  public void closed(FrameLink link) {
+    if (isLeaderLink(link)) {
+      long term = leaderPort.term();
+      dropLeader();
+      take(new ElectionEvent.LeaderLinkLost(term));
+    }
+  }
+
+  /** Drops a leader that has gone silent, so that jobs are not sent to it. */
+  void dropSilentLeader() {
+    if (leaderPort != null && !election.hearsLeader(Loop.now())) {
+      dropLeader();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/PrefixWatch.java
@@ -0,0 +1,96 @@
+package org.marjoramhoist.entry;
+
+import java.util.List;
+import org.marjoramhoist.platform.KeyValueClient;
+import org.marjoramhoist.platform.KeyValueClient.Change;
+import org.marjoramhoist.platform.KeyValueClient.Item;
+import org.marjoramhoist.platform.KeyValueClient.Page;
+import org.marjoramhoist.platform.KeyValueClient.WatchReply;
+
+/**
+ * Follows the keys under a prefix: reads them all, then hears of changes; reads again when changes
+ * may have been missed.
+ *
+ * <p>Confined to the loop's thread.
+ */
+final class PrefixWatch {
+
+  /** Hears of the keys. */
+  interface Listener {
+    /** The keys were read. */
+    void replaced(List<Item> items, long asOf);
+
+    /** A key changed. */
+    void changed(Change change);
+  }
+
+  private static final long WAIT_MILLIS = 2_000;
+  private static final long FIRST_PAUSE_MILLIS = 150;
+  private static final long LONGEST_PAUSE_MILLIS = 800;
+  private static final long UNREAD = -1;
+
+  private final KeyValueClient store;
+  private final String prefix;
+  private final Loop loop;
+  private final StoreHealth health;
+  private final Listener listener;
+  private long asOf = UNREAD;
+  private long pauseMillis = FIRST_PAUSE_MILLIS;
+
+  PrefixWatch(
+      KeyValueClient store, String prefix, Loop loop, StoreHealth health, Listener listener) {
+    this.store = store;
+    this.prefix = prefix;
+    this.loop = loop;
+    this.health = health;
+    this.listener = listener;
+  }
+
+  /** Begins, and goes on for as long as the loop runs. */
+  void start() {
+    if (asOf == UNREAD) {
+      store.readAll(prefix).whenComplete((page, error) -> loop.execute(() -> read(page, error)));
+    } else {
+      store
+          .watch(prefix, asOf, WAIT_MILLIS)
+          .whenComplete((reply, error) -> loop.execute(() -> heard(reply, error)));
+    }
+  }
+
+  private void read(Page page, Throwable error) {
+    if (error != null) {
+      failed(error);
+      return;
+    }
+    reached();
+    asOf = page.asOf();
+    listener.replaced(page.items(), asOf);
+    start();
+  }
+
+  private void heard(WatchReply reply, Throwable error) {
+    if (error != null) {
+      failed(error);
+      return;
+    }
+    reached();
+    if (reply.historyLost()) {
+      asOf = UNREAD;
+    } else {
+      asOf = Math.max(asOf, reply.asOf());
+      reply.changes().forEach(listener::changed);
+    }
+    start();
+  }
+
+  private void reached() {
+    pauseMillis = FIRST_PAUSE_MILLIS;
+    health.reached();
+  }
+
+  private void failed(Throwable error) {
+    health.failed(error);
+    loop.afterAbout(pauseMillis, this::start);
+    pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, 2 * pauseMillis);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/StoreHealth.java
@@ -0,0 +1,49 @@
+package org.marjoramhoist.entry;
+
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.LogEvent;
+
+/**
+ * Whether the store answers this host; logs when that changes.
+ *
+ * <p>Confined to the loop's thread.
+ */
+final class StoreHealth {
+
+  private static final long FRESH_MICROS = 2_600_000;
+
+  private final Runnable onReached;
+  private boolean up = true;
+  private long reachedAt = Loop.now();
+
+  /** Creates the state; the task is run at each answer of the store. */
+  StoreHealth(Runnable onReached) {
+    this.onReached = onReached;
+  }
+
+  void reached() {
+    reachedAt = Loop.now();
+    if (!up) {
+      up = true;
+      EventLog.info(LogEvent.STORE_UP, "the store answers again");
+    }
+    onReached.run();
+  }
+
+  void failed(Throwable error) {
+    if (up) {
+      up = false;
+      EventLog.warn(LogEvent.STORE_DOWN, "reason={}", error.getMessage());
+    }
+  }
+
+  /** Tells whether the store has answered lately and not failed since. */
+  boolean isServed() {
+    return up && Loop.now() - reachedAt < FRESH_MICROS;
+  }
+
+  /** Returns for how long the store has not answered, in microseconds. */
+  long silenceMicros() {
+    return up ? 0 : Loop.now() - reachedAt;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/StoreLink.java
@@ -0,0 +1,253 @@
+package org.marjoramhoist.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.marjoramhoist.json.JsonText;
+import org.marjoramhoist.lead.ElectionEvent;
+import org.marjoramhoist.lead.LeaderRecord;
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.LogEvent;
+import org.marjoramhoist.platform.KeyValueClient;
+import org.marjoramhoist.platform.KeyValueClient.Change;
+import org.marjoramhoist.platform.KeyValueClient.Condition;
+import org.marjoramhoist.platform.KeyValueClient.Item;
+import org.marjoramhoist.platform.KeyValueClient.Put;
+import org.marjoramhoist.platform.StoreFailure;
+
+/**
+ * What a host keeps in the store: its registration, and the leader's record when it leads. Both lie
+ * under the host's lease.
+ *
+ * <p>Confined to the loop's thread.
+ */
+final class StoreLink implements PrefixWatch.Listener {
+
+  private static final String ROOT = "marjoramhoist/";
+  private static final String HOSTS = ROOT + "hosts/";
+  private static final String LEADER = ROOT + "leader/0";
+  private static final long LEASE_MILLIS = 4_000;
+  private static final long KEEP_MILLIS = 1_000;
+  private static final long RETRY_MILLIS = 200;
+
+  private final KeyValueClient store;
+  private final Loop loop;
+  private final StoreHealth health;
+  private final String host;
+  private final long incarnation;
+  private final String peerAddress;
+  private final Consumer<ElectionEvent> election;
+  private final Map<String, String> addresses = new LinkedHashMap<>();
+  private long lease;
+  private boolean leaving;
+
+  StoreLink(
+      KeyValueClient store,
+      Loop loop,
+      StoreHealth health,
+      String host,
+      long incarnation,
+      String peerAddress,
+      Consumer<ElectionEvent> election) {
+    this.store = store;
+    this.loop = loop;
+    this.health = health;
+    this.host = host;
+    this.incarnation = incarnation;
+    this.peerAddress = peerAddress;
+    this.election = election;
+  }
+
+  /** Registers the host and begins to follow the other hosts and the leader's record. */
+  void start() {
+    register();
+    loop.every(KEEP_MILLIS, this::keep);
+    new PrefixWatch(store, ROOT, loop, health, this).start();
+  }
+
+  /** Returns the peer addresses of the registered hosts, by their names. */
+  Map<String, String> addresses() {
+    return addresses;
+  }
+
+  private void register() {
+    store
+        .grantLease(LEASE_MILLIS)
+        .thenCompose(
+            granted -> {
+              lease = granted;
+              String value =
+                  JsonText.of(Map.of("address", peerAddress, "incarnation", incarnation));
+              Put put = new Put(HOSTS + host, value, granted);
+              return store.txn(List.of(), List.of(put), List.of());
+            })
+        .whenComplete((reply, error) -> loop.execute(() -> registered(error)));
+  }
+
+  private void registered(Throwable error) {
+    if (error == null) {
+      health.reached();
+    } else if (!leaving) {
+      lease = 0;
+      health.failed(error);
+      loop.afterAbout(RETRY_MILLIS, this::register);
+    }
+  }
+
+  private void keep() {
+    if (lease == 0 || leaving) {
+      return;
+    }
+    store
+        .keepAlive(lease)
+        .whenComplete(
+            (held, error) ->
+                loop.execute(
+                    () -> {
+                      if (error != null) {
+                        health.failed(error);
+                      } else if (held) {
+                        health.reached();
+                      } else {
+                        leaseEnded();
+                      }
+                    }));
+  }
+
+  private void leaseEnded() {
+    lease = 0;
+    if (!leaving) {
+      register();
+      loop.after(RETRY_MILLIS, () -> election.accept(new ElectionEvent.RecordExpired()));
+    }
+  }
+
+  /** Changes the record to name this host, and tells the election what came of it. */
+  void takeRecord(long expectedRevision) {
+    if (lease == 0) {
+      loop.after(RETRY_MILLIS, () -> election.accept(new ElectionEvent.TakeFailed(false)));
+      return;
+    }
+    String value = JsonText.of(Map.of("host", host, "incarnation", incarnation));
+    store
+        .txn(
+            List.of(new Condition(LEADER, expectedRevision)),
+            List.of(new Put(LEADER, value, lease)),
+            List.of())
+        .whenComplete(
+            (reply, error) ->
+                loop.execute(
+                    () -> {
+                      if (error != null) {
+                        takeFailed(error);
+                      } else if (reply.done()) {
+                        election.accept(new ElectionEvent.RecordTaken(reply.revision()));
+                      } else {
+                        election.accept(new ElectionEvent.TakeFailed(false));
+                      }
+                    }));
+  }
+
+  private void takeFailed(Throwable error) {
+    health.failed(error);
+    Throwable cause = error.getCause() == null ? error : error.getCause();
+    boolean unclear = !(cause instanceof StoreFailure failure) || failure.mayHaveTakenEffect();
+    election.accept(new ElectionEvent.TakeFailed(unclear));
+  }
+
+  /** Reads the record and tells the election. */
+  void readRecord() {
+    store
+        .readAll(LEADER)
+        .whenComplete(
+            (page, error) ->
+                loop.execute(
+                    () -> {
+                      if (error != null) {
+                        health.failed(error);
+                        return;
+                      }
+                      health.reached();
+                      recordRead(page.items(), page.asOf());
+                    }));
+  }
+
+  private void recordRead(List<Item> items, long asOf) {
+    for (Item item : items) {
+      if (item.key().equals(LEADER)) {
+        election.accept(new ElectionEvent.RecordSeen(item.revision(), recordOf(item)));
+        return;
+      }
+    }
+    election.accept(new ElectionEvent.RecordSeen(asOf, null));
+  }
+
+  private static LeaderRecord recordOf(Item item) {
+    try {
+      JsonNode node = JsonText.MAPPER.readTree(item.value());
+      return new LeaderRecord(node.path("host").asText(), node.path("incarnation").asLong());
+    } catch (IOException e) {
+      EventLog.warn(LogEvent.CONFIG_RESOURCE_INVALID, "key={} can't be read", item.key());
+      return new LeaderRecord("", 0);
+    }
+  }
+
+  @Override
+  public void replaced(List<Item> items, long asOf) {
+    addresses.clear();
+    items.forEach(this::noteHost);
+    tellHosts();
+    recordRead(items, asOf);
+  }
+
+  @Override
+  public void changed(Change change) {
+    Item item = change.item();
+    if (item.key().equals(LEADER)) {
+      LeaderRecord record = change.isDeletion() ? null : recordOf(item);
+      election.accept(new ElectionEvent.RecordSeen(item.revision(), record));
+    } else if (item.key().startsWith(HOSTS)) {
+      if (change.isDeletion()) {
+        hostGone(item.key().substring(HOSTS.length()));
+      } else {
+        noteHost(item);
+      }
+      tellHosts();
+    }
+  }
+
+  private void hostGone(String name) {
+    addresses.remove(name);
+    if (name.equals(host) && lease != 0 && !leaving) {
+      register();
+    }
+  }
+
+  private void noteHost(Item item) {
+    if (!item.key().startsWith(HOSTS)) {
+      return;
+    }
+    try {
+      String address = JsonText.MAPPER.readTree(item.value()).path("address").asText();
+      addresses.put(item.key().substring(HOSTS.length()), address);
+    } catch (IOException e) {
+      EventLog.warn(LogEvent.CONFIG_RESOURCE_INVALID, "key={} can't be read", item.key());
+    }
+  }
+
+  private void tellHosts() {
+    election.accept(new ElectionEvent.HostsSeen(Set.copyOf(addresses.keySet())));
+  }
+
+  /** Removes what the host keeps in the store. */
+  void leave() {
+    leaving = true;
+    if (lease != 0) {
+      store.endLease(lease);
+    }
+  }
+}
--- a/src/main/java/org/marjoramhoist/http/HttpCall.java
+++ b/src/main/java/org/marjoramhoist/http/HttpCall.java
@@ -1,5 +1,7 @@
 package org.marjoramhoist.http;
 
+import java.util.Map;
+
 /**
  * One request to a server.
  *
@@ -12,6 +14,7 @@
  * @param token the bearer token; empty for none
  * @param deadlineNanos when the call has failed, on the clock of {@link System#nanoTime}
  * @param fresh whether a new connection must be used
+ * @param headers further headers
  */
 public record HttpCall(
     String authority,
@@ -20,7 +23,20 @@
     String body,
     String token,
     long deadlineNanos,
-    boolean fresh) {
+    boolean fresh,
+    Map<String, String> headers) {
+
+  /** Creates a call without further headers. */
+  public HttpCall(
+      String authority,
+      String method,
+      String path,
+      String body,
+      String token,
+      long deadlineNanos,
+      boolean fresh) {
+    this(authority, method, path, body, token, deadlineNanos, fresh, Map.of());
+  }
 
   /** Returns a call on a pooled connection without a token. */
   public static HttpCall of(
--- a/src/main/java/org/marjoramhoist/http/HttpCaller.java
+++ b/src/main/java/org/marjoramhoist/http/HttpCaller.java
@@ -44,6 +44,7 @@
   private record Idle(ClientConnection connection, long since) {}
 
   private final XnioWorker worker;
+  private final boolean ownsWorker;
   private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
   private final Map<String, Deque<Idle>> idle = new ConcurrentHashMap<>();
 
@@ -54,18 +55,31 @@
    * @param ioThreads how many there are
    */
   public HttpCaller(String name, int ioThreads) {
+    this(createWorker(name, ioThreads), true);
+  }
+
+  /** Creates a caller that uses the I/O threads of a worker, which stays its creator's. */
+  public HttpCaller(XnioWorker worker) {
+    this(worker, false);
+  }
+
+  private HttpCaller(XnioWorker worker, boolean ownsWorker) {
+    this.worker = worker;
+    this.ownsWorker = ownsWorker;
+  }
+
+  private static XnioWorker createWorker(String name, int ioThreads) {
     try {
-      worker =
-          Xnio.getInstance()
-              .createWorker(
-                  OptionMap.builder()
-                      .set(Options.WORKER_NAME, name)
-                      .set(Options.WORKER_IO_THREADS, ioThreads)
-                      .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                      .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                      .set(Options.TCP_NODELAY, true)
-                      .set(Options.THREAD_DAEMON, true)
-                      .getMap());
+      return Xnio.getInstance()
+          .createWorker(
+              OptionMap.builder()
+                  .set(Options.WORKER_NAME, name)
+                  .set(Options.WORKER_IO_THREADS, ioThreads)
+                  .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                  .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                  .set(Options.TCP_NODELAY, true)
+                  .set(Options.THREAD_DAEMON, true)
+                  .getMap());
     } catch (IOException e) {
       throw new IllegalStateException("can't start I/O threads", e);
     }
@@ -200,6 +214,8 @@
       if (!call.token().isEmpty()) {
         request.getRequestHeaders().put(Headers.AUTHORIZATION, "Bearer " + call.token());
       }
+      call.headers()
+          .forEach((name, value) -> request.getRequestHeaders().put(new HttpString(name), value));
       return request;
     }
 
@@ -284,6 +300,8 @@
         all.clear();
       }
     }
-    worker.shutdown();
+    if (ownsWorker) {
+      worker.shutdown();
+    }
   }
 }
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/job/RunRef.java
@@ -0,0 +1,11 @@
+package org.marjoramhoist.job;
+
+/**
+ * Names one run of a task.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param task the task
+ * @param number counts the runs of the task, from 1; a later run has a higher number
+ */
+public record RunRef(TaskRef task, int number) {}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/lead/Election.java
@@ -0,0 +1,296 @@
+package org.marjoramhoist.lead;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.marjoramhoist.lead.ElectionEvent.HandedOver;
+import org.marjoramhoist.lead.ElectionEvent.HeartbeatConfirmed;
+import org.marjoramhoist.lead.ElectionEvent.HostsAsked;
+import org.marjoramhoist.lead.ElectionEvent.HostsSeen;
+import org.marjoramhoist.lead.ElectionEvent.LeaderHeard;
+import org.marjoramhoist.lead.ElectionEvent.LeaderLinkLost;
+import org.marjoramhoist.lead.ElectionEvent.MustStepDown;
+import org.marjoramhoist.lead.ElectionEvent.RecordExpired;
+import org.marjoramhoist.lead.ElectionEvent.RecordSeen;
+import org.marjoramhoist.lead.ElectionEvent.RecordTaken;
+import org.marjoramhoist.lead.ElectionEvent.StoreReached;
+import org.marjoramhoist.lead.ElectionEvent.TakeFailed;
+import org.marjoramhoist.lead.ElectionEvent.Tick;
+
+/**
+ * One host's part in the election of the partition's leader.
+ *
+ * <p>Invariants: a host leads only under a record that it wrote itself, whose revision is its term.
+ * It stands against a leader only if it doesn't hear it, no host that answers hears it, and more
+ * than half of the registered hosts answered; with fewer, only once the record has expired. Wrong
+ * suspicions are harmless, as workers obey only the highest term. Confined to one thread.
+ */
+public final class Election {
+
+  private static final long ASK_PAUSE_MICROS = 200_000;
+  private static final long TAKE_PAUSE_MICROS = 150_000;
+
+  private final String self;
+  private final long incarnation;
+  private final ElectionPolicy policy;
+  private final Map<String, Long> confirmedAt = new HashMap<>();
+
+  private Set<String> hosts = Set.of();
+  private boolean recordKnown;
+  private long seenRevision;
+  private long term;
+  private LeaderRecord record;
+  private long heardAt;
+  private long suspectedAt;
+  private boolean asking;
+  private boolean taking;
+  private boolean retired;
+  private long notBefore;
+  private long leadingTerm;
+  private long storeReachedAt;
+
+  /**
+   * Creates a host's part.
+   *
+   * @param self the host
+   * @param incarnation tells this life of its process apart from others
+   * @param policy the time-outs
+   * @param now the present time in microseconds
+   */
+  public Election(String self, long incarnation, ElectionPolicy policy, long now) {
+    this.self = self;
+    this.incarnation = incarnation;
+    this.policy = policy;
+    this.heardAt = now;
+  }
+
+  /** Returns the term in which this host leads; 0 if it does not. */
+  public long leadingTerm() {
+    return leadingTerm;
+  }
+
+  /** Tells whether this host has heard a leader lately, or leads. */
+  public boolean hearsLeader(long now) {
+    return leadingTerm != 0 || suspectedAt == 0 && now - heardAt < policy.suspectMicros();
+  }
+
+  /** Returns the highest term that this host knows of. */
+  public long knownTerm() {
+    return term;
+  }
+
+  /**
+   * Takes in an event and returns what must be done.
+   *
+   * @param now the time, in microseconds on the host's steady clock; never goes back
+   */
+  public List<ElectionAction> step(long now, ElectionEvent event) {
+    if (event instanceof Tick) {
+      return leadingTerm != 0 ? checkContact(now) : checkLeader(now);
+    }
+    if (event instanceof HostsSeen seen) {
+      hosts = Set.copyOf(seen.hosts());
+    } else if (event instanceof RecordSeen seen) {
+      return recordSeen(now, seen);
+    } else if (event instanceof LeaderHeard heard) {
+      leaderHeard(now, heard);
+    } else if (event instanceof LeaderLinkLost lost) {
+      if (lost.term() >= term && leadingTerm == 0 && suspectedAt == 0) {
+        suspectedAt = now;
+      }
+    } else if (event instanceof HandedOver handed) {
+      return handedOver(now, handed);
+    } else if (event instanceof HostsAsked asked) {
+      return hostsAsked(now, asked);
+    } else if (event instanceof RecordTaken taken) {
+      return recordTaken(now, taken);
+    } else if (event instanceof TakeFailed failed) {
+      return takeFailed(now, failed);
+    } else if (event instanceof StoreReached) {
+      storeReachedAt = now;
+    } else if (event instanceof HeartbeatConfirmed confirmed) {
+      confirmedAt.put(confirmed.host(), now);
+    } else if (event instanceof RecordExpired) {
+      return recordExpired();
+    } else if (event instanceof MustStepDown must) {
+      retired |= must.forGood();
+      return stepDown(now, must.reason());
+    }
+    return List.of();
+  }
+
+  private List<ElectionAction> recordSeen(long now, RecordSeen seen) {
+    if (recordKnown && seen.revision() <= seenRevision) {
+      return List.of();
+    }
+    final boolean changed = recordKnown;
+    recordKnown = true;
+    seenRevision = seen.revision();
+    record = seen.record();
+    if (record == null) {
+      return List.of();
+    }
+    term = Math.max(term, seen.revision());
+    boolean mine = namesThisProcess(record);
+    if (mine && leadingTerm != seenRevision && !retired) {
+      return lead(now, seenRevision);
+    }
+    if (!mine && leadingTerm != 0) {
+      return stepDown(now, "the record names another leader");
+    }
+    if (changed) {
+      trust(now);
+    }
+    return List.of();
+  }
+
+  private boolean namesThisProcess(LeaderRecord named) {
+    return named.host().equals(self) && named.incarnation() == incarnation;
+  }
+
+  private void leaderHeard(long now, LeaderHeard heard) {
+    if (heard.term() < term || leadingTerm != 0) {
+      return;
+    }
+    if (heard.term() > term || record == null) {
+      term = heard.term();
+      seenRevision = Math.max(seenRevision, term);
+      record = new LeaderRecord(heard.host(), 0);
+      recordKnown = true;
+    }
+    trust(now);
+  }
+
+  private void trust(long now) {
+    heardAt = now;
+    suspectedAt = 0;
+  }
+
+  private List<ElectionAction> checkLeader(long now) {
+    if (retired || !recordKnown || asking || taking || now < notBefore) {
+      return List.of();
+    }
+    if (record == null && term == 0) {
+      return now - heardAt < rankDelay() ? List.of() : take(now, 0);
+    }
+    if (record != null && record.host().equals(self)) {
+      return take(now, seenRevision);
+    }
+    if (suspectedAt == 0 && now - heardAt >= policy.suspectMicros()) {
+      suspectedAt = now;
+    }
+    if (suspectedAt == 0 || now - suspectedAt < rankDelay()) {
+      return List.of();
+    }
+    asking = true;
+    return List.of(new ElectionAction.AskHosts());
+  }
+
+  private long rankDelay() {
+    Set<String> others = new TreeSet<>(hosts);
+    others.add(self);
+    if (record != null) {
+      others.remove(record.host());
+    }
+    int rank = 0;
+    for (String host : others) {
+      if (host.equals(self)) {
+        break;
+      }
+      rank++;
+    }
+    return rank * policy.rankMicros();
+  }
+
+  private List<ElectionAction> hostsAsked(long now, HostsAsked asked) {
+    asking = false;
+    notBefore = now + ASK_PAUSE_MICROS;
+    if (retired || leadingTerm != 0 || suspectedAt == 0 || asked.leaderIsHeard()) {
+      return List.of();
+    }
+    Set<String> known = new TreeSet<>(hosts);
+    known.add(self);
+    boolean most = 2 * (asked.answered() + 1) > known.size();
+    if (most || record == null) {
+      return take(now, record == null ? 0 : seenRevision);
+    }
+    return List.of(new ElectionAction.ReadRecord());
+  }
+
+  private List<ElectionAction> handedOver(long now, HandedOver handed) {
+    if (handed.term() < term || leadingTerm != 0 || retired || taking) {
+      return List.of();
+    }
+    suspectedAt = now;
+    return take(now, handed.term());
+  }
+
+  private List<ElectionAction> take(long now, long expected) {
+    taking = true;
+    notBefore = now + TAKE_PAUSE_MICROS;
+    return List.of(new ElectionAction.TakeRecord(expected));
+  }
+
+  private List<ElectionAction> recordTaken(long now, RecordTaken taken) {
+    taking = false;
+    storeReachedAt = now;
+    if (taken.revision() < seenRevision) {
+      return List.of();
+    }
+    seenRevision = taken.revision();
+    record = new LeaderRecord(self, incarnation);
+    recordKnown = true;
+    return retired ? List.of() : lead(now, taken.revision());
+  }
+
+  private List<ElectionAction> lead(long now, long revision) {
+    term = revision;
+    leadingTerm = revision;
+    storeReachedAt = now;
+    confirmedAt.clear();
+    trust(now);
+    return List.of(new ElectionAction.Lead(leadingTerm));
+  }
+
+  private List<ElectionAction> takeFailed(long now, TakeFailed failed) {
+    taking = false;
+    notBefore = now + TAKE_PAUSE_MICROS + rankDelay();
+    return List.of(new ElectionAction.ReadRecord());
+  }
+
+  private List<ElectionAction> recordExpired() {
+    if (leadingTerm == 0 || taking) {
+      return List.of();
+    }
+    taking = true;
+    return List.of(new ElectionAction.TakeRecord(0));
+  }
+
+  /** A leader that reaches neither the store nor most hosts may have been replaced. */
+  private List<ElectionAction> checkContact(long now) {
+    if (now - storeReachedAt < policy.contactMicros()) {
+      return List.of();
+    }
+    long fresh =
+        confirmedAt.entrySet().stream()
+            .filter(e -> hosts.contains(e.getKey()) && now - e.getValue() < policy.contactMicros())
+            .count();
+    if (2 * (fresh + 1) > hosts.size()) {
+      return List.of();
+    }
+    return stepDown(now, "neither the store nor most hosts were heard");
+  }
+
+  private List<ElectionAction> stepDown(long now, String reason) {
+    if (leadingTerm == 0) {
+      return List.of();
+    }
+    final long ended = leadingTerm;
+    leadingTerm = 0;
+    heardAt = now;
+    notBefore = now + policy.suspectMicros();
+    return List.of(new ElectionAction.StepDown(ended, reason));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/lead/ElectionAction.java
@@ -0,0 +1,20 @@
+package org.marjoramhoist.lead;
+
+/** What the election asks for. Immutable and safe for use by several threads. */
+public sealed interface ElectionAction {
+
+  /** Ask the other registered hosts whether they hear the leader. */
+  record AskHosts() implements ElectionAction {}
+
+  /** Read the record. */
+  record ReadRecord() implements ElectionAction {}
+
+  /** Change the record to name this host, if its revision is still the given one; 0 if absent. */
+  record TakeRecord(long expectedRevision) implements ElectionAction {}
+
+  /** Begin to lead. */
+  record Lead(long term) implements ElectionAction {}
+
+  /** Stop leading. */
+  record StepDown(long term, String reason) implements ElectionAction {}
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/lead/ElectionEvent.java
@@ -0,0 +1,60 @@
+package org.marjoramhoist.lead;
+
+import java.util.Set;
+
+/** What the election hears. Immutable and safe for use by several threads. */
+public sealed interface ElectionEvent {
+
+  /** The hosts that are registered. */
+  record HostsSeen(Set<String> hosts) implements ElectionEvent {}
+
+  /**
+   * The record was read, or a change of it was heard.
+   *
+   * @param revision the revision of the record, or of the store if there is none
+   * @param record the record; null if there is none
+   */
+  record RecordSeen(long revision, LeaderRecord record) implements ElectionEvent {}
+
+  /** A leader was heard. */
+  record LeaderHeard(long term, String host) implements ElectionEvent {}
+
+  /** The connection to the leader of a term broke. */
+  record LeaderLinkLost(long term) implements ElectionEvent {}
+
+  /** The leader of a term stops in an orderly way and asks this host to follow it. */
+  record HandedOver(long term) implements ElectionEvent {}
+
+  /**
+   * The other hosts were asked whether they hear the leader.
+   *
+   * @param answered how many answered, or are known to have no process
+   * @param leaderIsHeard whether any of them hears a leader
+   */
+  record HostsAsked(int answered, boolean leaderIsHeard) implements ElectionEvent {}
+
+  /** The record was changed to name this host. */
+  record RecordTaken(long revision) implements ElectionEvent {}
+
+  /**
+   * An attempt to change the record failed.
+   *
+   * @param mayHaveTakenEffect whether the change may have been made or may still be
+   */
+  record TakeFailed(boolean mayHaveTakenEffect) implements ElectionEvent {}
+
+  /** The store answered a call. */
+  record StoreReached() implements ElectionEvent {}
+
+  /** A host confirmed a heartbeat of this leader. */
+  record HeartbeatConfirmed(String host) implements ElectionEvent {}
+
+  /** The lease of the record has ended, and with it the record. */
+  record RecordExpired() implements ElectionEvent {}
+
+  /** This host may not lead any more, since it is stopping or was found to be out of date. */
+  record MustStepDown(String reason, boolean forGood) implements ElectionEvent {}
+
+  /** Time has passed. */
+  record Tick() implements ElectionEvent {}
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/lead/ElectionPolicy.java
@@ -0,0 +1,12 @@
+package org.marjoramhoist.lead;
+
+/**
+ * Time-outs of the election, in microseconds.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param suspectMicros the silence after which a leader is suspected
+ * @param contactMicros how long a leader may be without the store and without most hosts
+ * @param rankMicros how much later each host stands than the one before it
+ */
+public record ElectionPolicy(long suspectMicros, long contactMicros, long rankMicros) {}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/lead/LeaderRecord.java
@@ -0,0 +1,12 @@
+package org.marjoramhoist.lead;
+
+/**
+ * The record in the store that names the leader. Its revision is the leader's term and its fencing
+ * token.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param host the leader
+ * @param incarnation tells the lives of the leader's process apart
+ */
+public record LeaderRecord(String host, long incarnation) {}
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -40,6 +40,14 @@
   SHARD_UNAVAILABLE(3004),
   /** The claim layout in the store differs from the settings. */
   LAYOUT_MISMATCH(3005),
+  /** This host leads the partition. */
+  LEADER_ELECTED(3101),
+  /** This host no longer leads the partition. */
+  LEADER_STEPPED_DOWN(3102),
+  /** Another host leads the partition. */
+  LEADER_CHANGED(3103),
+  /** Nothing was heard of the leader for the suspicion time. */
+  LEADER_SUSPECTED(3104),
   /** A submission was accepted. */
   JOB_ACCEPTED(4001),
   /** A submission was refused. */
@@ -48,6 +56,18 @@
   JOB_COMPLETED(4003),
   /** A job failed. */
   JOB_FAILED(4004),
+  /** A job was withdrawn, or given up with tasks started. */
+  JOB_ABANDONED(4005),
+  /** A run was ordered. */
+  RUN_ORDERED(4011),
+  /** A worker rejected the order to start a run. */
+  RUN_REJECTED(4012),
+  /** The order to start a run got no answer. */
+  RUN_UNANSWERED(4013),
+  /** A run failed. */
+  RUN_FAILED(4014),
+  /** A run is over without a result. */
+  RUN_LOST(4015),
   /** An attempt ended without a known outcome. */
   ATTEMPT_UNKNOWN(4101),
   /** A worker refused an attempt. */
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/message/HostMessage.java
@@ -0,0 +1,99 @@
+package org.marjoramhoist.message;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.Map;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.JobOutcome;
+import org.marjoramhoist.job.RequestClass;
+
+/**
+ * A message between a partition's leader and the other hosts.
+ *
+ * <p>Messages on one connection arrive in the order they were sent; any of them may be lost with
+ * the connection. Immutable and safe for use by several threads.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, include = JsonTypeInfo.As.WRAPPER_ARRAY)
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = HostMessage.Heartbeat.class, name = "h"),
+  @JsonSubTypes.Type(value = HostMessage.HeartbeatReply.class, name = "r"),
+  @JsonSubTypes.Type(value = HostMessage.Submit.class, name = "s"),
+  @JsonSubTypes.Type(value = HostMessage.Withdraw.class, name = "w"),
+  @JsonSubTypes.Type(value = HostMessage.Finished.class, name = "f"),
+  @JsonSubTypes.Type(value = HostMessage.HandOver.class, name = "o"),
+  @JsonSubTypes.Type(value = HostMessage.LeaderQuery.class, name = "q"),
+  @JsonSubTypes.Type(value = HostMessage.LeaderQueryReply.class, name = "p"),
+  @JsonSubTypes.Type(value = HostMessage.ConfigQuery.class, name = "c"),
+  @JsonSubTypes.Type(value = HostMessage.ConfigCopy.class, name = "d")
+})
+public sealed interface HostMessage {
+
+  /**
+   * Says that the leader lives.
+   *
+   * @param term its term
+   * @param host the leader
+   * @param configVersion the version of the configuration in force at the leader
+   * @param waiting jobs without a started task, by the name of their class
+   */
+  record Heartbeat(long term, String host, long configVersion, Map<String, Integer> waiting)
+      implements HostMessage {}
+
+  /**
+   * Answers a heartbeat.
+   *
+   * @param term the highest term that the sender knows of
+   * @param host the sender
+   * @param configVersion the version of the configuration in force at the sender
+   * @param storeServed whether the store has answered the sender lately
+   */
+  record HeartbeatReply(long term, String host, long configVersion, boolean storeServed)
+      implements HostMessage {}
+
+  /**
+   * Hands a job to the leader.
+   *
+   * @param job the job
+   * @param requestClass its class, as the sender's configuration has it
+   * @param ageMicros how long ago its request came in
+   * @param patienceMicros how much longer its caller waits
+   * @param generation how many leaders were given the job before this one
+   */
+  record Submit(
+      JobDescription job,
+      RequestClass requestClass,
+      long ageMicros,
+      long patienceMicros,
+      int generation)
+      implements HostMessage {}
+
+  /** Tells the leader that the sender no longer waits for a job. */
+  record Withdraw(JobId job) implements HostMessage {}
+
+  /**
+   * Tells a host how a job ended.
+   *
+   * @param job the job
+   * @param outcome how it ended
+   * @param reason why, for logs and the answer
+   * @param retryAfterMillis when a refused caller may come back; 0 if that says nothing
+   */
+  record Finished(JobId job, JobOutcome outcome, String reason, long retryAfterMillis)
+      implements HostMessage {}
+
+  /** Asks a host to follow the leader of a term, which stops in an orderly way. */
+  record HandOver(long term) implements HostMessage {}
+
+  /** Asks a host whether it hears a leader. */
+  record LeaderQuery(String host) implements HostMessage {}
+
+  /** Tells whether the sender hears a leader, and the highest term that it knows of. */
+  record LeaderQueryReply(String host, boolean hears, long term) implements HostMessage {}
+
+  /** Asks for the configuration, if the receiver's is newer than a version. */
+  record ConfigQuery(long newerThan) implements HostMessage {}
+
+  /** Passes on the text of a configuration as the operator wrote it. */
+  record ConfigCopy(String text) implements HostMessage {}
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/peer/FrameLink.java
@@ -0,0 +1,167 @@
+package org.marjoramhoist.peer;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.LogEvent;
+import org.marjoramhoist.message.HostMessage;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+
+/**
+ * A connection between hosts that carries frames both ways without blocking.
+ *
+ * <p>Messages that are sent within one turn of the I/O thread leave in one write. Confined to the
+ * connection's I/O thread, on which its listener is called too.
+ */
+public final class FrameLink implements AutoCloseable {
+
+  /** Hears what happens on a link. */
+  public interface Listener {
+    /** A message arrived. */
+    void received(FrameLink link, HostMessage message);
+
+    /** The link is closed; called once. */
+    void closed(FrameLink link);
+  }
+
+  private static final int READ_BYTES = 16 * 1024;
+  private static final int MAX_QUEUED_BYTES = 8 << 20;
+
+  private final StreamConnection connection;
+  private final Listener listener;
+  private final Deque<ByteBuffer> queue = new ArrayDeque<>();
+  private ByteBuffer inbound = ByteBuffer.allocate(READ_BYTES);
+  private int queuedBytes;
+  private boolean flushScheduled;
+  private boolean closed;
+
+  /**
+   * Starts to use a connection; to be called on its I/O thread.
+   *
+   * @param connection the connection
+   * @param listener hears of messages and the end
+   */
+  public FrameLink(StreamConnection connection, Listener listener) {
+    this.connection = connection;
+    this.listener = listener;
+  }
+
+  /** Starts to read. */
+  public void start() {
+    connection.getSourceChannel().setReadListener(channel -> read());
+    connection.getSinkChannel().setWriteListener(channel -> flush());
+    connection.setCloseListener(channel -> close());
+    connection.getSourceChannel().resumeReads();
+  }
+
+  /** Tells whether the link is open. */
+  public boolean isOpen() {
+    return !closed;
+  }
+
+  /** Sends a message, unless the link is closed. */
+  public void send(HostMessage message) {
+    if (closed) {
+      return;
+    }
+    try {
+      byte[] frame = FrameCodec.encode(message);
+      ByteBuffer buffer = ByteBuffer.allocate(Integer.BYTES + frame.length);
+      buffer.putInt(frame.length).put(frame).flip();
+      queue.add(buffer);
+      queuedBytes += buffer.remaining();
+    } catch (IOException e) {
+      EventLog.fault("frame of " + message.getClass().getSimpleName(), e);
+      return;
+    }
+    if (queuedBytes > MAX_QUEUED_BYTES) {
+      EventLog.warn(LogEvent.PEER_QUEUE_FULL, "bytes={}", queuedBytes);
+      close();
+    } else if (!flushScheduled) {
+      flushScheduled = true;
+      connection.getIoThread().execute(this::flush);
+    }
+  }
+
+  private void flush() {
+    flushScheduled = false;
+    if (closed) {
+      return;
+    }
+    try {
+      while (!queue.isEmpty()) {
+        ByteBuffer[] all = queue.toArray(new ByteBuffer[0]);
+        long written = connection.getSinkChannel().write(all, 0, all.length);
+        queuedBytes -= (int) written;
+        while (!queue.isEmpty() && !queue.peek().hasRemaining()) {
+          queue.poll();
+        }
+        if (written == 0) {
+          connection.getSinkChannel().resumeWrites();
+          return;
+        }
+      }
+      connection.getSinkChannel().flush();
+      connection.getSinkChannel().suspendWrites();
+    } catch (IOException e) {
+      EventLog.debug(LogEvent.PEER_LINK_LOST, "write failed: {}", e.getMessage());
+      close();
+    }
+  }
+
+  private void read() {
+    try {
+      while (!closed) {
+        int count = connection.getSourceChannel().read(inbound);
+        if (count < 0) {
+          close();
+          return;
+        }
+        if (count == 0) {
+          return;
+        }
+        takeFrames();
+      }
+    } catch (IOException e) {
+      EventLog.debug(LogEvent.PEER_LINK_LOST, "read failed: {}", e.getMessage());
+      close();
+    }
+  }
+
+  private void takeFrames() throws IOException {
+    inbound.flip();
+    int wanted = READ_BYTES;
+    while (!closed && inbound.remaining() >= Integer.BYTES) {
+      int length = inbound.getInt(inbound.position());
+      if (length < 1 || length > FrameCodec.MAX_FRAME_BYTES) {
+        throw new IOException("frame length out of bounds: " + length);
+      }
+      if (inbound.remaining() < Integer.BYTES + length) {
+        wanted = Integer.BYTES + length;
+        break;
+      }
+      inbound.getInt();
+      byte[] frame = new byte[length];
+      inbound.get(frame);
+      listener.received(this, FrameCodec.decode(frame, HostMessage.class));
+    }
+    if (wanted > inbound.capacity()) {
+      inbound = ByteBuffer.allocate(wanted).put(inbound);
+    } else {
+      inbound.compact();
+    }
+  }
+
+  @Override
+  public void close() {
+    if (!closed) {
+      closed = true;
+      queue.clear();
+      IoUtils.safeClose(connection);
+      listener.closed(this);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/peer/FrameNetwork.java
@@ -0,0 +1,102 @@
+package org.marjoramhoist.peer;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.LogEvent;
+import org.xnio.ChannelListener;
+import org.xnio.ChannelListeners;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/**
+ * Accepts and opens {@link FrameLink}s on one I/O thread.
+ *
+ * <p>To be used on that thread, but for the constructor.
+ */
+public final class FrameNetwork implements AutoCloseable {
+
+  private static final int BACKLOG = 128;
+  private static final OptionMap OPTIONS =
+      OptionMap.builder()
+          .set(Options.TCP_NODELAY, true)
+          .set(Options.REUSE_ADDRESSES, true)
+          .set(Options.BACKLOG, BACKLOG)
+          .getMap();
+
+  private final XnioIoThread thread;
+  private final AcceptingChannel<StreamConnection> server;
+
+  /**
+   * Starts to listen.
+   *
+   * @param worker the worker whose only I/O thread is used
+   * @param address where to listen
+   * @param listener hears what happens on accepted links
+   * @throws IOException if the address can't be used
+   */
+  public FrameNetwork(XnioWorker worker, InetSocketAddress address, FrameLink.Listener listener)
+      throws IOException {
+    this.thread = worker.getIoThread();
+    ChannelListener<AcceptingChannel<StreamConnection>> accept =
+        ChannelListeners.openListenerAdapter(
+            connection -> connection.getIoThread().execute(() -> begin(connection, listener)));
+    this.server = worker.createStreamConnectionServer(address, accept, OPTIONS);
+    server.resumeAccepts();
+  }
+
+  private static FrameLink begin(StreamConnection connection, FrameLink.Listener listener) {
+    FrameLink link = new FrameLink(connection, listener);
+    link.start();
+    return link;
+  }
+
+  /**
+   * Opens a link.
+   *
+   * @param address {@code host:port} of the other host
+   * @param timeoutMillis how long that may take, in milliseconds
+   * @param listener hears what happens on the link
+   * @param opened takes the link once it is open; called on the I/O thread
+   * @param failed takes whether the other side refused at once; called on the I/O thread
+   */
+  public void open(
+      String address,
+      long timeoutMillis,
+      FrameLink.Listener listener,
+      Consumer<FrameLink> opened,
+      Consumer<Boolean> failed) {
+    int colon = address.lastIndexOf(':');
+    int port = Integer.parseInt(address.substring(colon + 1));
+    InetSocketAddress target = new InetSocketAddress(address.substring(0, colon), port);
+    IoFuture<StreamConnection> future =
+        thread.openStreamConnection(
+            target, connection -> opened.accept(begin(connection, listener)), OPTIONS);
+    future.addNotifier(
+        (done, nothing) -> {
+          if (done.getStatus() != IoFuture.Status.DONE) {
+            String reason =
+                done.getStatus() == IoFuture.Status.FAILED
+                    ? String.valueOf(done.getException().getMessage())
+                    : "no connection in time";
+            EventLog.debug(LogEvent.PEER_LINK_LOST, "address={} reason={}", address, reason);
+            thread.execute(() -> failed.accept(reason.contains("refused")));
+          }
+        },
+        null);
+    thread.executeAfter(future::cancel, timeoutMillis, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void close() {
+    IoUtils.safeClose(server);
+  }
+}
--- a/src/test/java/org/marjoramhoist/ArchitectureTest.java
+++ b/src/test/java/org/marjoramhoist/ArchitectureTest.java
@@ -14,15 +14,25 @@
     importOptions = ImportOption.DoNotIncludeTests.class)
 class ArchitectureTest {
 
+  private static final String[] DECISIONS = {
+    "org.marjoramhoist.decision",
+    "org.marjoramhoist.dispatch",
+    "org.marjoramhoist.lead",
+    "org.marjoramhoist.job"
+  };
+
   @ArchTest
   static final ArchRule decisionsUseOnlyValues =
       classes()
           .that()
-          .resideInAPackage("org.marjoramhoist.decision")
+          .resideInAnyPackage(DECISIONS)
           .should()
           .onlyDependOnClassesThat()
           .resideInAnyPackage(
               "org.marjoramhoist.decision",
+              "org.marjoramhoist.dispatch",
+              "org.marjoramhoist.lead",
+              "org.marjoramhoist.job",
               "org.marjoramhoist.model",
               "org.marjoramhoist.message",
               "org.marjoramhoist.resource",
@@ -40,7 +50,7 @@
   static final ArchRule decisionsHaveNoClockThreadOrRandomness =
       noClasses()
           .that()
-          .resideInAPackage("org.marjoramhoist.decision")
+          .resideInAnyPackage(DECISIONS)
           .should()
           .dependOnClassesThat()
           .haveNameMatching(
@@ -52,7 +62,7 @@
   static final ArchRule decisionsLogOnlyThroughActions =
       noClasses()
           .that()
-          .resideInAPackage("org.marjoramhoist.decision")
+          .resideInAnyPackage(DECISIONS)
           .should()
           .dependOnClassesThat()
           .haveSimpleName("EventLog");
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/config/NodeSettingsTest.java
@@ -0,0 +1,58 @@
+package org.marjoramhoist.config;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.json.InvalidDocumentException;
+
+class NodeSettingsTest {
+
+  private static final String TEXT =
+      "{\"host\":\"h\",\"listen\":{\"callers\":\"1.2.3.4:1\",\"ready\":\"1.2.3.4:2\","
+          + "\"peers\":\"1.2.3.4:3\"},\"store\":\"1.2.3.5:4\",\"drainSeconds\":6.5}";
+
+  @Test
+  void readsSettings() throws InvalidDocumentException {
+    NodeSettings settings = NodeSettings.parse("test", TEXT);
+    assertThat(settings.host()).isEqualTo("h");
+    assertThat(settings.listen().peers()).isEqualTo("1.2.3.4:3");
+    assertThat(settings.drainMillis()).isEqualTo(6_500);
+    assertThat(settings.leaseMillis()).isEqualTo(1_000);
+  }
+
+  @Test
+  void namesEveryFault() {
+    InvalidDocumentException error =
+        assertThrows(
+            InvalidDocumentException.class,
+            () -> NodeSettings.parse("test", "{\"hots\":1,\"leaseMillis\":-3}"));
+    assertThat(error).hasMessageThat().contains("hots");
+    assertThat(error).hasMessageThat().contains("leaseMillis");
+    assertThat(error).hasMessageThat().contains("callers");
+  }
+
+  @Test
+  void deployedTemplateYieldsSettings() throws IOException, InvalidDocumentException {
+    String filled =
+        Files.readString(Path.of("deploy/settings.jsonc"))
+            .replace("{{node|json}}", "\"h\"")
+            .replace("{{zone|json}}", "\"z\"")
+            .replace("{{listen.front|json}}", "\"1.2.3.4:1\"")
+            .replace("{{listen.ready|json}}", "\"1.2.3.4:2\"")
+            .replace("{{platform.address|json}}", "\"1.2.3.5:4\"")
+            .replace("{{ip}}", "1.2.3.4")
+            .replace("{{internalPorts.0}}", "7720")
+            .replace("{{internalPorts.1}}", "7735")
+            .replace("{{bounds.holdMaxMs}}", "1000")
+            .replace("{{bounds.farX}}", "1.5")
+            .replace("{{bounds.graceS}}", "6");
+    assertThat(filled).doesNotContain("{{");
+    NodeSettings settings = NodeSettings.parse("template", filled);
+    assertThat(settings.listen().metrics()).isEqualTo("1.2.3.4:7735");
+    assertThat(settings.farFactor()).isEqualTo(1.5);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
@@ -0,0 +1,162 @@
+package org.marjoramhoist.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.dispatch.WorkerInfo;
+import org.marjoramhoist.dispatch.WorkerReport;
+import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobFeature;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.job.Resources;
+import org.marjoramhoist.job.RouteTable;
+import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.StepSpec;
+import org.marjoramhoist.job.TaskRef;
+
+/** What the platform's formats are read as. */
+class PlatformFormatsTest {
+
+  private static final JobId ID = new JobId("5c0e7a21d94b36f8");
+
+  private static JobDescription read(String body) throws IOException {
+    return JobBodies.readJob(ID, body.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void readsJobWithSteps() throws IOException {
+    JobDescription job =
+        read(
+            "{\"spec\":\"a\\\"b\",\"steps\":[{\"count\":4,\"cpu\":500,\"memMb\":256,"
+                + "\"estimateMs\":900,\"preferredRack\":\"r1-3\"},{\"count\":20,\"after\":[0],"
+                + "\"requiredLabel\":\"b\",\"maxPerServer\":2,\"gpu\":1}],\"bestEffort\":true}");
+    StepSpec first = new StepSpec(4, new Resources(500, 256, 0), 900, List.of(), "", "r1-3", 0);
+    StepSpec second = new StepSpec(20, new Resources(0, 0, 1), 0, List.of(0), "b", "", 2);
+    assertThat(job.payload()).isEqualTo("a\"b");
+    assertThat(job.steps()).containsExactly(first, second).inOrder();
+    assertThat(job.unsupported()).isEmpty();
+    assertThat(job.taskCount()).isEqualTo(24);
+  }
+
+  @Test
+  void namesWhatIsNotSupported() throws IOException {
+    assertThat(read("{\"steps\":[{\"count\":1}]}").unsupported()).hasValue(JobFeature.DURABLE);
+    assertThat(read("{\"bestEffort\":true,\"steps\":[{\"count\":1,\"gang\":true}]}").unsupported())
+        .hasValue(JobFeature.GANG);
+    assertThat(
+            read("{\"bestEffort\":true,\"repeatCount\":3,\"steps\":[{\"count\":1}]}").unsupported())
+        .hasValue(JobFeature.OCCURRENCES);
+    assertThat(
+            read("{\"bestEffort\":true,\"steps\":[{\"count\":1,\"longRunning\":true}]}")
+                .unsupported())
+        .hasValue(JobFeature.LONG_RUNNING);
+  }
+
+  @Test
+  void refusesBodiesThatAreNoJobs() {
+    for (String body :
+        List.of(
+            "",
+            "[]",
+            "{}",
+            "{\"steps\":[]}",
+            "{\"steps\":[{}]}",
+            "{\"steps\":[{\"count\":0}]}",
+            "{\"steps\":[{\"count\":1,\"after\":[0]}]}",
+            "{\"steps\":[{\"count\":200000}]}",
+            "{\"spec\":7,\"steps\":[{\"count\":1}]}",
+            "{\"steps\":[{\"count\":1}")) {
+      assertThrows(IOException.class, () -> read(body), body);
+    }
+  }
+
+  @Property(tries = 500)
+  void survivesAnyBody(@ForAll byte[] body) {
+    try {
+      JobBodies.readJob(ID, body);
+    } catch (IOException e) {
+      assertThat(e).hasMessageThat().isNotNull();
+    }
+  }
+
+  @Test
+  void readsReport() throws IOException {
+    WorkerReport report =
+        WorkerCalls.parseReport(
+            "{\"clockMs\":482113,\"born\":17,\"running\":[[\"5c0e7a21d94b36f8.0.1.17\",2,"
+                + "\"00ff\",41,3]],\"ended\":[[58,\"5c0e7a21d94b36f8.0.1.9\",1,\"done\",\"\"],"
+                + "[59,\"not a task\",1,\"done\",\"\"],"
+                + "[60,\"5c0e7a21d94b36f8.0.1.8\",1,\"alone\",\"\"]]}");
+    RunRef running = new RunRef(new TaskRef(ID, 1, 17), 2);
+    RunRef done = new RunRef(new TaskRef(ID, 1, 9), 1);
+    RunRef alone = new RunRef(new TaskRef(ID, 1, 8), 1);
+    assertThat(report)
+        .isEqualTo(
+            new WorkerReport(
+                482113,
+                17,
+                List.of(new WorkerReport.Running(running, 41)),
+                List.of(
+                    new WorkerReport.Ended(58, done, RunEnd.DONE),
+                    new WorkerReport.Ended(60, alone, RunEnd.BROKEN))));
+  }
+
+  @Test
+  void readsWorkerEntry() {
+    String entry =
+        "{\"service\":\"huvo11a\",\"address\":\"10.128.0.9:8080\",\"zone\":\"osl-a\",\"slots\":8,"
+            + "\"state\":\"draining\",\"born\":9,\"capacity\":{\"cpu\":16000,\"memMb\":32768,"
+            + "\"gpu\":0},\"labels\":[\"a\",\"r1-3\"],\"seq\":4,\"future\":{}}";
+    WorkerInfo worker = Declarations.readWorker("servers/i-1", entry).orElseThrow();
+    assertThat(worker.id()).isEqualTo("i-1");
+    assertThat(worker.kind()).isEqualTo("a");
+    assertThat(worker.rack()).isEqualTo("r1-3");
+    assertThat(worker.draining()).isTrue();
+    assertThat(worker.capacity()).isEqualTo(new Resources(16000, 32768, 0));
+  }
+
+  @Test
+  void leavesOutEntriesOfAnotherWriter() {
+    String room = "\"capacity\":{\"cpu\":1,\"memMb\":1},\"labels\":[]";
+    for (String entry :
+        List.of(
+            "",
+            "not json",
+            "[]",
+            "7",
+            "{}",
+            "{\"service\":7,\"address\":\"1.2.3.4:5\",\"state\":\"ready\"," + room + "}",
+            "{\"service\":\"s\",\"address\":\"nowhere\",\"state\":\"ready\"," + room + "}",
+            "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":\"odd\"," + room + "}",
+            "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":\"ready\",\"labels\":[]}")) {
+      assertThat(Declarations.readWorker("servers/x", entry)).isEmpty();
+    }
+  }
+
+  @Test
+  void readsConfiguration() throws IOException {
+    RouteTable table =
+        Declarations.readConfig(
+            "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"A.example\",\"prefix\":\"/p/\","
+                + "\"targetRuntimeMs\":60,\"priority\":1,\"service\":\"s\",\"attempts\":3,"
+                + "\"stretch\":1.6},{\"name\":\"r2\",\"host\":\"a.example\",\"prefix\":\"/p/q/\","
+                + "\"service\":\"s\"}],\"services\":[]}");
+    RequestClass first = table.find("a.example:80", "/p/00").orElseThrow();
+    assertThat(first.name()).isEqualTo("r1");
+    assertThat(first.stretch()).isEqualTo(1.6);
+    assertThat(first.attempts()).isEqualTo(3);
+    assertThat(table.find("a.example", "/p/q/00").orElseThrow().name()).isEqualTo("r2");
+    assertThat(table.find("a.example", "/other")).isEmpty();
+    assertThat(table.find("b.example", "/p/00")).isEmpty();
+    assertThat(table.version()).isEqualTo(7);
+    assertThrows(IOException.class, () -> Declarations.readConfig("{\"routes\":[]}"));
+  }
+}
