Emulate leased workers under faults; keep that a resubmitted job had started

Random histories (60 seeds a run: crashes, cuts, late orders, lost answers, two leaders, pauses, resubmissions) found a refusal of a job whose earlier submission had begun and was given up; the leader now remembers that with the job's end.

--- a/src/main/java/org/marjoramhoist/dispatch/Jobs.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Jobs.java
@@ -25,7 +25,8 @@
   private static final long REMEMBER_MICROS = 15_000_000;
   private static final int MOST_REMEMBERED = 20_000;
 
-  private record Ended(JobOutcome outcome, String reason, long endedAt, int lastRun) {}
+  private record Ended(
+      JobOutcome outcome, String reason, long endedAt, boolean started, int lastRun) {}
 
   private final Map<JobId, Job> open = new LinkedHashMap<>();
   private final Map<JobId, Job> closing = new HashMap<>();
@@ -81,6 +82,7 @@
     job.entries.add(event.entry());
     if (before != null) {
       job.raiseRunNumbers(before.lastRun());
+      job.started |= before.started();
     }
     open.put(id, job);
     waiting.add(job);
@@ -119,7 +121,7 @@
     if (!runs.isEmpty()) {
       closing.put(job.id(), job);
     }
-    ended.put(job.id(), new Ended(outcome, reason, now, job.lastRun()));
+    ended.put(job.id(), new Ended(outcome, reason, now, job.started, job.lastRun()));
     out.add(
         new DispatchAction.Finish(
             job.id(), Set.copyOf(job.entries), outcome, reason, retryAfterMillis));
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -0,0 +1,401 @@
+package org.marjoramhoist.experiment;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.marjoramhoist.dispatch.DispatchAction;
+import org.marjoramhoist.dispatch.DispatchEvent;
+import org.marjoramhoist.dispatch.DispatchPolicy;
+import org.marjoramhoist.dispatch.Dispatcher;
+import org.marjoramhoist.dispatch.WorkerInfo;
+import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.JobOutcome;
+import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.StepSpec;
+import org.marjoramhoist.job.TaskRef;
+
+/**
+ * A leader's decisions over workers in virtual time, with faults; notes every breach of what must
+ * always hold.
+ *
+ * <p>Deterministic for a seed. Confined to one thread.
+ */
+final class DispatchFleet implements LeasedWorker.Observer {
+
+  /** The time at which every fleet begins. */
+  static final long START = 1_000_000_000L;
+
+  private static final long MILLI = 1_000;
+  private static final long TICK = 20 * MILLI;
+  private static final long LIST = 500 * MILLI;
+  private static final long SHORTEST_WAY = 500;
+  private static final long LONGEST_WAY = 1_500;
+  private static final long START_TIMEOUT = 100 * MILLI;
+  private static final long STOP_TIMEOUT = 150 * MILLI;
+  private static final long SHORTEST_DELAY = 2_000 * MILLI;
+  private static final long LONGEST_DELAY = 12_000 * MILLI;
+  private static final String ENTRY = "entry";
+  private static final DispatchPolicy POLICY = new DispatchPolicy(980, 1.5, 250);
+
+  /**
+   * A job that was handed in.
+   *
+   * @param job the job
+   * @param requestClass its class
+   * @param taskMicros the run time of each task at speed 1, step by step
+   * @param objectiveMicros how long it may take to be in time
+   * @param arrivedAt when it was handed in
+   * @param deadline when its caller stops waiting
+   */
+  record Offered(
+      JobDescription job,
+      RequestClass requestClass,
+      double taskMicros,
+      long objectiveMicros,
+      long arrivedAt,
+      long deadline) {}
+
+  /** How a job ended, and when. */
+  record Ended(JobOutcome outcome, long at, String reason) {}
+
+  /** One term of leading; after its end its orders still reach workers, but nothing is heard. */
+  private final class Term {
+    private final long token;
+    private final Dispatcher dispatcher;
+    private boolean over;
+    private boolean paused;
+
+    private Term(long token) {
+      this.token = token;
+      this.dispatcher = new Dispatcher(POLICY, time.now());
+    }
+
+    private void take(DispatchEvent event) {
+      if (!over && !paused) {
+        dispatcher.step(time.now(), event).forEach(action -> run(this, action));
+      }
+    }
+
+    private void tick() {
+      if (!over) {
+        take(new DispatchEvent.Tick());
+        time.after(TICK, this::tick);
+      }
+    }
+
+    private void list() {
+      if (!over) {
+        take(new DispatchEvent.WorkersListed(listedWorkers()));
+        time.after(LIST, this::list);
+      }
+    }
+  }
+
+  private final VirtualTime time = new VirtualTime(START);
+  private final SplittableRandom random;
+  private final Map<String, LeasedWorker> workers = new LinkedHashMap<>();
+  private final Map<JobId, Offered> offered = new LinkedHashMap<>();
+  private final Map<JobId, Ended> ends = new LinkedHashMap<>();
+  private final Map<JobId, Integer> generations = new HashMap<>();
+  private final Map<TaskRef, Set<RunRef>> atWork = new HashMap<>();
+  private final Set<JobId> begun = new HashSet<>();
+  private final Map<TaskRef, Integer> doneRuns = new HashMap<>();
+  private final List<String> breaches = new ArrayList<>();
+  private Term term;
+  private long tokens;
+  private double lateOrders;
+  private double lostAnswers;
+  private int starts;
+
+  DispatchFleet(long seed) {
+    random = new SplittableRandom(seed);
+  }
+
+  LeasedWorker addWorker(WorkerInfo info, double slowness) {
+    LeasedWorker worker = new LeasedWorker(info, slowness, time, this);
+    workers.put(info.id(), worker);
+    return worker;
+  }
+
+  List<LeasedWorker> workers() {
+    return List.copyOf(workers.values());
+  }
+
+  /** Makes a share of the orders go unanswered and be carried out seconds later. */
+  void setLateOrders(double share) {
+    lateOrders = share;
+  }
+
+  /** Makes a share of the answers of workers get lost. */
+  void setLostAnswers(double share) {
+    lostAnswers = share;
+  }
+
+  private List<WorkerInfo> listedWorkers() {
+    return workers.values().stream().map(LeasedWorker::info).toList();
+  }
+
+  /** Starts a new term; an earlier leader hears nothing any more. */
+  void elect() {
+    if (term != null) {
+      term.over = true;
+    }
+    term = new Term(++tokens);
+    // A new leader can't know what became of jobs that ended before its term.
+    begun.removeAll(ends.keySet());
+    term.list();
+    term.tick();
+    for (Offered each : List.copyOf(offered.values())) {
+      if (!ends.containsKey(each.job().id())) {
+        generations.merge(each.job().id(), 1, Integer::sum);
+        hand(each);
+      }
+    }
+  }
+
+  /** Makes the leader hear nothing for a time, as if its process were stopped. */
+  void pauseLeader(long micros) {
+    Term paused = term;
+    paused.paused = true;
+    time.after(micros, () -> paused.paused = false);
+  }
+
+  /** Elects another leader while the present one goes on with what it hears of workers. */
+  void electBesidePausedLeader(long micros) {
+    Term old = term;
+    old.paused = true;
+    term = null;
+    elect();
+    time.after(micros, () -> old.paused = false);
+  }
+
+  void submit(Offered job) {
+    offered.put(job.job().id(), job);
+    hand(job);
+  }
+
+  /** Hands a job in again, as a caller whose connection broke. */
+  void resubmit(JobId id) {
+    ends.remove(id);
+    hand(offered.get(id));
+  }
+
+  /** Withdraws a job whose caller is gone. */
+  void withdraw(JobId id) {
+    ends.put(id, new Ended(JobOutcome.CANCELLED, time.now(), "withdrawn"));
+    term.take(new DispatchEvent.JobWithdrawn(id, ENTRY));
+  }
+
+  private void hand(Offered job) {
+    term.take(
+        new DispatchEvent.JobSubmitted(
+            job.job(),
+            job.requestClass(),
+            ENTRY,
+            job.arrivedAt(),
+            job.deadline(),
+            generations.getOrDefault(job.job().id(), 0)));
+  }
+
+  VirtualTime time() {
+    return time;
+  }
+
+  void runUntil(long until) {
+    time.runUntil(until);
+  }
+
+  void runFor(long micros) {
+    time.runUntil(time.now() + micros);
+  }
+
+  Map<JobId, Ended> ends() {
+    return ends;
+  }
+
+  List<String> breaches() {
+    return breaches;
+  }
+
+  int starts() {
+    return starts;
+  }
+
+  private void run(Term from, DispatchAction action) {
+    if (action instanceof DispatchAction.Start start) {
+      start(from, start);
+    } else if (action instanceof DispatchAction.Stop stop) {
+      stop(from, stop);
+    } else if (action instanceof DispatchAction.Renew renew) {
+      renew(from, renew);
+    } else if (action instanceof DispatchAction.Finish finish && from == term) {
+      finished(finish);
+    } else if (action instanceof DispatchAction.StepDown) {
+      from.over = true;
+    }
+  }
+
+  private void finished(DispatchAction.Finish finish) {
+    if (finish.outcome() == JobOutcome.REFUSED && begun.contains(finish.job())) {
+      breaches.add("job " + finish.job() + " was refused after a task of it had begun");
+    }
+    ends.putIfAbsent(finish.job(), new Ended(finish.outcome(), time.now(), finish.reason()));
+  }
+
+  private long way() {
+    return random.nextLong(SHORTEST_WAY, LONGEST_WAY);
+  }
+
+  /** Sends an order; runs the failure after the time-out if no answer can come. */
+  private void send(String worker, long timeout, Consumer<LeasedWorker> order, Runnable failure) {
+    LeasedWorker target = workers.get(worker);
+    if (target == null || target.cutOff) {
+      time.after(timeout, failure);
+    } else if (random.nextDouble() < lateOrders) {
+      time.after(timeout, failure);
+      long delay = random.nextLong(SHORTEST_DELAY, LONGEST_DELAY);
+      time.after(delay, () -> order.accept(target));
+    } else {
+      time.after(way(), () -> order.accept(target));
+    }
+  }
+
+  /** Passes an answer on, or runs the failure if it is lost. */
+  private void answer(LeasedWorker from, long timeout, Runnable answer, Runnable failure) {
+    if (from.cutOff || random.nextDouble() < lostAnswers) {
+      time.after(timeout, failure);
+    } else {
+      time.after(way(), answer);
+    }
+  }
+
+  private void start(Term from, DispatchAction.Start start) {
+    String id = start.worker().id();
+    long sentAt = time.now();
+    boolean[] answered = new boolean[1];
+    Runnable failure =
+        () -> {
+          if (!answered[0]) {
+            answered[0] = true;
+            from.take(new DispatchEvent.StartUnanswered(id, start.run(), true));
+          }
+        };
+    Offered job = offered.get(start.run().task().job());
+    StepSpec step = job.job().steps().get(start.run().task().step());
+    send(
+        id,
+        START_TIMEOUT,
+        worker -> {
+          boolean far =
+              !step.preferredRack().isEmpty() && !step.preferredRack().equals(worker.info().rack());
+          double micros = job.taskMicros() * (far ? POLICY.farFactor() : 1);
+          var reply =
+              worker.start(start.run(), step.need(), micros, start.leaseUntilMillis(), from.token);
+          answer(
+              worker,
+              START_TIMEOUT,
+              () -> {
+                if (!answered[0]) {
+                  answered[0] = true;
+                  from.take(new DispatchEvent.StartAnswered(id, start.run(), sentAt, reply));
+                }
+              },
+              failure);
+        },
+        failure);
+  }
+
+  private void stop(Term from, DispatchAction.Stop stop) {
+    String id = stop.worker().id();
+    boolean[] answered = new boolean[1];
+    Consumer<Boolean> once =
+        done -> {
+          if (!answered[0]) {
+            answered[0] = true;
+            from.take(new DispatchEvent.StopEnded(id, stop.run(), done));
+          }
+        };
+    send(
+        id,
+        STOP_TIMEOUT,
+        worker -> {
+          boolean done = worker.stop(stop.run(), from.token);
+          answer(worker, STOP_TIMEOUT, () -> once.accept(done), () -> once.accept(false));
+        },
+        () -> once.accept(false));
+  }
+
+  private void renew(Term from, DispatchAction.Renew renew) {
+    String id = renew.worker().id();
+    long sentAt = time.now();
+    long timeout = STOP_TIMEOUT + renew.waitMillis() * MILLI;
+    boolean[] answered = new boolean[1];
+    Runnable failure =
+        () -> {
+          if (!answered[0]) {
+            answered[0] = true;
+            from.take(new DispatchEvent.RenewalFailed(id));
+          }
+        };
+    time.after(timeout, failure);
+    send(
+        id,
+        timeout,
+        worker ->
+            worker.renew(
+                from.token,
+                renew.acknowledged(),
+                renew.leaseUntilMillis(),
+                renew.waitMillis(),
+                report ->
+                    answer(
+                        worker,
+                        timeout,
+                        () -> {
+                          if (!answered[0]) {
+                            answered[0] = true;
+                            from.take(new DispatchEvent.Renewed(id, sentAt, Optional.of(report)));
+                          }
+                        },
+                        failure)),
+        failure);
+  }
+
+  @Override
+  public void began(LeasedWorker worker, RunRef run) {
+    starts++;
+    begun.add(run.task().job());
+    Set<RunRef> running = atWork.computeIfAbsent(run.task(), key -> new HashSet<>());
+    if (!running.isEmpty()) {
+      breaches.add("task " + run.task() + " begins as " + run + " while " + running + " run");
+    }
+    running.add(run);
+    Ended end = ends.get(run.task().job());
+    if (end != null && end.outcome() == JobOutcome.REFUSED) {
+      breaches.add("task " + run.task() + " begins though its job was refused");
+    }
+  }
+
+  @Override
+  public void ended(LeasedWorker worker, RunRef run, RunEnd how) {
+    atWork.get(run.task()).remove(run);
+    if (how == RunEnd.DONE) {
+      doneRuns.merge(run.task(), 1, Integer::sum);
+    }
+  }
+
+  /** Returns how many tasks were done more than once. */
+  int doneAgain() {
+    return (int) doneRuns.values().stream().filter(count -> count > 1).count();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchLoad.java
@@ -0,0 +1,159 @@
+package org.marjoramhoist.experiment;
+
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.marjoramhoist.dispatch.WorkerInfo;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.job.Resources;
+import org.marjoramhoist.job.StepSpec;
+
+/**
+ * Offers jobs of several classes to a {@link DispatchFleet} at random times.
+ *
+ * <p>Deterministic for a seed. Confined to one thread.
+ */
+final class DispatchLoad {
+
+  /** The upstream of all jobs and workers. */
+  static final String UPSTREAM = "reviews";
+
+  private static final double MICROS_PER_SECOND = 1_000_000;
+  private static final double MICROS_PER_MILLI = 1_000;
+  private static final double ESTIMATE_SPREAD = 0.4;
+  private static final double SIZE_SPREAD = 0.4;
+  private static final double CPU_SPREAD = 0.2;
+  private static final long MEMORY_MIB = 64;
+  private static final long PATIENCE_BASE_MICROS = 1_500_000;
+  private static final int PATIENCE_OBJECTIVES = 3;
+
+  /**
+   * A kind of job.
+   *
+   * @param requestClass its class
+   * @param perSecond how many come a second
+   * @param tasks the mean number of tasks
+   * @param taskMillis the mean run time of a task on a worker of speed 1
+   * @param cpuMillis the mean need of a task, in thousandths of a core
+   * @param worth what a job in time counts
+   */
+  record Kind(
+      RequestClass requestClass,
+      double perSecond,
+      double tasks,
+      double taskMillis,
+      double cpuMillis,
+      double worth) {}
+
+  private final DispatchFleet fleet;
+  private final List<Kind> kinds;
+  private final List<String> racks;
+  private final SplittableRandom random;
+  private long made;
+
+  /**
+   * Creates a load.
+   *
+   * @param racks racks that hold the jobs' data, drawn for each job; empty for no preference
+   */
+  DispatchLoad(DispatchFleet fleet, List<Kind> kinds, List<String> racks, long seed) {
+    this.fleet = fleet;
+    this.kinds = List.copyOf(kinds);
+    this.racks = List.copyOf(racks);
+    this.random = new SplittableRandom(seed);
+  }
+
+  /** Returns a class of request of the upstream. */
+  static RequestClass requestClass(String name, int priority, int attempts) {
+    return new RequestClass(
+        name, "reviews.example", "/" + name + "/", UPSTREAM, priority, attempts, 1.6, 60, false);
+  }
+
+  /** The overdraft reviews, with rates that are multiplied by a factor. */
+  static List<Kind> reviews(double factor) {
+    return List.of(
+        new Kind(requestClass("check", 0, 3), 24.1 * factor, 8, 60, 6_800, 0.0291),
+        new Kind(requestClass("rescore", 2, 4), 4.37 * factor, 4, 900, 6_800, 0.16),
+        new Kind(requestClass("lookup", 1, 3), 70 * factor, 2, 200, 6_800, 0.01));
+  }
+
+  /** Adds 32 workers of two speeds and two sizes in racks of six. */
+  static void addWorkers(DispatchFleet fleet) {
+    for (int i = 0; i < 32; i++) {
+      boolean fast = i % 3 == 2;
+      long cpu = i % 4 == 3 ? 24_000 : 16_000;
+      fleet.addWorker(worker("w" + i, fast ? "b" : "a", "r-" + i / 6, cpu), fast ? 0.6 : 1.4);
+    }
+  }
+
+  /** Returns a worker of the upstream. */
+  static WorkerInfo worker(String id, String kind, String rack, long cpuMillis) {
+    return new WorkerInfo(
+        id,
+        UPSTREAM,
+        "10.0.0.1:80",
+        "domain-a",
+        new Resources(cpuMillis, 65_536, 0),
+        kind,
+        rack,
+        Set.of(kind, rack),
+        false,
+        1);
+  }
+
+  /** Offers jobs until a time. */
+  void offerUntil(long end) {
+    for (Kind kind : kinds) {
+      next(kind, end);
+    }
+  }
+
+  private void next(Kind kind, long end) {
+    double pause = -Math.log(1 - random.nextDouble()) * MICROS_PER_SECOND / kind.perSecond();
+    long at = fleet.time().now() + (long) pause;
+    if (at < end) {
+      fleet
+          .time()
+          .at(
+              at,
+              () -> {
+                fleet.submit(make(kind));
+                next(kind, end);
+              });
+    }
+  }
+
+  /** Makes a job of a kind that arrives now. */
+  DispatchFleet.Offered make(Kind kind) {
+    double millis = kind.taskMillis() * spread(SIZE_SPREAD);
+    long estimate = Math.max(1, Math.round(millis * spread(ESTIMATE_SPREAD)));
+    int count = (int) Math.max(1, Math.round(kind.tasks() * spread(SIZE_SPREAD)));
+    long cpu = Math.min(10_000, Math.round(kind.cpuMillis() * spread(CPU_SPREAD)));
+    String rack = racks.isEmpty() ? "" : racks.get(random.nextInt(racks.size()));
+    StepSpec step =
+        new StepSpec(count, new Resources(cpu, MEMORY_MIB, 0), estimate, List.of(), "", rack, 0);
+    JobId id = new JobId(String.format("%016x", ++made));
+    RequestClass requestClass = kind.requestClass();
+    double objective =
+        (requestClass.stretch() * millis + requestClass.objectiveMillis()) * MICROS_PER_MILLI;
+    long now = fleet.time().now();
+    return new DispatchFleet.Offered(
+        new JobDescription(id, "payload", List.of(step), Set.of()),
+        requestClass,
+        millis * MICROS_PER_MILLI,
+        (long) objective,
+        now,
+        now + PATIENCE_BASE_MICROS + (long) (PATIENCE_OBJECTIVES * objective));
+  }
+
+  /** Draws a factor around 1. */
+  private double spread(double width) {
+    double normal = 0;
+    for (int i = 0; i < 12; i++) {
+      normal += random.nextDouble();
+    }
+    return Math.exp((normal - 6) * width);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
@@ -0,0 +1,265 @@
+package org.marjoramhoist.experiment;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.marjoramhoist.dispatch.StartReply;
+import org.marjoramhoist.dispatch.StartReply.Verdict;
+import org.marjoramhoist.dispatch.WorkerInfo;
+import org.marjoramhoist.dispatch.WorkerReport;
+import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
+import org.marjoramhoist.job.Resources;
+import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.TaskRef;
+
+/**
+ * A worker in virtual time that runs tasks under leases and fencing tokens.
+ *
+ * <p>Confined to one thread.
+ */
+final class LeasedWorker {
+
+  private static final double MICROS_PER_MILLI = 1_000.0;
+  private static final long LONGEST_LEASE_MILLIS = 1_000;
+  private static final long STOP_MICROS = 30_000;
+  private static final double SLOWEST_CLOCK = 0.98;
+
+  /** Hears what a worker does. */
+  interface Observer {
+    void began(LeasedWorker worker, RunRef run);
+
+    void ended(LeasedWorker worker, RunRef run, RunEnd how);
+  }
+
+  private static final class Running {
+    private final Resources need;
+    private final long beganAt;
+    private final double micros;
+    private boolean stopping;
+
+    private Running(Resources need, long beganAt, double micros) {
+      this.need = need;
+      this.beganAt = beganAt;
+      this.micros = micros;
+    }
+  }
+
+  private record Waiting(long acknowledged, Consumer<WorkerReport> reply) {}
+
+  private final VirtualTime time;
+  private final Observer observer;
+  private WorkerInfo info;
+  private double slowness;
+  private long clockBase;
+  private long bornAt;
+  private long token;
+  private long leaseEnd;
+  private long ends;
+  private int life;
+  private Resources free;
+  private Waiting waiting;
+  private final Map<RunRef, Running> running = new LinkedHashMap<>();
+  private final TreeMap<Long, WorkerReport.Ended> ended = new TreeMap<>();
+  private final Map<TaskRef, Integer> highest = new HashMap<>();
+
+  /** Whether it hears nothing and says nothing. */
+  boolean cutOff;
+
+  /** Whether it rejects every order to start. */
+  boolean unhealthy;
+
+  /** Whether all that it runs fails at once. */
+  boolean failsAll;
+
+  /** Whether what it runs makes no progress. */
+  boolean hangs;
+
+  LeasedWorker(WorkerInfo info, double slowness, VirtualTime time, Observer observer) {
+    this.info = info;
+    this.slowness = slowness;
+    this.time = time;
+    this.observer = observer;
+    begin(1_000_000 + Math.floorMod(info.id().hashCode(), 1_000_000));
+  }
+
+  private void begin(long clock) {
+    clockBase = clock;
+    bornAt = time.now();
+    token = 0;
+    leaseEnd = 0;
+    ends = 0;
+    life++;
+    free = info.capacity();
+    ended.clear();
+    highest.clear();
+  }
+
+  WorkerInfo info() {
+    return info;
+  }
+
+  void setInfo(WorkerInfo next) {
+    info = next;
+  }
+
+  void setSlowness(double factor) {
+    slowness = factor;
+  }
+
+  int runningCount() {
+    return running.size();
+  }
+
+  private long clock() {
+    return clockBase + (long) ((time.now() - bornAt) / MICROS_PER_MILLI * SLOWEST_CLOCK);
+  }
+
+  /** Ends its process at once and starts a new one that knows nothing. */
+  void crash() {
+    List.copyOf(running.keySet()).forEach(run -> observer.ended(this, run, RunEnd.BROKEN));
+    running.clear();
+    waiting = null;
+    begin(500_000 + life);
+  }
+
+  StartReply start(RunRef run, Resources need, double micros, long lease, long fence) {
+    Verdict verdict = startVerdict(run, need, lease, fence);
+    if (verdict == Verdict.STARTED && !running.containsKey(run)) {
+      Running made = new Running(need, time.now(), micros * slowness);
+      running.put(run, made);
+      free = free.minus(need);
+      observer.began(this, run);
+      planEnd(run, made);
+    }
+    return new StartReply(verdict, clock());
+  }
+
+  private Verdict startVerdict(RunRef run, Resources need, long lease, long fence) {
+    if (unhealthy) {
+      return Verdict.UNHEALTHY;
+    }
+    if (fence < token) {
+      return Verdict.STALE_TOKEN;
+    }
+    token = fence;
+    if (lease <= clock()) {
+      return Verdict.LATE;
+    }
+    extendLease(lease);
+    if (running.containsKey(run)) {
+      return Verdict.STARTED;
+    }
+    if (run.number() <= highest.getOrDefault(run.task(), 0)) {
+      return Verdict.STALE_RUN;
+    }
+    return free.covers(need) ? Verdict.STARTED : Verdict.NO_ROOM;
+  }
+
+  private void planEnd(RunRef run, Running made) {
+    int now = life;
+    if (failsAll) {
+      time.after(1_000, () -> end(run, made, now, RunEnd.FAILED));
+    } else if (!hangs) {
+      time.after((long) made.micros, () -> end(run, made, now, RunEnd.DONE));
+    }
+  }
+
+  private void extendLease(long until) {
+    long allowed = Math.min(until, clock() + LONGEST_LEASE_MILLIS);
+    if (allowed <= leaseEnd) {
+      return;
+    }
+    leaseEnd = allowed;
+    int now = life;
+    long micros = (long) ((allowed - clock() + 1) * MICROS_PER_MILLI / SLOWEST_CLOCK);
+    time.after(micros, () -> lapse(now));
+  }
+
+  private void lapse(int inLife) {
+    if (inLife == life && clock() >= leaseEnd) {
+      for (Map.Entry<RunRef, Running> each : List.copyOf(running.entrySet())) {
+        end(each.getKey(), each.getValue(), life, RunEnd.LAPSED);
+      }
+    }
+  }
+
+  private void end(RunRef run, Running made, int inLife, RunEnd how) {
+    if (inLife != life || running.get(run) != made) {
+      return;
+    }
+    running.remove(run);
+    free = free.plus(made.need);
+    highest.merge(run.task(), run.number(), Math::max);
+    ended.put(++ends, new WorkerReport.Ended(ends, run, how));
+    observer.ended(this, run, how);
+    answerWaiting();
+  }
+
+  boolean stop(RunRef run, long fence) {
+    if (fence < token) {
+      return false;
+    }
+    token = fence;
+    highest.merge(run.task(), run.number(), Math::max);
+    Running made = running.get(run);
+    if (made != null && !made.stopping) {
+      made.stopping = true;
+      int now = life;
+      time.after(STOP_MICROS, () -> end(run, made, now, RunEnd.STOPPED));
+    }
+    return true;
+  }
+
+  /** Renews the lease, and answers at an end or after the wait. */
+  void renew(
+      long fence, long acknowledged, long lease, long waitMillis, Consumer<WorkerReport> reply) {
+    if (fence >= token) {
+      token = fence;
+      if (lease > clock()) {
+        extendLease(lease);
+      }
+      ended.headMap(acknowledged, true).clear();
+    }
+    answerWaiting();
+    if (waitMillis == 0 || !ended.isEmpty()) {
+      reply.accept(report());
+      return;
+    }
+    Waiting made = new Waiting(acknowledged, reply);
+    waiting = made;
+    time.after(
+        (long) (waitMillis * MICROS_PER_MILLI),
+        () -> {
+          if (waiting == made) {
+            answerWaiting();
+          }
+        });
+  }
+
+  private void answerWaiting() {
+    if (waiting != null) {
+      Waiting made = waiting;
+      waiting = null;
+      made.reply().accept(report());
+    }
+  }
+
+  private WorkerReport report() {
+    List<WorkerReport.Running> rows = new ArrayList<>();
+    running.forEach((run, made) -> rows.add(new WorkerReport.Running(run, percent(made))));
+    return new WorkerReport(clock(), bornAt / 1_000, rows, List.copyOf(ended.values()));
+  }
+
+  private int percent(Running made) {
+    return hangs ? 0 : (int) (100 * Math.min(1, (time.now() - made.beganAt) / made.micros));
+  }
+
+  /** Returns whether a task is at work here. */
+  boolean runs(TaskRef task) {
+    return running.keySet().stream().anyMatch(run -> run.task().equals(task));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/experiment/DispatchHistoryTest.java
@@ -0,0 +1,108 @@
+package org.marjoramhoist.experiment;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.marjoramhoist.dispatch.WorkerInfo;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.JobOutcome;
+
+/** Random histories of a leader and its workers under faults: no task runs twice at a time. */
+class DispatchHistoryTest {
+
+  private static final long SECOND = 1_000_000;
+
+  private static DispatchFleet fleet(long seed) {
+    DispatchFleet fleet = new DispatchFleet(seed);
+    DispatchLoad.addWorkers(fleet);
+    fleet.elect();
+    fleet.runFor(SECOND);
+    return fleet;
+  }
+
+  private static DispatchLoad load(DispatchFleet fleet, double factor, long seed) {
+    return new DispatchLoad(fleet, DispatchLoad.reviews(factor), List.of(), seed);
+  }
+
+  @Example
+  void servesCalmLoadWithoutWaste() {
+    DispatchFleet fleet = fleet(1);
+    load(fleet, 0.6, 2).offerUntil(fleet.time().now() + 10 * SECOND);
+    fleet.runFor(20 * SECOND);
+    assertThat(fleet.breaches()).isEmpty();
+    assertThat(fleet.ends().size()).isAtLeast(400);
+    fleet.ends().values().forEach(end -> assertThat(end.outcome()).isEqualTo(JobOutcome.SUCCEEDED));
+    assertThat(fleet.doneAgain()).isEqualTo(0);
+  }
+
+  @Property(tries = 60, shrinking = ShrinkingMode.OFF)
+  void noTaskRunsTwiceAtTheSameTime(@ForAll long seed) {
+    DispatchFleet fleet = fleet(seed);
+    long end = fleet.time().now() + 8 * SECOND;
+    load(fleet, 0.9, seed).offerUntil(end);
+    SplittableRandom random = new SplittableRandom(seed);
+    while (fleet.time().now() < end) {
+      fleet.runFor(random.nextLong(50_000, 700_000));
+      disturb(fleet, random);
+    }
+    fleet.setLateOrders(0);
+    fleet.setLostAnswers(0);
+    fleet.workers().forEach(worker -> worker.cutOff = false);
+    fleet.runFor(15 * SECOND);
+    assertWithMessage("seed %s", seed).that(fleet.breaches()).isEmpty();
+    fleet.workers().forEach(worker -> assertThat(worker.runningCount()).isEqualTo(0));
+  }
+
+  private static void disturb(DispatchFleet fleet, SplittableRandom random) {
+    List<LeasedWorker> workers = fleet.workers();
+    LeasedWorker one = workers.get(random.nextInt(workers.size()));
+    switch (random.nextInt(12)) {
+      case 0 -> one.crash();
+      case 1 -> {
+        one.cutOff = true;
+        fleet.time().after(random.nextLong(3 * SECOND), () -> one.cutOff = false);
+      }
+      case 2 -> fleet.setLateOrders(random.nextDouble(0.1));
+      case 3 -> fleet.setLostAnswers(random.nextDouble(0.1));
+      case 4 -> fleet.elect();
+      case 5 -> fleet.electBesidePausedLeader(random.nextLong(2 * SECOND));
+      case 6 -> fleet.pauseLeader(random.nextLong(2 * SECOND));
+      case 7 -> {
+        one.unhealthy = true;
+        fleet.time().after(SECOND, () -> one.unhealthy = false);
+      }
+      case 8 -> {
+        one.failsAll = true;
+        fleet.time().after(SECOND, () -> one.failsAll = false);
+      }
+      case 9 -> one.setInfo(draining(one.info()));
+      case 10 -> {
+        List<JobId> ended = List.copyOf(fleet.ends().keySet());
+        if (!ended.isEmpty()) {
+          fleet.resubmit(ended.get(ended.size() - 1));
+        }
+      }
+      default -> one.setSlowness(random.nextDouble(0.3, 4));
+    }
+  }
+
+  private static WorkerInfo draining(WorkerInfo info) {
+    return new WorkerInfo(
+        info.id(),
+        info.upstream(),
+        info.address(),
+        info.failureDomain(),
+        info.capacity(),
+        info.kind(),
+        info.rack(),
+        info.labels(),
+        !info.draining(),
+        info.bornMillis());
+  }
+}
