--- a/src/main/java/org/marjoramhoist/cli/Main.java
+++ b/src/main/java/org/marjoramhoist/cli/Main.java
@@ -72,6 +72,7 @@
         new LoadCommand(),
         new ExperimentCommand(),
         new StandInCommand(),
+        new TrialCommand(),
         new DevCommand());
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -32,16 +32,13 @@
  */
 public final class Dispatcher {
 
-  /** How long runs that an earlier leader ordered may last on a worker that is out of reach. */
-  private static final long EARLIER_LEASES_MICROS = 2_200_000;
-
   /** How long after the start of a term entry hosts may hand on the jobs of an earlier leader. */
   private static final long CLAIM_MICROS = 1_000_000;
 
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
-  private final DispatchPolicy policy;
   private final long since;
+  private final long earlierRunsOverAt;
   private final DurationModel durations = new DurationModel();
   private final Placement placement;
   private final WaitingOrder order = new WaitingOrder(durations);
@@ -56,10 +53,12 @@
    *
    * @param policy bounds and time-outs
    * @param now the start of the term
+   * @param earlierRunsOverAt when no run that an earlier leader ordered can be at work on a worker
+   *     that is out of reach
    */
-  public Dispatcher(DispatchPolicy policy, long now) {
-    this.policy = policy;
+  public Dispatcher(DispatchPolicy policy, long now, long earlierRunsOverAt) {
     this.since = now;
+    this.earlierRunsOverAt = earlierRunsOverAt;
     this.placement = new Placement(policy, durations);
     this.runs = new RunControl(policy, new Ends());
   }
@@ -221,7 +220,7 @@
 
   /** Tells whether no run of an earlier leader can be at work out of sight. */
   private boolean isSettled(long now) {
-    return now - since > EARLIER_LEASES_MICROS
+    return now > earlierRunsOverAt
         || listed && workers.values().stream().allMatch(worker -> worker.synced);
   }
 
--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.marjoramhoist.config.NodeSettings;
 import org.marjoramhoist.dispatch.DispatchPolicy;
 import org.marjoramhoist.http.HttpCaller;
@@ -35,7 +36,11 @@
   private static final long RENEW_WAIT_MILLIS = 250;
   private static final long JOBS_TICK_MILLIS = 50;
   private static final long SUSPECT_MICROS = 450_000;
-  private static final long CONTACT_MICROS = 1_200_000;
+  private static final long CONTACT_MICROS = 600_000;
+
+  /** What clocks and the ends of runs may add to the time that a lease lasts. */
+  private static final long LEASE_MARGIN_MICROS = 100_000;
+
   private static final long RANK_MICROS = 30_000;
   private static final long LEASE_SLACK_MILLIS = 20;
   private static final int BUFFER_BYTES = 8 * 1024;
@@ -58,6 +63,7 @@
   private final ConfigWatch config = new ConfigWatch();
   private final StoreLink storeLink;
   private final Partition partition;
+  private final AtomicBoolean closed = new AtomicBoolean();
   private volatile boolean draining;
 
   private EntryNode(NodeSettings settings) throws IOException {
@@ -71,7 +77,7 @@
     ElectionPolicy times = new ElectionPolicy(SUSPECT_MICROS, CONTACT_MICROS, RANK_MICROS);
     Election election = new Election(settings.host(), incarnation, times, Loop.now());
     Partition[] made = new Partition[1];
-    StoreHealth health = new StoreHealth(() -> made[0].take(new ElectionEvent.StoreReached()));
+    StoreHealth health = new StoreHealth();
     this.storeLink =
         new StoreLink(
             store,
@@ -93,10 +99,11 @@
             health,
             config,
             jobs,
-            term ->
+            lead ->
                 new LeaderDuty(
-                    term,
+                    lead.term(),
                     policy,
+                    earlierRunsOverAt(lead.earlierGone()),
                     loop,
                     store,
                     health,
@@ -117,6 +124,15 @@
         });
   }
 
+  /**
+   * Returns when no run that an earlier leader ordered can be at work out of sight: a leader whose
+   * process is gone renews nothing, another one steps down once it is out of contact.
+   */
+  private long earlierRunsOverAt(boolean earlierGone) {
+    long lease = Loop.micros(settings.leaseMillis()) + LEASE_MARGIN_MICROS;
+    return Loop.now() + lease + (earlierGone ? 0 : CONTACT_MICROS);
+  }
+
   private static XnioWorker createWorker() throws IOException {
     return Xnio.getInstance()
         .createWorker(
@@ -160,8 +176,13 @@
     return server;
   }
 
+  /** Tells whether this host leads; may be out of date at once. */
+  public boolean isLeader() {
+    return partition.isLeader();
+  }
+
   private boolean isReady() {
-    return !draining && config.isKnown() && jobs.mayReachLeader();
+    return !draining && config.isKnown() && jobs.isServed();
   }
 
   private void tick() {
@@ -218,6 +239,10 @@
 
   @Override
   public void close() {
+    if (!closed.compareAndSet(false, true)) {
+      return;
+    }
+    loop.close();
     network.close();
     http.stop();
     worker.shutdownNow();
--- a/src/main/java/org/marjoramhoist/entry/HostSurvey.java
+++ b/src/main/java/org/marjoramhoist/entry/HostSurvey.java
@@ -1,9 +1,9 @@
 package org.marjoramhoist.entry;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
-import java.util.function.BiConsumer;
+import java.util.Map;
+import java.util.function.Consumer;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.LeaderQuery;
 import org.marjoramhoist.message.HostMessage.LeaderQueryReply;
@@ -21,15 +21,27 @@
   private static final long TIMEOUT_MILLIS = 150;
 
   private final String self;
-  private final BiConsumer<Integer, Boolean> result;
+  private final Consumer<Result> result;
+  private final int enough;
   private final List<FrameLink> links = new ArrayList<>();
   private int asked;
   private int answered;
   private boolean heard;
+  private boolean leaderGone;
   private boolean ended;
 
-  private HostSurvey(String self, BiConsumer<Integer, Boolean> result) {
+  /**
+   * What the hosts said.
+   *
+   * @param answered how many answered
+   * @param leaderHeard whether any of them hears a leader
+   * @param leaderGone whether the leader's own port refused the connection
+   */
+  record Result(int answered, boolean leaderHeard, boolean leaderGone) {}
+
+  private HostSurvey(String self, int enough, Consumer<Result> result) {
     this.self = self;
+    this.enough = enough;
     this.result = result;
   }
 
@@ -37,22 +49,30 @@
    * Begins.
    *
    * @param self the host that asks
-   * @param addresses the peer addresses of the hosts to ask
-   * @param result takes how many answered, and whether any of them hears a leader
+   * @param addresses the peer addresses of the hosts to ask, by their names
+   * @param leader the leader that is suspected
+   * @param enough how many answers end the survey
+   * @param result takes what the hosts said
    */
   static void start(
       String self,
-      Collection<String> addresses,
+      Map<String, String> addresses,
+      String leader,
+      int enough,
       FrameNetwork network,
       Loop loop,
-      BiConsumer<Integer, Boolean> result) {
-    HostSurvey survey = new HostSurvey(self, result);
+      Consumer<Result> result) {
+    HostSurvey survey = new HostSurvey(self, enough, result);
     survey.asked = addresses.size();
     loop.after(TIMEOUT_MILLIS, survey::end);
-    for (String address : addresses) {
-      network.open(
-          address, TIMEOUT_MILLIS, survey, survey::opened, refused -> survey.failed(refused));
-    }
+    addresses.forEach(
+        (name, address) ->
+            network.open(
+                address,
+                TIMEOUT_MILLIS,
+                survey,
+                survey::opened,
+                refused -> survey.failed(refused, name.equals(leader))));
     if (addresses.isEmpty()) {
       loop.execute(survey::end);
     }
@@ -67,8 +87,9 @@
     }
   }
 
-  private void failed(boolean refused) {
+  private void failed(boolean refused, boolean isLeader) {
     if (refused) {
+      leaderGone |= isLeader;
       answered(false);
     }
   }
@@ -76,7 +97,7 @@
   private void answered(boolean hears) {
     answered++;
     heard |= hears;
-    if (heard || answered == asked) {
+    if (heard || answered >= Math.min(asked, enough)) {
       end();
     }
   }
@@ -85,7 +106,7 @@
     if (!ended) {
       ended = true;
       links.forEach(FrameLink::close);
-      result.accept(answered, heard);
+      result.accept(new Result(answered, heard, leaderGone));
     }
   }
 
--- a/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
@@ -56,6 +56,7 @@
   LeaderDuty(
       long term,
       DispatchPolicy policy,
+      long earlierRunsOverAt,
       Loop loop,
       KeyValueClient store,
       StoreHealth health,
@@ -69,7 +70,7 @@
     this.workers = workers;
     this.delivery = delivery;
     this.onStale = onStale;
-    this.dispatcher = new Dispatcher(policy, Loop.now());
+    this.dispatcher = new Dispatcher(policy, Loop.now(), earlierRunsOverAt);
   }
 
   void start() {
--- a/src/main/java/org/marjoramhoist/entry/Loop.java
+++ b/src/main/java/org/marjoramhoist/entry/Loop.java
@@ -10,11 +10,12 @@
  *
  * <p>A fault in a task is logged and does not end the loop. Safe for use by several threads.
  */
-final class Loop {
+final class Loop implements AutoCloseable {
 
   private static final long MICROS_PER_MILLI = 1_000;
 
   private final XnioIoThread thread;
+  private volatile boolean closed;
 
   Loop(XnioIoThread thread) {
     this.thread = thread;
@@ -30,12 +31,16 @@
   }
 
   void execute(Runnable task) {
-    thread.execute(() -> guarded(task));
+    if (!closed) {
+      thread.execute(() -> guarded(task));
+    }
   }
 
   /** Runs a task once after a time in milliseconds. */
   void after(long millis, Runnable task) {
-    thread.executeAfter(() -> guarded(task), millis, TimeUnit.MILLISECONDS);
+    if (!closed) {
+      thread.executeAfter(() -> guarded(task), millis, TimeUnit.MILLISECONDS);
+    }
   }
 
   /** Runs a task once after a time in milliseconds that is drawn up to half as long again. */
@@ -53,11 +58,20 @@
         });
   }
 
-  private static void guarded(Runnable task) {
+  private void guarded(Runnable task) {
+    if (closed) {
+      return;
+    }
     try {
       task.run();
     } catch (RuntimeException e) {
       EventLog.fault("loop", e);
     }
   }
+
+  /** Runs nothing more. */
+  @Override
+  public void close() {
+    closed = true;
+  }
 }
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -49,6 +49,7 @@
   private final Map<JobId, OpenJob> open = new LinkedHashMap<>();
   private LeaderPort leader;
   private long leaderLostAt = Loop.now();
+  private boolean hadLeader;
 
   /** Returns how many jobs are open. */
   int count() {
@@ -64,8 +65,9 @@
     return leader != null || Loop.now() - leaderLostAt < LEADERLESS_MICROS;
   }
 
-  boolean hasLeader() {
-    return leader != null;
+  /** Tells whether a leader is reached, or was until a short time ago. */
+  boolean isServed() {
+    return hadLeader && mayReachLeader();
   }
 
   /**
@@ -132,6 +134,7 @@
   /** Takes in that a leader can be reached; hands it all open jobs. */
   void leaderFound(LeaderPort port) {
     leader = port;
+    hadLeader = true;
     for (OpenJob entry : List.copyOf(open.values())) {
       send(entry);
     }
--- a/src/main/java/org/marjoramhoist/entry/Partition.java
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -40,9 +40,9 @@
   private final StoreHealth health;
   private final ConfigWatch config;
   private final OpenJobs jobs;
-  private final Function<Long, LeaderDuty> duties;
+  private final Function<ElectionAction.Lead, LeaderDuty> duties;
   private FrameNetwork network;
-  private LeaderDuty duty;
+  private volatile LeaderDuty duty;
   private LeaderPort ownPort;
   private FollowerLinks followers;
   private LinkPort leaderPort;
@@ -86,7 +86,7 @@
       StoreHealth health,
       ConfigWatch config,
       OpenJobs jobs,
-      Function<Long, LeaderDuty> duties) {
+      Function<ElectionAction.Lead, LeaderDuty> duties) {
     this.self = self;
     this.loop = loop;
     this.election = election;
@@ -109,6 +109,7 @@
     return counts.getOrDefault(requestClass, 0);
   }
 
+  /** Tells whether this host leads; may be called from any thread. */
   boolean isLeader() {
     return duty != null;
   }
@@ -128,7 +129,7 @@
     } else if (action instanceof ElectionAction.TakeRecord take) {
       store.takeRecord(take.expectedRevision());
     } else if (action instanceof ElectionAction.Lead lead) {
-      lead(lead.term());
+      lead(lead);
     } else if (action instanceof ElectionAction.StepDown stepDown) {
       EventLog.warn(
           LogEvent.LEADER_STEPPED_DOWN, "term={} reason={}", stepDown.term(), stepDown.reason());
@@ -143,17 +144,24 @@
         LogEvent.LEADER_SUSPECTED, "term={} asks={}", election.knownTerm(), others.size());
     HostSurvey.start(
         self,
-        others.values(),
+        others,
+        election.knownLeader(),
+        store.addresses().size() / 2 + 1,
         network,
         loop,
-        (answered, heard) -> take(new ElectionEvent.HostsAsked(answered, heard)));
+        result ->
+            take(
+                new ElectionEvent.HostsAsked(
+                    result.answered(), result.leaderHeard(), result.leaderGone())));
   }
 
-  private void lead(long term) {
+  private void lead(ElectionAction.Lead lead) {
     endDuty();
-    EventLog.info(LogEvent.LEADER_ELECTED, "term={}", term);
+    long term = lead.term();
+    EventLog.info(
+        LogEvent.LEADER_ELECTED, "term={} earlierLeaderGone={}", term, lead.earlierGone());
     dropLeader();
-    duty = duties.apply(term);
+    duty = duties.apply(lead);
     followers =
         new FollowerLinks(
             self, network, store::addresses, this::fromFollower, host -> entryLost(host));
--- a/src/main/java/org/marjoramhoist/entry/StoreHealth.java
+++ b/src/main/java/org/marjoramhoist/entry/StoreHealth.java
@@ -12,22 +12,15 @@
 
   private static final long FRESH_MICROS = 2_600_000;
 
-  private final Runnable onReached;
   private boolean up = true;
   private long reachedAt = Loop.now();
 
-  /** Creates the state; the task is run at each answer of the store. */
-  StoreHealth(Runnable onReached) {
-    this.onReached = onReached;
-  }
-
   void reached() {
     reachedAt = Loop.now();
     if (!up) {
       up = true;
       EventLog.info(LogEvent.STORE_UP, "the store answers again");
     }
-    onReached.run();
   }
 
   void failed(Throwable error) {
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -37,6 +37,7 @@
 
   private static final long MILLI = 1_000;
   private static final long TICK = 20 * MILLI;
+  private static final long EARLIER_RUNS = 1_700 * MILLI;
   private static final long LIST = 500 * MILLI;
   private static final long SHORTEST_WAY = 500;
   private static final long LONGEST_WAY = 1_500;
@@ -77,7 +78,7 @@
 
     private Term(long token) {
       this.token = token;
-      this.dispatcher = new Dispatcher(POLICY, time.now());
+      this.dispatcher = new Dispatcher(POLICY, time.now(), time.now() + EARLIER_RUNS);
     }
 
     private void take(DispatchEvent event) {
--- a/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
+++ b/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
@@ -21,7 +21,7 @@
  *
  * <p>Confined to one thread.
  */
-final class LeasedWorker {
+public final class LeasedWorker {
 
   private static final double MICROS_PER_MILLI = 1_000.0;
   private static final long LONGEST_LEASE_MILLIS = 1_000;
@@ -29,9 +29,11 @@
   private static final double SLOWEST_CLOCK = 0.98;
 
   /** Hears what a worker does. */
-  interface Observer {
+  public interface Observer {
+    /** A run began. */
     void began(LeasedWorker worker, RunRef run);
 
+    /** A run ended. */
     void ended(LeasedWorker worker, RunRef run, RunEnd how);
   }
 
@@ -78,7 +80,15 @@
   /** Whether what it runs makes no progress. */
   boolean hangs;
 
-  LeasedWorker(WorkerInfo info, double slowness, VirtualTime time, Observer observer) {
+  /**
+   * Starts a worker.
+   *
+   * @param info what it says of itself
+   * @param slowness how many times as long its tasks run
+   * @param time the time it lives in
+   * @param observer hears what it does
+   */
+  public LeasedWorker(WorkerInfo info, double slowness, VirtualTime time, Observer observer) {
     this.info = info;
     this.slowness = slowness;
     this.time = time;
@@ -98,7 +108,8 @@
     highest.clear();
   }
 
-  WorkerInfo info() {
+  /** Returns what it says of itself. */
+  public WorkerInfo info() {
     return info;
   }
 
@@ -114,19 +125,28 @@
     return running.size();
   }
 
-  private long clock() {
+  /** Returns its steady clock, in milliseconds. */
+  public long clock() {
     return clockBase + (long) ((time.now() - bornAt) / MICROS_PER_MILLI * SLOWEST_CLOCK);
   }
 
   /** Ends its process at once and starts a new one that knows nothing. */
-  void crash() {
+  public void crash() {
     List.copyOf(running.keySet()).forEach(run -> observer.ended(this, run, RunEnd.BROKEN));
     running.clear();
     waiting = null;
     begin(500_000 + life);
   }
 
-  StartReply start(RunRef run, Resources need, double micros, long lease, long fence) {
+  /**
+   * Takes an order to start.
+   *
+   * @param need what the run takes
+   * @param micros its run time at slowness 1
+   * @param lease the end of its lease, on this worker's clock
+   * @param fence the fencing token
+   */
+  public StartReply start(RunRef run, Resources need, double micros, long lease, long fence) {
     Verdict verdict = startVerdict(run, need, lease, fence);
     if (verdict == Verdict.STARTED && !running.containsKey(run)) {
       Running made = new Running(need, time.now(), micros * slowness);
@@ -199,7 +219,8 @@
     answerWaiting();
   }
 
-  boolean stop(RunRef run, long fence) {
+  /** Takes an order to stop; tells whether the token was good. */
+  public boolean stop(RunRef run, long fence) {
     if (fence < token) {
       return false;
     }
@@ -215,7 +236,7 @@
   }
 
   /** Renews the lease, and answers at an end or after the wait. */
-  void renew(
+  public void renew(
       long fence, long acknowledged, long lease, long waitMillis, Consumer<WorkerReport> reply) {
     if (fence >= token) {
       token = fence;
--- a/src/main/java/org/marjoramhoist/experiment/VirtualTime.java
+++ b/src/main/java/org/marjoramhoist/experiment/VirtualTime.java
@@ -9,7 +9,7 @@
  * <p>Things due at the same time are done in the order in which they were planned. Confined to one
  * thread.
  */
-final class VirtualTime {
+public final class VirtualTime {
 
   private record Due(long time, long order, Runnable task) {}
 
@@ -18,7 +18,8 @@
   private long now;
   private long orders;
 
-  VirtualTime(long start) {
+  /** Creates a queue whose time begins at the given one. */
+  public VirtualTime(long start) {
     now = start;
   }
 
@@ -34,7 +35,8 @@
     at(now + micros, task);
   }
 
-  void runUntil(long time) {
+  /** Does all that is due up to a time. */
+  public void runUntil(long time) {
     while (!queue.isEmpty() && queue.peek().time <= time) {
       Due due = queue.poll();
       now = due.time;
--- a/src/main/java/org/marjoramhoist/standin/StandInServer.java
+++ b/src/main/java/org/marjoramhoist/http/LoopbackServer.java
@@ -1,4 +1,4 @@
-package org.marjoramhoist.standin;
+package org.marjoramhoist.http;
 
 import io.undertow.Undertow;
 import io.undertow.server.HttpHandler;
@@ -9,7 +9,7 @@
  *
  * <p>Safe for use by several threads.
  */
-final class StandInServer implements AutoCloseable {
+public final class LoopbackServer implements AutoCloseable {
 
   private static final int IO_THREADS = 2;
 
@@ -22,7 +22,7 @@
    * @param address {@code host:port}; port 0 takes any free one
    * @param handler answers on I/O threads
    */
-  StandInServer(String address, HttpHandler handler) {
+  public LoopbackServer(String address, HttpHandler handler) {
     int colon = address.lastIndexOf(':');
     String host = address.substring(0, colon);
     server =
@@ -37,7 +37,8 @@
     this.address = host + ":" + bound.getPort();
   }
 
-  String address() {
+  /** Returns {@code host:port} of the listener. */
+  public String address() {
     return address;
   }
 
--- a/src/main/java/org/marjoramhoist/lead/Election.java
+++ b/src/main/java/org/marjoramhoist/lead/Election.java
@@ -1,5 +1,6 @@
 package org.marjoramhoist.lead;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,7 +16,6 @@
 import org.marjoramhoist.lead.ElectionEvent.RecordExpired;
 import org.marjoramhoist.lead.ElectionEvent.RecordSeen;
 import org.marjoramhoist.lead.ElectionEvent.RecordTaken;
-import org.marjoramhoist.lead.ElectionEvent.StoreReached;
 import org.marjoramhoist.lead.ElectionEvent.TakeFailed;
 import org.marjoramhoist.lead.ElectionEvent.Tick;
 
@@ -31,6 +31,7 @@
 
   private static final long ASK_PAUSE_MICROS = 200_000;
   private static final long TAKE_PAUSE_MICROS = 150_000;
+  private static final long ASK_RECORD_MICROS = 100_000;
 
   private final String self;
   private final long incarnation;
@@ -49,7 +50,9 @@
   private boolean retired;
   private long notBefore;
   private long leadingTerm;
-  private long storeReachedAt;
+  private long recordConfirmedAt;
+  private long recordAskedAt;
+  private boolean earlierGone;
 
   /**
    * Creates a host's part.
@@ -76,6 +79,11 @@
     return leadingTerm != 0 || suspectedAt == 0 && now - heardAt < policy.suspectMicros();
   }
 
+  /** Returns the leader that the record names; empty if there is none. */
+  public String knownLeader() {
+    return record == null ? "" : record.host();
+  }
+
   /** Returns the highest term that this host knows of. */
   public long knownTerm() {
     return term;
@@ -108,8 +116,6 @@
       return recordTaken(now, taken);
     } else if (event instanceof TakeFailed failed) {
       return takeFailed(now, failed);
-    } else if (event instanceof StoreReached) {
-      storeReachedAt = now;
     } else if (event instanceof HeartbeatConfirmed confirmed) {
       confirmedAt.put(confirmed.host(), now);
     } else if (event instanceof RecordExpired) {
@@ -122,6 +128,9 @@
   }
 
   private List<ElectionAction> recordSeen(long now, RecordSeen seen) {
+    if (seen.record() != null && seen.revision() == leadingTerm) {
+      recordConfirmedAt = Math.max(recordConfirmedAt, recordAskedAt);
+    }
     if (recordKnown && seen.revision() <= seenRevision) {
       return List.of();
     }
@@ -130,7 +139,7 @@
     seenRevision = seen.revision();
     record = seen.record();
     if (record == null) {
-      return List.of();
+      return leadingTerm == 0 ? List.of() : recordExpired();
     }
     term = Math.max(term, seen.revision());
     boolean mine = namesThisProcess(record);
@@ -206,6 +215,7 @@
 
   private List<ElectionAction> hostsAsked(long now, HostsAsked asked) {
     asking = false;
+    earlierGone = asked.leaderIsGone();
     notBefore = now + ASK_PAUSE_MICROS;
     if (retired || leadingTerm != 0 || suspectedAt == 0 || asked.leaderIsHeard()) {
       return List.of();
@@ -235,7 +245,7 @@
 
   private List<ElectionAction> recordTaken(long now, RecordTaken taken) {
     taking = false;
-    storeReachedAt = now;
+    recordConfirmedAt = now;
     if (taken.revision() < seenRevision) {
       return List.of();
     }
@@ -248,10 +258,12 @@
   private List<ElectionAction> lead(long now, long revision) {
     term = revision;
     leadingTerm = revision;
-    storeReachedAt = now;
+    recordConfirmedAt = now;
     confirmedAt.clear();
     trust(now);
-    return List.of(new ElectionAction.Lead(leadingTerm));
+    final boolean gone = earlierGone;
+    earlierGone = false;
+    return List.of(new ElectionAction.Lead(leadingTerm, gone));
   }
 
   private List<ElectionAction> takeFailed(long now, TakeFailed failed) {
@@ -268,19 +280,33 @@
     return List.of(new ElectionAction.TakeRecord(0));
   }
 
-  /** A leader that reaches neither the store nor most hosts may have been replaced. */
+  /** A leader that hears neither most hosts nor its record may have been replaced. */
   private List<ElectionAction> checkContact(long now) {
-    if (now - storeReachedAt < policy.contactMicros()) {
-      return List.of();
+    long heard = Math.max(mostHostsHeardAt(now), recordConfirmedAt);
+    if (now - heard > policy.contactMicros()) {
+      return stepDown(now, "neither most hosts nor the record were heard");
     }
-    long fresh =
-        confirmedAt.entrySet().stream()
-            .filter(e -> hosts.contains(e.getKey()) && now - e.getValue() < policy.contactMicros())
-            .count();
-    if (2 * (fresh + 1) > hosts.size()) {
+    if (now - heard < policy.contactMicros() / 2 || now - recordAskedAt < ASK_RECORD_MICROS) {
       return List.of();
     }
-    return stepDown(now, "neither the store nor most hosts were heard");
+    recordAskedAt = now;
+    return List.of(new ElectionAction.ReadRecord());
+  }
+
+  /** Returns the latest time since which more than half of the hosts were heard. */
+  private long mostHostsHeardAt(long now) {
+    int others = hosts.contains(self) ? hosts.size() - 1 : hosts.size();
+    int needed = (others + 1) / 2;
+    if (needed == 0) {
+      return now;
+    }
+    List<Long> times =
+        confirmedAt.entrySet().stream()
+            .filter(each -> hosts.contains(each.getKey()))
+            .map(Map.Entry::getValue)
+            .sorted(Comparator.reverseOrder())
+            .toList();
+    return times.size() < needed ? 0 : times.get(needed - 1);
   }
 
   private List<ElectionAction> stepDown(long now, String reason) {
--- a/src/main/java/org/marjoramhoist/lead/ElectionAction.java
+++ b/src/main/java/org/marjoramhoist/lead/ElectionAction.java
@@ -12,8 +12,13 @@
   /** Change the record to name this host, if its revision is still the given one; 0 if absent. */
   record TakeRecord(long expectedRevision) implements ElectionAction {}
 
-  /** Begin to lead. */
-  record Lead(long term) implements ElectionAction {}
+  /**
+   * Begin to lead.
+   *
+   * @param term the term
+   * @param earlierGone whether the process of the earlier leader is known to have ended
+   */
+  record Lead(long term, boolean earlierGone) implements ElectionAction {}
 
   /** Stop leading. */
   record StepDown(long term, String reason) implements ElectionAction {}
--- a/src/main/java/org/marjoramhoist/lead/ElectionEvent.java
+++ b/src/main/java/org/marjoramhoist/lead/ElectionEvent.java
@@ -30,8 +30,10 @@
    *
    * @param answered how many answered, or are known to have no process
    * @param leaderIsHeard whether any of them hears a leader
+   * @param leaderIsGone whether the leader's process is known to have ended
    */
-  record HostsAsked(int answered, boolean leaderIsHeard) implements ElectionEvent {}
+  record HostsAsked(int answered, boolean leaderIsHeard, boolean leaderIsGone)
+      implements ElectionEvent {}
 
   /** The record was changed to name this host. */
   record RecordTaken(long revision) implements ElectionEvent {}
@@ -43,9 +45,6 @@
    */
   record TakeFailed(boolean mayHaveTakenEffect) implements ElectionEvent {}
 
-  /** The store answered a call. */
-  record StoreReached() implements ElectionEvent {}
-
   /** A host confirmed a heartbeat of this leader. */
   record HeartbeatConfirmed(String host) implements ElectionEvent {}
 
--- a/src/main/java/org/marjoramhoist/standin/StoreStandIn.java
+++ b/src/main/java/org/marjoramhoist/standin/StoreStandIn.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.marjoramhoist.http.LoopbackServer;
 import org.marjoramhoist.http.Replies;
 import org.marjoramhoist.json.JsonText;
 import org.xnio.IoUtils;
@@ -43,7 +44,7 @@
   private final Set<WatchStream> watches = ConcurrentHashMap.newKeySet();
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
   private final AtomicInteger repliesToLose = new AtomicInteger();
-  private final StandInServer server;
+  private final LoopbackServer server;
   private volatile boolean down;
   private volatile long slowMillis;
 
@@ -53,7 +54,7 @@
    * @param address {@code host:port}; port 0 takes any free one
    */
   public StoreStandIn(String address) {
-    server = new StandInServer(address, this::handle);
+    server = new LoopbackServer(address, this::handle);
     timer.scheduleAtFixedRate(
         () -> data.expire(System.currentTimeMillis()),
         LEASE_CHECK_MILLIS,
--- a/src/main/java/org/marjoramhoist/standin/WorkerStandIn.java
+++ b/src/main/java/org/marjoramhoist/standin/WorkerStandIn.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.marjoramhoist.http.LoopbackServer;
 import org.marjoramhoist.http.Replies;
 import org.marjoramhoist.json.JsonText;
 import org.marjoramhoist.upstream.WorkerProtocol;
@@ -47,7 +48,7 @@
   private final Map<String, AtomicInteger> starts = new ConcurrentHashMap<>();
   private final Map<String, AtomicLong> counters = new ConcurrentHashMap<>();
   private final ScheduledExecutorService timer;
-  private final StandInServer server;
+  private final LoopbackServer server;
   private volatile WorkerFaults faults = WorkerFaults.NONE;
 
   /**
@@ -67,7 +68,7 @@
               made.setDaemon(true);
               return made;
             });
-    this.server = new StandInServer(address, this::handle);
+    this.server = new LoopbackServer(address, this::handle);
   }
 
   /** Returns the address it listens on. */
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/lead/ElectionTest.java
@@ -0,0 +1,178 @@
+package org.marjoramhoist.lead;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ElectionTest {
+
+  private static final long MILLI = 1_000;
+  private static final ElectionPolicy POLICY =
+      new ElectionPolicy(450 * MILLI, 600 * MILLI, 30 * MILLI);
+  private static final Set<String> HOSTS = Set.of("a", "b", "c", "d", "e");
+
+  private long now = 1_000 * MILLI;
+  private final Election election = new Election("b", 7, POLICY, now);
+
+  private List<ElectionAction> step(long millis, ElectionEvent event) {
+    now += millis * MILLI;
+    return election.step(now, event);
+  }
+
+  private List<ElectionAction> tick(long millis) {
+    return step(millis, new ElectionEvent.Tick());
+  }
+
+  @BeforeEach
+  void register() {
+    step(0, new ElectionEvent.HostsSeen(HOSTS));
+  }
+
+  private void follow() {
+    step(1, new ElectionEvent.RecordSeen(9, new LeaderRecord("a", 1)));
+    step(1, new ElectionEvent.LeaderHeard(9, "a"));
+  }
+
+  private void lead(long term) {
+    step(1, new ElectionEvent.RecordSeen(2, null));
+    assertThat(tick(300)).containsExactly(new ElectionAction.TakeRecord(0));
+    assertThat(step(5, new ElectionEvent.RecordTaken(term)))
+        .containsExactly(new ElectionAction.Lead(term, false));
+  }
+
+  @Test
+  void takesAbsentRecordAfterItsRank() {
+    step(0, new ElectionEvent.RecordSeen(2, null));
+    assertThat(tick(10)).isEmpty();
+    assertThat(tick(30)).containsExactly(new ElectionAction.TakeRecord(0));
+  }
+
+  @Test
+  void staysFollowerWhileTheLeaderIsHeard() {
+    follow();
+    for (int i = 0; i < 50; i++) {
+      assertThat(step(100, new ElectionEvent.LeaderHeard(9, "a"))).isEmpty();
+      assertThat(tick(1)).isEmpty();
+    }
+  }
+
+  @Test
+  void standsAfterSilenceOnlyIfMostHostsAgree() {
+    follow();
+    assertThat(tick(440)).isEmpty();
+    assertThat(tick(20)).containsExactly(new ElectionAction.AskHosts());
+    assertThat(step(5, new ElectionEvent.HostsAsked(1, false, false)))
+        .containsExactly(new ElectionAction.ReadRecord());
+    assertThat(tick(300)).containsExactly(new ElectionAction.AskHosts());
+    assertThat(step(5, new ElectionEvent.HostsAsked(2, false, false)))
+        .containsExactly(new ElectionAction.TakeRecord(9));
+    assertThat(step(5, new ElectionEvent.RecordTaken(12)))
+        .containsExactly(new ElectionAction.Lead(12, false));
+  }
+
+  @Test
+  void doesNotStandIfAnotherHostHearsTheLeader() {
+    follow();
+    step(0, new ElectionEvent.LeaderLinkLost(9));
+    assertThat(tick(40)).containsExactly(new ElectionAction.AskHosts());
+    assertThat(step(5, new ElectionEvent.HostsAsked(4, true, false))).isEmpty();
+  }
+
+  @Test
+  void tellsThatTheEarlierLeadersProcessHasEnded() {
+    follow();
+    step(0, new ElectionEvent.LeaderLinkLost(9));
+    tick(40);
+    step(5, new ElectionEvent.HostsAsked(3, false, true));
+    assertThat(step(5, new ElectionEvent.RecordTaken(12)))
+        .containsExactly(new ElectionAction.Lead(12, true));
+  }
+
+  @Test
+  void readsBackWhenTheReplyOfItsChangeIsLost() {
+    step(1, new ElectionEvent.RecordSeen(2, null));
+    assertThat(tick(300)).containsExactly(new ElectionAction.TakeRecord(0));
+    assertThat(step(500, new ElectionEvent.TakeFailed(true)))
+        .containsExactly(new ElectionAction.ReadRecord());
+    assertThat(step(5, new ElectionEvent.RecordSeen(30, new LeaderRecord("b", 7))))
+        .containsExactly(new ElectionAction.Lead(30, false));
+  }
+
+  @Test
+  void earlierLifeOfItsProcessIsNoLeader() {
+    step(1, new ElectionEvent.RecordSeen(30, new LeaderRecord("b", 6)));
+    assertThat(election.leadingTerm()).isEqualTo(0);
+    assertThat(tick(1)).containsExactly(new ElectionAction.TakeRecord(30));
+  }
+
+  @Test
+  void stepsDownWhenTheRecordNamesAnother() {
+    lead(20);
+    assertThat(step(5, new ElectionEvent.RecordSeen(40, new LeaderRecord("c", 1))))
+        .containsExactly(new ElectionAction.StepDown(20, "the record names another leader"));
+  }
+
+  @Test
+  void stepsDownOutOfContactWithinTheContactTime() {
+    lead(20);
+    for (int i = 0; i < 10; i++) {
+      step(90, new ElectionEvent.HeartbeatConfirmed("a"));
+      step(0, new ElectionEvent.HeartbeatConfirmed("c"));
+      assertThat(tick(10)).isEmpty();
+    }
+    step(290, new ElectionEvent.HeartbeatConfirmed("a"));
+    assertThat(tick(50)).containsExactly(new ElectionAction.ReadRecord());
+    tick(150);
+    List<ElectionAction> end = tick(130);
+    assertThat(end).hasSize(1);
+    assertThat(end.get(0)).isInstanceOf(ElectionAction.StepDown.class);
+  }
+
+  @Test
+  void staysLeaderOnItsRecordAlone() {
+    lead(20);
+    for (int i = 0; i < 20; i++) {
+      tick(310);
+      step(5, new ElectionEvent.RecordSeen(20, new LeaderRecord("b", 7)));
+    }
+    assertThat(election.leadingTerm()).isEqualTo(20);
+  }
+
+  @Test
+  void takesItsRecordAgainWhenItHasExpired() {
+    lead(20);
+    assertThat(step(5, new ElectionEvent.RecordSeen(50, null)))
+        .containsExactly(new ElectionAction.TakeRecord(0));
+    assertThat(step(5, new ElectionEvent.RecordTaken(51)))
+        .containsExactly(new ElectionAction.Lead(51, false));
+  }
+
+  @Test
+  void followerOfLeaderWithoutRecordDoesNotStand() {
+    follow();
+    step(5, new ElectionEvent.RecordSeen(50, null));
+    for (int i = 0; i < 20; i++) {
+      step(100, new ElectionEvent.LeaderHeard(9, "a"));
+      assertThat(tick(1)).isEmpty();
+    }
+  }
+
+  @Test
+  void retiredHostNeverStands() {
+    lead(20);
+    assertThat(step(1, new ElectionEvent.MustStepDown("stops", true))).hasSize(1);
+    step(1, new ElectionEvent.RecordSeen(60, new LeaderRecord("c", 1)));
+    assertThat(tick(5_000)).isEmpty();
+    assertThat(step(1, new ElectionEvent.HandedOver(60))).isEmpty();
+  }
+
+  @Test
+  void followsAtOnceWhenTheLeaderHandsOver() {
+    follow();
+    assertThat(step(1, new ElectionEvent.HandedOver(9)))
+        .containsExactly(new ElectionAction.TakeRecord(9));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/trial/PlatformClusterTest.java
@@ -0,0 +1,150 @@
+package org.marjoramhoist.trial;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
+import org.marjoramhoist.experiment.LeasedWorker;
+import org.marjoramhoist.http.HttpReply;
+import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.TaskRef;
+
+/** Real hosts over HTTP and TCP with stand-ins of the platform's store and workers. */
+class PlatformClusterTest {
+
+  private static final int HOSTS = 3;
+  private static final long READY_MILLIS = 20_000;
+  private static final String SUCCEEDED = "{\"state\":\"succeeded\"}";
+
+  /** Notes tasks that run twice at the same time. */
+  private static final class Starts implements LeasedWorker.Observer {
+    private final Map<TaskRef, Integer> running = new HashMap<>();
+    private final ConcurrentLinkedQueue<String> twice = new ConcurrentLinkedQueue<>();
+
+    @Override
+    public synchronized void began(LeasedWorker worker, RunRef run) {
+      if (running.merge(run.task(), 1, Integer::sum) > 1) {
+        twice.add(run.toString());
+      }
+    }
+
+    @Override
+    public synchronized void ended(LeasedWorker worker, RunRef run, RunEnd how) {
+      running.merge(run.task(), -1, Integer::sum);
+    }
+  }
+
+  private final Starts starts = new Starts();
+  private PlatformCluster cluster;
+  private int jobs;
+
+  @BeforeEach
+  void start() throws IOException, InterruptedException {
+    cluster = new PlatformCluster(HOSTS, 4, starts);
+    assertThat(cluster.awaitReady(READY_MILLIS)).isTrue();
+  }
+
+  @AfterEach
+  void stop() {
+    cluster.close();
+    assertThat(starts.twice).isEmpty();
+  }
+
+  private CompletableFuture<HttpReply> send(int host, int tasks, int millis) {
+    String id = String.format(Locale.ROOT, "%016x", ++jobs);
+    return cluster.send(host, "POST", id, PlatformCluster.job(tasks, millis));
+  }
+
+  @Test
+  void servesJobsHandedToAnyHost() {
+    List<CompletableFuture<HttpReply>> replies = new ArrayList<>();
+    for (int i = 0; i < 9; i++) {
+      replies.add(send(i % HOSTS, 3, 30));
+    }
+    for (CompletableFuture<HttpReply> reply : replies) {
+      assertThat(reply.join()).isEqualTo(new HttpReply(200, SUCCEEDED));
+    }
+  }
+
+  @Test
+  void goesOnAfterEachLossOfTheLeader() {
+    List<CompletableFuture<HttpReply>> replies = new ArrayList<>();
+    int leader = leader();
+    int other = (leader + 1) % HOSTS;
+    for (int i = 0; i < 6; i++) {
+      replies.add(send(other, 2, 900));
+    }
+    cluster.kill(leader);
+    replies.add(send(other, 1, 300));
+    for (CompletableFuture<HttpReply> reply : replies) {
+      assertThat(reply.join()).isEqualTo(new HttpReply(200, SUCCEEDED));
+    }
+  }
+
+  private int leader() {
+    for (int i = 0; i < HOSTS; i++) {
+      if (cluster.hosts().get(i).isLeader()) {
+        return i;
+      }
+    }
+    throw new AssertionError("no host leads");
+  }
+
+  @Test
+  void servesWhileTheStoreIsDown() {
+    cluster.store().setDown(true);
+    assertThat(send(0, 2, 50).join().status()).isEqualTo(200);
+    assertThat(send(1, 2, 50).join().status()).isEqualTo(200);
+  }
+
+  @Test
+  void goesOnAfterTheStoreForgetsItsHistory() throws InterruptedException {
+    cluster.store().compact();
+    cluster.declare(5);
+    assertThat(send(0, 2, 20).join().status()).isEqualTo(200);
+  }
+
+  @Test
+  void runsTasksOfSilentWorkerElsewhere() {
+    CompletableFuture<HttpReply> reply = send(0, 8, 600);
+    cluster.workers().get(0).setSilent(true);
+    assertThat(reply.join()).isEqualTo(new HttpReply(200, SUCCEEDED));
+  }
+
+  @Test
+  void runsTasksOfCrashedWorkerAgain() {
+    CompletableFuture<HttpReply> reply = send(0, 8, 600);
+    cluster.workers().get(0).crash();
+    assertThat(reply.join()).isEqualTo(new HttpReply(200, SUCCEEDED));
+  }
+
+  @Test
+  void refusesAtOnceWhatItCannotRun() {
+    String id = "00000000000000ff";
+    String durable = "{\"spec\":\"10\",\"steps\":[{\"count\":1}]}";
+    assertThat(cluster.send(0, "POST", id, durable).join().status()).isEqualTo(503);
+    assertThat(cluster.send(0, "POST", id, "no json").join().status()).isEqualTo(400);
+    assertThat(cluster.send(0, "POST", "short", durable).join().status()).isEqualTo(404);
+    assertThat(cluster.send(0, "GET", id, "").join().status()).isEqualTo(410);
+    String huge = "{\"spec\":\"10\",\"steps\":[{\"count\":1,\"cpu\":99000}],\"bestEffort\":true}";
+    assertThat(cluster.send(0, "POST", id, huge).join())
+        .isEqualTo(new HttpReply(200, "{\"state\":\"failed\"}"));
+    assertThat(starts.running).isEmpty();
+  }
+
+  @Test
+  void countsWaitingJobs() {
+    assertThat(cluster.send(1, "GET", "", "").join())
+        .isEqualTo(new HttpReply(200, "{\"waiting\":0}"));
+  }
+}
