--- a/src/main/java/org/marjoramhoist/cli/EntryCommand.java
+++ b/src/main/java/org/marjoramhoist/cli/EntryCommand.java
@@ -8,6 +8,8 @@
 import org.marjoramhoist.config.NodeSettings;
 import org.marjoramhoist.entry.EntryNode;
 import org.marjoramhoist.json.InvalidDocumentException;
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.LogEvent;
 
 /** Runs an entry host on the platform until it is told to stop. */
 final class EntryCommand implements Command {
@@ -34,11 +36,13 @@
 
   @Override
   public ExitCode run(Namespace arguments) throws Exception {
-    NodeSettings settings = settings(Path.of(arguments.getString("settings")));
+    Path file = Path.of(arguments.getString("settings"));
+    NodeSettings settings = settings(file);
     EntryNode node;
     try {
+      HangupSignal.onHangup(() -> reload(file, settings));
       node = EntryNode.start(settings);
-    } catch (IOException | RuntimeException e) {
+    } catch (IOException | RuntimeException | ReflectiveOperationException e) {
       throw new CommandFailure(ExitCode.FAILED, "can't start: " + e.getMessage());
     }
     Thread hook =
@@ -53,6 +57,18 @@
     return ExitCode.OK;
   }
 
+  /** Reads the settings again; what can only be set at the start stays as it is. */
+  private static void reload(Path file, NodeSettings inForce) {
+    try {
+      NodeSettings next = NodeSettings.load(file);
+      boolean same = next.equals(inForce);
+      EventLog.info(
+          LogEvent.SETTINGS_READ, "file={} result={}", file, same ? "same" : "needs a restart");
+    } catch (IOException | InvalidDocumentException e) {
+      EventLog.warn(LogEvent.SETTINGS_READ, "file={} result={}", file, e.getMessage());
+    }
+  }
+
   private static NodeSettings settings(Path file) throws CommandFailure {
     try {
       return NodeSettings.load(file);
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -16,6 +16,8 @@
   PART_GAVE_UP(1005),
   /** The drain deadline passed with work in flight. */
   DRAIN_INCOMPLETE(1006),
+  /** The settings were read again. */
+  SETTINGS_READ(1007),
   /** A host was heard for the first time. */
   PEER_JOINED(2001),
   /** A host was not heard for the suspicion time. */
