Serve metrics, and write an entry host's log to standard output over a bounded queue

Counters by event and order, response histograms by class and outcome; the log never holds up the loop: with standard output blocked, 20,000 events are dropped or queued and the test ends. Each job that did not succeed is logged where its caller waited, with the reason, beside the leader's line of the same id.

--- a/src/main/java/org/marjoramhoist/cli/EntryCommand.java
+++ b/src/main/java/org/marjoramhoist/cli/EntryCommand.java
@@ -10,6 +10,7 @@
 import org.marjoramhoist.json.InvalidDocumentException;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
+import org.marjoramhoist.log.Logging;
 
 /** Runs an entry host on the platform until it is told to stop. */
 final class EntryCommand implements Command {
@@ -38,6 +39,10 @@
   public ExitCode run(Namespace arguments) throws Exception {
     Path file = Path.of(arguments.getString("settings"));
     NodeSettings settings = settings(file);
+    Logging.configure(
+        arguments.getString("log_format"),
+        settings.logLevel(),
+        Logging.Target.STANDARD_OUTPUT_QUEUED);
     EntryNode node;
     try {
       HangupSignal.onHangup(() -> reload(file, settings));
@@ -50,6 +55,7 @@
             () -> {
               node.drain();
               node.close();
+              Logging.finish();
             },
             "shutdown");
     Runtime.getRuntime().addShutdownHook(hook);
--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -61,6 +61,7 @@
   private final Undertow http;
   private final OpenJobs jobs = new OpenJobs();
   private final ConfigWatch config = new ConfigWatch();
+  private final NodeMetrics metrics = new NodeMetrics();
   private final StoreLink storeLink;
   private final Partition partition;
   private final AtomicBoolean closed = new AtomicBoolean();
@@ -108,9 +109,14 @@
                     store,
                     health,
                     calls,
+                    metrics,
                     (host, end) -> made[0].deliver(host, end),
                     reason -> made[0].take(new ElectionEvent.MustStepDown(reason))));
     made[0] = partition;
+    metrics.gauge("marjoramhoist.jobs.open", jobs::count);
+    metrics.gauge("marjoramhoist.leader", () -> partition.isLeader() ? 1 : 0);
+    metrics.gauge("marjoramhoist.config.version", () -> config.current().version());
+    metrics.gauge("marjoramhoist.store.up", () -> health.isServed() ? 1 : 0);
     this.network = new FrameNetwork(worker, address(settings.listen().peers()), partition);
     this.http = http();
     PrefixWatch operator =
@@ -153,7 +159,7 @@
   }
 
   private Undertow http() {
-    HttpHandler front = new FrontApi(config, jobs, partition::waiting, () -> draining);
+    HttpHandler front = new FrontApi(config, jobs, metrics, partition::waiting, () -> draining);
     HttpHandler ready =
         exchange -> {
           exchange.setStatusCode(isReady() ? 200 : 503);
@@ -161,7 +167,7 @@
         };
     InetSocketAddress callers = address(settings.listen().callers());
     InetSocketAddress checks = address(settings.listen().ready());
-    Undertow server =
+    Undertow.Builder builder =
         Undertow.builder()
             .setWorker(worker)
             .setBufferSize(BUFFER_BYTES)
@@ -170,8 +176,15 @@
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
             .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
             .addHttpListener(callers.getPort(), callers.getHostString(), front)
-            .addHttpListener(checks.getPort(), checks.getHostString(), ready)
-            .build();
+            .addHttpListener(checks.getPort(), checks.getHostString(), ready);
+    if (!settings.listen().metrics().isEmpty()) {
+      InetSocketAddress scrapes = address(settings.listen().metrics());
+      builder.addHttpListener(
+          scrapes.getPort(),
+          scrapes.getHostString(),
+          exchange -> exchange.getResponseSender().send(metrics.scrape()));
+    }
+    Undertow server = builder.build();
     server.start();
     return server;
   }
--- a/src/main/java/org/marjoramhoist/entry/FrontApi.java
+++ b/src/main/java/org/marjoramhoist/entry/FrontApi.java
@@ -40,6 +40,7 @@
 
   private final ConfigWatch config;
   private final OpenJobs jobs;
+  private final NodeMetrics metrics;
   private final ToIntFunction<String> waiting;
   private final BooleanSupplier draining;
 
@@ -50,9 +51,14 @@
    * @param draining whether connections are to be closed after their answers
    */
   FrontApi(
-      ConfigWatch config, OpenJobs jobs, ToIntFunction<String> waiting, BooleanSupplier draining) {
+      ConfigWatch config,
+      OpenJobs jobs,
+      NodeMetrics metrics,
+      ToIntFunction<String> waiting,
+      BooleanSupplier draining) {
     this.config = config;
     this.jobs = jobs;
+    this.metrics = metrics;
     this.waiting = waiting;
     this.draining = draining;
   }
@@ -135,10 +141,27 @@
     }
     long patience = JobBodies.patienceMillis(exchange.getRequestHeaders(), DEFAULT_PATIENCE_MILLIS);
     long deadline = arrivedAt + Loop.micros(patience);
-    jobs.submit(job, requestClass, arrivedAt, deadline, end -> finish(exchange, end));
+    jobs.submit(
+        job,
+        requestClass,
+        arrivedAt,
+        deadline,
+        end -> {
+          metrics.jobEnded(requestClass.name(), end.outcome(), Loop.now() - arrivedAt);
+          finish(exchange, end);
+        });
   }
 
   private void finish(HttpServerExchange exchange, Finished end) {
+    if (end.outcome() != JobOutcome.SUCCEEDED) {
+      EventLog.info(
+          LogEvent.JOB_ANSWERED,
+          "job={} outcome={} reason={} retryAfterMillis={}",
+          end.job(),
+          end.outcome(),
+          end.reason(),
+          end.retryAfterMillis());
+    }
     switch (end.outcome()) {
       case SUCCEEDED, FAILED, CANCELLED -> reply(exchange, OK, JobBodies.ended(end.outcome()));
       case REFUSED -> refuse(exchange, end);
--- a/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
@@ -46,6 +46,7 @@
   private final KeyValueClient store;
   private final StoreHealth health;
   private final WorkerCalls workers;
+  private final NodeMetrics metrics;
   private final Delivery delivery;
   private final Consumer<String> onStale;
   private final Dispatcher dispatcher;
@@ -61,6 +62,7 @@
       KeyValueClient store,
       StoreHealth health,
       WorkerCalls workers,
+      NodeMetrics metrics,
       Delivery delivery,
       Consumer<String> onStale) {
     this.term = term;
@@ -68,6 +70,7 @@
     this.store = store;
     this.health = health;
     this.workers = workers;
+    this.metrics = metrics;
     this.delivery = delivery;
     this.onStale = onStale;
     this.dispatcher = new Dispatcher(policy, Loop.now(), earlierRunsOverAt);
@@ -179,7 +182,8 @@
     }
   }
 
-  private static void log(DispatchAction.Log log) {
+  private void log(DispatchAction.Log log) {
+    metrics.decided(log.event());
     switch (log.event()) {
       case JOB_COMPLETED -> EventLog.debug(log.event(), "{}", log.detail());
       case WORKER_EJECTED -> EventLog.warn(log.event(), "{}", log.detail());
@@ -202,6 +206,7 @@
             START_TIMEOUT_MILLIS)
         .whenComplete(
             (reply, error) -> {
+              metrics.order("start", error == null ? reply.verdict().name() : "UNANSWERED");
               if (error == null) {
                 take(new DispatchEvent.StartAnswered(worker.id(), start.run(), sentAt, reply));
               } else {
@@ -222,6 +227,7 @@
         .whenComplete(
             (done, error) -> {
               boolean answered = error == null && done;
+              metrics.order("stop", answered ? "CONFIRMED" : "UNANSWERED");
               take(new DispatchEvent.StopEnded(worker.id(), stop.run(), answered));
             });
   }
@@ -240,6 +246,7 @@
             RENEW_TIMEOUT_MILLIS)
         .whenComplete(
             (report, error) -> {
+              metrics.order("renew", error == null ? "ANSWERED" : "UNANSWERED");
               if (error == null) {
                 take(new DispatchEvent.Renewed(worker.id(), sentAt, report));
               } else {
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
@@ -0,0 +1,78 @@
+package org.marjoramhoist.entry;
+
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Tags;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.marjoramhoist.job.JobOutcome;
+import org.marjoramhoist.log.LogEvent;
+
+/**
+ * The counters and histograms of an entry host.
+ *
+ * <p>Names of classes are bounded in number; what comes after the bound is counted as {@code
+ * other}. Confined to the loop's thread, but for {@link #scrape}.
+ */
+final class NodeMetrics {
+
+  private static final int MAX_CLASSES = 64;
+  private static final String OTHER = "other";
+  private static final Duration[] BOUNDS = {
+    Duration.ofMillis(20),
+    Duration.ofMillis(50),
+    Duration.ofMillis(100),
+    Duration.ofMillis(200),
+    Duration.ofMillis(500),
+    Duration.ofSeconds(1),
+    Duration.ofSeconds(2),
+    Duration.ofSeconds(5)
+  };
+
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final Set<String> classes = new HashSet<>();
+
+  /** Takes in the end of a job whose caller waited at this host. */
+  void jobEnded(String requestClass, JobOutcome outcome, long micros) {
+    Tags tags = Tags.of("class", bounded(requestClass), "outcome", outcome.name());
+    Timer.builder("marjoramhoist.job.response")
+        .tags(tags)
+        .serviceLevelObjectives(BOUNDS)
+        .register(registry)
+        .record(micros, TimeUnit.MICROSECONDS);
+  }
+
+  private String bounded(String requestClass) {
+    if (classes.size() >= MAX_CLASSES && !classes.contains(requestClass)) {
+      return OTHER;
+    }
+    classes.add(requestClass);
+    return requestClass;
+  }
+
+  /** Counts a decision of the leader that is also logged. */
+  void decided(LogEvent event) {
+    registry.counter("marjoramhoist.events", "event", event.name()).increment();
+  }
+
+  /** Counts an order to a worker or the end of one. */
+  void order(String kind, String result) {
+    registry.counter("marjoramhoist.orders", "kind", kind, "result", result).increment();
+  }
+
+  /** Shows a number that is read when it is asked for. */
+  void gauge(String name, Supplier<Number> value) {
+    Gauge.builder(name, value).strongReference(true).register(registry);
+  }
+
+  /** Returns all metrics in Prometheus' text form. */
+  String scrape() {
+    return registry.scrape();
+  }
+}
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -62,6 +62,8 @@
   JOB_FAILED(4004),
   /** A job was withdrawn, or given up with tasks started. */
   JOB_ABANDONED(4005),
+  /** A caller was told that its job did not succeed. */
+  JOB_ANSWERED(4006),
   /** A run was ordered. */
   RUN_ORDERED(4011),
   /** A worker rejected the order to start a run. */
--- a/src/main/java/org/marjoramhoist/log/Logging.java
+++ b/src/main/java/org/marjoramhoist/log/Logging.java
@@ -27,7 +27,9 @@
           + TIME
           + "\",\"level\":\"%p\",\"code\":%K{code},\"event\":\"%K{event}\","
           + "\"detail\":\"%enc{%K{detail}}{JSON}\",\"exception\":\"%enc{%ex}{JSON}\"}%n";
-  private static final String APPENDER = "stderr";
+  private static final String APPENDER = "console";
+  private static final String QUEUE = "queue";
+  private static final int QUEUED_EVENTS = 4_096;
 
   private Logging() {}
 
@@ -38,6 +40,26 @@
    * @param level the least level
    */
   public static void configure(String format, String level) {
+    configure(format, level, Target.STANDARD_ERROR);
+  }
+
+  /** Where log events go. */
+  public enum Target {
+    /** Standard error; the writer waits until the line is out. */
+    STANDARD_ERROR,
+    /** Standard output, over a bounded queue; events are dropped while it is full. */
+    STANDARD_OUTPUT_QUEUED
+  }
+
+  /**
+   * Sets the form, level and target of log events.
+   *
+   * @param format {@code text} or {@code json}
+   * @param level the least level
+   * @param target where they go
+   */
+  public static void configure(String format, String level, Target target) {
+    boolean queued = target == Target.STANDARD_OUTPUT_QUEUED;
     ConfigurationBuilder<BuiltConfiguration> builder =
         ConfigurationBuilderFactory.newConfigurationBuilder();
     builder.setStatusLevel(Level.ERROR);
@@ -51,20 +73,34 @@
     AppenderComponentBuilder appender =
         builder
             .newAppender(APPENDER, "Console")
-            .addAttribute("target", "SYSTEM_ERR")
+            .addAttribute("target", queued ? "SYSTEM_OUT" : "SYSTEM_ERR")
             .addAttribute("follow", true)
             .add(layout);
     builder.add(appender);
+    String used = queued ? QUEUE : APPENDER;
+    if (queued) {
+      builder.add(
+          builder
+              .newAppender(QUEUE, "Async")
+              .addAttribute("bufferSize", QUEUED_EVENTS)
+              .addAttribute("blocking", false)
+              .addComponent(builder.newAppenderRef(APPENDER)));
+    }
     builder.add(
         builder
             .newLogger("marjoramhoist", Level.valueOf(level.toUpperCase(Locale.ROOT)))
             .addAttribute("additivity", false)
-            .add(builder.newAppenderRef(APPENDER)));
-    builder.add(builder.newRootLogger(Level.ERROR).add(builder.newAppenderRef(APPENDER)));
+            .add(builder.newAppenderRef(used)));
+    builder.add(builder.newRootLogger(Level.ERROR).add(builder.newAppenderRef(used)));
     Configurator.reconfigure(builder.build());
     keepUntilTheEnd();
   }
 
+  /** Writes what is queued; nothing is logged after that. */
+  public static void finish() {
+    LogManager.shutdown();
+  }
+
   /** Removes the hook that stops logging at the start of a shutdown, which itself is logged. */
   private static void keepUntilTheEnd() {
     if (LogManager.getFactory() instanceof Log4jContextFactory factory
--- a/src/test/java/org/marjoramhoist/log/LoggingTest.java
+++ b/src/test/java/org/marjoramhoist/log/LoggingTest.java
@@ -4,8 +4,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.core.LifeCycle;
 import org.apache.logging.log4j.core.LoggerContext;
@@ -49,4 +51,34 @@
     assertThat(event.path("event").asText()).isEqualTo("STORE_UP");
     assertThat(event.path("detail").asText()).isEqualTo("a \"quoted\"\nline 7");
   }
+
+  /** Blocks every write until it is let go. */
+  private static final class BlockedStream extends OutputStream {
+    private final CountDownLatch open = new CountDownLatch(1);
+
+    @Override
+    public void write(int b) {
+      try {
+        open.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
+  @Test
+  void goesOnWhileNobodyReadsStandardOutput() {
+    PrintStream before = System.out;
+    BlockedStream blocked = new BlockedStream();
+    System.setOut(new PrintStream(blocked, true, StandardCharsets.UTF_8));
+    try {
+      Logging.configure("json", "info", Logging.Target.STANDARD_OUTPUT_QUEUED);
+      for (int i = 0; i < 20_000; i++) {
+        EventLog.info(LogEvent.STORE_UP, "line {}", i);
+      }
+    } finally {
+      blocked.open.countDown();
+      System.setOut(before);
+    }
+  }
 }
