Stop runs that stand still, and see slow workers by the progress of their runs

Now a run without progress for 450 ms, as its worker's reports show, is stopped and run elsewhere; three such pause the worker.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -342,6 +342,14 @@
       }
     }
 
+    @Override
+    public void runStalled(Run run, long now, List<DispatchAction> out) {
+      run.task.failedOn = run.worker.id();
+      if (run.worker.failed(now)) {
+        out.add(new Log(LogEvent.WORKER_EJECTED, "worker=" + run.worker.id() + " stalls"));
+      }
+    }
+
     @Override
     public void runLost(Run run, String why, long now, List<DispatchAction> out) {
       mayPlace = true;
--- a/src/main/java/org/marjoramhoist/dispatch/Placement.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Placement.java
@@ -91,7 +91,10 @@
     double base =
         durations.predictMicros(
             task.job.requestClass().name(), worker, task.spec().estimateMillis());
-    return base * Math.exp(task.job.bias) * distanceFactor(task.spec(), worker);
+    return base
+        * Math.exp(task.job.bias)
+        * worker.observedSlowness
+        * distanceFactor(task.spec(), worker);
   }
 
   /** Tells whether any worker has room for the least need among those that wait. */
--- a/src/main/java/org/marjoramhoist/dispatch/Run.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Run.java
@@ -23,6 +23,11 @@
     STOPPED
   }
 
+  /** The longest silence between two signs of progress, in microseconds. */
+  private static final long STALL_MICROS = 450_000;
+
+  private static final int LEAST_PERCENT = 5;
+
   final RunRef ref;
   final Task task;
   final Worker worker;
@@ -68,4 +73,21 @@
       progressedAt = at;
     }
   }
+
+  /** Tells whether reports have shown no progress for too long. */
+  boolean isStalled() {
+    boolean atWork = phase == Phase.RUNNING && answeredAt != Long.MAX_VALUE && percent < 100;
+    return atWork && worker.lastReportAt - progressedAt > STALL_MICROS;
+  }
+
+  /**
+   * Returns how many times as long as predicted it will run, as far as its progress shows; or 0.
+   */
+  double slowness(long now) {
+    long elapsed = now - answeredAt;
+    if (percent < LEAST_PERCENT || predictedMicros <= 0 || elapsed <= 0) {
+      return 0;
+    }
+    return elapsed * 100.0 / percent / predictedMicros;
+  }
 }
--- a/src/main/java/org/marjoramhoist/dispatch/RunControl.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunControl.java
@@ -185,6 +185,8 @@
     }
     worker.foreignRuns.keySet().retainAll(running);
     findMissing(worker, sentAt, report.clockMillis(), running, now, out);
+    stopStalled(worker, now, out);
+    worker.observe(now);
     renewIfDue(worker, now, out);
   }
 
@@ -279,6 +281,16 @@
         : null;
   }
 
+  private void stopStalled(Worker worker, long now, List<DispatchAction> out) {
+    for (Run run : new ArrayList<>(worker.runs.values())) {
+      if (run.isStalled()) {
+        out.add(new Log(LogEvent.RUN_STALLED, describe(run) + " percent=" + run.percent));
+        listener.runStalled(run, now, out);
+        stop(run, out);
+      }
+    }
+  }
+
   private void findMissing(
       Worker worker,
       long sentAt,
--- a/src/main/java/org/marjoramhoist/dispatch/RunListener.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunListener.java
@@ -13,6 +13,9 @@
   /** The run failed, through its own fault or the worker's. */
   void runFailed(Run run, long now, List<DispatchAction> out);
 
+  /** Reports show no progress of the run; it is being stopped. */
+  void runStalled(Run run, long now, List<DispatchAction> out);
+
   /** The run is over without a result, or never began; its task may run again. */
   void runLost(Run run, String why, long now, List<DispatchAction> out);
 
--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -21,6 +21,7 @@
   private static final long LONGEST_PAUSE_MICROS = 16_000_000;
   private static final int FAILURES_BEFORE_PAUSE = 3;
   private static final int CALLS_BEFORE_UNREACHABLE = 2;
+  private static final double NOTABLE_SLOWNESS = 2.5;
 
   private WorkerInfo info;
   private int failureStreak;
@@ -52,6 +53,9 @@
   long acknowledgedSent;
   long reportedBorn;
 
+  /** How many times as long as predicted its present runs take; 1 if that is as expected. */
+  double observedSlowness = 1;
+
   /** The latest end of a lease that this leader sent it, on its clock. */
   long leaseUntilMillis;
 
@@ -114,6 +118,7 @@
   }
 
   void succeeded() {
+    observedSlowness = 1;
     failureStreak = 0;
     pauseMicros = FIRST_PAUSE_MICROS;
     pausedUntil = 0;
@@ -134,6 +139,15 @@
     return true;
   }
 
+  /** Takes in how fast its runs make progress. */
+  void observe(long now) {
+    double slowest = 0;
+    for (Run run : runs.values()) {
+      slowest = Math.max(slowest, run.slowness(now));
+    }
+    observedSlowness = slowest > NOTABLE_SLOWNESS ? slowest : 1;
+  }
+
   /** Gives it no work until a time, without regard to failures. */
   void pauseUntil(long time) {
     pausedUntil = Math.max(pausedUntil, time);
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -395,6 +395,19 @@
     }
   }
 
+  /** Returns the share of the jobs that ended with success within their objective. */
+  double shareInTime() {
+    long inTime =
+        offered.values().stream().filter(job -> isInTime(job, ends.get(job.job().id()))).count();
+    return (double) inTime / offered.size();
+  }
+
+  private static boolean isInTime(Offered job, Ended end) {
+    return end != null
+        && end.outcome() == JobOutcome.SUCCEEDED
+        && end.at() - job.arrivedAt() <= job.objectiveMicros();
+  }
+
   /** Returns how many tasks were done more than once. */
   int doneAgain() {
     return (int) doneRuns.values().stream().filter(count -> count > 1).count();
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -74,6 +74,8 @@
   RUN_FAILED(4014),
   /** A run is over without a result. */
   RUN_LOST(4015),
+  /** Reports show no progress of a run; it is stopped and run elsewhere. */
+  RUN_STALLED(4016),
   /** An attempt ended without a known outcome. */
   ATTEMPT_UNKNOWN(4101),
   /** A worker refused an attempt. */
