--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -278,11 +278,6 @@
     return jobs.waitingByClass();
   }
 
-  /** Returns how many workers can be given work. */
-  public int usableWorkers(long now) {
-    return (int) workers.values().stream().filter(worker -> worker.isUsable(now)).count();
-  }
-
   /** What the ends of runs mean for their jobs. */
   private final class Ends implements RunListener {
 
--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -1,7 +1,6 @@
 package org.marjoramhoist.dispatch;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -184,8 +183,4 @@
     }
     return longest;
   }
-
-  List<Task> tasksOf(int step) {
-    return Collections.unmodifiableList(steps.get(step));
-  }
 }
