--- a/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
@@ -32,7 +32,7 @@
 
   private static final long TICK_MILLIS = 20;
   private static final long LIST_WORKERS_MILLIS = 500;
-  private static final long START_TIMEOUT_MILLIS = 200;
+  private static final long START_TIMEOUT_MILLIS = 120;
   private static final long STOP_TIMEOUT_MILLIS = 150;
   private static final long RENEW_TIMEOUT_MILLIS = 150;
 
