--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -140,7 +140,7 @@
     if (job == null) {
       return;
     }
-    runs.claimForeign(job, workers.values(), now, out);
+    runs.claimEarlier(job, workers.values(), now, out);
     if (job.isComplete()) {
       end(job, JobOutcome.SUCCEEDED, "done before", now, out);
     } else if (listed && !job.started && !canEverRun(job)) {
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/EarlierRuns.java
@@ -0,0 +1,99 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import org.marjoramhoist.dispatch.WorkerReport.Ended;
+import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
+import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.TaskRef;
+
+/**
+ * The runs that reports show and this leader did not order: taken over once their job is known,
+ * stopped if it stays unknown.
+ *
+ * <p>Confined to one thread.
+ */
+final class EarlierRuns {
+
+  private static final long STOP_AGAIN_MICROS = 300_000;
+
+  private final RunListener listener;
+
+  EarlierRuns(RunListener listener) {
+    this.listener = listener;
+  }
+
+  /** Takes in that such a run is at work. */
+  void atWork(Worker worker, RunRef ref, long now, List<DispatchAction> out) {
+    Task task = listener.taskFor(ref);
+    if (task != null && task.isWaiting()) {
+      takeOver(worker, task, ref, now);
+      return;
+    }
+    Long since = worker.foreignRuns.putIfAbsent(ref, now);
+    boolean due = since == null || now - since > STOP_AGAIN_MICROS;
+    boolean claimable = task == null && listener.mayBeClaimed(ref.task(), now);
+    if (due && !claimable) {
+      worker.foreignRuns.put(ref, now);
+      out.add(new DispatchAction.Stop(worker.info(), ref));
+    }
+  }
+
+  /** Takes in that such a run has ended. */
+  void ended(Worker worker, Ended end, long now, List<DispatchAction> out) {
+    if (end.how() != RunEnd.DONE) {
+      return;
+    }
+    Task task = listener.taskFor(end.run());
+    if (task != null && task.isWaiting()) {
+      listener.doneBefore(task, now, out);
+    } else if (task == null && listener.mayBeClaimed(end.run().task(), now)) {
+      worker.foreignDone.add(end.run().task());
+    }
+  }
+
+  private static void takeOver(Worker worker, Task task, RunRef ref, long now) {
+    Run run = new Run(ref, task, worker, now, worker.leaseUntilMillis, 0);
+    run.answered(now);
+    task.run = run;
+    task.lastRun = Math.max(task.lastRun, ref.number());
+    worker.foreignRuns.remove(ref);
+    worker.add(run);
+  }
+
+  /**
+   * Gives a job that an entry host handed on what is at work or done of it.
+   *
+   * @return the workers on which runs were taken over
+   */
+  List<Worker> claim(Job job, Iterable<Worker> workers, long now) {
+    List<Worker> takenOver = new ArrayList<>();
+    for (Worker worker : workers) {
+      claimDone(job, worker);
+      for (RunRef ref : List.copyOf(worker.foreignRuns.keySet())) {
+        Task task = taskOf(job, ref.task());
+        if (task != null && task.isWaiting()) {
+          takeOver(worker, task, ref, now);
+          takenOver.add(worker);
+        }
+      }
+    }
+    return takenOver;
+  }
+
+  private static void claimDone(Job job, Worker worker) {
+    Iterator<TaskRef> done = worker.foreignDone.iterator();
+    while (done.hasNext()) {
+      Task task = taskOf(job, done.next());
+      if (task != null) {
+        done.remove();
+        job.markDone(task);
+      }
+    }
+  }
+
+  private static Task taskOf(Job job, TaskRef ref) {
+    return ref.job().equals(job.id()) ? job.task(ref.step(), ref.index()) : null;
+  }
+}
--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.IntToLongFunction;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.RequestClass;
@@ -155,21 +156,16 @@
 
   /** Returns the longest chain of the estimates, in milliseconds. */
   long longestChainMillis() {
-    long[] ends = new long[openTasks.length];
-    long longest = 0;
-    for (int step = 0; step < ends.length; step++) {
-      long begin = 0;
-      for (int before : description.steps().get(step).after()) {
-        begin = Math.max(begin, ends[before]);
-      }
-      ends[step] = begin + description.steps().get(step).estimateMillis();
-      longest = Math.max(longest, ends[step]);
-    }
-    return longest;
+    return longestChain(step -> description.steps().get(step).estimateMillis());
   }
 
   /** Returns the estimate of the steps that are not done, along the longest chain, in millis. */
   long remainingChainMillis() {
+    return longestChain(
+        step -> openTasks[step] == 0 ? 0 : description.steps().get(step).estimateMillis());
+  }
+
+  private long longestChain(IntToLongFunction millis) {
     long[] ends = new long[openTasks.length];
     long longest = 0;
     for (int step = 0; step < ends.length; step++) {
@@ -177,8 +173,7 @@
       for (int before : description.steps().get(step).after()) {
         begin = Math.max(begin, ends[before]);
       }
-      long own = openTasks[step] == 0 ? 0 : description.steps().get(step).estimateMillis();
-      ends[step] = begin + own;
+      ends[step] = begin + millis.applyAsLong(step);
       longest = Math.max(longest, ends[step]);
     }
     return longest;
--- a/src/main/java/org/marjoramhoist/dispatch/RunControl.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunControl.java
@@ -2,15 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
 import org.marjoramhoist.dispatch.WorkerReport.Ended;
-import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
 import org.marjoramhoist.dispatch.WorkerReport.Running;
 import org.marjoramhoist.job.RunRef;
-import org.marjoramhoist.job.TaskRef;
 import org.marjoramhoist.log.LogEvent;
 
 /**
@@ -28,7 +25,6 @@
   private static final long STOP_REPORT_WAIT_MILLIS = 10;
   private static final long RETRY_MICROS = 100_000;
   private static final long LONG_RETRY_MICROS = 500_000;
-  private static final long FOREIGN_STOP_MICROS = 300_000;
   private static final long NO_ROOM_PAUSE_MICROS = 50_000;
   private static final long UNHEALTHY_PAUSE_MICROS = 500_000;
   private static final int STALE_RUN_STEP = 8;
@@ -38,11 +34,13 @@
 
   private final DispatchPolicy policy;
   private final RunListener listener;
+  private final EarlierRuns earlier;
   private int unansweredStarts;
 
   RunControl(DispatchPolicy policy, RunListener listener) {
     this.policy = policy;
     this.listener = listener;
+    this.earlier = new EarlierRuns(listener);
   }
 
   /** Tells whether another run may be ordered before an earlier order is answered. */
@@ -193,7 +191,7 @@
   private void ended(Worker worker, Ended end, long now, List<DispatchAction> out) {
     Run run = worker.runs.get(end.run());
     if (run == null) {
-      endedUnknown(worker, end, now, out);
+      earlier.ended(worker, end, now, out);
       return;
     }
     over(run);
@@ -204,20 +202,6 @@
     }
   }
 
-  private void endedUnknown(Worker worker, Ended end, long now, List<DispatchAction> out) {
-    if (end.how() != RunEnd.DONE) {
-      return;
-    }
-    Task task = listener.taskFor(end.run());
-    if (task != null) {
-      if (task.isWaiting()) {
-        listener.doneBefore(task, now, out);
-      }
-    } else if (listener.mayBeClaimed(end.run().task(), now)) {
-      worker.foreignDone.add(end.run().task());
-    }
-  }
-
   private void atWork(Worker worker, Running each, long now, List<DispatchAction> out) {
     Run run = worker.runs.get(each.run());
     if (run != null) {
@@ -227,60 +211,16 @@
       run.noteProgress(each.percent(), now);
       return;
     }
-    Task task = listener.taskFor(each.run());
-    if (task != null && task.isWaiting()) {
-      adopt(worker, task, each.run(), now);
-      return;
-    }
-    boolean claimable = task == null && listener.mayBeClaimed(each.run().task(), now);
-    Long since = worker.foreignRuns.putIfAbsent(each.run(), now);
-    boolean due = since == null || now - since > FOREIGN_STOP_MICROS;
-    if (!claimable && due) {
-      worker.foreignRuns.put(each.run(), now);
-      out.add(new DispatchAction.Stop(worker.info(), each.run()));
-    }
-  }
-
-  /** Takes over a run that an earlier leader ordered. */
-  private void adopt(Worker worker, Task task, RunRef ref, long now) {
-    Run run = new Run(ref, task, worker, now, worker.leaseUntilMillis, 0);
-    run.answered(now);
-    task.run = run;
-    task.lastRun = Math.max(task.lastRun, ref.number());
-    worker.foreignRuns.remove(ref);
-    worker.add(run);
+    earlier.atWork(worker, each.run(), now, out);
   }
 
   /** Gives a job that an entry host handed on what is at work or done of it. */
-  void claimForeign(Job job, Iterable<Worker> workers, long now, List<DispatchAction> out) {
-    for (Worker worker : workers) {
-      for (RunRef ref : List.copyOf(worker.foreignRuns.keySet())) {
-        Task task = taskOf(job, ref);
-        if (task != null && task.isWaiting()) {
-          adopt(worker, task, ref, now);
-          renewIfDue(worker, now, out);
-        }
-      }
-      Iterator<TaskRef> done = worker.foreignDone.iterator();
-      while (done.hasNext()) {
-        TaskRef ref = done.next();
-        if (ref.job().equals(job.id())) {
-          done.remove();
-          Task task = job.task(ref.step(), ref.index());
-          if (task != null && task.isWaiting()) {
-            job.markDone(task);
-          }
-        }
-      }
+  void claimEarlier(Job job, Iterable<Worker> workers, long now, List<DispatchAction> out) {
+    for (Worker worker : earlier.claim(job, workers, now)) {
+      renewIfDue(worker, now, out);
     }
   }
 
-  private static Task taskOf(Job job, RunRef ref) {
-    return ref.task().job().equals(job.id())
-        ? job.task(ref.task().step(), ref.task().index())
-        : null;
-  }
-
   private void stopStalled(Worker worker, long now, List<DispatchAction> out) {
     for (Run run : new ArrayList<>(worker.runs.values())) {
       if (run.isStalled()) {
--- a/src/main/java/org/marjoramhoist/entry/FrontApi.java
+++ b/src/main/java/org/marjoramhoist/entry/FrontApi.java
@@ -4,12 +4,12 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
-import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.ToIntFunction;
+import org.marjoramhoist.http.Exchanges;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobFeature;
 import org.marjoramhoist.job.JobId;
@@ -105,17 +105,7 @@
 
   private void post(HttpServerExchange exchange, RequestClass requestClass, JobId id) {
     long arrivedAt = Loop.now();
-    exchange.dispatch(
-        SameThreadExecutor.INSTANCE,
-        () ->
-            exchange
-                .getRequestReceiver()
-                .receiveFullBytes(
-                    (same, body) ->
-                        same.dispatch(
-                            SameThreadExecutor.INSTANCE,
-                            () -> submit(same, requestClass, id, arrivedAt, body)),
-                    (same, error) -> same.endExchange()));
+    Exchanges.receive(exchange, (same, body) -> submit(same, requestClass, id, arrivedAt, body));
   }
 
   private void submit(
--- a/src/main/java/org/marjoramhoist/log/Logging.java
+++ b/src/main/java/org/marjoramhoist/log/Logging.java
@@ -31,6 +31,14 @@
   private static final String QUEUE = "queue";
   private static final int QUEUED_EVENTS = 4_096;
 
+  /** Where log events go. */
+  public enum Target {
+    /** Standard error; the writer waits until the line is out. */
+    STANDARD_ERROR,
+    /** Standard output, over a bounded queue; events are dropped while it is full. */
+    STANDARD_OUTPUT_QUEUED
+  }
+
   private Logging() {}
 
   /**
@@ -43,14 +51,6 @@
     configure(format, level, Target.STANDARD_ERROR);
   }
 
-  /** Where log events go. */
-  public enum Target {
-    /** Standard error; the writer waits until the line is out. */
-    STANDARD_ERROR,
-    /** Standard output, over a bounded queue; events are dropped while it is full. */
-    STANDARD_OUTPUT_QUEUED
-  }
-
   /**
    * Sets the form, level and target of log events.
    *
--- a/src/main/java/org/marjoramhoist/platform/standin/PlatformStoreStandIn.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/PlatformStoreStandIn.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -14,6 +13,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.marjoramhoist.http.Exchanges;
 import org.marjoramhoist.http.LoopbackServer;
 import org.marjoramhoist.json.JsonText;
 import org.marjoramhoist.platform.KeyValueClient.Change;
@@ -106,20 +106,13 @@
   }
 
   private void handle(HttpServerExchange exchange) {
-    exchange.dispatch(
-        SameThreadExecutor.INSTANCE,
-        () ->
-            exchange
-                .getRequestReceiver()
-                .receiveFullBytes(
-                    (same, body) ->
-                        same.dispatch(SameThreadExecutor.INSTANCE, () -> answer(same, body))));
+    Exchanges.receive(exchange, this::answer);
   }
 
   private synchronized void answer(HttpServerExchange exchange, byte[] body) {
     calls++;
     if (down) {
-      reply(exchange, UNAVAILABLE, "{}");
+      Exchanges.reply(exchange, UNAVAILABLE, "{}");
       return;
     }
     String path = exchange.getRequestPath();
@@ -133,19 +126,19 @@
       } else if (path.equals("/v1/kv-lease")) {
         long ttl = JsonText.MAPPER.readTree(body).path("ttlMs").asLong();
         long lease = model.grant(ttl, System.currentTimeMillis());
-        reply(exchange, OK, "{\"lease\":" + lease + ",\"ttlMs\":" + ttl + "}");
+        Exchanges.reply(exchange, OK, "{\"lease\":" + lease + ",\"ttlMs\":" + ttl + "}");
       } else if (path.startsWith("/v1/kv-keep/")) {
         boolean held = model.keep(lastNumber(path), System.currentTimeMillis());
-        reply(exchange, held ? OK : NOT_FOUND, "{}");
+        Exchanges.reply(exchange, held ? OK : NOT_FOUND, "{}");
       } else if (path.startsWith("/v1/kv-lease-end/")) {
         model.end(lastNumber(path));
         answerWatchers();
-        reply(exchange, OK, "{}");
+        Exchanges.reply(exchange, OK, "{}");
       } else {
-        reply(exchange, NOT_FOUND, "{}");
+        Exchanges.reply(exchange, NOT_FOUND, "{}");
       }
     } catch (IOException e) {
-      reply(exchange, 400, "{}");
+      Exchanges.reply(exchange, 400, "{}");
     }
   }
 
@@ -163,7 +156,7 @@
     ArrayNode items = root.putArray("items");
     model.range(query(exchange, "prefix")).forEach(item -> items.add(itemNode(item)));
     root.put("hasMore", false).put("asOf", model.revision());
-    reply(exchange, OK, root.toString());
+    Exchanges.reply(exchange, OK, root.toString());
   }
 
   private static ObjectNode itemNode(Item item) {
@@ -194,7 +187,7 @@
   private boolean answered(Watcher watcher, long now) {
     List<Change> changes = model.changesAfter(watcher.prefix(), watcher.after());
     if (changes == null) {
-      reply(watcher.exchange(), GONE, "{}");
+      Exchanges.reply(watcher.exchange(), GONE, "{}");
       return true;
     }
     if (changes.isEmpty() && now < watcher.until()) {
@@ -204,7 +197,7 @@
     ArrayNode events = root.putArray("events");
     changes.forEach(change -> events.add(itemNode(change.item())));
     root.put("asOf", model.revision());
-    reply(watcher.exchange(), OK, root.toString());
+    Exchanges.reply(watcher.exchange(), OK, root.toString());
     return true;
   }
 
@@ -221,9 +214,9 @@
       ObjectNode root = JsonText.MAPPER.createObjectNode();
       ArrayNode items = root.putArray("items");
       failed.forEach(item -> items.add(itemNode(item)));
-      reply(exchange, CONFLICT, root.toString());
+      Exchanges.reply(exchange, CONFLICT, root.toString());
     } else if (!puts.stream().allMatch(put -> model.holds(put.lease()))) {
-      reply(exchange, NOT_FOUND, "{}");
+      Exchanges.reply(exchange, NOT_FOUND, "{}");
     } else {
       model.apply(puts, deletes);
       changed(exchange);
@@ -247,7 +240,7 @@
       repliesToLose--;
       exchange.getIoThread().execute(() -> cut(exchange));
     } else {
-      reply(exchange, OK, body);
+      Exchanges.reply(exchange, OK, body);
     }
   }
 
@@ -255,16 +248,6 @@
     IoUtils.safeClose(exchange.getConnection());
   }
 
-  private static void reply(HttpServerExchange exchange, int status, String body) {
-    exchange
-        .getIoThread()
-        .execute(
-            () -> {
-              exchange.setStatusCode(status);
-              exchange.getResponseSender().send(body);
-            });
-  }
-
   @Override
   public void close() {
     timer.shutdownNow();
--- a/src/main/java/org/marjoramhoist/platform/standin/PlatformWorkerStandIn.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/PlatformWorkerStandIn.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.util.Locale;
 import java.util.concurrent.Executors;
@@ -15,6 +14,7 @@
 import org.marjoramhoist.dispatch.WorkerReport;
 import org.marjoramhoist.experiment.LeasedWorker;
 import org.marjoramhoist.experiment.VirtualTime;
+import org.marjoramhoist.http.Exchanges;
 import org.marjoramhoist.http.LoopbackServer;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.Resources;
@@ -98,14 +98,7 @@
   }
 
   private void handle(HttpServerExchange exchange) {
-    exchange.dispatch(
-        SameThreadExecutor.INSTANCE,
-        () ->
-            exchange
-                .getRequestReceiver()
-                .receiveFullBytes(
-                    (same, body) ->
-                        same.dispatch(SameThreadExecutor.INSTANCE, () -> answer(same, body))));
+    Exchanges.receive(exchange, this::answer);
   }
 
   private synchronized void answer(HttpServerExchange exchange, byte[] body) {
@@ -120,7 +113,7 @@
         case "/v1/run-start" -> start(exchange, call, fence);
         case "/v1/run-stop" -> {
           boolean done = worker.stop(runOf(call), fence);
-          reply(exchange, done ? OK : CONFLICT, "{\"clockMs\":" + worker.clock() + "}");
+          Exchanges.reply(exchange, done ? OK : CONFLICT, "{\"clockMs\":" + worker.clock() + "}");
         }
         case "/v1/hold" ->
             worker.renew(
@@ -128,11 +121,11 @@
                 call.path("seenUpto").asLong(),
                 call.path("deadlineMs").asLong(),
                 call.path("waitMs").asLong(),
-                report -> reply(exchange, OK, write(report)));
-        default -> reply(exchange, 404, "{}");
+                report -> Exchanges.reply(exchange, OK, write(report)));
+        default -> Exchanges.reply(exchange, 404, "{}");
       }
     } catch (IOException e) {
-      reply(exchange, 400, "{}");
+      Exchanges.reply(exchange, 400, "{}");
     }
   }
 
@@ -154,7 +147,7 @@
           case NO_ROOM -> "room";
           default -> "";
         };
-    reply(
+    Exchanges.reply(
         exchange, status, "{\"clockMs\":" + made.clockMillis() + ",\"reason\":\"" + reason + "\"}");
   }
 
@@ -186,16 +179,6 @@
     return root.toString();
   }
 
-  private static void reply(HttpServerExchange exchange, int status, String body) {
-    exchange
-        .getIoThread()
-        .execute(
-            () -> {
-              exchange.setStatusCode(status);
-              exchange.getResponseSender().send(body);
-            });
-  }
-
   @Override
   public void close() {
     timer.shutdownNow();
--- a/src/main/java/org/marjoramhoist/standin/DevCluster.java
+++ b/src/main/java/org/marjoramhoist/standin/DevCluster.java
@@ -1,12 +1,10 @@
 package org.marjoramhoist.standin;
 
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import org.marjoramhoist.config.Settings;
 import org.marjoramhoist.host.EntryHost;
+import org.marjoramhoist.http.LoopbackServer;
 import org.marjoramhoist.json.InvalidDocumentException;
 
 /**
@@ -57,7 +55,7 @@
       worker.setFaults(WorkerFaults.slow(SLOWNESS[i % SLOWNESS.length]));
       workers.add(worker);
     }
-    List<Integer> ports = freePorts(hostCount * 3);
+    List<Integer> ports = LoopbackServer.freePorts(hostCount * 3);
     for (int i = 0; i < hostCount; i++) {
       settings.add(settingsOf(i, ports));
     }
@@ -66,20 +64,6 @@
     }
   }
 
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> held = new ArrayList<>();
-    List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      held.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : held) {
-      socket.close();
-    }
-    return ports;
-  }
-
   private Settings settingsOf(int index, List<Integer> ports) throws InvalidDocumentException {
     List<String> peers = new ArrayList<>();
     for (int i = 0; i < ports.size() / 3; i++) {
--- a/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
+++ b/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
@@ -1,8 +1,6 @@
 package org.marjoramhoist.trial;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +14,7 @@
 import org.marjoramhoist.http.HttpCall;
 import org.marjoramhoist.http.HttpCaller;
 import org.marjoramhoist.http.HttpReply;
+import org.marjoramhoist.http.LoopbackServer;
 import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.platform.standin.PlatformStoreStandIn;
 import org.marjoramhoist.platform.standin.PlatformWorkerStandIn;
@@ -60,7 +59,7 @@
     for (int i = 0; i < workerCount; i++) {
       addWorker("worker-" + i, observer);
     }
-    List<Integer> ports = freePorts(hostCount * PORTS_PER_HOST);
+    List<Integer> ports = LoopbackServer.freePorts(hostCount * PORTS_PER_HOST);
     for (int i = 0; i < hostCount; i++) {
       settings.add(settingsOf("host-" + i, ports.subList(i * PORTS_PER_HOST, ports.size())));
       hosts.add(EntryNode.start(settings.get(i)));
@@ -76,20 +75,6 @@
     SampleDocuments.putWorker(store, name, worker);
   }
 
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> held = new ArrayList<>();
-    List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      held.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : held) {
-      socket.close();
-    }
-    return ports;
-  }
-
   private NodeSettings settingsOf(String name, List<Integer> ports) {
     NodeSettings.Listen listen =
         new NodeSettings.Listen(
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
@@ -114,7 +114,7 @@
   }
 
   @Test
-  void failsJobOnceATaskFailedAsOftenAsItsClassAllows() {
+  void failsJobWhoseTaskFailsAsOftenAsItsClassAllows() {
     step(
         0,
         new DispatchEvent.WorkersListed(
@@ -163,7 +163,7 @@
     submit(1, 0);
     RunRef run = taken(DispatchAction.Start.class).get(0).run();
     started(run);
-    long answeredAt = now;
+    final long answeredAt = now;
     step(0, new DispatchEvent.WorkersListed(List.of(worker("w", 64_000, false))));
     step(400, new DispatchEvent.RenewalFailed("w"));
     step(150, new DispatchEvent.RenewalFailed("w"));
@@ -181,10 +181,10 @@
   }
 
   @Test
-  void refusesOnlyJobsWithoutAStartedTask() {
-    JobId running = submit(64, 0);
+  void refusesOnlyJobsWithoutStartedTask() {
+    final JobId running = submit(64, 0);
     taken(DispatchAction.Start.class).forEach(start -> started(start.run()));
-    JobId waiting = submit(64, 0);
+    final JobId waiting = submit(64, 0);
     step(0, new DispatchEvent.WorkersListed(List.of(worker("w", 64_000, true))));
     actions.removeIf(DispatchAction.Start.class::isInstance);
     step(3_000, new DispatchEvent.Tick());
--- a/src/test/java/org/marjoramhoist/trial/PlatformClusterTest.java
+++ b/src/test/java/org/marjoramhoist/trial/PlatformClusterTest.java
@@ -96,7 +96,7 @@
     int leader = leader();
     int draining = (leader + 1) % HOSTS;
     CompletableFuture<HttpReply> open = send(draining, 1, 1_500);
-    CompletableFuture<Void> drained =
+    final CompletableFuture<Void> drained =
         CompletableFuture.runAsync(() -> cluster.hosts().get(draining).drain());
     Thread.sleep(500);
     cluster.kill(leader);
@@ -108,7 +108,7 @@
   void leaderThatStopsGoesOnUntilAnotherCanLead() throws InterruptedException {
     int leader = leader();
     cluster.store().setDown(true);
-    CompletableFuture<Void> drained =
+    final CompletableFuture<Void> drained =
         CompletableFuture.runAsync(() -> cluster.hosts().get(leader).drain());
     Thread.sleep(300);
     assertThat(send((leader + 1) % HOSTS, 1, 50).join()).isEqualTo(new HttpReply(200, SUCCEEDED));
