Order nothing out of contact; step down after the machine was suspended

Cause: DispatchHistoryTest, whose seeds were random, failed once in some 1,500 histories: an old leader that was paused woke up and ordered runs on workers that its successor could not reach, after the successor had waited for their leases. The emulated old leader never lost its term for want of contact, as the real one does after 0.6 s; but the real one could handle a worker's answer before its next check, and a suspended machine's steady clock does not show the time that has passed. Change: events of a term wait while the host is out of contact; a time of day that runs ahead of the steady clock ends the term; the successor waits 0.3 s rather than 0.1 s beyond contact time and lease, since a host may confirm an old leader's late heartbeat before it hears the new one. The emulator's old leader ends with its contact time. Both seeds are examples now, the other seeds fixed. Ruled out: resubmissions and late orders, which both histories have, but whose run numbers (33 and 65) belong to the later leader.

--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -38,8 +38,8 @@
   private static final long SUSPECT_MICROS = 450_000;
   private static final long CONTACT_MICROS = 600_000;
 
-  /** What clocks and the ends of runs may add to the time that a lease lasts. */
-  private static final long LEASE_MARGIN_MICROS = 100_000;
+  /** What clocks, the ends of runs and late heartbeats may add to the time that a lease lasts. */
+  private static final long LEASE_MARGIN_MICROS = 300_000;
 
   private static final long RANK_MICROS = 30_000;
   private static final long LEASE_SLACK_MILLIS = 20;
@@ -110,6 +110,7 @@
                     health,
                     calls,
                     metrics,
+                    () -> made[0].mayOrder(),
                     (host, end) -> made[0].deliver(host, end),
                     reason -> made[0].take(new ElectionEvent.MustStepDown(reason))));
     made[0] = partition;
--- a/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.marjoramhoist.dispatch.DispatchAction;
 import org.marjoramhoist.dispatch.DispatchEvent;
@@ -26,7 +27,8 @@
 /**
  * One term of leading: feeds the decisions and carries out what they ask for.
  *
- * <p>After {@link #close} nothing more is decided or ordered. Confined to the loop's thread.
+ * <p>While it may not be the leader any more, as it is out of contact, events wait and nothing is
+ * ordered. After {@link #close} nothing more is decided or ordered. Confined to the loop's thread.
  */
 final class LeaderDuty implements AutoCloseable {
 
@@ -47,6 +49,7 @@
   private final StoreHealth health;
   private final WorkerCalls workers;
   private final NodeMetrics metrics;
+  private final BooleanSupplier mayOrder;
   private final Delivery delivery;
   private final Consumer<String> onStale;
   private final Dispatcher dispatcher;
@@ -63,6 +66,7 @@
       StoreHealth health,
       WorkerCalls workers,
       NodeMetrics metrics,
+      BooleanSupplier mayOrder,
       Delivery delivery,
       Consumer<String> onStale) {
     this.term = term;
@@ -71,6 +75,7 @@
     this.health = health;
     this.workers = workers;
     this.metrics = metrics;
+    this.mayOrder = mayOrder;
     this.delivery = delivery;
     this.onStale = onStale;
     this.dispatcher = new Dispatcher(policy, Loop.now(), earlierRunsOverAt);
@@ -146,7 +151,7 @@
 
   private void take(DispatchEvent event) {
     events.add(event);
-    if (stepping) {
+    if (stepping || !mayOrder.getAsBoolean()) {
       return;
     }
     stepping = true;
--- a/src/main/java/org/marjoramhoist/entry/Partition.java
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -48,6 +48,7 @@
   private LinkPort leaderPort;
   private boolean retiring;
   private Map<String, Integer> waiting = Map.of();
+  private final SuspensionDetector suspension = new SuspensionDetector();
   private final Map<String, Long> servedAt = new LinkedHashMap<>();
 
   /** The way to another host that leads. */
@@ -110,6 +111,14 @@
     return counts.getOrDefault(requestClass, 0);
   }
 
+  /** Tells whether this host leads and may order runs now. */
+  boolean mayOrder() {
+    if (suspension.wasSuspended()) {
+      take(new ElectionEvent.MustStepDown("the process was suspended"));
+    }
+    return election.mayOrder(Loop.now());
+  }
+
   /** Tells whether this host leads; may be called from any thread. */
   boolean isLeader() {
     return duty != null;
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/SuspensionDetector.java
@@ -0,0 +1,46 @@
+package org.marjoramhoist.entry;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Finds out that the machine was suspended: the steady clock stands still meanwhile, the time of
+ * day goes on. A step of the time of day looks the same.
+ *
+ * <p>Confined to one thread.
+ */
+final class SuspensionDetector {
+
+  private static final long NOTABLE_MILLIS = 150;
+
+  private final LongSupplier wallMillis;
+  private final LongSupplier steadyNanos;
+  private long offsetMillis;
+
+  SuspensionDetector() {
+    this(System::currentTimeMillis, System::nanoTime);
+  }
+
+  /**
+   * Creates a detector over clocks.
+   *
+   * @param wallMillis the time of day, in milliseconds
+   * @param steadyNanos a steady time in nanoseconds
+   */
+  SuspensionDetector(LongSupplier wallMillis, LongSupplier steadyNanos) {
+    this.wallMillis = wallMillis;
+    this.steadyNanos = steadyNanos;
+    this.offsetMillis = offset();
+  }
+
+  private long offset() {
+    return wallMillis.getAsLong() - TimeUnit.NANOSECONDS.toMillis(steadyNanos.getAsLong());
+  }
+
+  /** Tells whether the time of day has run ahead of the steady clock since the last call. */
+  boolean wasSuspended() {
+    long before = offsetMillis;
+    offsetMillis = offset();
+    return offsetMillis - before > NOTABLE_MILLIS;
+  }
+}
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -37,7 +37,8 @@
 
   private static final long MILLI = 1_000;
   private static final long TICK = 20 * MILLI;
-  private static final long EARLIER_RUNS = 1_700 * MILLI;
+  private static final long EARLIER_RUNS = 1_900 * MILLI;
+  private static final long CONTACT = 600 * MILLI;
   private static final long LIST = 500 * MILLI;
   private static final long SHORTEST_WAY = 500;
   private static final long LONGEST_WAY = 1_500;
@@ -171,13 +172,17 @@
     time.after(micros, () -> paused.paused = false);
   }
 
-  /** Elects another leader while the present one goes on with what it hears of workers. */
+  /**
+   * Elects another leader while the present one is paused; that one orders runs again from the end
+   * of its pause until it has been out of contact for the contact time.
+   */
   void electBesidePausedLeader(long micros) {
     Term old = term;
     old.paused = true;
     term = null;
     elect();
     time.after(micros, () -> old.paused = false);
+    time.after(CONTACT, () -> old.over = true);
   }
 
   void submit(Offered job) {
--- a/src/main/java/org/marjoramhoist/lead/Election.java
+++ b/src/main/java/org/marjoramhoist/lead/Election.java
@@ -53,6 +53,7 @@
   private long leadingTerm;
   private long recordConfirmedAt;
   private long recordAskedAt;
+  private long contactUntil;
   private boolean earlierGone;
 
   /**
@@ -80,6 +81,14 @@
     return leadingTerm != 0 || suspectedAt == 0 && now - heardAt < policy.suspectMicros();
   }
 
+  /**
+   * Tells whether this host leads and may order runs: it has heard most hosts, or its record,
+   * within the contact time.
+   */
+  public boolean mayOrder(long now) {
+    return leadingTerm != 0 && now <= contactUntil;
+  }
+
   /** Returns the leader that the record names; empty if there is none. */
   public String knownLeader() {
     return record == null ? "" : record.host();
@@ -96,6 +105,14 @@
    * @param now the time, in microseconds on the host's steady clock; never goes back
    */
   public List<ElectionAction> step(long now, ElectionEvent event) {
+    List<ElectionAction> actions = take(now, event);
+    if (leadingTerm != 0) {
+      contactUntil = heardAt(now) + policy.contactMicros();
+    }
+    return actions;
+  }
+
+  private List<ElectionAction> take(long now, ElectionEvent event) {
     if (event instanceof Tick) {
       return leadingTerm != 0 ? checkContact(now) : checkLeader(now);
     }
@@ -184,10 +201,10 @@
       return List.of();
     }
     if (record == null && term == 0) {
-      return now - heardAt < rankDelay() ? List.of() : take(now, 0);
+      return now - heardAt < rankDelay() ? List.of() : takeRecord(now, 0);
     }
     if (record != null && record.host().equals(self)) {
-      return take(now, seenRevision);
+      return takeRecord(now, seenRevision);
     }
     if (suspectedAt == 0 && now - heardAt >= policy.suspectMicros()) {
       suspectedAt = now;
@@ -226,7 +243,7 @@
     known.add(self);
     boolean most = 2 * (asked.answered() + 1) > known.size();
     if (most || record == null) {
-      return take(now, record == null ? 0 : seenRevision);
+      return takeRecord(now, record == null ? 0 : seenRevision);
     }
     return List.of(new ElectionAction.ReadRecord());
   }
@@ -236,10 +253,10 @@
       return List.of();
     }
     suspectedAt = now;
-    return take(now, handed.term());
+    return takeRecord(now, handed.term());
   }
 
-  private List<ElectionAction> take(long now, long expected) {
+  private List<ElectionAction> takeRecord(long now, long expected) {
     taking = true;
     notBefore = now + TAKE_PAUSE_MICROS;
     return List.of(new ElectionAction.TakeRecord(expected));
@@ -284,7 +301,7 @@
 
   /** A leader that hears neither most hosts nor its record may have been replaced. */
   private List<ElectionAction> checkContact(long now) {
-    long heard = Math.max(mostHostsHeardAt(now), recordConfirmedAt);
+    long heard = heardAt(now);
     if (now - heard > policy.contactMicros()) {
       return stepDown(now, "neither most hosts nor the record were heard");
     }
@@ -295,6 +312,11 @@
     return List.of(new ElectionAction.ReadRecord());
   }
 
+  /** Returns when this host last knew that its record named it, or that most hosts follow it. */
+  private long heardAt(long now) {
+    return Math.max(mostHostsHeardAt(now), recordConfirmedAt);
+  }
+
   /** Returns the latest time since which more than half of the hosts were heard. */
   private long mostHostsHeardAt(long now) {
     int others = hosts.contains(self) ? hosts.size() - 1 : hosts.size();
--- a/src/test/java/org/marjoramhoist/experiment/DispatchHistoryTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/DispatchHistoryTest.java
@@ -41,7 +41,14 @@
     assertThat(fleet.doneAgain()).isEqualTo(0);
   }
 
-  @Property(tries = 60, shrinking = ShrinkingMode.OFF)
+  /** Histories in which a paused leader that woke up ordered runs beside its successor. */
+  @Example
+  void noTaskRunsTwiceInHistoriesThatFailedOnce() {
+    noTaskRunsTwiceAtTheSameTime(-48_328);
+    noTaskRunsTwiceAtTheSameTime(18_566_297_440_523L);
+  }
+
+  @Property(tries = 60, shrinking = ShrinkingMode.OFF, seed = "20261204")
   void noTaskRunsTwiceAtTheSameTime(@ForAll long seed) {
     DispatchFleet fleet = fleet(seed);
     long end = fleet.time().now() + 8 * SECOND;
--- a/src/test/java/org/marjoramhoist/lead/ElectionTest.java
+++ b/src/test/java/org/marjoramhoist/lead/ElectionTest.java
@@ -131,6 +131,17 @@
     assertThat(end.get(0)).isInstanceOf(ElectionAction.StepDown.class);
   }
 
+  @Test
+  void ordersNothingOutOfContactEvenBeforeItStepsDown() {
+    lead(20);
+    step(5, new ElectionEvent.HeartbeatConfirmed("a"));
+    step(0, new ElectionEvent.HeartbeatConfirmed("c"));
+    assertThat(election.mayOrder(now + 600 * MILLI)).isTrue();
+    assertThat(election.mayOrder(now + 601 * MILLI)).isFalse();
+    step(5, new ElectionEvent.MustStepDown("suspended"));
+    assertThat(election.mayOrder(now)).isFalse();
+  }
+
   @Test
   void staysLeaderOnItsRecordAlone() {
     lead(20);
