Emulate orders as held by the process that took them

An order that a process has taken ends with the process, so the emulator's case can't happen; traced to the line (START 33 in life 2, taken in life 1). An order that ends so gets no answer, as before, by one time-out for all ways to lose it.

--- a/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
+++ b/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
@@ -125,6 +125,11 @@
     return running.size();
   }
 
+  /** Returns the number of its present life; a crash begins the next one. */
+  int life() {
+    return life;
+  }
+
   /** Returns its steady clock, in milliseconds. */
   public long clock() {
     return clockBase + (long) ((time.now() - bornAt) / MICROS_PER_MILLI * SLOWEST_CLOCK);
