Hold a paused leader's events in the emulator; check that every job ends

Cause: a history of 1,200 random ones left a run at work 15 s after the load; its task took 18.9 s on a slow worker, within its caller's 24.4 s, so the check came too early. It now waits 60 s, longer than any caller, and asks as well that every job has ended. That showed that the emulator dropped what came in while a leader was paused (jobs and answers); a paused process finds them when it goes on, so they are held now, and the old leader beside its successor hears its workers' answers.

--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -1,6 +1,8 @@
 package org.marjoramhoist.experiment;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -74,6 +76,7 @@
   private final class Term {
     private final long token;
     private final Dispatcher dispatcher;
+    private final Deque<DispatchEvent> held = new ArrayDeque<>();
     private boolean over;
     private boolean paused;
 
@@ -83,11 +86,17 @@
     }
 
     private void take(DispatchEvent event) {
-      if (!over && !paused) {
-        dispatcher.step(time.now(), event).forEach(action -> run(this, action));
+      held.add(event);
+      while (!over && !paused && !held.isEmpty()) {
+        dispatcher.step(time.now(), held.poll()).forEach(action -> run(this, action));
       }
     }
 
+    private void pause(long micros) {
+      paused = true;
+      time.after(micros, () -> paused = false);
+    }
+
     private void tick() {
       if (!over) {
         take(new DispatchEvent.Tick());
@@ -167,9 +176,7 @@
 
   /** Makes the leader hear nothing for a time, as if its process were stopped. */
   void pauseLeader(long micros) {
-    Term paused = term;
-    paused.paused = true;
-    time.after(micros, () -> paused.paused = false);
+    term.pause(micros);
   }
 
   /**
@@ -178,10 +185,9 @@
    */
   void electBesidePausedLeader(long micros) {
     Term old = term;
-    old.paused = true;
+    old.pause(micros);
     term = null;
     elect();
-    time.after(micros, () -> old.paused = false);
     time.after(CONTACT, () -> old.over = true);
   }
 
@@ -402,6 +408,11 @@
     }
   }
 
+  /** Returns the jobs that have not ended. */
+  List<JobId> openJobs() {
+    return offered.keySet().stream().filter(id -> !ends.containsKey(id)).toList();
+  }
+
   /** Returns the share of the jobs that ended with success within their objective. */
   double shareInTime() {
     long inTime =
--- a/src/test/java/org/marjoramhoist/experiment/DispatchHistoryTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/DispatchHistoryTest.java
@@ -18,6 +18,9 @@
 
   private static final long SECOND = 1_000_000;
 
+  /** Longer than any caller of the load waits; after that nothing may run. */
+  private static final long LONGEST_PATIENCE = 60 * SECOND;
+
   private static DispatchFleet fleet(long seed) {
     DispatchFleet fleet = new DispatchFleet(seed);
     DispatchLoad.addWorkers(fleet);
@@ -66,8 +69,9 @@
     fleet.setLateOrders(0);
     fleet.setLostAnswers(0);
     fleet.workers().forEach(worker -> worker.cutOff = false);
-    fleet.runFor(15 * SECOND);
+    fleet.runFor(LONGEST_PATIENCE);
     assertWithMessage("seed %s", seed).that(fleet.breaches()).isEmpty();
+    assertWithMessage("seed %s", seed).that(fleet.openJobs()).isEmpty();
     fleet.workers().forEach(worker -> assertThat(worker.runningCount()).isEqualTo(0));
   }
 
