--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -21,7 +21,6 @@
 import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.job.RunRef;
 import org.marjoramhoist.job.StepSpec;
-import org.marjoramhoist.job.TaskRef;
 import org.marjoramhoist.log.LogEvent;
 
 /**
@@ -185,7 +184,6 @@
       }
     }
     tick(now, out);
-    mayPlace = true;
   }
 
   private static void update(Worker known, WorkerInfo info, List<DispatchAction> out) {
@@ -364,7 +362,7 @@
     }
 
     @Override
-    public boolean mayBeClaimed(TaskRef ref, long now) {
+    public boolean mayBeClaimed(long now) {
       return now - since < CLAIM_MICROS;
     }
   }
--- a/src/main/java/org/marjoramhoist/dispatch/EarlierRuns.java
+++ b/src/main/java/org/marjoramhoist/dispatch/EarlierRuns.java
@@ -33,7 +33,7 @@
     }
     Long since = worker.foreignRuns.putIfAbsent(ref, now);
     boolean due = since == null || now - since > STOP_AGAIN_MICROS;
-    boolean claimable = task == null && listener.mayBeClaimed(ref.task(), now);
+    boolean claimable = task == null && listener.mayBeClaimed(now);
     if (due && !claimable) {
       worker.foreignRuns.put(ref, now);
       out.add(new DispatchAction.Stop(worker.info(), ref));
@@ -48,7 +48,7 @@
     Task task = listener.taskFor(end.run());
     if (task != null && task.isWaiting()) {
       listener.doneBefore(task, now, out);
-    } else if (task == null && listener.mayBeClaimed(end.run().task(), now)) {
+    } else if (task == null && listener.mayBeClaimed(now)) {
       worker.foreignDone.add(end.run().task());
     }
   }
--- a/src/main/java/org/marjoramhoist/dispatch/RunListener.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunListener.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import org.marjoramhoist.job.RunRef;
-import org.marjoramhoist.job.TaskRef;
 
 /** Hears how runs end. Called from one thread only. */
 interface RunListener {
@@ -25,6 +24,6 @@
   /** A task was done in a run that an earlier leader ordered. */
   void doneBefore(Task task, long now, List<DispatchAction> out);
 
-  /** Tells whether a job with such a task may still be handed on by an entry host. */
-  boolean mayBeClaimed(TaskRef ref, long now);
+  /** Tells whether entry hosts may still hand on jobs of an earlier leader. */
+  boolean mayBeClaimed(long now);
 }
--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -112,11 +112,6 @@
     return failureStreak < FAILURES_BEFORE_PAUSE || runs.isEmpty();
   }
 
-  /** Tells whether it failed what it was given and is being tried again. */
-  boolean isOnProbation() {
-    return failureStreak >= FAILURES_BEFORE_PAUSE;
-  }
-
   void succeeded() {
     observedSlowness = 1;
     failureStreak = 0;
--- a/src/main/java/org/marjoramhoist/entry/FrontApi.java
+++ b/src/main/java/org/marjoramhoist/entry/FrontApi.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.ToIntFunction;
 import org.marjoramhoist.http.Exchanges;
+import org.marjoramhoist.http.Replies;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobFeature;
 import org.marjoramhoist.job.JobId;
@@ -171,11 +172,9 @@
     if (exchange.isResponseStarted()) {
       return;
     }
-    exchange.setStatusCode(status);
-    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
     if (draining.getAsBoolean()) {
       exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
     }
-    exchange.getResponseSender().send(body);
+    Replies.json(exchange, status, body);
   }
 }
--- a/src/main/java/org/marjoramhoist/entry/StoreLink.java
+++ b/src/main/java/org/marjoramhoist/entry/StoreLink.java
@@ -17,7 +17,6 @@
 import org.marjoramhoist.platform.KeyValueClient.Condition;
 import org.marjoramhoist.platform.KeyValueClient.Item;
 import org.marjoramhoist.platform.KeyValueClient.Put;
-import org.marjoramhoist.platform.StoreFailure;
 
 /**
  * What a host keeps in the store: its registration, and the leader's record when it leads. Both lie
@@ -129,7 +128,7 @@
   /** Changes the record to name this host, and tells the election what came of it. */
   void takeRecord(long expectedRevision) {
     if (lease == 0) {
-      loop.after(RETRY_MILLIS, () -> election.accept(new ElectionEvent.TakeFailed(false)));
+      loop.after(RETRY_MILLIS, () -> election.accept(new ElectionEvent.TakeFailed()));
       return;
     }
     String value = JsonText.of(Map.of("host", host, "incarnation", incarnation));
@@ -147,16 +146,14 @@
                       } else if (reply.done()) {
                         election.accept(new ElectionEvent.RecordTaken(reply.revision()));
                       } else {
-                        election.accept(new ElectionEvent.TakeFailed(false));
+                        election.accept(new ElectionEvent.TakeFailed());
                       }
                     }));
   }
 
   private void takeFailed(Throwable error) {
     health.failed(error);
-    Throwable cause = error.getCause() == null ? error : error.getCause();
-    boolean unclear = !(cause instanceof StoreFailure failure) || failure.mayHaveTakenEffect();
-    election.accept(new ElectionEvent.TakeFailed(unclear));
+    election.accept(new ElectionEvent.TakeFailed());
   }
 
   /** Reads the record and tells the election. */
--- a/src/main/java/org/marjoramhoist/lead/Election.java
+++ b/src/main/java/org/marjoramhoist/lead/Election.java
@@ -132,8 +132,8 @@
       return hostsAsked(now, asked);
     } else if (event instanceof RecordTaken taken) {
       return recordTaken(now, taken);
-    } else if (event instanceof TakeFailed failed) {
-      return takeFailed(now, failed);
+    } else if (event instanceof TakeFailed) {
+      return takeFailed(now);
     } else if (event instanceof HeartbeatConfirmed confirmed) {
       confirmedAt.put(confirmed.host(), now);
     } else if (event instanceof RecordExpired) {
@@ -285,7 +285,7 @@
     return List.of(new ElectionAction.Lead(leadingTerm, gone));
   }
 
-  private List<ElectionAction> takeFailed(long now, TakeFailed failed) {
+  private List<ElectionAction> takeFailed(long now) {
     taking = false;
     notBefore = now + TAKE_PAUSE_MICROS + rankDelay();
     return List.of(new ElectionAction.ReadRecord());
--- a/src/main/java/org/marjoramhoist/lead/ElectionEvent.java
+++ b/src/main/java/org/marjoramhoist/lead/ElectionEvent.java
@@ -38,12 +38,8 @@
   /** The record was changed to name this host. */
   record RecordTaken(long revision) implements ElectionEvent {}
 
-  /**
-   * An attempt to change the record failed.
-   *
-   * @param mayHaveTakenEffect whether the change may have been made or may still be
-   */
-  record TakeFailed(boolean mayHaveTakenEffect) implements ElectionEvent {}
+  /** An attempt to change the record failed, or may have; the record is to be read back. */
+  record TakeFailed() implements ElectionEvent {}
 
   /** A host confirmed a heartbeat of this leader. */
   record HeartbeatConfirmed(String host) implements ElectionEvent {}
--- a/src/test/java/org/marjoramhoist/lead/ElectionTest.java
+++ b/src/test/java/org/marjoramhoist/lead/ElectionTest.java
@@ -95,7 +95,7 @@
   void readsBackWhenTheReplyOfItsChangeIsLost() {
     step(1, new ElectionEvent.RecordSeen(2, null));
     assertThat(tick(300)).containsExactly(new ElectionAction.TakeRecord(0));
-    assertThat(step(500, new ElectionEvent.TakeFailed(true)))
+    assertThat(step(500, new ElectionEvent.TakeFailed()))
         .containsExactly(new ElectionAction.ReadRecord());
     assertThat(step(5, new ElectionEvent.RecordSeen(30, new LeaderRecord("b", 7))))
         .containsExactly(new ElectionAction.Lead(30, false));
