Log which workers a leader knows, and when runs of earlier leaders are settled

A task ran twice around a second term of one host (run numbers 1 and 33). The log could not tell whether the new term had missed a worker that had dropped out of the list, or an order of the old term had come late: no line said which workers a term knows, which left the list, nor why it held earlier runs for settled. WORKERS_CHANGED and EARLIER_RUNS_SETTLED do. What the leader knows of its workers moves from Dispatcher into Workers; no decision changes.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -1,8 +1,6 @@
 package org.marjoramhoist.dispatch;
 
 import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -22,11 +20,9 @@
 import org.marjoramhoist.dispatch.DispatchEvent.StopEnded;
 import org.marjoramhoist.dispatch.DispatchEvent.Tick;
 import org.marjoramhoist.dispatch.DispatchEvent.WorkersListed;
-import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.JobStatus;
-import org.marjoramhoist.job.RequestClass;
 import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.job.RunRef;
 import org.marjoramhoist.job.StepSpec;
@@ -51,16 +47,14 @@
   private static final double MICROS_PER_MILLI = 1_000.0;
 
   private final long since;
-  private final long earlierRunsOverAt;
   private final DurationModel durations = new DurationModel();
   private final Placement placement;
   private final WaitingOrder order = new WaitingOrder(durations);
   private final Backlog backlog = new Backlog(order);
-  private final Map<String, Worker> workers = new LinkedHashMap<>();
+  private final Workers workers;
   private final Jobs jobs = new Jobs();
   private final RunControl runs;
   private final DurableJobs durable;
-  private boolean listed;
   private boolean mayPlace;
   private boolean startsAllowed = true;
 
@@ -76,7 +70,7 @@
   public Dispatcher(DispatchPolicy policy, long now, long earlierRunsOverAt, long epochMillis) {
     this.since = now;
     this.durable = new DurableJobs(policy.keepMillis(), epochMillis);
-    this.earlierRunsOverAt = earlierRunsOverAt;
+    this.workers = new Workers(now, earlierRunsOverAt);
     this.placement = new Placement(policy, durations);
     this.runs = new RunControl(policy, new Ends());
   }
@@ -129,7 +123,7 @@
     if (event instanceof StartAnswered || event instanceof StartUnanswered) {
       startCallEnded();
     }
-    Worker worker = workers.get(event.worker());
+    Worker worker = workers.find(event.worker());
     if (worker == null) {
       return;
     }
@@ -165,10 +159,12 @@
     if (job == null) {
       return;
     }
-    runs.claimEarlier(job, workers.values(), now, out);
+    runs.claimEarlier(job, workers.all(), now, out);
     if (job.isComplete()) {
       end(job, JobOutcome.SUCCEEDED, "done before", now, out);
-    } else if (listed && !job.started && !canEverRun(job.description(), job.requestClass())) {
+    } else if (workers.isListed()
+        && !job.started
+        && !workers.canEverRun(job.description(), job.requestClass())) {
       end(job, JobOutcome.FAILED, "no worker can run it", now, out);
     } else {
       mayPlace = true;
@@ -213,7 +209,7 @@
     if (durable.isStalled(now)) {
       return "the store takes nothing";
     }
-    if (listed && !canEverRun(record.job(), record.requestClass())) {
+    if (workers.isListed() && !workers.canEverRun(record.job(), record.requestClass())) {
       return "no worker can run it";
     }
     return backlog.totalMicros() > MAX_BACKLOG_MICROS ? "too much waits" : null;
@@ -242,12 +238,12 @@
                 + " ended="
                 + event.ended().size()));
     open.forEach(jobs::add);
-    runs.jobsLoaded(workers.values(), now, out);
+    runs.jobsLoaded(workers.all(), now, out);
     for (Job job : open) {
       if (jobs.find(job.id()) != job) {
         continue;
       }
-      runs.claimEarlier(job, workers.values(), now, out);
+      runs.claimEarlier(job, workers.all(), now, out);
       if (job.isComplete()) {
         end(job, JobOutcome.SUCCEEDED, "done before", now, out);
       }
@@ -256,15 +252,6 @@
     mayPlace = true;
   }
 
-  private boolean canEverRun(JobDescription job, RequestClass requestClass) {
-    for (StepSpec step : job.steps()) {
-      if (workers.values().stream().noneMatch(w -> Placement.canEverRun(requestClass, step, w))) {
-        return false;
-      }
-    }
-    return true;
-  }
-
   private void withdrawn(Job job, String entry, long now, List<DispatchAction> out) {
     if (job != null && job.entries.remove(entry) && job.entries.isEmpty()) {
       end(job, JobOutcome.CANCELLED, "withdrawn", now, out);
@@ -272,46 +259,20 @@
   }
 
   private void workersListed(List<WorkerInfo> list, long now, List<DispatchAction> out) {
-    listed = true;
-    Set<String> ids = new HashSet<>();
-    for (WorkerInfo info : list) {
-      ids.add(info.id());
-      Worker known = workers.get(info.id());
-      if (known == null) {
-        workers.put(info.id(), new Worker(info));
-      } else {
-        update(known, info, out);
-      }
-    }
-    for (Worker worker : List.copyOf(workers.values())) {
-      worker.listed = ids.contains(worker.id());
-      if (!worker.listed && worker.runs.isEmpty()) {
-        workers.remove(worker.id());
-        durations.forget(worker.id());
-      }
-    }
+    workers.listed(list, out).forEach(durations::forget);
     tick(now, out);
   }
 
-  private static void update(Worker known, WorkerInfo info, List<DispatchAction> out) {
-    if (info.draining() && !known.info().draining()) {
-      out.add(new Log(LogEvent.WORKER_LEAVING, "worker=" + info.id()));
-    }
-    if (!info.address().equals(known.info().address())) {
-      known.synced = false;
-    }
-    known.setInfo(info);
-  }
-
   private void tick(long now, List<DispatchAction> out) {
-    for (Worker worker : workers.values()) {
+    for (Worker worker : workers.all()) {
       runs.tick(worker, now, out);
     }
+    workers.logSettled(now, out);
     for (Job job : List.copyOf(jobs.all())) {
       expire(job, now, out);
     }
     jobs.prune(now);
-    for (Job job : backlog.measure(jobs.waiting(), workers.values(), now)) {
+    for (Job job : backlog.measure(jobs.waiting(), workers.all(), now)) {
       end(job, JobOutcome.REFUSED, "too much waits before it", now, out);
     }
     mayPlace = true;
@@ -353,12 +314,6 @@
     };
   }
 
-  /** Tells whether no run of an earlier leader can be at work out of sight. */
-  private boolean isSettled(long now) {
-    return now > earlierRunsOverAt
-        || listed && workers.values().stream().allMatch(worker -> worker.synced);
-  }
-
   private void placeWaiting(long now, List<DispatchAction> out) {
     Set<Job> waiting = jobs.waiting();
     waiting.removeIf(job -> !job.hasWaitingTask());
@@ -369,7 +324,7 @@
     if (!mayStartAny(least, now)) {
       return;
     }
-    boolean settled = isSettled(now);
+    boolean settled = workers.isSettled(now);
     for (Job job : order.sort(waiting, now)) {
       if (!mayStartAny(least, now)) {
         return;
@@ -382,7 +337,7 @@
   }
 
   private boolean mayStartAny(Resources least, long now) {
-    return runs.mayStart() && Placement.anyRoom(workers.values(), least, now);
+    return runs.mayStart() && Placement.anyRoom(workers.all(), least, now);
   }
 
   private static Resources leastNeed(Set<Job> waiting) {
@@ -400,7 +355,7 @@
       if (!runs.mayStart()) {
         return;
       }
-      Placement.Choice choice = placement.choose(task, workers.values(), now);
+      Placement.Choice choice = placement.choose(task, workers.all(), now);
       if (choice == null) {
         continue;
       }
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/Workers.java
@@ -0,0 +1,169 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.marjoramhoist.dispatch.DispatchAction.Log;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.job.StepSpec;
+import org.marjoramhoist.log.LogEvent;
+
+/**
+ * The workers that a leader knows, and whether runs of earlier leaders may be at work out of its
+ * sight.
+ *
+ * <p>Confined to one thread.
+ */
+final class Workers {
+
+  /** The most ids that a log line names. */
+  private static final int MOST_LOGGED = 8;
+
+  private final long since;
+  private final long earlierRunsOverAt;
+  private final Map<String, Worker> known = new LinkedHashMap<>();
+  private boolean listed;
+  private boolean settledLogged;
+
+  /**
+   * Creates an empty set.
+   *
+   * @param since the start of the term
+   * @param earlierRunsOverAt when no run that an earlier leader ordered can be at work on a worker
+   *     that is out of reach
+   */
+  Workers(long since, long earlierRunsOverAt) {
+    this.since = since;
+    this.earlierRunsOverAt = earlierRunsOverAt;
+  }
+
+  /** Returns a worker; null if it is not known. */
+  Worker find(String id) {
+    return known.get(id);
+  }
+
+  Collection<Worker> all() {
+    return Collections.unmodifiableCollection(known.values());
+  }
+
+  /** Tells whether the list of workers was read in this term. */
+  boolean isListed() {
+    return listed;
+  }
+
+  /**
+   * Takes in the list of workers.
+   *
+   * @return the ids of workers that are not known any more
+   */
+  List<String> listed(List<WorkerInfo> list, List<DispatchAction> out) {
+    listed = true;
+    Set<String> ids = new HashSet<>();
+    List<String> joined = new ArrayList<>();
+    for (WorkerInfo info : list) {
+      ids.add(info.id());
+      Worker worker = known.get(info.id());
+      if (worker == null) {
+        known.put(info.id(), new Worker(info));
+        joined.add(info.id());
+      } else {
+        update(worker, info, out);
+      }
+    }
+    List<String> unlisted = new ArrayList<>();
+    List<String> forgotten = new ArrayList<>();
+    for (Worker worker : List.copyOf(known.values())) {
+      boolean isListed = ids.contains(worker.id());
+      if (worker.listed && !isListed) {
+        unlisted.add(worker.id());
+      }
+      worker.listed = isListed;
+      if (!isListed && worker.runs.isEmpty()) {
+        known.remove(worker.id());
+        forgotten.add(worker.id());
+      }
+    }
+    logChange(joined, unlisted, forgotten, out);
+    return forgotten;
+  }
+
+  private void logChange(
+      List<String> joined,
+      List<String> unlisted,
+      List<String> forgotten,
+      List<DispatchAction> out) {
+    if (joined.isEmpty() && unlisted.isEmpty() && forgotten.isEmpty()) {
+      return;
+    }
+    out.add(
+        new Log(
+            LogEvent.WORKERS_CHANGED,
+            "known="
+                + known.size()
+                + " joined="
+                + describe(joined)
+                + " unlisted="
+                + describe(unlisted)
+                + " forgotten="
+                + describe(forgotten)));
+  }
+
+  private static String describe(List<String> ids) {
+    return ids.size() + " " + ids.subList(0, Math.min(MOST_LOGGED, ids.size()));
+  }
+
+  private static void update(Worker worker, WorkerInfo info, List<DispatchAction> out) {
+    if (info.draining() && !worker.info().draining()) {
+      out.add(new Log(LogEvent.WORKER_LEAVING, "worker=" + info.id()));
+    }
+    if (!info.address().equals(worker.info().address())) {
+      worker.synced = false;
+    }
+    worker.setInfo(info);
+  }
+
+  /** Tells whether some worker could run each step of a job if it were empty. */
+  boolean canEverRun(JobDescription job, RequestClass requestClass) {
+    for (StepSpec step : job.steps()) {
+      if (known.values().stream().noneMatch(w -> Placement.canEverRun(requestClass, step, w))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Tells whether no run of an earlier leader can be at work out of sight. */
+  boolean isSettled(long now) {
+    return now > earlierRunsOverAt || haveAllReported();
+  }
+
+  private boolean haveAllReported() {
+    return listed && known.values().stream().allMatch(worker -> worker.synced);
+  }
+
+  /** Logs, once, that no run of an earlier leader can be at work out of sight. */
+  void logSettled(long now, List<DispatchAction> out) {
+    if (settledLogged || !isSettled(now)) {
+      return;
+    }
+    settledLogged = true;
+    long synced = known.values().stream().filter(worker -> worker.synced).count();
+    out.add(
+        new Log(
+            LogEvent.EARLIER_RUNS_SETTLED,
+            "by="
+                + (haveAllReported() ? "reports" : "time")
+                + " afterMicros="
+                + (now - since)
+                + " known="
+                + known.size()
+                + " reported="
+                + synced));
+  }
+}
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -52,6 +52,8 @@
   LEADER_HANDS_OVER(3105),
   /** Nothing was heard of the leader for the suspicion time. */
   LEADER_SUSPECTED(3104),
+  /** No run that an earlier leader ordered can be at work out of the leader's sight any more. */
+  EARLIER_RUNS_SETTLED(3106),
   /** A submission was accepted. */
   JOB_ACCEPTED(4001),
   /** A submission was refused. */
@@ -96,6 +98,8 @@
   WORKER_HEALTHY(4203),
   /** A worker leaves and gets no new work. */
   WORKER_LEAVING(4204),
+  /** Workers joined the list or left it. */
+  WORKERS_CHANGED(4205),
   /** A configuration revision is in force at this host. */
   CONFIG_APPLIED(5001),
   /** An older configuration revision was refused. */
