--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -170,7 +170,10 @@
   }
 
   private List<WorkerInfo> listedWorkers() {
-    return workers.values().stream().map(LeasedWorker::info).toList();
+    return workers.values().stream()
+        .filter(worker -> !worker.unlisted)
+        .map(LeasedWorker::info)
+        .toList();
   }
 
   /** Starts a new term; an earlier leader hears nothing any more. */
--- a/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
+++ b/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
@@ -74,6 +74,9 @@
   /** Whether it hears nothing and says nothing. */
   boolean cutOff;
 
+  /** Whether its entry in the list of workers has lapsed, though it runs on. */
+  boolean unlisted;
+
   /** Whether it rejects every order to start. */
   boolean unhealthy;
 
--- a/src/test/java/org/marjoramhoist/experiment/DispatchHistoryTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/DispatchHistoryTest.java
@@ -47,6 +47,43 @@
     noTaskRunsTwiceAtTheSameTime(21_804);
   }
 
+  /** A new leader took the list of workers for complete while entries in it had lapsed. */
+  @Example
+  void noTaskRunsTwiceThoughWorkersDropOutOfTheListBeforeAnElection() {
+    DispatchFleet fleet = Fleets.dispatching(1);
+    load(fleet, 0.9, 2).offerUntil(fleet.time().now() + 4 * SECOND);
+    fleet.runFor(SECOND);
+    List<LeasedWorker> some = fleet.workers().subList(0, 8);
+    some.forEach(worker -> worker.unlisted = true);
+    fleet.elect();
+    fleet.runFor(2 * SECOND);
+    some.forEach(worker -> worker.unlisted = false);
+    fleet.runFor(LONGEST_PATIENCE);
+    assertThat(fleet.breaches()).isEmpty();
+    assertThat(fleet.openJobs()).isEmpty();
+  }
+
+  /** As workers' entries lapse and come back at any time. */
+  @Property(tries = 40, shrinking = ShrinkingMode.OFF, seed = "20261204")
+  void noTaskRunsTwiceWhileWorkersDropOutOfTheList(@ForAll long seed) {
+    DispatchFleet fleet = Fleets.dispatching(seed);
+    long end = fleet.time().now() + 8 * SECOND;
+    load(fleet, 0.9, seed).offerUntil(end);
+    SplittableRandom random = new SplittableRandom(seed);
+    while (fleet.time().now() < end) {
+      fleet.runFor(random.nextLong(50_000, 500_000));
+      if (random.nextBoolean()) {
+        Disturbances.lapseEntries(fleet, random);
+      } else {
+        Disturbances.disturb(fleet, random);
+      }
+    }
+    Disturbances.end(fleet);
+    fleet.runFor(LONGEST_PATIENCE);
+    assertWithMessage("seed %s", seed).that(fleet.breaches()).isEmpty();
+    assertWithMessage("seed %s", seed).that(fleet.openJobs()).isEmpty();
+  }
+
   @Property(tries = 60, shrinking = ShrinkingMode.OFF, seed = "20261204")
   void noTaskRunsTwiceAtTheSameTime(@ForAll long seed) {
     DispatchFleet fleet = Fleets.dispatching(seed);
--- a/src/test/java/org/marjoramhoist/experiment/Disturbances.java
+++ b/src/test/java/org/marjoramhoist/experiment/Disturbances.java
@@ -45,12 +45,24 @@
     }
   }
 
+  /** Makes the entries of some workers lapse for a time, as if the store had not heard them. */
+  static void lapseEntries(DispatchFleet fleet, SplittableRandom random) {
+    double share = random.nextDouble(0.5);
+    for (LeasedWorker worker : fleet.workers()) {
+      if (random.nextDouble() < share) {
+        worker.unlisted = true;
+        fleet.time().after(random.nextLong(3 * SECOND), () -> worker.unlisted = false);
+      }
+    }
+  }
+
   /** Ends what would last for ever: lost messages, and parts of the fleet out of reach. */
   static void end(DispatchFleet fleet) {
     fleet.setLateOrders(0);
     fleet.setLostAnswers(0);
     fleet.setStoreDown(false);
     fleet.workers().forEach(worker -> worker.cutOff = false);
+    fleet.workers().forEach(worker -> worker.unlisted = false);
   }
 
   private static WorkerInfo draining(WorkerInfo info) {
--- a/src/test/java/org/marjoramhoist/lead/ElectionTest.java
+++ b/src/test/java/org/marjoramhoist/lead/ElectionTest.java
@@ -55,6 +55,17 @@
     assertThat(tick(30)).containsExactly(new ElectionAction.TakeRecord(0));
   }
 
+  /** The watch told of the new record before the write was answered: two terms with one token. */
+  @Test
+  void leadsOnceThoughTheWatchTellsOfItsRecordBeforeTheWriteIsAnswered() {
+    step(1, new ElectionEvent.RecordSeen(2, null, now));
+    assertThat(tick(300)).containsExactly(new ElectionAction.TakeRecord(0));
+    assertThat(step(4, new ElectionEvent.RecordSeen(12, new LeaderRecord("b", 7), now)))
+        .containsExactly(new ElectionAction.Lead(12, false));
+    assertThat(step(3, new ElectionEvent.RecordTaken(12))).isEmpty();
+    assertThat(election.leadingTerm()).isEqualTo(12);
+  }
+
   @Test
   void staysFollowerWhileTheLeaderIsHeard() {
     follow();
