Begin a term once, whichever tells of its record first

Cause: the watch told of the record that this host had just written, and led; the answer to the write then led again, as it only asked whether a later record had been seen. The first Dispatcher of the term was dropped with its orders on the way, and those carry the same fencing token as the second's, so nothing fenced them; and as the term is the same, hosts hand their jobs on without marking them as resumed. A slow store widens the gap to hundreds of milliseconds. Class of fault: a result that arrives twice is acted on twice.

--- a/src/main/java/org/marjoramhoist/lead/Election.java
+++ b/src/main/java/org/marjoramhoist/lead/Election.java
@@ -288,7 +288,8 @@
   private List<ElectionAction> recordTaken(long now, RecordTaken taken) {
     taking = false;
     recordConfirmedAt = now;
-    if (taken.revision() < seenRevision) {
+    boolean alreadyLeads = taken.revision() == leadingTerm;
+    if (taken.revision() < seenRevision || alreadyLeads) {
       return List.of();
     }
     seenRevision = taken.revision();
