Look for earlier runs on every worker that may have been given work

What callers saw: a task ran twice at the same time (run 1 from 35.336 s, run 33 from 35.483 s) just after the store had been away. Cause: a leader whose lease had ended with the store led anew, and held the runs of its earlier term for settled as soon as all workers in the list had answered. The list was not complete: entries lapse when a worker does not reach the store, while the worker runs on. So the task of a handed-on job was at work on a worker that the new term did not know, and was started again. Class of fault: absence from a view that may lag is taken for proof.

Evidence: 33 = 32 + 1 is the first run number of a job that was handed on once, and both orders came from one host. Ruled out: orders of the old term carried out late (fenced by the token, and run 1 began before the new term).

Now a stored roster names all workers that may have been given work. A worker gets none before it is there, each change depends on the leader's record, and a new leader settles earlier runs only once all in the roster have answered, those out of the list at their stored address, or time has passed. A worker with runs of unknown jobs was also forgotten once it left the list; it is kept now.

--- a/src/main/java/org/marjoramhoist/dispatch/DispatchAction.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchAction.java
@@ -51,6 +51,9 @@
   /** Store changes of durable jobs; {@link DispatchEvent.BatchStored} tells when it is done. */
   record Store(JournalBatch batch) implements DispatchAction {}
 
+  /** Store a change of the roster; {@link DispatchEvent.RosterStored} tells when it is done. */
+  record StoreRoster(RosterChange change) implements DispatchAction {}
+
   /**
    * Answer a call about a durable job.
    *
--- a/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -136,6 +136,21 @@
   /** A batch is stored. */
   record BatchStored(long number) implements DispatchEvent {}
 
+  /**
+   * The roster that earlier leaders stored was read; nobody else can change it any more.
+   *
+   * @param workers all workers that an earlier leader may have given work
+   */
+  record RosterLoaded(List<WorkerInfo> workers) implements DispatchEvent {
+    /** Creates an event with a copy of the list. */
+    public RosterLoaded {
+      workers = List.copyOf(workers);
+    }
+  }
+
+  /** A change of the roster is stored. */
+  record RosterStored(long number) implements DispatchEvent {}
+
   /**
    * Whether new runs may be started has changed. Runs at work are looked after in either case.
    *
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -14,6 +14,8 @@
 import org.marjoramhoist.dispatch.DispatchEvent.JobsLoaded;
 import org.marjoramhoist.dispatch.DispatchEvent.RenewalFailed;
 import org.marjoramhoist.dispatch.DispatchEvent.Renewed;
+import org.marjoramhoist.dispatch.DispatchEvent.RosterLoaded;
+import org.marjoramhoist.dispatch.DispatchEvent.RosterStored;
 import org.marjoramhoist.dispatch.DispatchEvent.StartAnswered;
 import org.marjoramhoist.dispatch.DispatchEvent.StartUnanswered;
 import org.marjoramhoist.dispatch.DispatchEvent.StartsAllowed;
@@ -112,6 +114,12 @@
     } else if (event instanceof StartsAllowed allowed) {
       startsAllowed = allowed.allowed();
       mayPlace = true;
+    } else if (event instanceof RosterLoaded roster) {
+      workers.rosterLoaded(roster.workers(), out);
+      tick(now, out);
+    } else if (event instanceof RosterStored roster) {
+      workers.rosterStored(roster.number(), out);
+      mayPlace = true;
     } else if (event instanceof Tick) {
       tick(now, out);
     } else if (event instanceof FromWorker heard) {
@@ -259,7 +267,7 @@
   }
 
   private void workersListed(List<WorkerInfo> list, long now, List<DispatchAction> out) {
-    workers.listed(list, out).forEach(durations::forget);
+    workers.listed(list, now, out).forEach(durations::forget);
     tick(now, out);
   }
 
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/Roster.java
@@ -0,0 +1,85 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The stored roster: the workers that a leader of the partition may have given work. A later leader
+ * looks for earlier runs on all of them, as the list of workers may lack some that are at work.
+ *
+ * <p>Invariants: a worker that {@link #holds} names is stored, and stays so until this leader drops
+ * it; one change is on its way at a time. Confined to one thread.
+ */
+final class Roster {
+
+  private static final int MOST_ADDED = 30;
+  private static final int MOST_DROPPED = 15;
+
+  private final Set<String> stored = new HashSet<>();
+  private RosterChange onItsWay;
+  private long changes;
+  private boolean loaded;
+
+  /** Takes in what earlier leaders stored. */
+  void loaded(List<WorkerInfo> workers) {
+    loaded = true;
+    workers.forEach(worker -> stored.add(worker.id()));
+  }
+
+  /** Tells whether it is known what earlier leaders stored. */
+  boolean isLoaded() {
+    return loaded;
+  }
+
+  /** Tells whether a worker is stored. */
+  boolean holds(String worker) {
+    return stored.contains(worker);
+  }
+
+  /** Stores the next difference from the known workers, unless a change is on its way. */
+  void flush(Collection<Worker> known, List<DispatchAction> out) {
+    if (!loaded || onItsWay != null) {
+      return;
+    }
+    List<WorkerInfo> added = missing(known);
+    List<String> dropped = added.isEmpty() ? surplus(known) : List.of();
+    if (added.isEmpty() && dropped.isEmpty()) {
+      return;
+    }
+    // From now on it may be gone at any moment.
+    dropped.forEach(stored::remove);
+    onItsWay = new RosterChange(++changes, added, dropped);
+    out.add(new DispatchAction.StoreRoster(onItsWay));
+  }
+
+  private List<WorkerInfo> missing(Collection<Worker> known) {
+    List<WorkerInfo> missing = new ArrayList<>();
+    for (Worker worker : known) {
+      if (!stored.contains(worker.id()) && missing.size() < MOST_ADDED) {
+        missing.add(worker.info());
+      }
+    }
+    return missing;
+  }
+
+  private List<String> surplus(Collection<Worker> known) {
+    if (stored.size() <= known.size()) {
+      return List.of();
+    }
+    Set<String> surplus = new HashSet<>(stored);
+    known.forEach(worker -> surplus.remove(worker.id()));
+    return surplus.stream().sorted().limit(MOST_DROPPED).toList();
+  }
+
+  /** Takes in that a change is stored. */
+  void changeStored(long number) {
+    if (onItsWay == null || onItsWay.number() != number) {
+      return;
+    }
+    onItsWay.added().forEach(worker -> stored.add(worker.id()));
+    onItsWay = null;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/RosterChange.java
@@ -0,0 +1,21 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.List;
+
+/**
+ * A change of the stored roster: workers that are added or replaced, or workers that are dropped.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param number counts the changes of a term, from 1
+ * @param added workers to store
+ * @param dropped ids of workers to remove
+ */
+public record RosterChange(long number, List<WorkerInfo> added, List<String> dropped) {
+
+  /** Creates a change with copies of the lists. */
+  public RosterChange {
+    added = List.copyOf(added);
+    dropped = List.copyOf(dropped);
+  }
+}
--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -48,6 +48,9 @@
   /** Whether it stands in the list of workers. */
   boolean listed = true;
 
+  /** Whether the stored roster names it, so that a later leader looks for runs on it. */
+  boolean inRoster;
+
   /** Whether it has answered this leader. */
   boolean synced;
 
@@ -156,9 +159,15 @@
     return heldEnds.isEmpty() ? seenEnds : heldEnds.first() - 1;
   }
 
+  /** Tells whether runs of this leader, or runs that it renews, may be at work on it. */
+  boolean mayHoldRuns(long now) {
+    boolean renewed = !foreignRuns.isEmpty() && !clock.surelyPast(leaseUntilMillis, now);
+    return !runs.isEmpty() || renewed;
+  }
+
   /** Tells whether it may be given work. */
   boolean isUsable(long now) {
-    boolean known = listed && synced && clock.isKnown() && isReachable();
+    boolean known = listed && inRoster && synced && clock.isKnown() && isReachable();
     if (!known || info.draining() || !foreignRuns.isEmpty() || now < pausedUntil) {
       return false;
     }
--- a/src/main/java/org/marjoramhoist/dispatch/Workers.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Workers.java
@@ -18,7 +18,10 @@
  * The workers that a leader knows, and whether runs of earlier leaders may be at work out of its
  * sight.
  *
- * <p>Confined to one thread.
+ * <p>The list of workers is never taken for complete, as an entry lapses when its worker does not
+ * reach the store. So the roster names all workers that may have been given work. Invariant: a
+ * worker gets no work before it is in the stored roster, and stays there while runs may be at work
+ * on it. Confined to one thread.
  */
 final class Workers {
 
@@ -28,6 +31,7 @@
   private final long since;
   private final long earlierRunsOverAt;
   private final Map<String, Worker> known = new LinkedHashMap<>();
+  private final Roster roster = new Roster();
   private boolean listed;
   private boolean settledLogged;
 
@@ -62,7 +66,7 @@
    *
    * @return the ids of workers that are not known any more
    */
-  List<String> listed(List<WorkerInfo> list, List<DispatchAction> out) {
+  List<String> listed(List<WorkerInfo> list, long now, List<DispatchAction> out) {
     listed = true;
     Set<String> ids = new HashSet<>();
     List<String> joined = new ArrayList<>();
@@ -70,7 +74,7 @@
       ids.add(info.id());
       Worker worker = known.get(info.id());
       if (worker == null) {
-        known.put(info.id(), new Worker(info));
+        add(info);
         joined.add(info.id());
       } else {
         update(worker, info, out);
@@ -84,15 +88,48 @@
         unlisted.add(worker.id());
       }
       worker.listed = isListed;
-      if (!isListed && worker.runs.isEmpty()) {
+      if (!isListed && !mayHoldRuns(worker, now)) {
         known.remove(worker.id());
         forgotten.add(worker.id());
       }
     }
     logChange(joined, unlisted, forgotten, out);
+    roster.flush(known.values(), out);
     return forgotten;
   }
 
+  private Worker add(WorkerInfo info) {
+    Worker worker = new Worker(info);
+    worker.inRoster = roster.holds(info.id());
+    known.put(info.id(), worker);
+    return worker;
+  }
+
+  private boolean mayHoldRuns(Worker worker, long now) {
+    return now <= earlierRunsOverAt || worker.mayHoldRuns(now);
+  }
+
+  /** Takes in the roster that earlier leaders stored. */
+  void rosterLoaded(List<WorkerInfo> stored, List<DispatchAction> out) {
+    roster.loaded(stored);
+    for (WorkerInfo info : stored) {
+      Worker worker = known.get(info.id());
+      if (worker == null) {
+        add(info).listed = false;
+      } else {
+        worker.inRoster = true;
+      }
+    }
+    roster.flush(known.values(), out);
+  }
+
+  /** Takes in that a change of the roster is stored. */
+  void rosterStored(long number, List<DispatchAction> out) {
+    roster.changeStored(number);
+    known.values().forEach(worker -> worker.inRoster = roster.holds(worker.id()));
+    roster.flush(known.values(), out);
+  }
+
   private void logChange(
       List<String> joined,
       List<String> unlisted,
@@ -144,7 +181,7 @@
   }
 
   private boolean haveAllReported() {
-    return listed && known.values().stream().allMatch(worker -> worker.synced);
+    return listed && roster.isLoaded() && known.values().stream().allMatch(worker -> worker.synced);
   }
 
   /** Logs, once, that no run of an earlier leader can be at work out of sight. */
--- a/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
@@ -73,6 +73,7 @@
   private final Delivery delivery;
   private final Consumer<String> onStale;
   private final JobStore jobStore;
+  private final RosterStore rosterStore;
   private final Dispatcher dispatcher;
   private final long epochMillis;
   private final Deque<DispatchEvent> events = new ArrayDeque<>();
@@ -104,11 +105,13 @@
     this.onStale = onStale;
     this.epochMillis = System.currentTimeMillis() - TimeUnit.MICROSECONDS.toMillis(Loop.now());
     this.jobStore = new JobStore(term, store, health, loop, this::take, onStale);
+    this.rosterStore = new RosterStore(term, store, health, loop, this::take, onStale);
     this.dispatcher = new Dispatcher(policy, Loop.now(), earlierRunsOverAt, epochMillis);
   }
 
   void start() {
     loop.after(LOAD_DELAY_MILLIS, this::loadJobs);
+    rosterStore.start();
     listWorkers();
     tick();
   }
@@ -236,6 +239,8 @@
       finish.entries().forEach(host -> delivery.deliver(host, end));
     } else if (action instanceof DispatchAction.Store changes) {
       jobStore.write(changes.batch());
+    } else if (action instanceof DispatchAction.StoreRoster roster) {
+      rosterStore.write(roster.change());
     } else if (action instanceof DispatchAction.Reply reply) {
       delivery.deliver(
           reply.entry(),
@@ -320,5 +325,6 @@
   public void close() {
     closed = true;
     jobStore.close();
+    rosterStore.close();
   }
 }
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -14,6 +14,7 @@
 import org.marjoramhoist.dispatch.DispatchPolicy;
 import org.marjoramhoist.dispatch.Dispatcher;
 import org.marjoramhoist.dispatch.JournalBatch;
+import org.marjoramhoist.dispatch.RosterChange;
 import org.marjoramhoist.dispatch.StartReply;
 import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.dispatch.WorkerReport;
@@ -83,6 +84,25 @@
       final int ordinal = jobStore.claim(token);
       this.dispatcher = new Dispatcher(POLICY, time.now(), time.now() + EARLIER_RUNS, 0);
       time.after(STORE_ANSWER, () -> load(ordinal));
+      time.after(STORE_ANSWER, this::loadRoster);
+    }
+
+    private void loadRoster() {
+      if (jobStore.down) {
+        time.after(STORE_RETRY, this::loadRoster);
+      } else {
+        take(new DispatchEvent.RosterLoaded(jobStore.loadRoster()));
+      }
+    }
+
+    private void storeRoster(RosterChange change) {
+      if (jobStore.down) {
+        time.after(STORE_RETRY, () -> storeRoster(change));
+      } else if (jobStore.writeRoster(token, change)) {
+        take(new DispatchEvent.RosterStored(change.number()));
+      } else {
+        over = true;
+      }
     }
 
     private void load(int ordinal) {
@@ -289,6 +309,8 @@
       finished(finish);
     } else if (action instanceof DispatchAction.Store changes) {
       time.after(STORE_ANSWER, () -> from.store(changes.batch()));
+    } else if (action instanceof DispatchAction.StoreRoster roster) {
+      time.after(STORE_ANSWER, () -> from.storeRoster(roster.change()));
     } else if (action instanceof DispatchAction.Reply reply && from == term) {
       callers.replied(reply, breaches);
     } else if (action instanceof DispatchAction.StepDown) {
--- a/src/main/java/org/marjoramhoist/experiment/VirtualJobStore.java
+++ b/src/main/java/org/marjoramhoist/experiment/VirtualJobStore.java
@@ -9,12 +9,15 @@
 import org.marjoramhoist.dispatch.DispatchEvent.LoadedJob;
 import org.marjoramhoist.dispatch.JobProgress;
 import org.marjoramhoist.dispatch.JournalBatch;
+import org.marjoramhoist.dispatch.RosterChange;
 import org.marjoramhoist.dispatch.StoredJob;
+import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobStatus;
 
 /**
- * Stored durable jobs in virtual time. Only the latest term that has claimed the store may write.
+ * Stored durable jobs and the stored roster in virtual time. Only the latest term that has claimed
+ * the store may write.
  *
  * <p>Confined to one thread.
  */
@@ -22,6 +25,7 @@
 
   private final Map<JobId, StoredJob> records = new LinkedHashMap<>();
   private final Map<JobId, JobProgress> progress = new LinkedHashMap<>();
+  private final Map<String, WorkerInfo> roster = new LinkedHashMap<>();
   private long writer;
   private int ordinal;
 
@@ -70,6 +74,21 @@
     return true;
   }
 
+  /** Returns the workers that a leader may have given work. */
+  List<WorkerInfo> loadRoster() {
+    return List.copyOf(roster.values());
+  }
+
+  /** Stores a change of the roster; tells whether the term may write. */
+  boolean writeRoster(long term, RosterChange change) {
+    if (term != writer) {
+      return false;
+    }
+    change.added().forEach(worker -> roster.put(worker.id(), worker));
+    change.dropped().forEach(roster::remove);
+    return true;
+  }
+
   boolean holds(JobId id) {
     return records.containsKey(id);
   }
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -72,6 +72,8 @@
   STORED_JOB_INVALID(4008),
   /** The store refused a batch of changes of jobs, as its conditions did not hold. */
   JOB_BATCH_REFUSED(4009),
+  /** A worker in the stored roster can't be read. */
+  STORED_WORKER_INVALID(4010),
   /** A run was ordered. */
   RUN_ORDERED(4011),
   /** A worker rejected the order to start a run. */
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherFixture.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherFixture.java
@@ -20,11 +20,29 @@
 
   final List<DispatchAction> actions = new ArrayList<>();
   long now = 10_000 * MILLI;
-  Dispatcher dispatcher = new Dispatcher(POLICY, now, now, 0);
+  Dispatcher dispatcher;
 
+  DispatcherFixture() {
+    beginTerm(now);
+  }
+
+  /** Begins a term after leaders that gave no worker anything. */
+  final void beginTerm(long earlierRunsOverAt) {
+    beginTerm(earlierRunsOverAt, List.of());
+  }
+
+  final void beginTerm(long earlierRunsOverAt, List<WorkerInfo> roster) {
+    dispatcher = new Dispatcher(POLICY, now, earlierRunsOverAt, 0);
+    step(0, new DispatchEvent.RosterLoaded(roster));
+  }
+
+  /** Takes a step; changes of the roster are stored at once. */
   final void step(long millis, DispatchEvent event) {
     now += millis * MILLI;
     actions.addAll(dispatcher.step(now, event));
+    for (DispatchAction.StoreRoster store : taken(DispatchAction.StoreRoster.class)) {
+      step(0, new DispatchEvent.RosterStored(store.change().number()));
+    }
   }
 
   /** Removes and returns the actions of one type. */
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
@@ -170,7 +170,7 @@
 
   @Test
   void handedOnJobWaitsForWorkersOutOfReach() {
-    dispatcher = new Dispatcher(POLICY, now, now + 1_700 * MILLI, 0);
+    beginTerm(now + 1_700 * MILLI);
     listWorkers(worker("w", 64_000, false), worker("dark", 64_000, false));
     report("w", List.of());
     submit(1, 1);
@@ -183,7 +183,7 @@
 
   @Test
   void takesOverRunsThatAnEarlierLeaderOrdered() {
-    dispatcher = new Dispatcher(POLICY, now, now + 1_700 * MILLI, 0);
+    beginTerm(now + 1_700 * MILLI);
     listWorkers(worker("w", 64_000, false));
     JobId id = new JobId(String.format(Locale.ROOT, "%016x", jobs + 1));
     RunRef run = new RunRef(new TaskRef(id, 0, 0), 3);
--- a/src/test/java/org/marjoramhoist/dispatch/DurableDispatchTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DurableDispatchTest.java
@@ -168,7 +168,7 @@
 
   @Test
   void callsWaitUntilStoredJobsAreKnownAndJobsGoOn() {
-    dispatcher = new Dispatcher(POLICY, now, now, 0);
+    beginTerm(now);
     listWorker();
     TaskRef task = new TaskRef(ID, 0, 0);
     report(new WorkerReport.Ended(1, new RunRef(task, 65), RunEnd.DONE));
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/dispatch/RosterTest.java
@@ -0,0 +1,141 @@
+package org.marjoramhoist.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
+import org.marjoramhoist.dispatch.WorkerReport.Running;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.JobOutcome;
+import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.TaskRef;
+
+/** Workers that are missing from the list and may be at work all the same. */
+class RosterTest extends DispatcherFixture {
+
+  private static final JobId ID = new JobId("00000000000000aa");
+  private static final RunRef EARLIER = new RunRef(new TaskRef(ID, 0, 0), 1);
+  private static final WorkerInfo LISTED = worker("listed", 64_000, false);
+  private static final WorkerInfo LAPSED = worker("lapsed", 64_000, false);
+
+  private void submit(int generation) {
+    JobDescription job = new JobDescription(ID, "p", List.of(tasks(1, List.of())), Set.of());
+    step(1, new DispatchEvent.JobSubmitted(job, CLASS, "e", now, now + 5_000 * MILLI, generation));
+  }
+
+  private void tick(long millis) {
+    for (long passed = 0; passed < millis; passed += 20) {
+      step(20, new DispatchEvent.Tick());
+    }
+  }
+
+  private List<String> orderedWorkers() {
+    return taken(DispatchAction.Start.class).stream().map(start -> start.worker().id()).toList();
+  }
+
+  private List<RosterChange> changes(DispatchEvent event) {
+    return dispatcher.step(now, event).stream()
+        .filter(DispatchAction.StoreRoster.class::isInstance)
+        .map(action -> ((DispatchAction.StoreRoster) action).change())
+        .toList();
+  }
+
+  @Test
+  void handedOnJobWaitsForLapsedWorkerThatDoesNotAnswer() {
+    beginTerm(now + 1_700 * MILLI, List.of(LISTED, LAPSED));
+    listWorkers(LISTED);
+    report("listed", List.of());
+    submit(1);
+    tick(1_600);
+    assertThat(orderedWorkers()).isEmpty();
+    tick(200);
+    assertThat(orderedWorkers()).containsExactly("listed");
+  }
+
+  @Test
+  void lapsedWorkerIsAskedAndItsRunTakenOver() {
+    beginTerm(now + 1_700 * MILLI, List.of(LISTED, LAPSED));
+    listWorkers(LISTED);
+    report("listed", List.of());
+    assertThat(taken(DispatchAction.Renew.class).stream().map(renew -> renew.worker().id()))
+        .contains("lapsed");
+    report("lapsed", List.of(new Running(EARLIER, 40)));
+    listWorkers(LISTED);
+    submit(1);
+    assertThat(orderedWorkers()).isEmpty();
+    report("lapsed", List.of(), new WorkerReport.Ended(1, EARLIER, RunEnd.DONE));
+    assertThat(taken(DispatchAction.Finish.class).get(0).outcome()).isEqualTo(JobOutcome.SUCCEEDED);
+  }
+
+  @Test
+  void nothingIsSettledBeforeTheRosterIsRead() {
+    dispatcher = new Dispatcher(POLICY, now, now + 1_700 * MILLI, 0);
+    listWorkers(LISTED);
+    report("listed", List.of());
+    submit(1);
+    tick(100);
+    assertThat(orderedWorkers()).isEmpty();
+    step(1, new DispatchEvent.RosterLoaded(List.of(LISTED)));
+    assertThat(orderedWorkers()).containsExactly("listed");
+  }
+
+  @Test
+  void workerGetsNoWorkBeforeItIsStored() {
+    beginTerm(now);
+    now += MILLI;
+    List<RosterChange> changes = changes(new DispatchEvent.WorkersListed(List.of(LISTED)));
+    assertThat(changes.get(0).added()).containsExactly(LISTED);
+    report("listed", List.of());
+    submit(0);
+    tick(100);
+    assertThat(orderedWorkers()).isEmpty();
+    step(1, new DispatchEvent.RosterStored(changes.get(0).number()));
+    assertThat(orderedWorkers()).containsExactly("listed");
+  }
+
+  @Test
+  void workerThatIsGoneIsDroppedAndStoredAgainWhenItIsBack() {
+    beginTerm(now);
+    listWorkers(LISTED, LAPSED);
+    report("listed", List.of());
+    report("lapsed", List.of());
+    now += MILLI;
+    List<RosterChange> gone = changes(new DispatchEvent.WorkersListed(List.of(LISTED)));
+    assertThat(gone.get(0).dropped()).containsExactly("lapsed");
+    assertThat(changes(new DispatchEvent.WorkersListed(List.of(LISTED, LAPSED)))).isEmpty();
+    List<RosterChange> back = changes(new DispatchEvent.RosterStored(gone.get(0).number()));
+    assertThat(back.get(0).added()).containsExactly(LAPSED);
+  }
+
+  @Test
+  void lapsedWorkerWithRunOfUnknownJobIsNotForgotten() {
+    beginTerm(now, List.of(LISTED, LAPSED));
+    listWorkers(LISTED);
+    report("listed", List.of());
+    report("lapsed", List.of(new Running(EARLIER, 40)));
+    step(100, new DispatchEvent.WorkersListed(List.of(LISTED)));
+    submit(1);
+    assertThat(orderedWorkers()).isEmpty();
+    report("lapsed", List.of(), new WorkerReport.Ended(1, EARLIER, RunEnd.DONE));
+    assertThat(taken(DispatchAction.Finish.class).get(0).outcome()).isEqualTo(JobOutcome.SUCCEEDED);
+  }
+
+  @Test
+  void manyWorkersAreStoredInSeveralChanges() {
+    beginTerm(now);
+    WorkerInfo[] many = new WorkerInfo[100];
+    for (int i = 0; i < many.length; i++) {
+      many[i] = worker("w" + i, 1_000, false);
+    }
+    listWorkers(many);
+    for (WorkerInfo each : many) {
+      report(each.id(), List.of());
+    }
+    submit(0);
+    assertThat(orderedWorkers()).hasSize(1);
+    assertThat(changes(new DispatchEvent.WorkersListed(List.of(many)))).isEmpty();
+  }
+}
