Keep one lease for the registration and the leader's record

Cause: after its lease had ended, the host registered under a new one, then the watch told of the end of the first registration and it registered again, under a third; the record lay under the second, which nobody renewed. Each such election makes all workers report and all jobs be handed on for nothing. Class of fault: late news is taken for the present.

Now news older than the registration changes nothing, and one that is really gone is made again under the same lease. Ruled out: an outage of the store at that second (it answered all calls).

--- a/src/main/java/org/marjoramhoist/entry/StoreLink.java
+++ b/src/main/java/org/marjoramhoist/entry/StoreLink.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.marjoramhoist.json.JsonText;
 import org.marjoramhoist.lead.ElectionEvent;
@@ -17,6 +18,7 @@
 import org.marjoramhoist.platform.KeyValueClient.Condition;
 import org.marjoramhoist.platform.KeyValueClient.Item;
 import org.marjoramhoist.platform.KeyValueClient.Put;
+import org.marjoramhoist.platform.KeyValueClient.TxnReply;
 
 /**
  * What a host keeps in the store: its registration, and the leader's record when it leads. Both lie
@@ -45,6 +47,7 @@
   private final Consumer<ElectionEvent> election;
   private final Map<String, String> addresses = new LinkedHashMap<>();
   private long lease;
+  private long registeredRevision;
   private boolean leaving;
 
   StoreLink(
@@ -82,17 +85,20 @@
         .thenCompose(
             granted -> {
               lease = granted;
-              String value =
-                  JsonText.of(Map.of("address", peerAddress, "incarnation", incarnation));
-              Put put = new Put(HOSTS + host, value, granted);
-              return store.txn(List.of(), List.of(put), List.of());
+              return putRegistration(granted);
             })
-        .whenComplete((reply, error) -> loop.execute(() -> registered(error)));
+        .whenComplete((reply, error) -> loop.execute(() -> registered(reply, error)));
   }
 
-  private void registered(Throwable error) {
+  private CompletableFuture<TxnReply> putRegistration(long under) {
+    String value = JsonText.of(Map.of("address", peerAddress, "incarnation", incarnation));
+    return store.txn(List.of(), List.of(new Put(HOSTS + host, value, under)), List.of());
+  }
+
+  private void registered(TxnReply reply, Throwable error) {
     if (error == null) {
       health.reached();
+      registeredRevision = reply.revision();
     } else if (!leaving) {
       lease = 0;
       health.failed(error);
@@ -100,6 +106,33 @@
     }
   }
 
+  /**
+   * Makes a registration anew that is gone though its lease may not have ended: under the same
+   * lease, as the leader's record lies under it too.
+   */
+  private void registerAgain() {
+    long under = lease;
+    putRegistration(under)
+        .whenComplete((reply, error) -> loop.execute(() -> registeredAgain(under, reply, error)));
+  }
+
+  private void registeredAgain(long under, TxnReply reply, Throwable error) {
+    if (error == null) {
+      health.reached();
+      registeredRevision = Math.max(registeredRevision, reply.revision());
+    } else if (under == lease && !leaving) {
+      // If the lease has ended, its next renewal tells.
+      health.failed(error);
+      loop.afterAbout(RETRY_MILLIS, () -> registerAgainUnder(under));
+    }
+  }
+
+  private void registerAgainUnder(long former) {
+    if (former == lease && !leaving) {
+      registerAgain();
+    }
+  }
+
   private void keep() {
     if (lease == 0 || leaving) {
       return;
@@ -213,7 +246,7 @@
       election.accept(new ElectionEvent.RecordSeen(item.revision(), record, 0));
     } else if (item.key().startsWith(HOSTS)) {
       if (change.isDeletion()) {
-        hostGone(item.key().substring(HOSTS.length()));
+        hostGone(item.key().substring(HOSTS.length()), item.revision());
       } else {
         noteHost(item);
       }
@@ -221,10 +254,12 @@
     }
   }
 
-  private void hostGone(String name) {
+  private void hostGone(String name, long revision) {
     addresses.remove(name);
-    if (name.equals(host) && lease != 0 && !leaving) {
-      register();
+    // The watch may tell late of the end of an earlier registration.
+    boolean isCurrent = revision > registeredRevision;
+    if (name.equals(host) && isCurrent && lease != 0 && !leaving) {
+      registerAgain();
     }
   }
 
--- a/src/main/java/org/marjoramhoist/platform/standin/PlatformStoreStandIn.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/PlatformStoreStandIn.java
@@ -87,6 +87,17 @@
     answerWatchers();
   }
 
+  /** Deletes a key, whoever wrote it. */
+  public synchronized void delete(String key) {
+    model.apply(List.of(), List.of(key));
+    answerWatchers();
+  }
+
+  /** Returns how many leases were ever granted. */
+  public synchronized long leasesGranted() {
+    return model.leasesGranted();
+  }
+
   private synchronized void pass() {
     model.expire(System.currentTimeMillis());
     answerWatchers();
--- a/src/main/java/org/marjoramhoist/platform/standin/StoreModel.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/StoreModel.java
@@ -99,6 +99,10 @@
     return leaseCount;
   }
 
+  long leasesGranted() {
+    return leaseCount;
+  }
+
   boolean keep(long lease, long now) {
     Lease held = leases.get(lease);
     if (held == null) {
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/entry/StoreLinkTest.java
@@ -0,0 +1,78 @@
+package org.marjoramhoist.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.http.HttpCaller;
+import org.marjoramhoist.platform.KeyValueClient;
+import org.marjoramhoist.platform.KeyValueClient.Change;
+import org.marjoramhoist.platform.KeyValueClient.Item;
+import org.marjoramhoist.platform.standin.PlatformStoreStandIn;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** A second lease for the registration left the leader's record to expire with the first. */
+class StoreLinkTest {
+
+  private static final String HOST = "marjoramhoist/hosts/a";
+  private static final long PATIENCE_MILLIS = 5_000;
+  private static final long QUIET_MILLIS = 300;
+
+  private PlatformStoreStandIn store;
+  private XnioWorker worker;
+  private Loop loop;
+  private StoreLink link;
+
+  @BeforeEach
+  void register() throws Exception {
+    store = new PlatformStoreStandIn("127.0.0.1:0");
+    worker =
+        Xnio.getInstance()
+            .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
+    loop = new Loop(worker.getIoThread());
+    KeyValueClient client = new KeyValueClient(store.address(), new HttpCaller(worker), 500);
+    link = new StoreLink(client, loop, new StoreHealth(), "a", 7, "127.0.0.1:1", event -> {});
+    loop.execute(link::start);
+    await(this::isRegistered);
+  }
+
+  @AfterEach
+  void close() {
+    loop.close();
+    worker.shutdownNow();
+    store.close();
+  }
+
+  private boolean isRegistered() {
+    return store.keys(HOST).contains(HOST);
+  }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+    while (!condition.getAsBoolean()) {
+      assertThat(System.nanoTime()).isLessThan(deadline);
+      Thread.sleep(10);
+    }
+  }
+
+  @Test
+  void registrationThatWasTakenAwayIsMadeAgainUnderTheSameLease() throws InterruptedException {
+    store.delete(HOST);
+    await(this::isRegistered);
+    assertThat(store.leasesGranted()).isEqualTo(1);
+  }
+
+  @Test
+  void lateNewsOfEarlierRegistrationChangesNothing() throws InterruptedException {
+    loop.execute(() -> link.changed(new Change(new Item(HOST, null, 1))));
+    Thread.sleep(QUIET_MILLIS);
+    assertThat(store.leasesGranted()).isEqualTo(1);
+    assertThat(isRegistered()).isTrue();
+  }
+}
