Let hosts that can carry more lead

Cause: who leads went by the order of names, and a hand-over to whichever host had answered, whatever its machine: on the grown sites hosts differ from 0.27 core and 13 Mbit/s to 1.5 cores and 140 Mbit/s, and half of them are of the smallest kind.

Change: the settings tell what the machine can do; a host registers it as the runs that it could start a second (the less of processor and link). The election's order and the choice of a successor go by it, and a leader hands over to a host that carries half as much again and has followed for 2 s. A leader's own figure doesn't come from the store, or it would hand over whenever its registration is lost.

Tests: three in ElectionTest and LargestHostLeadsTest fail when the order goes by names alone and nobody hands over to a larger host. The link's share of a start is an estimate, not measured.

--- a/src/main/java/org/marjoramhoist/config/NodeSettings.java
+++ b/src/main/java/org/marjoramhoist/config/NodeSettings.java
@@ -20,6 +20,7 @@
  * @param farFactor how many times as long a task runs away from its data
  * @param keepMillis how long callers may ask for a durable job that has ended
  * @param drainMillis how long a graceful shutdown may take
+ * @param limits what the host's machine can do
  * @param logLevel the least level of log events
  */
 public record NodeSettings(
@@ -31,6 +32,7 @@
     double farFactor,
     long keepMillis,
     long drainMillis,
+    Limits limits,
     String logLevel) {
 
   private static final long MINUTE_MILLIS = 60_000;
@@ -38,6 +40,8 @@
   private static final double MAX_FACTOR = 100;
   private static final double MAX_DRAIN_SECONDS = 600;
   private static final double MAX_KEEP_SECONDS = 7 * 24 * 3_600;
+  private static final double MAX_CORES = 1_024;
+  private static final double MAX_LINK_MBPS = 1_000_000;
 
   /**
    * Addresses, {@code host:port}, of the listeners.
@@ -49,6 +53,14 @@
    */
   public record Listen(String callers, String ready, String peers, String metrics) {}
 
+  /**
+   * What a host's machine can do.
+   *
+   * @param cores the processor time that it has a second, in seconds
+   * @param linkMbps the bandwidth of its link, in Mbit/s
+   */
+  public record Limits(double cores, double linkMbps) {}
+
   /**
    * Reads a settings file.
    *
@@ -76,6 +88,7 @@
   }
 
   private static NodeSettings read(StrictObject root) {
+    Limits limits = readLimits(root);
     try (StrictObject listen = root.object("listen")) {
       Listen addresses =
           new Listen(
@@ -94,7 +107,17 @@
           root.decimal("farFactor", 1, MAX_FACTOR, 1),
           (long) (keepSeconds * SECOND_MILLIS),
           (long) (drainSeconds * SECOND_MILLIS),
+          limits,
           root.text("logLevel", "info"));
     }
   }
+
+  private static Limits readLimits(StrictObject root) {
+    try (StrictObject limits = root.object("limits")) {
+      double cores =
+          limits.decimal("processorShare", 0, MAX_CORES, 1)
+              * limits.decimal("processorSpeed", 0, MAX_CORES, 1);
+      return new Limits(cores, limits.decimal("linkMbps", 0, MAX_LINK_MBPS, 1_000));
+    }
+  }
 }
--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -15,6 +15,7 @@
 import org.marjoramhoist.lead.Election;
 import org.marjoramhoist.lead.ElectionEvent;
 import org.marjoramhoist.lead.ElectionPolicy;
+import org.marjoramhoist.lead.HostCapacity;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.peer.FrameNetwork;
@@ -95,6 +96,7 @@
             settings.host(),
             incarnation,
             settings.listen().peers(),
+            HostCapacity.of(settings.limits().cores(), settings.limits().linkMbps()),
             event -> made[0].take(event));
     DispatchPolicy policy =
         new DispatchPolicy(
--- a/src/main/java/org/marjoramhoist/entry/Partition.java
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -2,11 +2,13 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.marjoramhoist.lead.Election;
 import org.marjoramhoist.lead.ElectionAction;
 import org.marjoramhoist.lead.ElectionEvent;
+import org.marjoramhoist.lead.Succession;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.message.HostMessage;
@@ -52,7 +54,7 @@
   private boolean retiring;
   private Map<String, Integer> waiting = Map.of();
   private final SuspensionDetector suspension = new SuspensionDetector();
-  private final Map<String, Long> servedAt = new LinkedHashMap<>();
+  private final Succession succession;
 
   /** The way to another host that leads. */
   private record LinkPort(long term, FrameLink link) implements LeaderPort {
@@ -95,6 +97,7 @@
       JobCalls calls,
       Function<ElectionAction.Lead, LeaderDuty> duties) {
     this.self = self;
+    this.succession = new Succession(store.capacity());
     this.loop = loop;
     this.election = election;
     this.store = store;
@@ -138,6 +141,9 @@
 
   /** Takes in an event of the election and carries out what follows. */
   void take(ElectionEvent event) {
+    if (event instanceof ElectionEvent.HostsSeen seen) {
+      succession.hostsSeen(seen.hosts());
+    }
     for (ElectionAction action : election.step(Loop.now(), event)) {
       run(action);
     }
@@ -184,6 +190,7 @@
         LogEvent.LEADER_ELECTED, "term={} earlierLeaderGone={}", term, lead.earlierGone());
     dropLeader();
     duty = duties.apply(lead);
+    succession.begin(Loop.now());
     followers =
         new FollowerLinks(
             self, network, store::addresses, this::fromFollower, host -> entryLost(host));
@@ -239,30 +246,29 @@
     handOverIfDue();
   }
 
-  /** A leader that stops, or that the store turns away, hands over to a host that is served. */
+  /**
+   * A leader that stops, or that the store turns away, hands over to a host that is served; one
+   * that could carry much less than a host that follows it hands over to that.
+   */
   private void handOverIfDue() {
+    long now = Loop.now();
     if (retiring) {
-      handOver("the host stops");
+      handOver(succession.successor(now), "the host stops");
     } else if (health.silenceMicros() > UNSERVED_MICROS) {
-      handOver("the store turns this host away");
+      handOver(succession.successor(now), "the store turns this host away");
+    } else {
+      handOver(succession.larger(now), "it carries more");
     }
   }
 
   /** Asks another host to lead; this one goes on until it hears of the later term. */
-  private void handOver(String reason) {
-    long now = Loop.now();
-    for (Map.Entry<String, Long> each : servedAt.entrySet()) {
-      if (now - each.getValue() < 4 * Loop.micros(HEARTBEAT_MILLIS)) {
-        EventLog.info(
-            LogEvent.LEADER_HANDS_OVER,
-            "term={} to={} reason={}",
-            duty.term(),
-            each.getKey(),
-            reason);
-        followers.send(each.getKey(), new HandOver(duty.term()));
-        return;
-      }
+  private void handOver(Optional<String> successor, String reason) {
+    if (successor.isEmpty()) {
+      return;
     }
+    String host = successor.get();
+    EventLog.info(LogEvent.LEADER_HANDS_OVER, "term={} to={} reason={}", duty.term(), host, reason);
+    followers.send(host, new HandOver(duty.term()));
   }
 
   /**
@@ -272,7 +278,7 @@
     retiring = true;
     take(new ElectionEvent.Retired());
     if (duty != null) {
-      handOver("the host stops");
+      handOver(succession.successor(Loop.now()), "the host stops");
     }
   }
 
@@ -285,10 +291,7 @@
         take(new ElectionEvent.MustStepDown("host " + host + " knows a later term"));
         return;
       }
-      servedAt.remove(host);
-      if (reply.mayLead()) {
-        servedAt.put(host, Loop.now());
-      }
+      succession.follows(host, reply.mayLead(), Loop.now());
       take(new ElectionEvent.HeartbeatConfirmed(host, reply.heartbeatSentAt()));
       askForConfig(reply.configVersion(), answer -> followers.send(host, answer));
     } else if (message instanceof ConfigCopy copy) {
--- a/src/main/java/org/marjoramhoist/entry/StoreLink.java
+++ b/src/main/java/org/marjoramhoist/entry/StoreLink.java
@@ -5,11 +5,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.marjoramhoist.json.JsonText;
 import org.marjoramhoist.lead.ElectionEvent;
+import org.marjoramhoist.lead.HostCapacity;
 import org.marjoramhoist.lead.LeaderRecord;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
@@ -44,8 +44,10 @@
   private final String host;
   private final long incarnation;
   private final String peerAddress;
+  private final HostCapacity capacity;
   private final Consumer<ElectionEvent> election;
   private final Map<String, String> addresses = new LinkedHashMap<>();
+  private final Map<String, HostCapacity> capacities = new LinkedHashMap<>();
   private long lease;
   private long registeredRevision;
   private boolean leaving;
@@ -57,6 +59,7 @@
       String host,
       long incarnation,
       String peerAddress,
+      HostCapacity capacity,
       Consumer<ElectionEvent> election) {
     this.store = store;
     this.loop = loop;
@@ -64,6 +67,7 @@
     this.host = host;
     this.incarnation = incarnation;
     this.peerAddress = peerAddress;
+    this.capacity = capacity;
     this.election = election;
   }
 
@@ -74,6 +78,11 @@
     new PrefixWatch(store, ROOT, loop, health, this).start();
   }
 
+  /** Returns what this host could carry as leader. */
+  HostCapacity capacity() {
+    return capacity;
+  }
+
   /** Returns the peer addresses of the registered hosts, by their names. */
   Map<String, String> addresses() {
     return addresses;
@@ -91,8 +100,19 @@
   }
 
   private CompletableFuture<TxnReply> putRegistration(long under) {
-    String value = JsonText.of(Map.of("address", peerAddress, "incarnation", incarnation));
-    return store.txn(List.of(), List.of(new Put(HOSTS + host, value, under)), List.of());
+    Put put = new Put(HOSTS + host, registration(), under);
+    return store.txn(List.of(), List.of(put), List.of());
+  }
+
+  private String registration() {
+    return JsonText.of(
+        Map.of(
+            "address",
+            peerAddress,
+            "incarnation",
+            incarnation,
+            "startsPerSecond",
+            capacity.startsPerSecond()));
   }
 
   private void registered(TxnReply reply, Throwable error) {
@@ -233,6 +253,7 @@
   @Override
   public void replaced(List<Item> items, long asOf) {
     addresses.clear();
+    capacities.clear();
     items.forEach(this::noteHost);
     tellHosts();
     recordRead(items, asOf, 0);
@@ -256,6 +277,7 @@
 
   private void hostGone(String name, long revision) {
     addresses.remove(name);
+    capacities.remove(name);
     // The watch may tell late of the end of an earlier registration.
     boolean isCurrent = revision > registeredRevision;
     if (name.equals(host) && isCurrent && lease != 0 && !leaving) {
@@ -268,15 +290,17 @@
       return;
     }
     try {
-      String address = JsonText.MAPPER.readTree(item.value()).path("address").asText();
-      addresses.put(item.key().substring(HOSTS.length()), address);
+      JsonNode node = JsonText.MAPPER.readTree(item.value());
+      String name = item.key().substring(HOSTS.length());
+      addresses.put(name, node.path("address").asText());
+      capacities.put(name, new HostCapacity(node.path("startsPerSecond").asLong()));
     } catch (IOException e) {
       EventLog.warn(LogEvent.CONFIG_RESOURCE_INVALID, "key={} can't be read", item.key());
     }
   }
 
   private void tellHosts() {
-    election.accept(new ElectionEvent.HostsSeen(Set.copyOf(addresses.keySet())));
+    election.accept(new ElectionEvent.HostsSeen(Map.copyOf(capacities)));
   }
 
   /** Removes what the host keeps in the store. */
--- a/src/main/java/org/marjoramhoist/lead/Election.java
+++ b/src/main/java/org/marjoramhoist/lead/Election.java
@@ -39,7 +39,7 @@
   private final ElectionPolicy policy;
   private final Map<String, Long> confirmedAt = new HashMap<>();
 
-  private Set<String> hosts = Set.of();
+  private Map<String, HostCapacity> hosts = Map.of();
   private boolean recordKnown;
   private long seenRevision;
   private long term;
@@ -137,7 +137,7 @@
       return leadingTerm != 0 ? checkContact(now) : checkLeader(now);
     }
     if (event instanceof HostsSeen seen) {
-      hosts = Set.copyOf(seen.hosts());
+      hosts = Map.copyOf(seen.hosts());
     } else if (event instanceof RecordSeen seen) {
       return recordSeen(now, seen);
     } else if (event instanceof LeaderHeard heard) {
@@ -236,18 +236,15 @@
     return List.of(new ElectionAction.AskHosts());
   }
 
+  /** Hosts that could carry more as leader stand earlier; equal ones in the order of names. */
   private long rankDelay() {
-    Set<String> others = new TreeSet<>(hosts);
-    others.add(self);
-    if (record != null) {
-      others.remove(record.host());
-    }
+    HostCapacity own = hosts.getOrDefault(self, HostCapacity.UNKNOWN);
     int rank = 0;
-    for (String host : others) {
-      if (host.equals(self)) {
-        break;
-      }
-      rank++;
+    for (Map.Entry<String, HostCapacity> other : hosts.entrySet()) {
+      boolean leads = record != null && other.getKey().equals(record.host());
+      int order = other.getValue().compareTo(own);
+      boolean earlier = order > 0 || order == 0 && other.getKey().compareTo(self) < 0;
+      rank += earlier && !leads ? 1 : 0;
     }
     return rank * policy.rankMicros();
   }
@@ -262,7 +259,7 @@
         || asked.leaderIsHeard() && !asked.leaderIsGone()) {
       return List.of();
     }
-    Set<String> known = new TreeSet<>(hosts);
+    Set<String> known = new TreeSet<>(hosts.keySet());
     known.add(self);
     boolean most = 2 * (asked.answered() + 1) > known.size();
     if (most || record == null) {
@@ -347,14 +344,14 @@
 
   /** Returns the latest time since which more than half of the hosts were heard. */
   private long mostHostsHeardAt(long now) {
-    int others = hosts.contains(self) ? hosts.size() - 1 : hosts.size();
+    int others = hosts.containsKey(self) ? hosts.size() - 1 : hosts.size();
     int needed = (others + 1) / 2;
     if (needed == 0) {
       return now;
     }
     List<Long> times =
         confirmedAt.entrySet().stream()
-            .filter(each -> hosts.contains(each.getKey()))
+            .filter(each -> hosts.containsKey(each.getKey()))
             .map(Map.Entry::getValue)
             .sorted(Comparator.reverseOrder())
             .toList();
--- a/src/main/java/org/marjoramhoist/lead/ElectionEvent.java
+++ b/src/main/java/org/marjoramhoist/lead/ElectionEvent.java
@@ -1,12 +1,12 @@
 package org.marjoramhoist.lead;
 
-import java.util.Set;
+import java.util.Map;
 
 /** What the election hears. Immutable and safe for use by several threads. */
 public sealed interface ElectionEvent {
 
-  /** The hosts that are registered. */
-  record HostsSeen(Set<String> hosts) implements ElectionEvent {}
+  /** The hosts that are registered, and what each could carry as leader. */
+  record HostsSeen(Map<String, HostCapacity> hosts) implements ElectionEvent {}
 
   /**
    * The record was read, or a change of it was heard.
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/lead/Succession.java
@@ -0,0 +1,97 @@
+package org.marjoramhoist.lead;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Which host a leader hands over to: the one that carries most among those that follow it and could
+ * take over now; of equal ones the first by name.
+ *
+ * <p>Confined to one thread.
+ */
+public final class Succession {
+
+  /** How lately a host must have said that it can take over. */
+  private static final long FRESH_MICROS = 400_000;
+
+  /** How long a larger host must follow without a break before it is asked to lead. */
+  private static final long STEADY_MICROS = 2_000_000;
+
+  /** How long after one request to lead the next is sent, if nothing but size asks for it. */
+  private static final long ASK_AGAIN_MICROS = 1_000_000;
+
+  private record Follower(long since, long lastAt) {}
+
+  private final HostCapacity own;
+  private final Map<String, Follower> followers = new HashMap<>();
+  private Map<String, HostCapacity> capacities = Map.of();
+  private long askedAt;
+
+  /**
+   * Creates the choice of a host's successor.
+   *
+   * @param own what that host could carry as leader, whether it is registered or not
+   */
+  public Succession(HostCapacity own) {
+    this.own = own;
+  }
+
+  /** Begins a term at a time: nobody follows yet. */
+  public void begin(long now) {
+    followers.clear();
+    askedAt = now;
+  }
+
+  /** Takes in what the registered hosts carry. */
+  public void hostsSeen(Map<String, HostCapacity> hosts) {
+    capacities = Map.copyOf(hosts);
+  }
+
+  /** Takes in that a host follows this one, and whether it could take over now. */
+  public void follows(String host, boolean mayLead, long now) {
+    if (!mayLead) {
+      followers.remove(host);
+      return;
+    }
+    followers.compute(
+        host,
+        (name, known) ->
+            new Follower(known == null || !isFresh(known, now) ? now : known.since, now));
+  }
+
+  private static boolean isFresh(Follower follower, long now) {
+    return now - follower.lastAt < FRESH_MICROS;
+  }
+
+  /** Returns the host that should lead if this one can't go on; empty if none could. */
+  public Optional<String> successor(long now) {
+    return followers.entrySet().stream()
+        .filter(each -> isFresh(each.getValue(), now))
+        .map(Map.Entry::getKey)
+        .min(Comparator.comparing(this::capacityOf).reversed().thenComparing(name -> name));
+  }
+
+  /**
+   * Returns the host that should lead because it carries much more than this one; empty if there is
+   * none, or if it was asked a short time ago.
+   */
+  public Optional<String> larger(long now) {
+    if (now - askedAt < ASK_AGAIN_MICROS) {
+      return Optional.empty();
+    }
+    Optional<String> larger =
+        successor(now)
+            .filter(host -> own.isMuchLessThan(capacityOf(host)))
+            .filter(host -> now - followers.get(host).since >= STEADY_MICROS);
+    if (larger.isPresent()) {
+      askedAt = now;
+    }
+    return larger;
+  }
+
+  private HostCapacity capacityOf(String host) {
+    return capacities.getOrDefault(host, HostCapacity.UNKNOWN);
+  }
+}
--- a/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
+++ b/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -35,6 +36,7 @@
 
   private static final String UPSTREAM = "reviews";
   private static final int PORTS_PER_HOST = 3;
+  private static final NodeSettings.Limits LIMITS = new NodeSettings.Limits(1, 1_000);
   private static final String LOOPBACK = "127.0.0.1:";
   private static final Resources TASK_NEED = new Resources(1_000, 64, 0);
   private static final Resources CAPACITY = new Resources(8_000, 8_192, 0);
@@ -46,7 +48,7 @@
   private final HttpCaller caller = new HttpCaller("cluster-caller", 1);
 
   /**
-   * Starts a cluster.
+   * Starts a cluster of equal hosts.
    *
    * @param hostCount how many entry hosts
    * @param workerCount how many workers
@@ -55,13 +57,30 @@
    */
   public PlatformCluster(int hostCount, int workerCount, LeasedWorker.Observer observer)
       throws IOException {
+    this(Collections.nCopies(hostCount, LIMITS), workerCount, observer);
+  }
+
+  /**
+   * Starts a cluster.
+   *
+   * @param machines what each entry host says of its machine
+   * @param workerCount how many workers
+   * @param observer hears what the workers do
+   * @throws IOException if a part can't be started
+   */
+  public PlatformCluster(
+      List<NodeSettings.Limits> machines, int workerCount, LeasedWorker.Observer observer)
+      throws IOException {
     declare(1);
+    final int hostCount = machines.size();
     for (int i = 0; i < workerCount; i++) {
       addWorker("worker-" + i, observer);
     }
     List<Integer> ports = LoopbackServer.freePorts(hostCount * PORTS_PER_HOST);
     for (int i = 0; i < hostCount; i++) {
-      settings.add(settingsOf("host-" + i, ports.subList(i * PORTS_PER_HOST, ports.size())));
+      settings.add(
+          settingsOf(
+              "host-" + i, machines.get(i), ports.subList(i * PORTS_PER_HOST, ports.size())));
       hosts.add(EntryNode.start(settings.get(i)));
     }
   }
@@ -75,12 +94,12 @@
     SampleDocuments.putWorker(store, name, worker);
   }
 
-  private NodeSettings settingsOf(String name, List<Integer> ports) {
+  private NodeSettings settingsOf(String name, NodeSettings.Limits machine, List<Integer> ports) {
     NodeSettings.Listen listen =
         new NodeSettings.Listen(
             LOOPBACK + ports.get(0), LOOPBACK + ports.get(1), LOOPBACK + ports.get(2), "");
     return new NodeSettings(
-        name, "dev", listen, store.address(), 1_000, 1.5, 120_000, 6_000, "info");
+        name, "dev", listen, store.address(), 1_000, 1.5, 120_000, 6_000, machine, "info");
   }
 
   /** Declares the sample class of request under a version. */
--- a/src/test/java/org/marjoramhoist/config/NodeSettingsTest.java
+++ b/src/test/java/org/marjoramhoist/config/NodeSettingsTest.java
@@ -50,10 +50,14 @@
             .replace("{{bounds.holdMaxMs}}", "1000")
             .replace("{{bounds.status_s}}", "120")
             .replace("{{bounds.farX}}", "1.5")
-            .replace("{{bounds.graceS}}", "6");
+            .replace("{{bounds.graceS}}", "6")
+            .replace("{{limits.cpuShare}}", "0.75")
+            .replace("{{limits.cores}}", "2")
+            .replace("{{limits.linkMbps}}", "200.0");
     assertThat(filled).doesNotContain("{{");
     NodeSettings settings = NodeSettings.parse("template", filled);
     assertThat(settings.listen().metrics()).isEqualTo("1.2.3.4:7735");
     assertThat(settings.farFactor()).isEqualTo(1.5);
+    assertThat(settings.limits()).isEqualTo(new NodeSettings.Limits(1.5, 200));
   }
 }
--- a/src/test/java/org/marjoramhoist/entry/StoreLinkTest.java
+++ b/src/test/java/org/marjoramhoist/entry/StoreLinkTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.http.HttpCaller;
+import org.marjoramhoist.lead.HostCapacity;
 import org.marjoramhoist.platform.KeyValueClient;
 import org.marjoramhoist.platform.KeyValueClient.Change;
 import org.marjoramhoist.platform.KeyValueClient.Item;
@@ -37,7 +38,16 @@
             .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
     loop = new Loop(worker.getIoThread());
     KeyValueClient client = new KeyValueClient(store.address(), new HttpCaller(worker), 500);
-    link = new StoreLink(client, loop, new StoreHealth(), "a", 7, "127.0.0.1:1", event -> {});
+    link =
+        new StoreLink(
+            client,
+            loop,
+            new StoreHealth(),
+            "a",
+            7,
+            "127.0.0.1:1",
+            HostCapacity.of(1, 1_000),
+            event -> {});
     loop.execute(link::start);
     await(this::isRegistered);
   }
--- a/src/test/java/org/marjoramhoist/lead/ElectionTest.java
+++ b/src/test/java/org/marjoramhoist/lead/ElectionTest.java
@@ -2,8 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -12,7 +13,9 @@
   private static final long MILLI = 1_000;
   private static final ElectionPolicy POLICY =
       new ElectionPolicy(450 * MILLI, 600 * MILLI, 400 * MILLI, 200 * MILLI, 30 * MILLI);
-  private static final Set<String> HOSTS = Set.of("a", "b", "c", "d", "e");
+  private static final HostCapacity SMALL = new HostCapacity(500);
+  private static final Map<String, HostCapacity> HOSTS =
+      Map.of("a", SMALL, "b", SMALL, "c", SMALL, "d", SMALL, "e", SMALL);
 
   private long now = 1_000 * MILLI;
   private final Election election = new Election("b", 7, POLICY, now);
@@ -66,6 +69,43 @@
     assertThat(election.leadingTerm()).isEqualTo(12);
   }
 
+  private void registerCapacity(String host, long startsPerSecond) {
+    Map<String, HostCapacity> hosts = new HashMap<>(HOSTS);
+    hosts.put(host, new HostCapacity(startsPerSecond));
+    step(0, new ElectionEvent.HostsSeen(hosts));
+  }
+
+  @Test
+  void hostThatCouldCarryMoreStandsFirst() {
+    registerCapacity("e", 900);
+    step(0, new ElectionEvent.RecordSeen(2, null, now));
+    assertThat(tick(40)).isEmpty();
+    assertThat(tick(30)).containsExactly(new ElectionAction.TakeRecord(0));
+  }
+
+  @Test
+  void hostThatCouldCarryMostStandsAtOnce() {
+    registerCapacity("b", 900);
+    step(0, new ElectionEvent.RecordSeen(2, null, now));
+    assertThat(tick(0)).containsExactly(new ElectionAction.TakeRecord(0));
+  }
+
+  @Test
+  void hostThatTellsNothingOfItsMachineStandsLast() {
+    registerCapacity("b", 0);
+    step(0, new ElectionEvent.RecordSeen(2, null, now));
+    assertThat(tick(110)).isEmpty();
+    assertThat(tick(10)).containsExactly(new ElectionAction.TakeRecord(0));
+  }
+
+  @Test
+  void largeLeaderThatIsSuspectedTakesNoPlaceInTheOrder() {
+    registerCapacity("a", 900);
+    follow();
+    step(0, new ElectionEvent.LeaderLinkLost(9));
+    assertThat(tick(1)).containsExactly(new ElectionAction.AskHosts());
+  }
+
   @Test
   void staysFollowerWhileTheLeaderIsHeard() {
     follow();
@@ -204,7 +244,10 @@
     lead(20);
     confirm(2_000, "a");
     confirm(0, "c");
-    step(50, new ElectionEvent.HostsSeen(Set.of("a", "b", "c", "d", "e", "f", "g")));
+    Map<String, HostCapacity> more = new HashMap<>(HOSTS);
+    more.put("f", SMALL);
+    more.put("g", SMALL);
+    step(50, new ElectionEvent.HostsSeen(more));
     assertThat(tick(10)).isEmpty();
     assertThat(election.mayStart(now)).isTrue();
     assertThat(tick(200)).containsExactly(new ElectionAction.ReadRecord());
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/trial/LargestHostLeadsTest.java
@@ -0,0 +1,55 @@
+package org.marjoramhoist.trial;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.config.NodeSettings.Limits;
+import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
+import org.marjoramhoist.experiment.LeasedWorker;
+import org.marjoramhoist.job.RunRef;
+
+/** Real hosts on machines of different sizes. */
+class LargestHostLeadsTest {
+
+  private static final long MOST_SECONDS = 20;
+  private static final Limits SMALL = new Limits(0.25, 1_000);
+  private static final Limits LARGE = new Limits(2, 1_000);
+
+  private static final LeasedWorker.Observer NOBODY =
+      new LeasedWorker.Observer() {
+        @Override
+        public void began(LeasedWorker worker, RunRef run) {
+          // Not looked at.
+        }
+
+        @Override
+        public void ended(LeasedWorker worker, RunRef run, RunEnd how) {
+          // Not looked at.
+        }
+      };
+
+  private static boolean becomesTrue(BooleanSupplier condition) throws InterruptedException {
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(MOST_SECONDS);
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > deadline) {
+        return false;
+      }
+      Thread.sleep(20);
+    }
+    return true;
+  }
+
+  /** Hosts start in the order of their names, so a small one may lead first. */
+  @Test
+  void largeHostLeadsAfterWhileWhoeverWasFirst() throws IOException, InterruptedException {
+    try (PlatformCluster cluster = new PlatformCluster(List.of(SMALL, SMALL, LARGE), 2, NOBODY)) {
+      assertThat(becomesTrue(() -> cluster.hosts().get(2).isLeader())).isTrue();
+      assertThat(becomesTrue(() -> !cluster.hosts().get(0).isLeader())).isTrue();
+      assertThat(becomesTrue(() -> !cluster.hosts().get(1).isLeader())).isTrue();
+    }
+  }
+}
