Leave workers that can't take work out of the room that what waits can count on

Cause: Backlog.measure took the processor of every listed worker, also of those out of reach or draining, so in a cut it told seconds too late that there was no room, and jobs were held and then refused.

Change: only workers that are listed, reachable and not draining count. A worker that this leader has not heard yet counts, or a new leader would refuse everything.

--- a/src/main/java/org/marjoramhoist/dispatch/Backlog.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Backlog.java
@@ -27,7 +27,7 @@
   List<Job> measure(Collection<Job> waiting, Collection<Worker> workers, long now) {
     double capacity = 0;
     for (Worker worker : workers) {
-      capacity += worker.listed ? worker.info().capacity().cpuMillis() : 0;
+      capacity += worker.mayTakeWork() ? worker.info().capacity().cpuMillis() : 0;
     }
     totalMicros = 0;
     List<Job> hopeless = new ArrayList<>();
--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -168,6 +168,11 @@
     return !runs.isEmpty() || renewed;
   }
 
+  /** Tells whether it may be given work now or soon, as far as is known. */
+  boolean mayTakeWork() {
+    return listed && isReachable() && !info.draining();
+  }
+
   /** Tells whether it may be given work. */
   boolean isUsable(long now) {
     boolean known = listed && inRoster && synced && clock.isKnown() && isReachable();
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
@@ -159,6 +159,36 @@
         .isAtLeast(10);
   }
 
+  /** Of four workers three can't be reached, or leave: what waits can't count on them. */
+  private int refusedWithOneWorkerOfFour(boolean draining, int failedCalls) {
+    listWorkers(
+        worker("w", 64_000, false),
+        worker("x", 64_000, draining),
+        worker("y", 64_000, draining),
+        worker("z", 64_000, draining));
+    for (String each : List.of("x", "y", "z")) {
+      report(each, List.of());
+      for (int i = 0; i < failedCalls; i++) {
+        step(1, new DispatchEvent.RenewalFailed(each));
+      }
+    }
+    for (int i = 0; i < 40; i++) {
+      submit(60, 0);
+    }
+    step(160, new DispatchEvent.Tick());
+    return taken(DispatchAction.Finish.class).size();
+  }
+
+  @Test
+  void workersOutOfReachAreNoRoomForWhatWaits() {
+    assertThat(refusedWithOneWorkerOfFour(false, 2)).isAtLeast(34);
+  }
+
+  @Test
+  void drainingWorkersAreNoRoomForWhatWaits() {
+    assertThat(refusedWithOneWorkerOfFour(true, 0)).isAtLeast(34);
+  }
+
   @Test
   void startsNothingWhileAnotherLeaderMayBeElected() {
     step(0, new DispatchEvent.StartsAllowed(false));
