Give out room once for all that one turn of the loop hears

Cause: each event gave out room by itself, so a leader that fell behind, as one whose process has just started does, spent half of its processor on orders of the same waiting jobs (0.476 s of a second over 5,028 steps, 332 jobs waiting, 57% of the room free, 1 s after a power-off of all).

Change: LeaderDuty collects what the loop hears in one turn and hands it to Dispatcher.step as a list; the room is given out after the last of them. A turn without backlog works as before.

The test roomIsGivenOutOnceAllEventsOfTurnAreTakenIn fails if events are taken in one by one.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -83,8 +83,18 @@
    * @param now the time, in microseconds on the host's steady clock; never goes back
    */
   public List<DispatchAction> step(long now, DispatchEvent event) {
+    return step(now, List.of(event));
+  }
+
+  /**
+   * Takes in events and returns what must be done, in order. Room is given out once, after the last
+   * of them.
+   *
+   * @param now the time, in microseconds on the host's steady clock; never goes back
+   */
+  public List<DispatchAction> step(long now, List<DispatchEvent> events) {
     List<DispatchAction> out = new ArrayList<>();
-    take(now, event, out);
+    events.forEach(event -> take(now, event, out));
     if (mayPlace && startsAllowed) {
       mayPlace = false;
       placeWaiting(now, out);
--- a/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
@@ -1,7 +1,6 @@
 package org.marjoramhoist.entry;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -76,8 +75,8 @@
   private final RosterStore rosterStore;
   private final Dispatcher dispatcher;
   private final long epochMillis;
-  private final Deque<DispatchEvent> events = new ArrayDeque<>();
-  private boolean stepping;
+  private final List<DispatchEvent> events = new ArrayList<>();
+  private boolean due;
   private boolean loading;
   private boolean mayStartTold = true;
   private boolean closed;
@@ -201,26 +200,31 @@
     take(new DispatchEvent.WorkersListed(all));
   }
 
+  /**
+   * Takes in an event. All that the loop hears in one turn is decided on at once, so that a leader
+   * that falls behind gives out room less often.
+   */
   private void take(DispatchEvent event) {
     events.add(event);
-    if (stepping || !permits.order().getAsBoolean()) {
+    if (!due) {
+      due = true;
+      loop.execute(this::decide);
+    }
+  }
+
+  private void decide() {
+    due = false;
+    if (closed || !permits.order().getAsBoolean()) {
       return;
     }
     boolean mayStart = permits.start().getAsBoolean();
     if (mayStart != mayStartTold) {
       mayStartTold = mayStart;
-      events.addFirst(new DispatchEvent.StartsAllowed(mayStart));
-    }
-    stepping = true;
-    try {
-      while (!events.isEmpty() && !closed) {
-        for (DispatchAction action : dispatcher.step(Loop.now(), events.poll())) {
-          run(action);
-        }
-      }
-    } finally {
-      stepping = false;
+      events.add(0, new DispatchEvent.StartsAllowed(mayStart));
     }
+    List<DispatchEvent> heard = List.copyOf(events);
+    events.clear();
+    dispatcher.step(Loop.now(), heard).forEach(this::run);
   }
 
   private void run(DispatchAction action) {
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
@@ -11,6 +11,7 @@
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
+import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.job.RunRef;
 import org.marjoramhoist.job.StepSpec;
 import org.marjoramhoist.job.TaskRef;
@@ -179,6 +180,24 @@
     return taken(DispatchAction.Finish.class).size();
   }
 
+  private DispatchEvent submission(String id, int tasks, long estimateMillis) {
+    StepSpec step =
+        new StepSpec(tasks, new Resources(64_000, 1, 0), estimateMillis, List.of(), "", "", 0);
+    JobDescription job = new JobDescription(new JobId(id), "p", List.of(step), Set.of());
+    return new DispatchEvent.JobSubmitted(job, CLASS, "e", now, now + 2_000 * MILLI, 0);
+  }
+
+  /** Two jobs are heard of in one turn, and there is room for one task. */
+  @Test
+  void roomIsGivenOutOnceAllEventsOfTurnAreTakenIn() {
+    DispatchEvent patient = submission("00000000000000aa", 1, 900);
+    DispatchEvent urgent = submission("00000000000000bb", 1, 20);
+    actions.addAll(dispatcher.step(now, List.of(patient, urgent)));
+    List<DispatchAction.Start> starts = taken(DispatchAction.Start.class);
+    assertThat(starts).hasSize(1);
+    assertThat(starts.get(0).run().task().job()).isEqualTo(new JobId("00000000000000bb"));
+  }
+
   @Test
   void workersOutOfReachAreNoRoomForWhatWaits() {
     assertThat(refusedWithOneWorkerOfFour(false, 2)).isAtLeast(34);
