Log and show about once a second what a leader knows and how its loop keeps up

Why a leader refused jobs with workers free could not be told: neither the room that it counts as free, nor the workers that it may use, nor the orders that are not answered, nor whether its loop keeps up was logged or in the metrics.

--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/Census.java
@@ -0,0 +1,67 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.Map;
+
+/**
+ * Counts workers, their room and their runs for a snapshot.
+ *
+ * <p>Confined to one thread.
+ */
+final class Census {
+
+  private int listed;
+  private int synced;
+  private int usable;
+  private long totalCpu;
+  private long freeCpu;
+  private long usableFreeCpu;
+  private int foreign;
+  private final Map<Run.Phase, Integer> phases = new EnumMap<>(Run.Phase.class);
+
+  Census(Collection<Worker> workers, long now) {
+    for (Worker worker : workers) {
+      countRuns(worker);
+      if (worker.listed) {
+        countRoom(worker, now);
+      }
+    }
+  }
+
+  private void countRuns(Worker worker) {
+    foreign += worker.foreignRuns.size();
+    for (Run run : worker.runs.values()) {
+      phases.merge(run.phase, 1, Integer::sum);
+    }
+  }
+
+  private void countRoom(Worker worker, long now) {
+    listed++;
+    synced += worker.synced ? 1 : 0;
+    totalCpu += worker.info().capacity().cpuMillis();
+    freeCpu += worker.free.cpuMillis();
+    if (worker.isUsable(now)) {
+      usable++;
+      usableFreeCpu += worker.free.cpuMillis();
+    }
+  }
+
+  private int count(Run.Phase phase) {
+    return phases.getOrDefault(phase, 0);
+  }
+
+  DispatchSnapshot.Workers workers() {
+    return new DispatchSnapshot.Workers(listed, synced, usable, totalCpu, freeCpu, usableFreeCpu);
+  }
+
+  DispatchSnapshot.Runs runs(int unansweredStarts) {
+    return new DispatchSnapshot.Runs(
+        count(Run.Phase.STARTING),
+        count(Run.Phase.RUNNING),
+        count(Run.Phase.STOPPING),
+        count(Run.Phase.STOPPED),
+        foreign,
+        unansweredStarts);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
@@ -0,0 +1,94 @@
+package org.marjoramhoist.dispatch;
+
+/**
+ * What a leader's decisions know at one moment, in figures for logs and metrics.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param workers what is known of the workers
+ * @param runs what is known of the runs
+ * @param startsAllowed whether new runs may be started
+ * @param settled whether no run of an earlier leader can be at work out of sight
+ * @param waitingJobs how many jobs have tasks that may start now
+ * @param waitingMicros how long all workers together need for what waits
+ */
+public record DispatchSnapshot(
+    Workers workers,
+    Runs runs,
+    boolean startsAllowed,
+    boolean settled,
+    int waitingJobs,
+    long waitingMicros) {
+
+  /** The figures of a host that does not lead. */
+  public static final DispatchSnapshot NONE =
+      new DispatchSnapshot(
+          new Workers(0, 0, 0, 0, 0, 0), new Runs(0, 0, 0, 0, 0, 0), false, false, 0, 0);
+
+  /**
+   * What is known of the workers.
+   *
+   * @param listed how many stand in the list of workers
+   * @param synced how many of those have answered this leader and not started again since
+   * @param usable how many of those may be given work now
+   * @param totalCpuMillis what the listed workers have, in thousandths of a core
+   * @param freeCpuMillis what of that no run takes
+   * @param usableFreeCpuMillis what no run takes on the workers that may be given work
+   */
+  public record Workers(
+      int listed,
+      int synced,
+      int usable,
+      long totalCpuMillis,
+      long freeCpuMillis,
+      long usableFreeCpuMillis) {}
+
+  /**
+   * What is known of the runs.
+   *
+   * @param starting those whose order to start is not answered
+   * @param running those that a worker has
+   * @param stopping those that are ordered to stop
+   * @param stopped those whose order to stop was confirmed, and whose end is not known
+   * @param foreign those at work that no known job has
+   * @param unansweredStarts how many orders to start are under way
+   */
+  public record Runs(
+      int starting, int running, int stopping, int stopped, int foreign, int unansweredStarts) {}
+
+  @Override
+  public String toString() {
+    return "listed="
+        + workers.listed
+        + " synced="
+        + workers.synced
+        + " usable="
+        + workers.usable
+        + " cpuMillis="
+        + workers.totalCpuMillis
+        + " free="
+        + workers.freeCpuMillis
+        + " usableFree="
+        + workers.usableFreeCpuMillis
+        + " starting="
+        + runs.starting
+        + " running="
+        + runs.running
+        + " stopping="
+        + runs.stopping
+        + " stopped="
+        + runs.stopped
+        + " foreign="
+        + runs.foreign
+        + " unanswered="
+        + runs.unansweredStarts
+        + " startsAllowed="
+        + startsAllowed
+        + " settled="
+        + settled
+        + " waitingJobs="
+        + waitingJobs
+        + " waitingMicros="
+        + waitingMicros;
+  }
+}
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -406,6 +406,18 @@
     return jobs.waitingByClass();
   }
 
+  /** Returns what is known now, in figures. */
+  public DispatchSnapshot snapshot(long now) {
+    Census census = new Census(workers.all(), now);
+    return new DispatchSnapshot(
+        census.workers(),
+        census.runs(runs.unansweredStarts()),
+        startsAllowed,
+        workers.isSettled(now),
+        jobs.waiting().size(),
+        (long) backlog.totalMicros());
+  }
+
   /** What the ends of runs mean for their jobs. */
   private final class Ends implements RunListener {
 
--- a/src/main/java/org/marjoramhoist/dispatch/RunControl.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunControl.java
@@ -48,6 +48,11 @@
     return unansweredStarts < MAX_UNANSWERED_STARTS;
   }
 
+  /** Returns how many orders to start have not ended. */
+  int unansweredStarts() {
+    return unansweredStarts;
+  }
+
   /** Counts the end of an order to start, whatever it was. */
   void startCallEnded() {
     unansweredStarts--;
--- a/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
@@ -38,6 +38,7 @@
 
   private static final long TICK_MILLIS = 20;
   private static final long LIST_WORKERS_MILLIS = 500;
+  private static final long STATUS_MILLIS = 1_000;
 
   /**
    * How long the stored jobs are left unread while nobody calls about one: a new leader takes over
@@ -77,6 +78,7 @@
   private final long epochMillis;
   private final List<DispatchEvent> events = new ArrayList<>();
   private boolean due;
+  private final LoopLoad load = new LoopLoad();
   private boolean loading;
   private boolean mayStartTold = true;
   private boolean closed;
@@ -111,10 +113,26 @@
   void start() {
     loop.after(LOAD_DELAY_MILLIS, this::loadJobs);
     rosterStore.start();
+    loop.after(STATUS_MILLIS, this::tellStatus);
     listWorkers();
     tick();
   }
 
+  private void tellStatus() {
+    if (closed) {
+      return;
+    }
+    boolean mayOrder = permits.order().getAsBoolean();
+    if (closed) {
+      return;
+    }
+    LeaderStatus status =
+        new LeaderStatus(dispatcher.snapshot(Loop.now()), mayOrder, events.size(), load.take());
+    metrics.leads(status);
+    EventLog.info(LogEvent.LEADER_STATUS, "term={} {}", term, status);
+    loop.after(STATUS_MILLIS, this::tellStatus);
+  }
+
   /** Reads the stored jobs, once. */
   private void loadJobs() {
     if (!loading && !closed) {
@@ -169,8 +187,10 @@
 
   private void tick() {
     if (!closed) {
+      long now = Loop.now();
       take(new DispatchEvent.Tick());
       loop.after(TICK_MILLIS, this::tick);
+      load.ticked(now, Loop.now() + Loop.micros(TICK_MILLIS));
     }
   }
 
@@ -224,7 +244,9 @@
     }
     List<DispatchEvent> heard = List.copyOf(events);
     events.clear();
-    dispatcher.step(Loop.now(), heard).forEach(this::run);
+    long now = Loop.now();
+    dispatcher.step(now, heard).forEach(this::run);
+    load.stepped(Loop.now() - now);
   }
 
   private void run(DispatchAction action) {
@@ -328,6 +350,7 @@
   @Override
   public void close() {
     closed = true;
+    metrics.leads(LeaderStatus.NONE);
     jobStore.close();
     rosterStore.close();
   }
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/LoopLoad.java
@@ -0,0 +1,55 @@
+package org.marjoramhoist.entry;
+
+/**
+ * Measures how busy the decisions keep a loop, and how late its ticks come.
+ *
+ * <p>Confined to one thread.
+ */
+final class LoopLoad {
+
+  private int steps;
+  private long stepMicros;
+  private long longestStepMicros;
+  private long tickLateMicros;
+  private long tickDueAt;
+
+  /**
+   * The load since the last sample.
+   *
+   * @param steps how many events were decided on
+   * @param stepMicros how long that and carrying the decisions out took
+   * @param longestStepMicros the longest of these
+   * @param tickLateMicros how much later than due the latest tick came
+   */
+  record Sample(int steps, long stepMicros, long longestStepMicros, long tickLateMicros) {}
+
+  /** Takes in that an event was decided on, and the decisions were carried out. */
+  void stepped(long micros) {
+    steps++;
+    stepMicros += micros;
+    longestStepMicros = Math.max(longestStepMicros, micros);
+  }
+
+  /**
+   * Takes in a tick.
+   *
+   * @param now the present time in microseconds
+   * @param nextAt when the next tick is due
+   */
+  void ticked(long now, long nextAt) {
+    if (tickDueAt != 0) {
+      tickLateMicros = Math.max(tickLateMicros, now - tickDueAt);
+    }
+    tickDueAt = nextAt;
+  }
+
+  /** Returns the load since the last call. */
+  Sample take() {
+    final Sample sample = new Sample(steps, stepMicros, longestStepMicros, tickLateMicros);
+    steps = 0;
+    stepMicros = 0;
+    longestStepMicros = 0;
+    tickLateMicros = 0;
+    return sample;
+  }
+}
--- a/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
+++ b/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.marjoramhoist.dispatch.DispatchSnapshot;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.log.LogEvent;
 
@@ -37,6 +38,48 @@
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Set<String> classes = new HashSet<>();
+  private volatile LeaderStatus status = LeaderStatus.NONE;
+
+  NodeMetrics() {
+    gauge("marjoramhoist.leader.workers.listed", () -> workers().listed());
+    gauge("marjoramhoist.leader.workers.synced", () -> workers().synced());
+    gauge("marjoramhoist.leader.workers.usable", () -> workers().usable());
+    gauge("marjoramhoist.leader.cpu.millis", () -> workers().totalCpuMillis());
+    gauge("marjoramhoist.leader.cpu.millis.free", () -> workers().freeCpuMillis());
+    gauge("marjoramhoist.leader.cpu.millis.usable", () -> workers().usableFreeCpuMillis());
+    gauge("marjoramhoist.leader.runs.starting", () -> runs().starting());
+    gauge("marjoramhoist.leader.runs.running", () -> runs().running());
+    gauge("marjoramhoist.leader.runs.stopping", () -> runs().stopping());
+    gauge("marjoramhoist.leader.runs.stopped", () -> runs().stopped());
+    gauge("marjoramhoist.leader.runs.foreign", () -> runs().foreign());
+    gauge("marjoramhoist.leader.starts.unanswered", () -> runs().unansweredStarts());
+    gauge("marjoramhoist.leader.starts.allowed", () -> flag(status.decisions().startsAllowed()));
+    gauge("marjoramhoist.leader.orders.allowed", () -> flag(status.mayOrder()));
+    gauge("marjoramhoist.leader.settled", () -> flag(status.decisions().settled()));
+    gauge("marjoramhoist.leader.jobs.waiting", () -> status.decisions().waitingJobs());
+    gauge("marjoramhoist.leader.waiting.micros", () -> status.decisions().waitingMicros());
+    gauge("marjoramhoist.leader.events.queued", () -> status.queuedEvents());
+    gauge("marjoramhoist.leader.steps.micros", () -> status.load().stepMicros());
+    gauge("marjoramhoist.leader.step.longest.micros", () -> status.load().longestStepMicros());
+    gauge("marjoramhoist.leader.tick.late.micros", () -> status.load().tickLateMicros());
+  }
+
+  private DispatchSnapshot.Workers workers() {
+    return status.decisions().workers();
+  }
+
+  private DispatchSnapshot.Runs runs() {
+    return status.decisions().runs();
+  }
+
+  private static int flag(boolean value) {
+    return value ? 1 : 0;
+  }
+
+  /** Takes in how this host fares as leader; {@link LeaderStatus#NONE} if it does not lead. */
+  void leads(LeaderStatus next) {
+    status = next;
+  }
 
   /** Takes in the end of a job whose caller waited at this host. */
   void jobEnded(String requestClass, JobOutcome outcome, long micros) {
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -54,6 +54,8 @@
   LEADER_SUSPECTED(3104),
   /** No run that an earlier leader ordered can be at work out of the leader's sight any more. */
   EARLIER_RUNS_SETTLED(3106),
+  /** What the leader knows and how its loop keeps up, about once a second. */
+  LEADER_STATUS(3107),
   /** A submission was accepted. */
   JOB_ACCEPTED(4001),
   /** A submission was refused. */
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
@@ -44,6 +44,22 @@
     assertThat(taken(DispatchAction.Start.class)).hasSize(1);
   }
 
+  @Test
+  void showsWorkersRunsAndWaitingJobs() {
+    listWorkers(worker("w", 4_000, false), worker("x", 4_000, false), worker("y", 4_000, true));
+    report("y", List.of());
+    submit(3, 0);
+    RunRef first = taken(DispatchAction.Start.class).get(0).run();
+    started("w", first);
+    submit(2, 0);
+    DispatchSnapshot shown = dispatcher.snapshot(now);
+    assertThat(shown.workers()).isEqualTo(new DispatchSnapshot.Workers(3, 2, 1, 12_000, 8_000, 0));
+    assertThat(shown.runs()).isEqualTo(new DispatchSnapshot.Runs(3, 1, 0, 0, 0, 3));
+    assertThat(shown.startsAllowed()).isTrue();
+    assertThat(shown.settled()).isTrue();
+    assertThat(shown.waitingJobs()).isEqualTo(1);
+  }
+
   @Test
   void startsNextStepOnlyWhenTheFirstIsDone() {
     StepSpec one = tasks(1, List.of());
