Let silent workers take no share of the orders under way

Cause: at most 24 orders to start may be unanswered, so that a leader that is behind does not add to its own work. Jobs then waited with room free while steps took little of the time (2.2 s: unanswered 24, waitingJobs 42 to 63, 0.21 to 0.23 s of a second).

StartWindow takes an order out of the 24 once one sent over 10 ms later was answered: the leader has caught up, the worker is silent. Such orders have a bound of their own.

StartWindowTest: two of its four tests failed before (4 instead of 24 starts; 5 instead of 24).

--- a/src/main/java/org/marjoramhoist/dispatch/Census.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Census.java
@@ -55,13 +55,14 @@
     return new DispatchSnapshot.Workers(listed, synced, usable, totalCpu, freeCpu, usableFreeCpu);
   }
 
-  DispatchSnapshot.Runs runs(int unansweredStarts) {
+  DispatchSnapshot.Runs runs(StartWindow window) {
     return new DispatchSnapshot.Runs(
         count(Run.Phase.STARTING),
         count(Run.Phase.RUNNING),
         count(Run.Phase.STOPPING),
         count(Run.Phase.STOPPED),
         foreign,
-        unansweredStarts);
+        window.size(),
+        window.silent());
   }
 }
--- a/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
@@ -23,7 +23,7 @@
   /** The figures of a host that does not lead. */
   public static final DispatchSnapshot NONE =
       new DispatchSnapshot(
-          new Workers(0, 0, 0, 0, 0, 0), new Runs(0, 0, 0, 0, 0, 0), false, false, 0, 0);
+          new Workers(0, 0, 0, 0, 0, 0), new Runs(0, 0, 0, 0, 0, 0, 0), false, false, 0, 0);
 
   /**
    * What is known of the workers.
@@ -52,9 +52,16 @@
    * @param stopped those whose order to stop was confirmed, and whose end is not known
    * @param foreign those at work that no known job has
    * @param unansweredStarts how many orders to start are under way
+   * @param silentStarts how many of those were overtaken: their workers are silent
    */
   public record Runs(
-      int starting, int running, int stopping, int stopped, int foreign, int unansweredStarts) {}
+      int starting,
+      int running,
+      int stopping,
+      int stopped,
+      int foreign,
+      int unansweredStarts,
+      int silentStarts) {}
 
   @Override
   public String toString() {
@@ -82,6 +89,8 @@
         + runs.foreign
         + " unanswered="
         + runs.unansweredStarts
+        + " silent="
+        + runs.silentStarts
         + " startsAllowed="
         + startsAllowed
         + " settled="
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -138,9 +138,7 @@
   }
 
   private void fromWorker(long now, FromWorker event, List<DispatchAction> out) {
-    if (event instanceof StartAnswered || event instanceof StartUnanswered) {
-      startCallEnded();
-    }
+    noteStart(event);
     Worker worker = workers.find(event.worker());
     if (worker == null) {
       return;
@@ -167,9 +165,14 @@
     runs.renewed(worker, event.sentAt(), event.report().get(), now, out);
   }
 
-  private void startCallEnded() {
-    mayPlace |= !runs.mayStart();
-    runs.startCallEnded();
+  private void noteStart(FromWorker event) {
+    boolean wasOpen = runs.window().isOpen();
+    if (event instanceof StartAnswered answered) {
+      runs.window().answered(answered.run());
+    } else if (event instanceof StartUnanswered unanswered) {
+      runs.window().unanswered(unanswered.run());
+    }
+    mayPlace |= !wasOpen && runs.window().isOpen();
   }
 
   private void submitted(JobSubmitted event, long now, List<DispatchAction> out) {
@@ -333,7 +336,7 @@
   private void placeWaiting(long now, List<DispatchAction> out) {
     Set<Job> waiting = jobs.waiting();
     waiting.removeIf(job -> !job.hasWaitingTask());
-    if (waiting.isEmpty() || !runs.mayStart()) {
+    if (waiting.isEmpty() || !runs.window().isOpen()) {
       return;
     }
     Resources least = leastNeed(waiting);
@@ -349,7 +352,7 @@
       if (!jobs.isHeldBack(job) && (settled || !mayHaveRun)) {
         place(job, roomy, least, now, out);
       }
-      if (roomy.isEmpty() || !runs.mayStart()) {
+      if (roomy.isEmpty() || !runs.window().isOpen()) {
         return;
       }
     }
@@ -383,7 +386,7 @@
       Job job, List<Worker> roomy, Resources least, long now, List<DispatchAction> out) {
     int fullStep = -1;
     for (Task task : job.waitingTasks()) {
-      if (!runs.mayStart()) {
+      if (!runs.window().isOpen()) {
         return;
       }
       if (task.ref.step() == fullStep) {
@@ -411,7 +414,7 @@
     Census census = new Census(workers.all(), now);
     return new DispatchSnapshot(
         census.workers(),
-        census.runs(runs.unansweredStarts()),
+        census.runs(runs.window()),
         startsAllowed,
         workers.isSettled(now),
         jobs.waiting().size(),
--- a/src/main/java/org/marjoramhoist/dispatch/RunControl.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunControl.java
@@ -29,13 +29,10 @@
   private static final long UNHEALTHY_PAUSE_MICROS = 500_000;
   private static final int STALE_RUN_STEP = 8;
 
-  /** Bounds what a leader that is behind adds to its own work. */
-  private static final int MAX_UNANSWERED_STARTS = 24;
-
   private final DispatchPolicy policy;
   private final RunListener listener;
   private final EarlierRuns earlier;
-  private int unansweredStarts;
+  private final StartWindow window = new StartWindow();
 
   RunControl(DispatchPolicy policy, RunListener listener) {
     this.policy = policy;
@@ -43,19 +40,9 @@
     this.earlier = new EarlierRuns(listener);
   }
 
-  /** Tells whether another run may be ordered before an earlier order is answered. */
-  boolean mayStart() {
-    return unansweredStarts < MAX_UNANSWERED_STARTS;
-  }
-
-  /** Returns how many orders to start have not ended. */
-  int unansweredStarts() {
-    return unansweredStarts;
-  }
-
-  /** Counts the end of an order to start, whatever it was. */
-  void startCallEnded() {
-    unansweredStarts--;
+  /** Returns the orders to start that have not ended. */
+  StartWindow window() {
+    return window;
   }
 
   /** Orders a run of a task. */
@@ -65,7 +52,7 @@
     RunRef ref = new RunRef(task.ref, task.lastRun);
     Run run = new Run(ref, task, worker, now, lease, predictedMicros);
     task.run = run;
-    unansweredStarts++;
+    window.sent(ref, now);
     task.job.started = true;
     worker.add(run);
     worker.leaseUntilMillis = Math.max(worker.leaseUntilMillis, lease);
--- a/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
+++ b/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
@@ -53,6 +53,7 @@
     gauge("marjoramhoist.leader.runs.stopped", () -> runs().stopped());
     gauge("marjoramhoist.leader.runs.foreign", () -> runs().foreign());
     gauge("marjoramhoist.leader.starts.unanswered", () -> runs().unansweredStarts());
+    gauge("marjoramhoist.leader.starts.silent", () -> runs().silentStarts());
     gauge("marjoramhoist.leader.starts.allowed", () -> flag(status.decisions().startsAllowed()));
     gauge("marjoramhoist.leader.orders.allowed", () -> flag(status.mayOrder()));
     gauge("marjoramhoist.leader.settled", () -> flag(status.decisions().settled()));
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
@@ -54,7 +54,7 @@
     submit(2, 0);
     DispatchSnapshot shown = dispatcher.snapshot(now);
     assertThat(shown.workers()).isEqualTo(new DispatchSnapshot.Workers(3, 2, 1, 12_000, 8_000, 0));
-    assertThat(shown.runs()).isEqualTo(new DispatchSnapshot.Runs(3, 1, 0, 0, 0, 3));
+    assertThat(shown.runs()).isEqualTo(new DispatchSnapshot.Runs(3, 1, 0, 0, 0, 3, 0));
     assertThat(shown.startsAllowed()).isTrue();
     assertThat(shown.settled()).isTrue();
     assertThat(shown.waitingJobs()).isEqualTo(1);
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/dispatch/StartWindowTest.java
@@ -0,0 +1,79 @@
+package org.marjoramhoist.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.RunRef;
+
+/** Some workers leave orders unanswered while the others answer theirs. */
+class StartWindowTest extends DispatcherFixture {
+
+  private static final JobId JOB = new JobId("0000000000000001");
+
+  @BeforeEach
+  void submit() {
+    listWorkers(worker("w", 1_000_000, false));
+    report("w", List.of());
+    actions.clear();
+    JobDescription job = new JobDescription(JOB, "p", List.of(tasks(400, List.of())), Set.of());
+    step(1, new DispatchEvent.JobSubmitted(job, CLASS, "e", now, now + 2_000 * MILLI, 0));
+  }
+
+  private List<RunRef> ordered() {
+    return taken(DispatchAction.Start.class).stream().map(DispatchAction.Start::run).toList();
+  }
+
+  private void answer(long afterMillis, List<RunRef> runs) {
+    now += afterMillis * MILLI;
+    runs.forEach(run -> started("w", run));
+  }
+
+  @Test
+  void ordersThatOthersOvertakeHoldUpNothing() {
+    List<RunRef> first = ordered();
+    assertThat(first).hasSize(24);
+    answer(12, first.subList(0, 4));
+    List<RunRef> second = ordered();
+    assertThat(second).hasSize(4);
+    answer(2, second);
+    assertThat(ordered()).hasSize(24);
+    assertThat(dispatcher.snapshot(now).runs().unansweredStarts()).isEqualTo(44);
+  }
+
+  @Test
+  void leaderThatIsBehindOrdersNoMoreThanItIsAnswered() {
+    List<RunRef> under = ordered();
+    for (int i = 0; i < 10; i++) {
+      answer(50, under);
+      under = ordered();
+      assertThat(under).hasSize(24);
+      assertThat(dispatcher.snapshot(now).runs().unansweredStarts()).isEqualTo(24);
+    }
+  }
+
+  @Test
+  void ordersThatOthersOvertakeAreBounded() {
+    for (int i = 0; i < 100; i++) {
+      List<RunRef> some = ordered();
+      answer(12, some.subList(0, Math.min(1, some.size())));
+    }
+    assertThat(dispatcher.snapshot(now).runs().unansweredStarts()).isAtMost(8 * 24 + 2 * 24);
+  }
+
+  @Test
+  void silentOrderThatEndsMakesRoom() {
+    List<RunRef> first = ordered();
+    answer(12, first.subList(0, 4));
+    answer(2, ordered());
+    ordered();
+    for (RunRef run : first.subList(4, 24)) {
+      step(0, new DispatchEvent.StartUnanswered("w", run, true));
+    }
+    assertThat(dispatcher.snapshot(now).runs().unansweredStarts()).isEqualTo(24);
+  }
+}
