Ask for the report of a stopped run beside a renewal that waits

Cause: after an order to start without answer, its run is stopped, and its task may run again only once a report asked for after the stop doesn't show it. One renewal a worker was under way at a time, and it waits up to 250 ms for an end, so that report came late.

A second renewal is now sent if a run's stop was confirmed after the latest was sent. Reports on two connections may overtake each other: one written earlier than the latest, by the worker's clock, is left out, so that runs that have ended don't come up again.

Both new tests in DispatcherTest failed before (0 instead of 1 renewal; a stop for an ended run).

--- a/src/main/java/org/marjoramhoist/dispatch/RunControl.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunControl.java
@@ -28,6 +28,7 @@
   private static final long NO_ROOM_PAUSE_MICROS = 50_000;
   private static final long UNHEALTHY_PAUSE_MICROS = 500_000;
   private static final int STALE_RUN_STEP = 8;
+  private static final int MAX_RENEWALS = 2;
 
   private final DispatchPolicy policy;
   private final RunListener listener;
@@ -152,14 +153,19 @@
   /** Takes in a report. */
   void renewed(
       Worker worker, long sentAt, WorkerReport report, long now, List<DispatchAction> out) {
-    worker.renewing = false;
+    worker.renewalEnded();
     worker.callAnswered();
+    if (isOvertaken(worker, report)) {
+      renewIfDue(worker, now, out);
+      return;
+    }
     worker.synced = true;
     worker.mayBeReborn = false;
     worker.lastReportAt = now;
     if (report.bornMillis() != worker.reportedBorn) {
       worker.reborn(report.bornMillis());
     }
+    worker.reportedMillis = report.clockMillis();
     worker.clock.read(report.clockMillis(), sentAt, now);
     for (Ended end : report.ended()) {
       if (worker.seesEnd(end.number())) {
@@ -178,6 +184,12 @@
     renewIfDue(worker, now, out);
   }
 
+  /** Tells whether a report is older than one that arrived before. */
+  private static boolean isOvertaken(Worker worker, WorkerReport report) {
+    return report.bornMillis() == worker.reportedBorn
+        && report.clockMillis() < worker.reportedMillis;
+  }
+
   private void ended(Worker worker, Ended end, long now, List<DispatchAction> out) {
     Run run = worker.runs.get(end.run());
     if (run == null) {
@@ -257,7 +269,7 @@
 
   /** Takes in that a renewal got no answer, or one from another life of the worker. */
   void renewalFailed(Worker worker, boolean otherLife, long now, List<DispatchAction> out) {
-    worker.renewing = false;
+    worker.renewalEnded();
     worker.callFailed();
     if (otherLife) {
       worker.synced = false;
@@ -289,7 +301,7 @@
   }
 
   private void renewIfDue(Worker worker, long now, List<DispatchAction> out) {
-    if (worker.renewing) {
+    if (worker.renewals > 0 && !mustLookNow(worker)) {
       return;
     }
     if (!worker.isReachable() || !worker.synced) {
@@ -319,8 +331,24 @@
     }
   }
 
+  /**
+   * Tells whether to ask for a report beside a renewal that may wait long for an end: the task of a
+   * stopped run can't run again before a report tells what became of that run.
+   */
+  private static boolean mustLookNow(Worker worker) {
+    if (worker.renewals >= MAX_RENEWALS || !worker.isReachable() || !worker.synced) {
+      return false;
+    }
+    for (Run run : worker.runs.values()) {
+      if (run.phase == Run.Phase.STOPPED && run.answeredAt > worker.renewedAt) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private void renew(Worker worker, long lease, long wait, long now, List<DispatchAction> out) {
-    worker.renewing = true;
+    worker.renewals++;
     worker.renewedAt = now;
     worker.leaseUntilMillis = Math.max(worker.leaseUntilMillis, lease);
     worker.acknowledgementHeldBack = worker.mayBeReborn;
--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -57,8 +57,12 @@
   /** Whether it has answered this leader. */
   boolean synced;
 
-  boolean renewing;
+  /** How many renewals are under way. */
+  int renewals;
+
+  /** When the latest renewal was sent. */
   long renewedAt;
+
   long lastReportAt;
   long acknowledgedSent;
 
@@ -73,6 +77,9 @@
 
   long reportedBorn;
 
+  /** When the latest report was written, on its clock. */
+  long reportedMillis;
+
   /** How many times as long as predicted its present runs take; 1 if that is as expected. */
   double observedSlowness = 1;
 
@@ -114,6 +121,11 @@
     }
   }
 
+  /** Counts the end of a renewal; it may have been sent before this worker was listed anew. */
+  void renewalEnded() {
+    renewals = Math.max(0, renewals - 1);
+  }
+
   boolean isReachable() {
     return failedCalls < CALLS_BEFORE_UNREACHABLE;
   }
@@ -130,6 +142,7 @@
   /** Begins with another life of it, whose ends count from 1. */
   void reborn(long born) {
     reportedBorn = born;
+    reportedMillis = 0;
     seenEnds = 0;
     acknowledgedSent = 0;
     heldEnds.clear();
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -119,6 +120,39 @@
     assertThat(next.number()).isGreaterThan(run.number());
   }
 
+  @Test
+  void asksForReportOfStoppedRunBesideRenewalThatWaits() {
+    submit(2, 0);
+    List<DispatchAction.Start> starts = taken(DispatchAction.Start.class);
+    RunRef atWork = starts.get(0).run();
+    RunRef silent = starts.get(1).run();
+    started("w", atWork);
+    assertThat(taken(DispatchAction.Renew.class)).hasSize(1);
+    step(120, new DispatchEvent.StartUnanswered("w", silent, true));
+    step(2, new DispatchEvent.StopEnded("w", silent, true));
+    assertThat(taken(DispatchAction.Renew.class)).hasSize(1);
+    report("w", List.of(new WorkerReport.Running(atWork, 10)));
+    assertThat(taken(DispatchAction.Start.class)).hasSize(1);
+    assertThat(taken(DispatchAction.Renew.class)).isEmpty();
+  }
+
+  @Test
+  void leavesOutReportThatNewerOneOvertook() {
+    submit(1, 0);
+    RunRef run = taken(DispatchAction.Start.class).get(0).run();
+    started("w", run);
+    final long older = now / MILLI;
+    step(30, new DispatchEvent.Tick());
+    report("w", List.of(), new WorkerReport.Ended(1, run, RunEnd.LAPSED));
+    RunRef next = taken(DispatchAction.Start.class).get(0).run();
+    WorkerReport late =
+        new WorkerReport(older, 5, List.of(new WorkerReport.Running(run, 10)), List.of());
+    step(1, new DispatchEvent.Renewed("w", now, Optional.of(late)));
+    assertThat(taken(DispatchAction.Stop.class)).isEmpty();
+    started("w", next);
+    assertThat(dispatcher.snapshot(now).runs().foreign()).isEqualTo(0);
+  }
+
   @Test
   void startsTaskOfLostWorkerOnlyAfterItsLeaseHasSurelyRunOut() {
     submit(1, 0);
