Link later leaders to hosts whose registration is gone

Cause: a leader opened links to registered hosts only. If the store ends the lease of hosts and turns them away, the present leader keeps its links, but the next one opens none: their callers got 503 "no leader is reached" until the store served them again.

HostRoster keeps the address of a host for 30 s after its registration is gone, unless another host has taken it. The election still counts registered hosts only.

Ruled out: the hosts themselves (they suspected the leader all the while, and other hosts answered that they hear it, so none stood).

PlatformClusterTest.laterLeaderServesHostWhoseRegistrationIsGone failed 3 of 3 times without the change (503, 503, 504) and passed 4 of 4 with it.

--- a/src/main/java/org/marjoramhoist/entry/FollowerLinks.java
+++ b/src/main/java/org/marjoramhoist/entry/FollowerLinks.java
@@ -12,7 +12,7 @@
 import org.marjoramhoist.peer.FrameNetwork;
 
 /**
- * The leader's links to the other registered hosts, one each.
+ * The leader's links to the other hosts that are or lately were registered, one each.
  *
  * <p>A link that stays silent is replaced; a host that stays without one is told lost. Confined to
  * the loop's thread.
@@ -44,7 +44,7 @@
    *
    * @param self this host, which needs none
    * @param network opens links
-   * @param addresses the peer addresses of the registered hosts
+   * @param addresses the peer addresses of these hosts
    * @param onMessage takes what hosts send
    * @param onLost takes hosts that are gone
    */
@@ -64,18 +64,18 @@
   /** Sends a heartbeat on each link, and opens those that are missing. */
   void beat(HostMessage heartbeat) {
     long now = Loop.now();
+    Map<String, String> known = addresses.get();
     Set<String> names = new HashSet<>(followers.keySet());
-    names.addAll(addresses.get().keySet());
+    names.addAll(known.keySet());
     for (String name : names) {
       if (!name.equals(self)) {
-        beat(name, heartbeat, now);
+        beat(name, known.get(name), heartbeat, now);
       }
     }
   }
 
-  private void beat(String name, HostMessage heartbeat, long now) {
+  private void beat(String name, String address, HostMessage heartbeat, long now) {
     Follower follower = followers.computeIfAbsent(name, key -> new Follower());
-    String address = addresses.get().get(name);
     if (address != null) {
       follower.address = address;
     }
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/KnownHosts.java
@@ -0,0 +1,76 @@
+package org.marjoramhoist.entry;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.marjoramhoist.lead.HostCapacity;
+
+/**
+ * The hosts that are registered, and those that lately were.
+ *
+ * <p>A host whose registration is gone may live on: the store may have ended its lease and turn it
+ * away. A leader still keeps a link to it for a time, so that its callers are served.
+ *
+ * <p>Invariant: no two hosts of {@link #reachable} have one address. Confined to one thread.
+ */
+final class KnownHosts {
+
+  /** How long a host whose registration is gone is still tried. */
+  private static final long REMEMBER_MICROS = 30_000_000;
+
+  private record Former(String address, long until) {}
+
+  private final Map<String, String> addresses = new LinkedHashMap<>();
+  private final Map<String, HostCapacity> capacities = new HashMap<>();
+  private final Map<String, Former> former = new LinkedHashMap<>();
+
+  /** Takes in a registration. */
+  void registered(String host, String address, HostCapacity capacity) {
+    addresses.put(host, address);
+    capacities.put(host, capacity);
+    former.remove(host);
+  }
+
+  /** Takes in that a registration is gone. */
+  void gone(String host, long now) {
+    String address = addresses.remove(host);
+    capacities.remove(host);
+    if (address != null) {
+      former.put(host, new Former(address, now + REMEMBER_MICROS));
+    }
+  }
+
+  /** Takes in that all registrations are gone; those that are not will be told again. */
+  void allGone(long now) {
+    Set.copyOf(addresses.keySet()).forEach(host -> gone(host, now));
+  }
+
+  /** Returns the peer addresses of the registered hosts, by their names. */
+  Map<String, String> addresses() {
+    return addresses;
+  }
+
+  /** Returns what the registered hosts could carry as leader, by their names. */
+  Map<String, HostCapacity> capacities() {
+    return capacities;
+  }
+
+  /** Returns the peer addresses of the hosts that are or lately were registered. */
+  Map<String, String> reachable(long now) {
+    former.values().removeIf(each -> each.until() <= now);
+    if (former.isEmpty()) {
+      return addresses;
+    }
+    Map<String, String> all = new LinkedHashMap<>(addresses);
+    Set<String> used = new HashSet<>(addresses.values());
+    former.forEach(
+        (host, each) -> {
+          if (used.add(each.address())) {
+            all.put(host, each.address());
+          }
+        });
+    return all;
+  }
+}
--- a/src/main/java/org/marjoramhoist/entry/Partition.java
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -193,7 +193,7 @@
     succession.begin(Loop.now());
     followers =
         new FollowerLinks(
-            self, network, store::addresses, this::fromFollower, host -> entryLost(host));
+            self, network, store::reachable, this::fromFollower, host -> entryLost(host));
     ownPort = new OwnPort(term);
     duty.start();
     beat();
--- a/src/main/java/org/marjoramhoist/entry/StoreLink.java
+++ b/src/main/java/org/marjoramhoist/entry/StoreLink.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -46,8 +45,7 @@
   private final String peerAddress;
   private final HostCapacity capacity;
   private final Consumer<ElectionEvent> election;
-  private final Map<String, String> addresses = new LinkedHashMap<>();
-  private final Map<String, HostCapacity> capacities = new LinkedHashMap<>();
+  private final KnownHosts hosts = new KnownHosts();
   private long lease;
   private long registeredRevision;
   private boolean leaving;
@@ -85,7 +83,12 @@
 
   /** Returns the peer addresses of the registered hosts, by their names. */
   Map<String, String> addresses() {
-    return addresses;
+    return hosts.addresses();
+  }
+
+  /** Returns the peer addresses of the hosts that are or lately were registered. */
+  Map<String, String> reachable() {
+    return hosts.reachable(Loop.now());
   }
 
   private void register() {
@@ -252,8 +255,7 @@
 
   @Override
   public void replaced(List<Item> items, long asOf) {
-    addresses.clear();
-    capacities.clear();
+    hosts.allGone(Loop.now());
     items.forEach(this::noteHost);
     tellHosts();
     recordRead(items, asOf, 0);
@@ -276,8 +278,7 @@
   }
 
   private void hostGone(String name, long revision) {
-    addresses.remove(name);
-    capacities.remove(name);
+    hosts.gone(name, Loop.now());
     // The watch may tell late of the end of an earlier registration.
     boolean isCurrent = revision > registeredRevision;
     if (name.equals(host) && isCurrent && lease != 0 && !leaving) {
@@ -292,15 +293,15 @@
     try {
       JsonNode node = JsonText.MAPPER.readTree(item.value());
       String name = item.key().substring(HOSTS.length());
-      addresses.put(name, node.path("address").asText());
-      capacities.put(name, new HostCapacity(node.path("startsPerSecond").asLong()));
+      HostCapacity carries = new HostCapacity(node.path("startsPerSecond").asLong());
+      hosts.registered(name, node.path("address").asText(), carries);
     } catch (IOException e) {
       EventLog.warn(LogEvent.CONFIG_RESOURCE_INVALID, "key={} can't be read", item.key());
     }
   }
 
   private void tellHosts() {
-    election.accept(new ElectionEvent.HostsSeen(Map.copyOf(capacities)));
+    election.accept(new ElectionEvent.HostsSeen(Map.copyOf(hosts.capacities())));
   }
 
   /** Removes what the host keeps in the store. */
--- a/src/main/java/org/marjoramhoist/platform/standin/PlatformStoreStandIn.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/PlatformStoreStandIn.java
@@ -9,7 +9,9 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.marjoramhoist.http.Exchanges;
@@ -42,6 +44,7 @@
   private final List<Watcher> watchers = new ArrayList<>();
   private final ScheduledExecutorService timer = DaemonTimer.create("store-stand-in");
   private final LoopbackServer server;
+  private final Set<String> revoked = new HashSet<>();
   private boolean down;
   private int repliesToLose;
 
@@ -81,6 +84,13 @@
     answerWatchers();
   }
 
+  /** Deletes a key and lets nobody write it any more. */
+  public synchronized void revoke(String key) {
+    revoked.add(key);
+    model.apply(List.of(), List.of(key));
+    answerWatchers();
+  }
+
   /** Sets a key, as the operator or a worker does. */
   public synchronized void put(String key, String value) {
     model.apply(List.of(new Put(key, value, 0)), List.of());
@@ -207,7 +217,9 @@
     List<String> deletes = new ArrayList<>();
     body.path("deletes").forEach(key -> deletes.add(key.asText()));
     List<Item> failed = model.failedConditions(conditions);
-    if (!failed.isEmpty()) {
+    if (puts.stream().anyMatch(put -> revoked.contains(put.key()))) {
+      Exchanges.reply(exchange, UNAVAILABLE, "{}");
+    } else if (!failed.isEmpty()) {
       ObjectNode root = JsonText.MAPPER.createObjectNode();
       ArrayNode items = root.putArray("items");
       failed.forEach(item -> items.add(itemNode(item)));
--- a/src/test/java/org/marjoramhoist/trial/PlatformClusterTest.java
+++ b/src/test/java/org/marjoramhoist/trial/PlatformClusterTest.java
@@ -118,6 +118,16 @@
     drained.join();
   }
 
+  @Test
+  void laterLeaderServesHostWhoseRegistrationIsGone() throws InterruptedException {
+    int leader = leader();
+    int dropped = (leader + 1) % HOSTS;
+    cluster.store().revoke("marjoramhoist/hosts/host-" + dropped);
+    Thread.sleep(500);
+    cluster.kill(leader);
+    assertThat(send(dropped, 1, 50).join()).isEqualTo(new HttpReply(200, SUCCEEDED));
+  }
+
   private int leader() {
     for (int i = 0; i < HOSTS; i++) {
       if (cluster.hosts().get(i).isLeader()) {
