Suspect a host whose connection broke once it has missed a heartbeat

Cause: the end of a connection was not told to Membership, so the standby of a dead owner waited for the whole silence of 0.75 s, and all eight shards of a domain of two hosts stood still: those of the dead host for their owner, the others for their standby.

Now a host whose connection broke since it was last heard is suspected after one and a half heartbeat intervals of silence. Suspicion only lets a member try to change a shard's record; seal and compare-and-swap hold as before. Ruled out: suspicion at the end of a connection alone, which a full queue or a short break causes too, while the host's heartbeats still arrive.

ClaimsTest.takesOverWithinHalfSecondOnceConnectionToOwnerBroke failed without the change.

--- a/src/main/java/org/marjoramhoist/decision/HostCore.java
+++ b/src/main/java/org/marjoramhoist/decision/HostCore.java
@@ -138,6 +138,7 @@
       peers.linkUp(e.host(), e.address(), e.domain());
     } else if (event instanceof Event.LinkLost e) {
       peers.linkLost(e.host());
+      membership.linkLost(e.host());
       claims.linkLost(e.host());
       submissions.linkLost(now, e.host(), out);
     } else {
--- a/src/main/java/org/marjoramhoist/decision/Membership.java
+++ b/src/main/java/org/marjoramhoist/decision/Membership.java
@@ -25,7 +25,7 @@
   public enum State {
     /** It was heard lately. */
     ALIVE,
-    /** It was not heard for the suspicion time. */
+    /** It was not heard for the suspicion time, which is shorter once its connection broke. */
     SUSPECT,
     /** It was not heard for the death time. */
     DEAD
@@ -36,6 +36,7 @@
     private HostRef ref;
     private long lastHeard;
     private State state = State.ALIVE;
+    private boolean unlinked;
     private Heartbeat last;
     private DomainId domain;
 
@@ -91,6 +92,7 @@
     changed |= peer.last != null && peer.last.draining() != beat.draining();
     peer.ref = from;
     peer.lastHeard = now;
+    peer.unlinked = false;
     peer.state = State.ALIVE;
     peer.last = beat;
     peer.domain = new DomainId(beat.domain());
@@ -98,6 +100,14 @@
     return changed;
   }
 
+  /** Takes in that the connection to a host broke; it is suspected once a heartbeat is missed. */
+  public void linkLost(HostId host) {
+    Peer peer = peers.get(host);
+    if (peer != null) {
+      peer.unlinked = true;
+    }
+  }
+
   /**
    * Moves silent hosts on to suspected and dead.
    *
@@ -130,7 +140,8 @@
     if (silence >= policy.deadAfter() * factor) {
       return State.DEAD;
     }
-    return silence >= policy.suspectAfter() * factor ? State.SUSPECT : State.ALIVE;
+    long suspectAfter = peer.unlinked ? policy.suspectUnlinkedAfter() : policy.suspectAfter();
+    return silence >= suspectAfter * factor ? State.SUSPECT : State.ALIVE;
   }
 
   private static void logChange(Peer peer, Actions out) {
--- a/src/main/java/org/marjoramhoist/decision/Policy.java
+++ b/src/main/java/org/marjoramhoist/decision/Policy.java
@@ -60,6 +60,14 @@
     }
   }
 
+  /**
+   * Returns the silence after which a host whose connection broke is suspected: one heartbeat is
+   * missed, and half an interval more has passed.
+   */
+  public long suspectUnlinkedAfter() {
+    return Math.min(suspectAfter, heartbeat + heartbeat / 2);
+  }
+
   /** Returns the default policy of a host. */
   public static Policy of(HostRef self, String address, DomainId domain, List<DomainId> domains) {
     return new Policy(
--- a/src/test/java/org/marjoramhoist/experiment/ClaimsTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/ClaimsTest.java
@@ -125,6 +125,15 @@
     assertNoBreach();
   }
 
+  @Test
+  void takesOverWithinHalfSecondOnceConnectionToOwnerBroke() {
+    int next = standby();
+    fleet.kill(owner());
+    run(500 * MILLI);
+    assertThat(owner()).isEqualTo(next);
+    assertNoBreach();
+  }
+
   @Test
   void refusesAtPausedOwnerThatWakesAfterTakeover() {
     int paused = owner();
