Claim again soon once the connection to the shard's owner broke

Cause: a claim sent to an owner that died, or lost with the connection, was given up only after 0.5 s, even when the shard had long had another owner.

Now the end of the connection gives such calls up as their time-out does: the claim is released, and tried again after 50 ms. A late grant of the earlier call starts nothing, and the later call has the higher nonce, as before.

ClaimsTest.claimsAgainSoonAfterConnectionToOwnerBroke failed without the change.

--- a/src/main/java/org/marjoramhoist/decision/ClaimCalls.java
+++ b/src/main/java/org/marjoramhoist/decision/ClaimCalls.java
@@ -1,9 +1,10 @@
 package org.marjoramhoist.decision;
 
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.TreeMap;
 import org.marjoramhoist.message.PeerMessage.ClaimEntry;
 import org.marjoramhoist.message.PeerMessage.ClaimRelease;
 import org.marjoramhoist.message.PeerMessage.ClaimReply;
@@ -39,11 +40,13 @@
 
   private record Due(long time, long call, Submission submission) {}
 
+  private record Call(HostId owner, Submission submission) {}
+
   private final Policy policy;
   private final Membership membership;
   private final ClaimAuthority claims;
   private final Outcomes outcomes;
-  private final Map<Long, Submission> open = new HashMap<>();
+  private final Map<Long, Call> open = new TreeMap<>();
   private final PriorityQueue<Due> deadlines =
       new PriorityQueue<>(Comparator.comparingLong(Due::time));
   private final PriorityQueue<Due> retries =
@@ -80,7 +83,7 @@
         new ClaimEntry(
             submission.id(), submission.digest(), policy.self(), call, submission.keepUntil());
     submission.startClaim(shard, entry);
-    open.put(call, submission);
+    open.put(call, new Call(owner, submission));
     deadlines.add(new Due(now + policy.claimTimeout(), call, submission));
     ClaimRequest request = new ClaimRequest(call, shard, entry);
     if (owner.equals(policy.self().host())) {
@@ -103,14 +106,15 @@
 
   /** Takes in what the owner of a shard has decided. */
   void replied(long now, HostRef from, ClaimReply reply, Actions out) {
-    Submission submission = open.remove(reply.call());
-    if (submission == null) {
+    Call call = open.remove(reply.call());
+    if (call == null) {
       if (reply.verdict() == ClaimVerdict.GRANTED) {
         ClaimEntry entry = reply.holder();
         sendRelease(from.host(), Shards.shardOf(entry.id(), policy), entry, out);
       }
       return;
     }
+    Submission submission = call.submission;
     switch (reply.verdict()) {
       case GRANTED -> outcomes.granted(now, submission, out);
       case TAKEN -> outcomes.taken(now, submission, reply.holder(), out);
@@ -136,6 +140,16 @@
     }
   }
 
+  /** Gives up the calls to a host whose connection broke, and tries again shortly. */
+  void linkLost(long now, HostId owner, Actions out) {
+    List<Call> lost = open.values().stream().filter(call -> call.owner.equals(owner)).toList();
+    open.values().removeAll(lost);
+    for (Call call : lost) {
+      release(call.submission, out);
+      retry(now, call.submission, "the connection to the shard's owner broke", out);
+    }
+  }
+
   /** Gives up calls that were not answered in time, and makes the retries that are due. */
   void tick(long now, Actions out) {
     while (!deadlines.isEmpty() && deadlines.peek().time <= now) {
--- a/src/main/java/org/marjoramhoist/decision/Submissions.java
+++ b/src/main/java/org/marjoramhoist/decision/Submissions.java
@@ -392,6 +392,7 @@
 
   /** Takes in that the connection to a host broke. */
   public void linkLost(long now, HostId host, Actions out) {
+    claimCalls.linkLost(now, host, out);
     forwards.linkLost(now, host, (waiter, answer) -> reply(waiter, answer, out));
   }
 
--- a/src/test/java/org/marjoramhoist/experiment/ClaimsTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/ClaimsTest.java
@@ -134,6 +134,19 @@
     assertNoBreach();
   }
 
+  @Test
+  void claimsAgainSoonAfterConnectionToOwnerBroke() {
+    int starter = bystander();
+    int owner = owner();
+    fleet.cut(starter, owner);
+    final long request = fleet.submit(starter, job("d0~again"));
+    run(20 * MILLI);
+    fleet.heal(starter, owner);
+    run(450 * MILLI);
+    assertThat(answer(request).isComplete()).isTrue();
+    assertNoBreach();
+  }
+
   @Test
   void refusesAtPausedOwnerThatWakesAfterTakeover() {
     int paused = owner();
