Ask no host for slots whose connection broke, and lend it none

Cause: what a host had last told of its free slots was kept until it was taken for dead, 2 s in its domain and 8 s in others. Until then it was asked first, each request lost 100 ms, and what it was asked for was not asked of others. The same way, a slot that became free went to an asker that could not hear of the loan.

Now the end of a connection drops what is known of the host as a lender and its own request; the next heartbeat brings it back.

LendingTest.asksNoHostWhoseConnectionBroke and .lendsNothingToHostWhoseConnectionBroke failed without the change.

--- a/src/main/java/org/marjoramhoist/decision/HostCore.java
+++ b/src/main/java/org/marjoramhoist/decision/HostCore.java
@@ -140,6 +140,7 @@
       peers.linkLost(e.host());
       membership.linkLost(e.host());
       claims.linkLost(e.host());
+      scheduler().lending().linkLost(e.host());
       submissions.linkLost(now, e.host(), out);
     } else {
       claims.storeEvent(now, event, out);
--- a/src/main/java/org/marjoramhoist/decision/SlotLending.java
+++ b/src/main/java/org/marjoramhoist/decision/SlotLending.java
@@ -12,6 +12,7 @@
 import org.marjoramhoist.message.PeerMessage.LoanRequest;
 import org.marjoramhoist.message.PeerMessage.LoanReturn;
 import org.marjoramhoist.message.PeerMessage.Slots;
+import org.marjoramhoist.model.HostId;
 import org.marjoramhoist.model.HostRef;
 import org.marjoramhoist.model.UpstreamId;
 import org.marjoramhoist.model.WorkerId;
@@ -67,6 +68,12 @@
     lender.free = new HashMap<>(free);
   }
 
+  /** Takes in that the connection to a host broke: it neither lends nor borrows until heard. */
+  void linkLost(HostId host) {
+    lenders.keySet().removeIf(ref -> ref.host().equals(host));
+    askers.removeIf(asker -> asker.from.host().equals(host));
+  }
+
   /** Returns how many slots other hosts are known to leave free. */
   int knownFree(UpstreamId upstream) {
     int free = 0;
