Say at once that no slot is free, and withdraw requests that are no longer needed

Cause: a host without a free slot answered a request for slots with nothing, although the message has a form for it. The asker counted what it had asked for as coming for 100 ms and asked nobody else: with figures of free slots up to a second old, a host with 94 waiting tasks and 10 slots waited so for three hosts that had lent theirs meanwhile, while others had slots.

Now the host says so at once and keeps the request; the asker goes on to the next host it knows to have slots, and asks at most three unknown ones that then hold its request.

LendingTest.saysAtOnceThatNoSlotIsFree and .withdrawsItsRequestOnceNothingWaits failed without the change; two more tests hold the other side.

--- a/src/main/java/org/marjoramhoist/decision/SlotLending.java
+++ b/src/main/java/org/marjoramhoist/decision/SlotLending.java
@@ -47,6 +47,7 @@
     private Map<String, Integer> free = Map.of();
     private long nextAsk;
     private int asked;
+    private String waitedFor;
   }
 
   private final Membership membership;
@@ -89,16 +90,22 @@
   void ask(long now, UpstreamState upstream, Actions out) {
     int wanted = upstream.queue().waitingTasks();
     double wait = upstream.queuedWork() / Math.max(1, upstream.pool().usableSlots());
+    if (wanted == 0) {
+      withdraw(now, upstream.id().value(), out);
+    }
     if (wanted == 0 || wait < MIN_WAIT) {
       return;
     }
     String name = upstream.id().value();
     int open = 0;
+    int without = 0;
     for (Lender lender : lenders.values()) {
-      if (lender.asked > 0 && now < lender.nextAsk) {
-        wanted -= lender.asked;
-        open++;
+      if (now >= lender.nextAsk) {
+        continue;
       }
+      wanted -= lender.asked;
+      open += lender.asked > 0 ? 1 : 0;
+      without += lender.asked > 0 ? 0 : 1;
     }
     while (wanted > 0 && open < MAX_ASKED_AT_ONCE) {
       Lender best = bestLender(now, name);
@@ -110,7 +117,7 @@
       wanted -= count;
       open++;
     }
-    if (wanted > 0 && open == 0) {
+    if (wanted > 0 && open == 0 && without < MAX_ASKED_AT_ONCE) {
       askAny(now, name, Math.min(wanted, ASKED_UNKNOWN), out);
     }
   }
@@ -121,6 +128,19 @@
     out.send(lender.ref.host(), new LoanRequest(upstream, count));
   }
 
+  /** Tells the hosts at which a request waits that nothing is wanted any more. */
+  private void withdraw(long now, String upstream, Actions out) {
+    for (Lender lender : lenders.values()) {
+      if (upstream.equals(lender.waitedFor)) {
+        lender.waitedFor = null;
+        if (now < lender.nextAsk) {
+          lender.nextAsk = now;
+          out.send(lender.ref.host(), new LoanRequest(upstream, 0));
+        }
+      }
+    }
+  }
+
   /** Asks one host in turn that is not known to have free slots; it answers once it has some. */
   private void askAny(long now, String upstream, int count, Actions out) {
     List<Lender> idle =
@@ -158,16 +178,22 @@
     return Math.max(0, upstream.pool().freeSlots() - kept);
   }
 
-  /** Lends what is free here; what is not free yet is lent as it becomes free, for a short time. */
+  /**
+   * Lends what is free here; if nothing is, the asker is told so at once, and lent what becomes
+   * free within a short time, unless it withdraws its request by one for no slots.
+   */
   void asked(long now, HostRef from, LoanRequest request, UpstreamState upstream, Actions out) {
     if (upstream == null) {
       return;
     }
     askers.removeIf(asker -> asker.from.equals(from) && asker.upstream == upstream);
-    if (askers.size() < MAX_ASKERS) {
+    if (request.count() > 0 && askers.size() < MAX_ASKERS) {
       askers.add(new Asker(from, upstream, request.count(), now + ANSWER_TIMEOUT));
     }
     serve(now, upstream, out);
+    if (askers.stream().anyMatch(asker -> asker.from.equals(from) && asker.upstream == upstream)) {
+      out.send(from.host(), new LoanGrant(request.upstream(), List.of(), now));
+    }
   }
 
   /** Lends to the hosts that have asked, in the order in which they asked. */
@@ -216,7 +242,12 @@
   void granted(long now, HostRef from, LoanGrant grant, UpstreamState upstream, Actions out) {
     int got = grant.slots().stream().mapToInt(Slots::count).sum();
     Lender lender = lenders.get(from);
+    if (got == 0) {
+      hadNone(lender, grant.upstream());
+      return;
+    }
     if (lender != null) {
+      lender.waitedFor = null;
       lender.nextAsk = now;
       lender.free.merge(grant.upstream(), -got, Integer::sum);
       if (got < lender.asked) {
@@ -244,6 +275,15 @@
     }
   }
 
+  /** Notes that a host has no slot free now; the request waits there until its next ask is due. */
+  private static void hadNone(Lender lender, String upstream) {
+    if (lender != null) {
+      lender.free.remove(upstream);
+      lender.asked = 0;
+      lender.waitedFor = upstream;
+    }
+  }
+
   /** Takes in slots that a borrower gives back. */
   void returned(long now, HostRef from, LoanReturn loan, UpstreamState upstream) {
     for (Slots slots : loan.slots()) {
--- a/src/main/java/org/marjoramhoist/message/PeerMessage.java
+++ b/src/main/java/org/marjoramhoist/message/PeerMessage.java
@@ -198,7 +198,7 @@
    * Asks a host for the use of slots that it leaves free.
    *
    * @param upstream the upstream
-   * @param count how many are wanted
+   * @param count how many are wanted; 0 withdraws an earlier request
    */
   record LoanRequest(String upstream, int count) implements PeerMessage {}
 
--- a/src/test/java/org/marjoramhoist/experiment/LendingTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/LendingTest.java
@@ -132,4 +132,46 @@
     }
     assertThat(slotsLent(actions, NEAR)).isEqualTo(0);
   }
+
+  @Test
+  void saysAtOnceThatNoSlotIsFree() {
+    submit(OWN_SLOTS, 20_000);
+    List<Action> actions = receive(NEAR, new LoanRequest(UPSTREAM, 3));
+    assertThat(sent(actions, NEAR)).containsExactly(new LoanGrant(UPSTREAM, List.of(), now));
+  }
+
+  @Test
+  void asksAnotherHostOnceOneHasNoSlotFree() {
+    hear(NEAR, 20);
+    hear(FAR, 10);
+    List<Action> actions = submit(OWN_SLOTS + 5, 20_000);
+    assertThat(sent(actions, NEAR)).containsExactly(new LoanRequest(UPSTREAM, 5));
+    assertThat(sent(actions, FAR)).isEmpty();
+    actions = receive(NEAR, new LoanGrant(UPSTREAM, List.of(), now));
+    assertThat(sent(actions, NEAR)).isEmpty();
+    assertThat(sent(actions, FAR)).containsExactly(new LoanRequest(UPSTREAM, 5));
+  }
+
+  @Test
+  void withdrawsItsRequestOnceNothingWaits() {
+    hear(NEAR, 20);
+    List<AttemptId> running = started(submit(OWN_SLOTS + 1, 20_000));
+    receive(NEAR, new LoanGrant(UPSTREAM, List.of(), now));
+    List<Action> actions =
+        step(new Event.AttemptEnded(running.get(0), new Outcome.Succeeded("", MILLI)));
+    assertThat(started(actions)).hasSize(1);
+    assertThat(sent(actions, NEAR)).containsExactly(new LoanRequest(UPSTREAM, 0));
+  }
+
+  @Test
+  void lendsNothingOnceRequestIsWithdrawn() {
+    List<AttemptId> running = started(submit(OWN_SLOTS, 20_000));
+    receive(NEAR, new LoanRequest(UPSTREAM, 3));
+    List<Action> actions = new ArrayList<>(receive(NEAR, new LoanRequest(UPSTREAM, 0)));
+    assertThat(sent(actions, NEAR)).isEmpty();
+    for (AttemptId attempt : running) {
+      actions.addAll(step(new Event.AttemptEnded(attempt, new Outcome.Succeeded("", MILLI))));
+    }
+    assertThat(slotsLent(actions, NEAR)).isEqualTo(0);
+  }
 }
