Keep an eighth of the own share for what arrives, whatever is lent

Cause: the part that a lender keeps was an eighth of the slots it had left. Each loan made it smaller, down to none: of 32 slots a host kept 4 from the first asker and none from the next, and then queued small jobs beside its own lent slots. docs/design/queueing.md has always said an eighth.

Now the part follows from the host's own share, lent slots included.

LendingTest.keepsPartOfItsShareHoweverManyHostsAsk failed without the change.

--- a/src/main/java/org/marjoramhoist/decision/SlotLending.java
+++ b/src/main/java/org/marjoramhoist/decision/SlotLending.java
@@ -169,12 +169,12 @@
     return best;
   }
 
-  /** Returns how many free slots may be lent; a part is kept for what arrives here. */
+  /** Returns how many free slots may be lent; a part of the share is kept for what arrives. */
   static int lendable(UpstreamState upstream) {
     if (!upstream.queue().isEmpty()) {
       return 0;
     }
-    int kept = upstream.pool().usableSlots() / KEPT_PART;
+    int kept = upstream.pool().ownSlots() / KEPT_PART;
     return Math.max(0, upstream.pool().freeSlots() - kept);
   }
 
--- a/src/main/java/org/marjoramhoist/decision/WorkerPool.java
+++ b/src/main/java/org/marjoramhoist/decision/WorkerPool.java
@@ -28,6 +28,9 @@
   /** A worker at its place in the order. */
   private record Place(int speed, double load, long tie, int free, WorkerState worker) {}
 
+  /** What a worker adds to the sums. */
+  private record Counted(int speed, int usable, int own) {}
+
   private record Wake(long at, WorkerState worker) {}
 
   private static final Comparator<Place> ORDER =
@@ -42,8 +45,9 @@
   private final TreeSet<Place> available = new TreeSet<>(ORDER);
   private final PriorityQueue<Wake> wakes = new PriorityQueue<>(Comparator.comparingLong(Wake::at));
   private final Map<Integer, Integer> slotsBySpeed = new HashMap<>();
-  private final Map<WorkerId, int[]> counted = new HashMap<>();
+  private final Map<WorkerId, Counted> counted = new HashMap<>();
   private int usableSlots;
+  private int ownSlots;
   private int freeSlots;
   private long tie;
 
@@ -109,18 +113,21 @@
     return (int) Math.round(StrictMath.log(runTimes.factor(worker.id())) / SPEED_STEP);
   }
 
-  /** Keeps the number of usable slots by speed. */
+  /** Keeps the number of usable slots by speed, and of own slots. */
   private void count(long now, WorkerState worker) {
-    int usable = worker.free(now) + worker.running();
-    usable = Math.max(0, workers.get(worker.id()) == worker ? usable : 0);
-    int speed = speedOf(worker);
-    int[] old = counted.put(worker.id(), new int[] {speed, usable});
+    boolean declared = workers.get(worker.id()) == worker;
+    int usable = declared ? Math.max(0, worker.free(now) + worker.running()) : 0;
+    int own = declared ? worker.own(now) : 0;
+    Counted next = new Counted(speedOf(worker), usable, own);
+    Counted old = counted.put(worker.id(), next);
     if (old != null) {
-      slotsBySpeed.merge(old[0], -old[1], Integer::sum);
-      usableSlots -= old[1];
+      slotsBySpeed.merge(old.speed, -old.usable, Integer::sum);
+      usableSlots -= old.usable;
+      ownSlots -= old.own;
     }
-    slotsBySpeed.merge(speed, usable, Integer::sum);
+    slotsBySpeed.merge(next.speed, usable, Integer::sum);
     usableSlots += usable;
+    ownSlots += own;
   }
 
   /** Returns how many slots this host leaves free at present. */
@@ -138,6 +145,11 @@
     return usableSlots;
   }
 
+  /** Returns how many slots are this host's own share at present, lent ones included. */
+  int ownSlots() {
+    return ownSlots;
+  }
+
   /** Looks again at the worker once the time has come. */
   void wakeAt(long at, WorkerState worker) {
     wakes.add(new Wake(at, worker));
--- a/src/main/java/org/marjoramhoist/decision/WorkerState.java
+++ b/src/main/java/org/marjoramhoist/decision/WorkerState.java
@@ -123,9 +123,18 @@
     refusedUntil = until;
   }
 
+  /** Returns how many slots of its own share this host may use or lend, lent ones included. */
+  int own(long now) {
+    return isBarred(now) ? 0 : Math.min(base, health.limit(now, spec.slots()));
+  }
+
+  private boolean isBarred(long now) {
+    return leaving || removed || now < refusedUntil;
+  }
+
   /** Returns how many more attempts this host may start on the worker. */
   int free(long now) {
-    if (leaving || removed || now < refusedUntil) {
+    if (isBarred(now)) {
       return 0;
     }
     return Math.min(share(), health.limit(now, spec.slots())) - running;
--- a/src/test/java/org/marjoramhoist/experiment/LendingTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/LendingTest.java
@@ -174,4 +174,13 @@
     }
     assertThat(slotsLent(actions, NEAR)).isEqualTo(0);
   }
+
+  @Test
+  void keepsPartOfItsShareHoweverManyHostsAsk() {
+    int kept = OWN_SLOTS / 8;
+    assertThat(slotsLent(receive(NEAR, new LoanRequest(UPSTREAM, 20)), NEAR))
+        .isEqualTo(OWN_SLOTS - kept);
+    assertThat(slotsLent(receive(FAR, new LoanRequest(UPSTREAM, 20)), FAR)).isEqualTo(0);
+    assertThat(started(submit(kept, 20_000))).hasSize(kept);
+  }
 }
