Count lent slots when a job is admitted and when shares are split

Cause: admission and the teams' shares went by the slots left at the moment. A host that had lent 28 of 32 slots for a second took itself for one of 4, and teams on it for greedy, which stretches what they wait for: jobs of 100 tasks with 20 s to go were refused as DEADLINE_UNREACHABLE ("would end about 2668 ms late", at 80% load).

Now both count the host's own share, lent slots included, as loans end after 1 s.

LendingTest.refusesNothingSinceItsSlotsAreLentForMoment failed without the change.

--- a/src/main/java/org/marjoramhoist/decision/Admission.java
+++ b/src/main/java/org/marjoramhoist/decision/Admission.java
@@ -60,7 +60,7 @@
       long now, JobSpec job, TeamSpec team, ClassSpec requestClass, UpstreamState upstream) {
     int tasks = job.tasks().size();
     double work = expectedWork(job, requestClass, upstream);
-    int slots = Math.max(1, upstream.pool().usableSlots() + lending.knownFree(upstream.id()));
+    int slots = Math.max(1, upstream.pool().lastingSlots() + lending.knownFree(upstream.id()));
     double wait = upstream.queue().workBefore(now, job.team(), upstream.queuedWork()) / slots;
     long retryAt = now + Math.max(MIN_RETRY_MICROS, (long) (wait / 2));
     if (usage.total(job.team()) + tasks > team.quotaTasks()) {
--- a/src/main/java/org/marjoramhoist/decision/Scheduler.java
+++ b/src/main/java/org/marjoramhoist/decision/Scheduler.java
@@ -280,7 +280,7 @@
     attempts.tick(now, out);
     for (UpstreamState upstream : upstreams.values()) {
       upstream.pool().tick(now);
-      upstream.queue().tick(now, upstream.pool().usableSlots());
+      upstream.queue().tick(now, upstream.pool().lastingSlots());
     }
     upstreams.values().forEach(upstream -> lending.tick(now, upstream, out));
     dispatchAll(now, out);
--- a/src/main/java/org/marjoramhoist/decision/WorkerPool.java
+++ b/src/main/java/org/marjoramhoist/decision/WorkerPool.java
@@ -150,6 +150,11 @@
     return ownSlots;
   }
 
+  /** Returns how many slots this host can count on, as what it lends comes back soon. */
+  int lastingSlots() {
+    return Math.max(usableSlots, ownSlots);
+  }
+
   /** Looks again at the worker once the time has come. */
   void wakeAt(long at, WorkerState worker) {
     wakes.add(new Wake(at, worker));
--- a/src/test/java/org/marjoramhoist/experiment/LendingTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/LendingTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.marjoramhoist.experiment.Fleets.MILLI;
+import static org.marjoramhoist.experiment.Fleets.SECOND;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -183,4 +184,14 @@
     assertThat(slotsLent(receive(FAR, new LoanRequest(UPSTREAM, 20)), FAR)).isEqualTo(0);
     assertThat(started(submit(kept, 20_000))).hasSize(kept);
   }
+
+  @Test
+  void refusesNothingSinceItsSlotsAreLentForMoment() {
+    receive(NEAR, new LoanRequest(UPSTREAM, 20));
+    long millisOnTwoSlots = 4_000;
+    int tasks = (int) (2 * millisOnTwoSlots / 200);
+    List<Action> actions = submit(tasks, millisOnTwoSlots - SECOND / MILLI);
+    assertThat(started(actions)).hasSize(2);
+    assertThat(actions.stream().anyMatch(Action.Reply.class::isInstance)).isFalse();
+  }
 }
