Never begin a term again that has ended

ElectionTest.doesNotBeginAnEndedTermAgainWhenItsWriteIsAnsweredLate failed before with a second Lead.

--- a/src/main/java/org/marjoramhoist/lead/Election.java
+++ b/src/main/java/org/marjoramhoist/lead/Election.java
@@ -51,6 +51,7 @@
   private boolean retired;
   private long notBefore;
   private long leadingTerm;
+  private long lastLedTerm;
   private long recordConfirmedAt;
   private long recordAskedAt;
   private long mostHostsAt;
@@ -285,8 +286,8 @@
   private List<ElectionAction> recordTaken(long now, RecordTaken taken) {
     taking = false;
     recordConfirmedAt = now;
-    boolean alreadyLeads = taken.revision() == leadingTerm;
-    if (taken.revision() < seenRevision || alreadyLeads) {
+    boolean wasLed = taken.revision() <= lastLedTerm;
+    if (taken.revision() < seenRevision || wasLed) {
       return List.of();
     }
     seenRevision = taken.revision();
@@ -298,6 +299,7 @@
   private List<ElectionAction> lead(long now, long revision) {
     term = revision;
     leadingTerm = revision;
+    lastLedTerm = revision;
     recordConfirmedAt = now;
     confirmedAt.clear();
     mostHostsAt = 0;
--- a/src/test/java/org/marjoramhoist/lead/ElectionTest.java
+++ b/src/test/java/org/marjoramhoist/lead/ElectionTest.java
@@ -299,4 +299,16 @@
     assertThat(step(1, new ElectionEvent.HandedOver(9)))
         .containsExactly(new ElectionAction.TakeRecord(9));
   }
+
+  /** The watch told of the record, the term ended, and only then the write was answered. */
+  @Test
+  void doesNotBeginAnEndedTermAgainWhenItsWriteIsAnsweredLate() {
+    step(1, new ElectionEvent.RecordSeen(2, null, now));
+    assertThat(tick(300)).containsExactly(new ElectionAction.TakeRecord(0));
+    assertThat(step(4, new ElectionEvent.RecordSeen(12, new LeaderRecord("b", 7), 0)))
+        .containsExactly(new ElectionAction.Lead(12, false));
+    assertThat(step(5, new ElectionEvent.MustStepDown("the process was suspended"))).hasSize(1);
+    assertThat(step(5, new ElectionEvent.RecordTaken(12))).isEmpty();
+    assertThat(election.leadingTerm()).isEqualTo(0);
+  }
 }
