Count a new leader's contact from when it asked for its record

Found in review. The answer to the write of the record confirmed it as of the answer's arrival, which a slow store puts up to 0.5 s later; for that long the host could start runs, and order for 0.6 s, though another may have taken the record since: 'no run is started once another leader may be elected' was broken. Now the contact counts from when the write was asked for. A host that is told late waits in office, ordering nothing, until hosts or the record confirm it.

ElectionTest.lateAnswerToItsWriteConfirmsNothingAnew failed before.

--- a/src/main/java/org/marjoramhoist/lead/Election.java
+++ b/src/main/java/org/marjoramhoist/lead/Election.java
@@ -52,6 +52,8 @@
   private long notBefore;
   private long leadingTerm;
   private long lastLedTerm;
+  private long ledAt;
+  private long takeAskedAt;
   private long recordConfirmedAt;
   private long recordAskedAt;
   private long mostHostsAt;
@@ -158,7 +160,7 @@
     } else if (event instanceof HeartbeatConfirmed confirmed) {
       confirmedAt.merge(confirmed.host(), confirmed.sentAt(), Math::max);
     } else if (event instanceof RecordExpired) {
-      return recordExpired();
+      return recordExpired(now);
     } else if (event instanceof MustStepDown must) {
       return stepDown(now, must.reason());
     } else if (event instanceof Retired) {
@@ -179,7 +181,7 @@
     seenRevision = seen.revision();
     record = seen.record();
     if (record == null) {
-      return leadingTerm == 0 ? List.of() : recordExpired();
+      return leadingTerm == 0 ? List.of() : recordExpired(now);
     }
     term = Math.max(term, seen.revision());
     boolean mine = namesThisProcess(record);
@@ -279,13 +281,13 @@
 
   private List<ElectionAction> takeRecord(long now, long expected) {
     taking = true;
+    takeAskedAt = now;
     notBefore = now + TAKE_PAUSE_MICROS;
     return List.of(new ElectionAction.TakeRecord(expected));
   }
 
   private List<ElectionAction> recordTaken(long now, RecordTaken taken) {
     taking = false;
-    recordConfirmedAt = now;
     boolean wasLed = taken.revision() <= lastLedTerm;
     if (taken.revision() < seenRevision || wasLed) {
       return List.of();
@@ -300,7 +302,9 @@
     term = revision;
     leadingTerm = revision;
     lastLedTerm = revision;
-    recordConfirmedAt = now;
+    ledAt = now;
+    // The record named this host when it was written, not when that is told.
+    recordConfirmedAt = takeAskedAt;
     confirmedAt.clear();
     mostHostsAt = 0;
     trust(now);
@@ -315,11 +319,12 @@
     return List.of(new ElectionAction.ReadRecord());
   }
 
-  private List<ElectionAction> recordExpired() {
+  private List<ElectionAction> recordExpired(long now) {
     if (leadingTerm == 0 || taking) {
       return List.of();
     }
     taking = true;
+    takeAskedAt = now;
     return List.of(new ElectionAction.TakeRecord(0));
   }
 
@@ -328,7 +333,7 @@
     // A host without others has heard most of them at any time, however long ago it last stepped.
     mostHostsAt = Math.max(mostHostsAt, mostHostsHeardAt(now));
     long heard = heardAt();
-    if (now - heard > policy.contactMicros()) {
+    if (now - Math.max(heard, ledAt) > policy.contactMicros()) {
       return stepDown(now, "neither most hosts nor the record were heard");
     }
     boolean followed = now - mostHostsAt < policy.startMicros() / 2;
--- a/src/test/java/org/marjoramhoist/lead/ElectionTest.java
+++ b/src/test/java/org/marjoramhoist/lead/ElectionTest.java
@@ -311,4 +311,14 @@
     assertThat(step(5, new ElectionEvent.RecordTaken(12))).isEmpty();
     assertThat(election.leadingTerm()).isEqualTo(0);
   }
+
+  /** The record was its own when the write took effect, not when the answer came. */
+  @Test
+  void lateAnswerToItsWriteConfirmsNothingAnew() {
+    step(1, new ElectionEvent.RecordSeen(2, null, now));
+    tick(300);
+    step(4, new ElectionEvent.RecordSeen(12, new LeaderRecord("b", 7), 0));
+    step(450, new ElectionEvent.RecordTaken(12));
+    assertThat(election.mayStart(now)).isFalse();
+  }
 }
