Forget that one leader's process is gone once another led

Found in review. A host that had found the leader's process gone, and then lost the race for the record, kept that finding: when the next leader handed over to it, alive, it waited 1.3 s instead of 1.9 s for runs out of sight, though that leader may order for 0.6 s more. The finding now ends with the leader that it is about.

ElectionTest.forgetsThatOneLeaderIsGoneWhenAnotherLed failed before.

--- a/src/main/java/org/marjoramhoist/lead/Election.java
+++ b/src/main/java/org/marjoramhoist/lead/Election.java
@@ -188,6 +188,9 @@
     if (mine && leadingTerm != seenRevision && !retired) {
       return lead(now, seenRevision);
     }
+    if (!mine) {
+      earlierGone = false;
+    }
     if (!mine && leadingTerm != 0) {
       return stepDown(now, "the record names another leader");
     }
@@ -206,6 +209,7 @@
       return;
     }
     if (heard.term() > term || record == null) {
+      earlierGone = false;
       term = heard.term();
       seenRevision = Math.max(seenRevision, term);
       record = new LeaderRecord(heard.host(), 0);
@@ -276,6 +280,8 @@
       return List.of();
     }
     suspectedAt = now;
+    // A leader that hands over is alive.
+    earlierGone = false;
     return takeRecord(now, handed.term());
   }
 
--- a/src/test/java/org/marjoramhoist/lead/ElectionTest.java
+++ b/src/test/java/org/marjoramhoist/lead/ElectionTest.java
@@ -321,4 +321,21 @@
     step(450, new ElectionEvent.RecordTaken(12));
     assertThat(election.mayStart(now)).isFalse();
   }
+
+  /** That the leader of one term is gone says nothing of the leader of a later one. */
+  @Test
+  void forgetsThatOneLeaderIsGoneWhenAnotherLed() {
+    follow();
+    step(0, new ElectionEvent.LeaderLinkLost(9));
+    tick(40);
+    assertThat(step(5, new ElectionEvent.HostsAsked(3, false, true)))
+        .containsExactly(new ElectionAction.TakeRecord(9));
+    step(5, new ElectionEvent.TakeFailed());
+    step(5, new ElectionEvent.RecordSeen(11, new LeaderRecord("c", 1), now));
+    step(5, new ElectionEvent.LeaderHeard(11, "c"));
+    assertThat(step(9_000, new ElectionEvent.HandedOver(11)))
+        .containsExactly(new ElectionAction.TakeRecord(11));
+    assertThat(step(5, new ElectionEvent.RecordTaken(14)))
+        .containsExactly(new ElectionAction.Lead(14, false));
+  }
 }
