Count hosts whose registration lapsed in the majority for a time

The majority that a leader must hear, or a host must ask before it stands, was counted over the registered hosts. Registrations lapse when the store is away for four seconds while the hosts run on, and the watch then tells of none: the leader held itself followed by all of them at that moment, and if it was cut off just then, for ever, beside a successor that waits 1.9 s for it. Now a host counts for 10 s after its registration is gone, is asked too, and a host that ever knew others is never its own majority; it then has its record.

ElectionTest.isOutOfContactThoughTheOtherRegistrationsHaveLapsed and .passingEmptyListOfHostsIsNoContact failed before.

--- a/src/main/java/org/marjoramhoist/entry/Partition.java
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -166,15 +166,15 @@
   }
 
   private void ask() {
-    Map<String, String> others = new LinkedHashMap<>(store.addresses());
-    others.remove(self);
+    Map<String, String> others = new LinkedHashMap<>(store.reachable());
+    others.keySet().retainAll(election.otherHosts(Loop.now()));
     EventLog.info(
         LogEvent.LEADER_SUSPECTED, "term={} asks={}", election.knownTerm(), others.size());
     HostSurvey.start(
         self,
         others,
         election.knownLeader(),
-        store.addresses().size() / 2 + 1,
+        (others.size() + 1) / 2 + 1,
         network,
         loop,
         result ->
--- a/src/main/java/org/marjoramhoist/lead/Election.java
+++ b/src/main/java/org/marjoramhoist/lead/Election.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
 import org.marjoramhoist.lead.ElectionEvent.HandedOver;
 import org.marjoramhoist.lead.ElectionEvent.HeartbeatConfirmed;
 import org.marjoramhoist.lead.ElectionEvent.HostsAsked;
@@ -25,7 +24,7 @@
  *
  * <p>Invariants: a host leads only under a record that it wrote itself, whose revision is its term.
  * It stands against a leader only if it doesn't hear it, no host that answers hears it, and more
- * than half of the registered hosts answered; with fewer, only once the record has expired. Wrong
+ * than half of the {@link Electorate} answered; with fewer, only once the record has expired. Wrong
  * suspicions are harmless, as workers obey only the highest term. Confined to one thread.
  */
 public final class Election {
@@ -39,7 +38,7 @@
   private final ElectionPolicy policy;
   private final Map<String, Long> confirmedAt = new HashMap<>();
 
-  private Map<String, HostCapacity> hosts = Map.of();
+  private final Electorate electorate;
   private boolean recordKnown;
   private long seenRevision;
   private long term;
@@ -70,6 +69,7 @@
   public Election(String self, long incarnation, ElectionPolicy policy, long now) {
     this.self = self;
     this.incarnation = incarnation;
+    this.electorate = new Electorate(self);
     this.policy = policy;
     this.heardAt = now;
   }
@@ -111,6 +111,11 @@
     return mayOrder(now) && (followed || named);
   }
 
+  /** Returns the other hosts whose majority counts. */
+  public Set<String> otherHosts(long now) {
+    return electorate.others(now);
+  }
+
   /** Returns the leader that the record names; empty if there is none. */
   public String knownLeader() {
     return record == null ? "" : record.host();
@@ -140,7 +145,7 @@
       return leadingTerm != 0 ? checkContact(now) : checkLeader(now);
     }
     if (event instanceof HostsSeen seen) {
-      hosts = Map.copyOf(seen.hosts());
+      electorate.seen(seen.hosts(), now);
     } else if (event instanceof RecordSeen seen) {
       return recordSeen(now, seen);
     } else if (event instanceof LeaderHeard heard) {
@@ -245,6 +250,7 @@
 
   /** Hosts that could carry more as leader stand earlier; equal ones in the order of names. */
   private long rankDelay() {
+    Map<String, HostCapacity> hosts = electorate.registered();
     HostCapacity own = hosts.getOrDefault(self, HostCapacity.UNKNOWN);
     int rank = 0;
     for (Map.Entry<String, HostCapacity> other : hosts.entrySet()) {
@@ -266,9 +272,8 @@
         || asked.leaderIsHeard() && !asked.leaderIsGone()) {
       return List.of();
     }
-    Set<String> known = new TreeSet<>(hosts.keySet());
-    known.add(self);
-    boolean most = 2 * (asked.answered() + 1) > known.size();
+    int known = electorate.others(now).size() + 1;
+    boolean most = 2 * (asked.answered() + 1) > known;
     if (most || record == null) {
       return takeRecord(now, record == null ? 0 : seenRevision);
     }
@@ -357,14 +362,14 @@
 
   /** Returns the latest time since which more than half of the hosts were heard. */
   private long mostHostsHeardAt(long now) {
-    int others = hosts.containsKey(self) ? hosts.size() - 1 : hosts.size();
-    int needed = (others + 1) / 2;
-    if (needed == 0) {
-      return now;
+    Set<String> others = electorate.others(now);
+    if (others.isEmpty()) {
+      return electorate.wasAlwaysAlone() ? now : 0;
     }
+    int needed = (others.size() + 1) / 2;
     List<Long> times =
         confirmedAt.entrySet().stream()
-            .filter(each -> hosts.containsKey(each.getKey()))
+            .filter(each -> others.contains(each.getKey()))
             .map(Map.Entry::getValue)
             .sorted(Comparator.reverseOrder())
             .toList();
--- a/src/test/java/org/marjoramhoist/lead/ElectionTest.java
+++ b/src/test/java/org/marjoramhoist/lead/ElectionTest.java
@@ -338,4 +338,27 @@
     assertThat(step(5, new ElectionEvent.RecordTaken(14)))
         .containsExactly(new ElectionAction.Lead(14, false));
   }
+
+  /** Registrations lapse with the store while their hosts run on. */
+  @Test
+  void isOutOfContactThoughTheOtherRegistrationsHaveLapsed() {
+    lead(5);
+    confirm(50, "a");
+    confirm(1, "c");
+    step(10, new ElectionEvent.HostsSeen(Map.of("b", SMALL)));
+    // Then it hears neither hosts nor the store any more.
+    now += 3_000 * MILLI;
+    assertThat(election.mayOrder(now)).isFalse();
+    tick(25);
+    assertThat(election.mayStart(now)).isFalse();
+  }
+
+  /** One answer of the watch tells of all registrations that lapsed, then of those renewed. */
+  @Test
+  void passingEmptyListOfHostsIsNoContact() {
+    lead(5);
+    step(550, new ElectionEvent.HostsSeen(Map.of()));
+    step(0, new ElectionEvent.HostsSeen(HOSTS));
+    assertThat(election.mayStart(now)).isFalse();
+  }
 }
