Take a lapsed record for no other leader when the roster is written

Found in review. When the store returned with the leader's record lapsed, a change of the roster on its way was answered with a conflict, and the host stepped down since 'the record names another leader', which it did not: almost half a second without a leader instead of a few milliseconds for a new record. The change now waits until the record names this term again or another host, as changes of jobs do. The stand-in of the store gave only the conditions that failed, where the store gives all of them; it now does the same.

RosterStoreTest failed before (it stepped down).

--- a/src/main/java/org/marjoramhoist/entry/RosterStore.java
+++ b/src/main/java/org/marjoramhoist/entry/RosterStore.java
@@ -160,16 +160,22 @@
     events.accept(new DispatchEvent.RosterStored(change.number()));
   }
 
-  /** Takes in that the conditions of a change did not hold; the keys tell why. */
+  /**
+   * Takes in that the conditions of a change did not hold; the keys tell why. A leader's record
+   * that is gone names no other leader: it may have lapsed, and this term is over only once another
+   * host has taken it.
+   */
   private void conflicting(List<Item> current) {
-    boolean leads =
-        current.stream()
-            .anyMatch(item -> item.key().equals(StoreLink.LEADER) && item.revision() == term);
-    if (leads) {
-      read(items -> send());
-    } else {
+    if (current.stream().anyMatch(this::namesAnotherLeader)) {
       onStale.accept("the record names another leader");
+      return;
     }
+    loop.afterAbout(FIRST_PAUSE_MILLIS, () -> unlessClosed(() -> read(items -> send())));
+  }
+
+  private boolean namesAnotherLeader(Item item) {
+    boolean isRecord = item.key().equals(StoreLink.LEADER) && item.value() != null;
+    return isRecord && item.revision() != term;
   }
 
   private void later(Runnable task) {
--- a/src/main/java/org/marjoramhoist/platform/standin/PlatformStoreStandIn.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/PlatformStoreStandIn.java
@@ -216,7 +216,7 @@
     body.path("puts").forEach(put -> puts.add(putOf(put)));
     List<String> deletes = new ArrayList<>();
     body.path("deletes").forEach(key -> deletes.add(key.asText()));
-    List<Item> failed = model.failedConditions(conditions);
+    List<Item> failed = model.conflicts(conditions);
     if (puts.stream().anyMatch(put -> revoked.contains(put.key()))) {
       Exchanges.reply(exchange, UNAVAILABLE, "{}");
     } else if (!failed.isEmpty()) {
--- a/src/main/java/org/marjoramhoist/platform/standin/StoreModel.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/StoreModel.java
@@ -43,17 +43,17 @@
     return found;
   }
 
-  /** Returns the keys of the conditions that do not hold as they are; empty if all hold. */
-  List<Item> failedConditions(List<Condition> conditions) {
-    List<Item> failed = new ArrayList<>();
+  /** Returns the keys of the conditions as they are; empty if all conditions hold. */
+  List<Item> conflicts(List<Condition> conditions) {
+    List<Item> current = new ArrayList<>();
+    boolean allHold = true;
     for (Condition condition : conditions) {
       Stored stored = items.get(condition.key());
-      long present = stored == null ? 0 : stored.item().revision();
-      if (present != condition.revision()) {
-        failed.add(stored == null ? new Item(condition.key(), null, 0) : stored.item());
-      }
+      Item item = stored == null ? new Item(condition.key(), null, 0) : stored.item();
+      current.add(item);
+      allHold &= item.revision() == condition.revision();
     }
-    return failed;
+    return allHold ? List.of() : current;
   }
 
   boolean holds(long lease) {
