Take over that a job was handed on when it joins one that was sent again

What callers see: a task that runs twice at once, or a job told refused after an earlier leader started it, when a caller sends a job again to another host while the leader changes.

Cause: Jobs.submit joined a submission to the open job of the same id and kept only its entry host and its deadline. If the one from the caller (generation 0) came first and the one handed on (generation 1) second, the job was not marked as resumed or started and its run numbers stayed low, so it was started before the workers of the earlier term had answered, under numbers that the earlier leader had used.

Ruled out: the runs that workers report are taken over by either submission (claimEarlier looks at any new job); what is lost is only the wait for those that do not answer.

Change: what a handed-on job is marked with is one method of Job, called by its constructor and by the join. Numbers only rise and marks are only set, so the order of the two submissions no longer matters.

Evidence: RosterTest.jobThatIsHandedOnAfterItWasSentAgainWaitsForLapsedWorker failed without the change (started on the listed worker while the lapsed one had not answered) and passes with it.

Not covered: within the first second of a term a job that is only known from its caller is started at once; if it is handed on after that, its run is at work already.

--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -60,9 +60,8 @@
       long arrivedAt,
       long deadline,
       int generation) {
-    this(description, requestClass, null, arrivedAt, deadline, generation * RUNS_PER_GENERATION);
-    this.resumed = generation > 0;
-    this.started = resumed;
+    this(description, requestClass, null, arrivedAt, deadline, 0);
+    handedOn(generation);
   }
 
   private Job(
@@ -105,6 +104,20 @@
         record.job(), record.requestClass(), record, arrivedAt, Long.MAX_VALUE, firstRun);
   }
 
+  /**
+   * Takes in that an entry host handed it on, if it did: an earlier leader may have ordered runs.
+   *
+   * @param generation how many leaders were given it before this one
+   */
+  void handedOn(int generation) {
+    if (generation == 0 || isDurable()) {
+      return;
+    }
+    resumed = true;
+    started = true;
+    raiseRunNumbers(generation * RUNS_PER_GENERATION);
+  }
+
   /** Takes in what an earlier leader stored of it. */
   void resume(JobProgress progress) {
     stored = true;
--- a/src/main/java/org/marjoramhoist/dispatch/Jobs.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Jobs.java
@@ -77,6 +77,7 @@
     if (known != null) {
       known.entries.add(event.entry());
       known.deadline = Math.max(known.deadline, event.deadline());
+      known.handedOn(event.generation());
       return null;
     }
     Ended before = ended.get(id);
--- a/src/test/java/org/marjoramhoist/dispatch/RosterTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/RosterTest.java
@@ -214,4 +214,18 @@
     assertThat(orderedWorkers()).hasSize(1);
     assertThat(changes(new DispatchEvent.WorkersListed(List.of(many)))).isEmpty();
   }
+
+  /**
+   * Its caller sent it again to another host, whose submission came in before the one handed on.
+   */
+  @Test
+  void jobThatIsHandedOnAfterItWasSentAgainWaitsForLapsedWorker() {
+    beginTerm(now + 1_700 * MILLI, List.of(LISTED, LAPSED));
+    submit(0);
+    submit(1);
+    listWorkers(LISTED);
+    report("listed", List.of());
+    tick(100);
+    assertThat(orderedWorkers()).isEmpty();
+  }
 }
