Prove no absence by a report that can't hold all ends

What callers see: a task runs again though it is done, or fails to be counted as failed, when more than 500 ends wait on its worker: after a leader took over late, or while the store takes nothing and durable ends are held.

Cause: a worker lists at most 500 ends that are not acknowledged, oldest first, and the others after these. RunControl took each report for complete. A run that was in neither list was told lost ("not there") and its task started again, though its end was beyond the list; and a worker with such a report counted as having answered this leader, so that jobs handed on were started without its later ends.

Ruled out: ends that are lost on the worker (they are shown once the first ones are acknowledged), and the list of running tasks, which has no such limit.

Change: WorkerCalls, which knows the protocol, tells in WorkerReport.endsWhole whether the list can be all; rows that are not of our tasks count. A report that is not whole puts no worker in step, finds no run missing and drops no run of unknown jobs but those that it lists as ended. The next report is asked for at once if an acknowledgement makes room for further ends; otherwise the same ends would come back, so it is asked for each 100 ms, with the lease if anything may be at work. The emulated worker has the same limit.

Evidence: DispatcherTest.runIsNotLostWhileTheReportCannotHoldAllEnds and RosterTest.workerThatHasMoreEndsThanOneReportHoldsHasNotAnsweredYet failed without the change of RunControl (each started a run at once). RosterTest.workerThatMustKeepItsEndsIsRenewedWithoutHaste failed without it too (100 renewals in 100 turns, at most 24 allowed), and also with the change but without the pause (100) or without the lease (a lease of 0). The fixture tells by the number of ends whether a report is whole, as the adapter does; PlatformFormatsTest checks 499 and 500 rows there.

--- a/src/main/java/org/marjoramhoist/dispatch/RunControl.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunControl.java
@@ -14,8 +14,8 @@
  * Starts and stops runs, renews their leases, and finds out what became of each.
  *
  * <p>Invariant: a run is told over only when the worker said so, when the worker rejected it, when
- * a report asked for after a confirmed stop does not show it, or when its lease has surely run out.
- * Confined to one thread.
+ * a whole report asked for after its start or its stop was confirmed does not show it, or when its
+ * lease has surely run out. Confined to one thread.
  */
 final class RunControl {
 
@@ -159,7 +159,8 @@
       renewIfDue(worker, now, out);
       return;
     }
-    worker.synced = true;
+    worker.synced |= report.endsWhole();
+    worker.hasMoreEnds = !report.endsWhole();
     worker.mayBeReborn = false;
     worker.lastReportAt = now;
     if (report.bornMillis() != worker.reportedBorn) {
@@ -168,6 +169,7 @@
     worker.reportedMillis = report.clockMillis();
     worker.clock.read(report.clockMillis(), sentAt, now);
     for (Ended end : report.ended()) {
+      worker.foreignRuns.remove(end.run());
       if (worker.seesEnd(end.number())) {
         ended(worker, end, now, out);
       }
@@ -177,8 +179,10 @@
       running.add(each.run());
       atWork(worker, each, now, out);
     }
-    worker.foreignRuns.keySet().retainAll(running);
-    findMissing(worker, sentAt, report.clockMillis(), running, now, out);
+    if (report.endsWhole()) {
+      worker.foreignRuns.keySet().retainAll(running);
+      findMissing(worker, sentAt, report.clockMillis(), running, now, out);
+    }
     stopStalled(worker, now, out);
     worker.observe(now);
     renewIfDue(worker, now, out);
@@ -273,6 +277,7 @@
     worker.callFailed();
     if (otherLife) {
       worker.synced = false;
+      worker.hasMoreEnds = false;
     } else if (worker.isReachable()) {
       renewIfDue(worker, now, out);
     }
@@ -304,6 +309,10 @@
     if (worker.renewals > 0 && !mustLookNow(worker)) {
       return;
     }
+    if (worker.isReachable() && worker.hasMoreEnds) {
+      renewForMoreEnds(worker, now, out);
+      return;
+    }
     if (!worker.isReachable() || !worker.synced) {
       long pause = worker.runs.isEmpty() ? LONG_RETRY_MICROS : RETRY_MICROS;
       if (worker.renewedAt == 0 || now - worker.renewedAt > pause) {
@@ -347,6 +356,14 @@
     return false;
   }
 
+  /** Asks for the next ends at once if it can show them, otherwise only often enough to renew. */
+  private void renewForMoreEnds(Worker worker, long now, List<DispatchAction> out) {
+    if (worker.canShowMoreEnds() || now - worker.renewedAt > RETRY_MICROS) {
+      boolean atWork = !worker.runs.isEmpty() || !worker.foreignRuns.isEmpty();
+      renew(worker, atWork ? leaseEnd(worker, now) : 0, 0, now, out);
+    }
+  }
+
   private void renew(Worker worker, long lease, long wait, long now, List<DispatchAction> out) {
     worker.renewals++;
     worker.renewedAt = now;
--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -57,6 +57,9 @@
   /** Whether it has answered this leader. */
   boolean synced;
 
+  /** Whether its last report could not hold all its ends. */
+  boolean hasMoreEnds;
+
   /** How many renewals are under way. */
   int renewals;
 
@@ -175,6 +178,11 @@
     return heldEnds.isEmpty() ? seenEnds : heldEnds.first() - 1;
   }
 
+  /** Tells whether another report may show ends that the last one had no place for. */
+  boolean canShowMoreEnds() {
+    return acknowledgementHeldBack || acknowledged() > acknowledgedSent;
+  }
+
   /** Tells whether runs of this leader, or runs that it renews, may be at work on it. */
   boolean mayHoldRuns(long now) {
     boolean renewed = !foreignRuns.isEmpty() && !clock.surelyPast(leaseUntilMillis, now);
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerReport.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerReport.java
@@ -12,9 +12,15 @@
  * @param bornMillis the worker's start; 0 if it did not say
  * @param running the runs at work
  * @param ended the ends not yet acknowledged, oldest first
+ * @param endsWhole whether that is all of them; otherwise later ones are shown once these are
+ *     acknowledged, and a run in neither list may have ended
  */
 public record WorkerReport(
-    long clockMillis, long bornMillis, List<Running> running, List<Ended> ended) {
+    long clockMillis,
+    long bornMillis,
+    List<Running> running,
+    List<Ended> ended,
+    boolean endsWhole) {
 
   /** Creates a report with copies of the lists. */
   public WorkerReport {
--- a/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
+++ b/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
@@ -15,6 +15,7 @@
 import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.job.RunRef;
 import org.marjoramhoist.job.TaskRef;
+import org.marjoramhoist.platform.WorkerCalls;
 
 /**
  * A worker in virtual time that runs tasks under leases and fencing tokens.
@@ -289,7 +290,9 @@
   private WorkerReport report() {
     List<WorkerReport.Running> rows = new ArrayList<>();
     running.forEach((run, made) -> rows.add(new WorkerReport.Running(run, percent(made))));
-    return new WorkerReport(clock(), bornAt / 1_000, rows, List.copyOf(ended.values()));
+    List<WorkerReport.Ended> first = ended.values().stream().limit(WorkerCalls.MOST_ENDS).toList();
+    boolean whole = first.size() < WorkerCalls.MOST_ENDS;
+    return new WorkerReport(clock(), bornAt / 1_000, rows, first, whole);
   }
 
   private int percent(Running made) {
--- a/src/main/java/org/marjoramhoist/platform/WorkerCalls.java
+++ b/src/main/java/org/marjoramhoist/platform/WorkerCalls.java
@@ -32,6 +32,9 @@
   /** The worker that answers is not the one that was meant. */
   private static final int MISDIRECTED = 421;
 
+  /** A report lists so many ends at most; the others follow once these are acknowledged. */
+  public static final int MOST_ENDS = 500;
+
   private static final int OK = 200;
   private static final int CONFLICT = 409;
   private static final int TOO_MANY = 429;
@@ -39,6 +42,9 @@
   private static final String TARGET = "X-Marjoramhoist-Target-Instance";
   private static final JsonFactory FACTORY = new JsonFactory();
 
+  /** The ends of known tasks in a report, and whether it lists all ends. */
+  private record Ends(List<WorkerReport.Ended> known, boolean whole) {}
+
   private final HttpCaller caller;
 
   /** Creates the calls over a caller. */
@@ -192,7 +198,7 @@
     long clock = 0;
     long born = 0;
     List<WorkerReport.Running> running = List.of();
-    List<WorkerReport.Ended> ended = List.of();
+    Ends ends = new Ends(List.of(), true);
     try (JsonParser in = FACTORY.createParser(body)) {
       if (in.nextToken() != JsonToken.START_OBJECT) {
         throw new IOException("an object was expected");
@@ -204,12 +210,12 @@
           case "clockMs" -> clock = in.getLongValue();
           case "born" -> born = in.getLongValue();
           case "running" -> running = readRunning(in);
-          case "ended" -> ended = readEnded(in);
+          case "ended" -> ends = readEnds(in);
           default -> in.skipChildren();
         }
       }
     }
-    return new WorkerReport(clock, born, running, ended);
+    return new WorkerReport(clock, born, running, ends.known(), ends.whole());
   }
 
   /** Rows of task, run, checkpoint, percent, and from some workers a load. */
@@ -229,9 +235,11 @@
   }
 
   /** Rows of number, task, run, how, checkpoint. */
-  private static List<WorkerReport.Ended> readEnded(JsonParser in) throws IOException {
+  private static Ends readEnds(JsonParser in) throws IOException {
     List<WorkerReport.Ended> all = new ArrayList<>();
+    int rows = 0;
     while (in.nextToken() == JsonToken.START_ARRAY) {
+      rows++;
       final long number = in.nextLongValue(0);
       in.nextToken();
       final Optional<TaskRef> task = TaskNames.parse(in.getText());
@@ -241,7 +249,7 @@
       skipRow(in);
       task.ifPresent(t -> all.add(new WorkerReport.Ended(number, new RunRef(t, run), how)));
     }
-    return all;
+    return new Ends(all, rows < MOST_ENDS);
   }
 
   private static RunEnd endOf(String how) {
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherFixture.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherFixture.java
@@ -14,6 +14,10 @@
 abstract class DispatcherFixture {
 
   static final long MILLI = 1_000;
+
+  /** A worker's report lists so many ends at most. */
+  static final int MOST_ENDS = 500;
+
   static final RequestClass CLASS =
       new RequestClass("check", "h", "/p/", "reviews", 0, 3, 1.6, 60, false);
   static final DispatchPolicy POLICY = new DispatchPolicy(980, 1.5, 250, 120_000);
@@ -77,7 +81,8 @@
 
   final void report(String worker, List<WorkerReport.Running> running, WorkerReport.Ended... e) {
     now += MILLI;
-    WorkerReport report = new WorkerReport(now / MILLI, 5, running, List.of(e));
+    boolean whole = e.length < MOST_ENDS;
+    WorkerReport report = new WorkerReport(now / MILLI, 5, running, List.of(e), whole);
     step(1, new DispatchEvent.Renewed(worker, now, Optional.of(report)));
   }
 
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
@@ -293,4 +293,23 @@
     report("w", List.of(), new WorkerReport.Ended(1, run, RunEnd.DONE));
     assertThat(taken(DispatchAction.Finish.class).get(0).outcome()).isEqualTo(JobOutcome.SUCCEEDED);
   }
+
+  /** A report holds at most 500 ends; a run whose end is beyond them is in neither list. */
+  @Test
+  void runIsNotLostWhileTheReportCannotHoldAllEnds() {
+    submit(1, 0);
+    RunRef run = taken(DispatchAction.Start.class).get(0).run();
+    started("w", run);
+    WorkerReport.Ended[] first = new WorkerReport.Ended[500];
+    for (int i = 0; i < first.length; i++) {
+      JobId other = new JobId(String.format(Locale.ROOT, "%016x", 0xfff000 + i));
+      first[i] =
+          new WorkerReport.Ended(i + 1, new RunRef(new TaskRef(other, 0, 0), 1), RunEnd.STOPPED);
+    }
+    step(50, new DispatchEvent.Tick());
+    report("w", List.of(), first);
+    assertThat(taken(DispatchAction.Start.class)).isEmpty();
+    report("w", List.of(), new WorkerReport.Ended(501, run, RunEnd.DONE));
+    assertThat(taken(DispatchAction.Finish.class).get(0).outcome()).isEqualTo(JobOutcome.SUCCEEDED);
+  }
 }
--- a/src/test/java/org/marjoramhoist/dispatch/RosterTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/RosterTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
@@ -228,4 +229,53 @@
     tick(100);
     assertThat(orderedWorkers()).isEmpty();
   }
+
+  /** A report holds at most 500 ends: what ended may be told by a later one only. */
+  @Test
+  void workerThatHasMoreEndsThanOneReportHoldsHasNotAnsweredYet() {
+    beginTerm(now + 1_700 * MILLI, List.of(LISTED));
+    listWorkers(LISTED);
+    WorkerReport.Ended[] first = new WorkerReport.Ended[500];
+    for (int i = 0; i < first.length; i++) {
+      JobId other = new JobId(String.format(Locale.ROOT, "%016x", 0xfff000 + i));
+      first[i] =
+          new WorkerReport.Ended(i + 1, new RunRef(new TaskRef(other, 0, 0), 1), RunEnd.STOPPED);
+    }
+    submit(1);
+    report("listed", List.of(), first);
+    assertThat(orderedWorkers()).isEmpty();
+    report("listed", List.of(), new WorkerReport.Ended(501, EARLIER, RunEnd.DONE));
+    assertThat(taken(DispatchAction.Finish.class).get(0).outcome()).isEqualTo(JobOutcome.SUCCEEDED);
+  }
+
+  /** While the stored jobs are not known the same first ends come back each time. */
+  @Test
+  void workerThatMustKeepItsEndsIsRenewedWithoutHaste() {
+    beginTerm(now + 1_700 * MILLI, List.of(LISTED));
+    listWorkers(LISTED);
+    submit(1);
+    WorkerReport.Ended[] kept = new WorkerReport.Ended[MOST_ENDS];
+    for (int i = 0; i < kept.length; i++) {
+      JobId other = new JobId(String.format(Locale.ROOT, "%016x", 0xfff000 + i));
+      kept[i] = new WorkerReport.Ended(i + 1, new RunRef(new TaskRef(other, 0, 0), 1), RunEnd.DONE);
+    }
+    actions.clear();
+    report("listed", List.of(new Running(EARLIER, 40)), kept);
+    long renewedAt = now;
+    int renewals = 0;
+    for (int i = 0; i < 100; i++) {
+      tick(20);
+      for (DispatchAction.Renew renew : taken(DispatchAction.Renew.class)) {
+        assertThat(renew.acknowledged()).isEqualTo(0);
+        assertThat(renew.leaseUntilMillis()).isGreaterThan(now / MILLI + 500);
+        assertThat(now - renewedAt).isLessThan(400 * MILLI);
+        renewedAt = now;
+        renewals++;
+        report("listed", List.of(new Running(EARLIER, 40 + i / 2)), kept);
+      }
+    }
+    assertThat(now - renewedAt).isLessThan(400 * MILLI);
+    assertThat(renewals).isLessThan(25);
+    assertThat(orderedWorkers()).isEmpty();
+  }
 }
--- a/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
+++ b/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
@@ -106,7 +106,24 @@
                 List.of(new WorkerReport.Running(running, 41)),
                 List.of(
                     new WorkerReport.Ended(58, done, RunEnd.DONE),
-                    new WorkerReport.Ended(60, alone, RunEnd.BROKEN))));
+                    new WorkerReport.Ended(60, alone, RunEnd.BROKEN)),
+                true));
+  }
+
+  @Test
+  void reportWithAsManyEndsAsItCanHoldIsNotTakenForWhole() throws IOException {
+    assertThat(reportWithEnds(499).endsWhole()).isTrue();
+    assertThat(reportWithEnds(500).endsWhole()).isFalse();
+  }
+
+  /** The first of the ends is not one of a task that this project names. */
+  private static WorkerReport reportWithEnds(int count) throws IOException {
+    StringBuilder body = new StringBuilder("{\"clockMs\":7,\"running\":[],\"ended\":[");
+    body.append("[1,\"not a task\",1,\"done\",\"\"]");
+    for (int i = 2; i <= count; i++) {
+      body.append(",[").append(i).append(",\"5c0e7a21d94b36f8.0.1.9\",1,\"done\",\"\"]");
+    }
+    return WorkerCalls.parseReport(body.append("]}").toString());
   }
 
   @Test
