Keep a worker known while it must keep ends that are not stored

What callers see: a task of a durable job runs again though it was done, if the leader fails before the store has its end.

Cause: Worker.heldEnds tells which ends the worker may not be told to forget, and it goes with the worker. A worker whose entry lapsed while the store was away was forgotten as soon as no run was at work on it (mayHoldRuns), also while its ends waited for the store. When it was listed again it was a new worker: its ends were of a job that had ended meanwhile, so they were held no more and acknowledged.

Ruled out: another life of the worker, whose ends count anew; its former ends are gone with it.

Change: mayHoldRuns is mustStayKnown and holds while ends are held. They are released when they are stored or, if their job was unknown, once the stored jobs are known; then the worker is forgotten with the next list.

Evidence: DurableDispatchTest.endIsNotAcknowledgedBeforeItIsStoredThoughItsWorkerWasForgotten failed without the change (end 1 acknowledged while its batch was on its way) and passes with it.

--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -183,10 +183,13 @@
     return acknowledgementHeldBack || acknowledged() > acknowledgedSent;
   }
 
-  /** Tells whether runs of this leader, or runs that it renews, may be at work on it. */
-  boolean mayHoldRuns(long now) {
+  /**
+   * Tells whether it must stay known though it is not listed: runs of this leader, or runs that it
+   * renews, may be at work on it, or it must keep ends that are not stored yet.
+   */
+  boolean mustStayKnown(long now) {
     boolean renewed = !foreignRuns.isEmpty() && !clock.surelyPast(leaseUntilMillis, now);
-    return !runs.isEmpty() || renewed;
+    return !runs.isEmpty() || renewed || !heldEnds.isEmpty();
   }
 
   /** Tells whether it may be given work now or soon, as far as is known. */
--- a/src/main/java/org/marjoramhoist/dispatch/Workers.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Workers.java
@@ -21,7 +21,7 @@
  * <p>The list of workers is never taken for complete, as an entry lapses when its worker does not
  * reach the store. So the roster names all workers that may have been given work. Invariant: a
  * worker gets no work before it is in the stored roster, and stays there while runs may be at work
- * on it. Confined to one thread.
+ * on it or it keeps ends that are not stored. Confined to one thread.
  */
 final class Workers {
 
@@ -87,7 +87,7 @@
         unlisted.add(worker.id());
       }
       worker.listed = isListed;
-      if (!isListed && !mayHoldRuns(worker, now)) {
+      if (!isListed && !mustStayKnown(worker, now)) {
         known.remove(worker.id());
         forgotten.add(worker.id());
       }
@@ -111,8 +111,8 @@
     return worker;
   }
 
-  private boolean mayHoldRuns(Worker worker, long now) {
-    return now <= earlierRunsOverAt || worker.mayHoldRuns(now);
+  private boolean mustStayKnown(Worker worker, long now) {
+    return now <= earlierRunsOverAt || worker.mustStayKnown(now);
   }
 
   /** Takes in the roster that earlier leaders stored. */
--- a/src/test/java/org/marjoramhoist/dispatch/DurableDispatchTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DurableDispatchTest.java
@@ -205,4 +205,27 @@
     assertThat(reply.result()).isEqualTo(CallResult.REFUSED);
     assertThat(reply.retryAfterMillis()).isAtLeast(1_000);
   }
+
+  /** Its entry lapsed while the store took no batch: it lists its ends again when it is back. */
+  @Test
+  void endIsNotAcknowledgedBeforeItIsStoredThoughItsWorkerWasForgotten() {
+    call(CallKind.SUBMIT);
+    store();
+    RunRef run = start();
+    for (int i = 0; i < 6; i++) {
+      step(400, new DispatchEvent.Tick());
+      listWorker();
+    }
+    report(new WorkerReport.Ended(1, run, RunEnd.DONE));
+    step(30, new DispatchEvent.Tick());
+    assertThat(taken(DispatchAction.Store.class)).hasSize(1);
+    step(400, new DispatchEvent.Tick());
+    listWorkers(worker("other", 16_000, false));
+    step(400, new DispatchEvent.Tick());
+    listWorkers(worker("other", 16_000, false), worker("w", 16_000, false));
+    taken(DispatchAction.Renew.class);
+    report(new WorkerReport.Ended(1, run, RunEnd.DONE));
+    step(100, new DispatchEvent.Tick());
+    assertThat(acknowledged()).isEqualTo(0);
+  }
 }
