Hold the end of a second run until its task is stored as done

What callers see: a task of a durable job runs a third time though two runs of it were done, if the leader fails before the store has the first end and the first worker is gone with it.

Cause: EarlierRuns.ended held an end only if it told something new to this leader. The end of a second run of a task that was done but not stored yet was not held, so its worker was told to forget it at once; nor was one of a job that had ended while that was not stored, as such a job is no longer found by its runs.

Ruled out: ends of runs that this leader ordered itself, which are held whether they are new or not.

Change: an end is held unless what is stored of its job covers it: its task is stored as done, or its failure as such. The job remembers the progress that the store has. A held end of an open job makes a batch due, so that it is released; one of a job that has ended is released with the job's end. Once its task is stored as done an end is neither held nor written again, and that also holds for runs that this leader ordered.

Evidence: three tests in DurableDispatchTest (endOfSecondRunIsNotAcknowledged...: before the task is stored as done, while the first end is on its way to the store, before the end of the job is stored) failed without the change, each with end 1 acknowledged. endOfSecondRunIsAcknowledgedIfTheTaskIsStoredAsDone passed before and after; it guards against ends that are held for good.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -471,14 +471,23 @@
     }
 
     @Override
-    public boolean failedBefore(
+    public void failedBefore(
         Task task, RunRef run, String worker, long now, List<DispatchAction> out) {
       if (task.done || task.hasFailed(run.number())) {
-        return false;
+        return;
       }
       out.add(new Log(LogEvent.RUN_FAILED, "run=" + run + " of an earlier leader"));
       taskFailed(task, run.number(), worker, now, out);
-      return true;
+    }
+
+    @Override
+    public Job endingJob(JobId id) {
+      return durable.findEnding(id);
+    }
+
+    @Override
+    public void endHeld(Job job, long now) {
+      noteProgress(job, now);
     }
 
     @Override
--- a/src/main/java/org/marjoramhoist/dispatch/DurableJobs.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DurableJobs.java
@@ -186,7 +186,14 @@
 
   /** Takes in that tasks of a job ended. */
   void progressed(Job job, long now) {
-    journal.progressed(job, now);
+    if (!job.status.isFinal()) {
+      journal.progressed(job, now);
+    }
+  }
+
+  /** Returns a job whose end is not stored yet; null if there is none with this id. */
+  Job findEnding(JobId id) {
+    return ending.get(id);
   }
 
   /** Takes in that a job ended. */
--- a/src/main/java/org/marjoramhoist/dispatch/EarlierRuns.java
+++ b/src/main/java/org/marjoramhoist/dispatch/EarlierRuns.java
@@ -48,18 +48,22 @@
       return;
     }
     Task task = listener.taskFor(end.run());
+    Job ending = listener.endingJob(end.run().task().job());
+    if (ending != null) {
+      ending.holdUntilStored(worker, end);
+      return;
+    }
     if (task == null) {
       unknownEnded(worker, end, now);
       return;
     }
-    boolean isNew = done && !task.done;
-    if (isNew) {
+    if (done && !task.done) {
       listener.doneBefore(task, now, out);
     } else if (!done) {
-      isNew = listener.failedBefore(task, end.run(), worker.id(), now, out);
+      listener.failedBefore(task, end.run(), worker.id(), now, out);
     }
-    if (isNew) {
-      task.job.holdUntilStored(worker, end);
+    if (task.job.holdUntilStored(worker, end)) {
+      listener.endHeld(task.job, now);
     }
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -30,6 +30,10 @@
   private long remainingChainMillis;
   private final StoredJob record;
   private final List<EndMark> unstoredEnds = new ArrayList<>();
+
+  /** What is stored of its progress; null if nothing is. */
+  private JobProgress storedProgress;
+
   private boolean endStored;
 
   final Set<String> entries = new HashSet<>();
@@ -122,6 +126,7 @@
   void resume(JobProgress progress) {
     stored = true;
     resumed = true;
+    storedProgress = progress;
     if (progress == null) {
       return;
     }
@@ -152,12 +157,26 @@
     return new JobProgress(status, done, failed, endedMillis);
   }
 
-  /** Makes a worker keep an end that must be stored before it may be forgotten. */
-  void holdUntilStored(Worker worker, WorkerReport.Ended end) {
+  /**
+   * Makes a worker keep an end that must be stored before it may be forgotten.
+   *
+   * @return whether it must; then a later batch must hold the job
+   */
+  boolean holdUntilStored(Worker worker, WorkerReport.Ended end) {
     boolean counts = end.how() == RunEnd.DONE || end.how() == RunEnd.FAILED;
-    if (isDurable() && counts && !endStored) {
-      unstoredEnds.add(worker.holdEnd(end.number()));
+    if (!isDurable() || !counts || endStored) {
+      return false;
     }
+    if (storedProgress != null && storedProgress.covers(end.run(), end.how())) {
+      return false;
+    }
+    unstoredEnds.add(worker.holdEnd(end.number()));
+    return true;
+  }
+
+  /** Takes in what is stored of its progress now. */
+  void progressIsStored(JobProgress progress) {
+    storedProgress = progress;
   }
 
   /** Takes in that its end is stored; workers need keep no ends of it any more. */
--- a/src/main/java/org/marjoramhoist/dispatch/JobProgress.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobProgress.java
@@ -1,7 +1,10 @@
 package org.marjoramhoist.dispatch;
 
 import java.util.List;
+import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
 import org.marjoramhoist.job.JobStatus;
+import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.TaskRef;
 
 /**
  * What is stored of a durable job as it goes on.
@@ -22,6 +25,14 @@
     failed = List.copyOf(failed);
   }
 
+  /** Tells whether nothing is lost of it if the end of a run is forgotten. */
+  boolean covers(RunRef run, RunEnd how) {
+    TaskRef task = run.task();
+    return done.contains(new TaskNumber(task.step(), task.index()))
+        || how == RunEnd.FAILED
+            && failed.contains(new FailedRun(task.step(), task.index(), run.number()));
+  }
+
   /** A task of the job by its step and its index in the step. */
   public record TaskNumber(int step, int index) {}
 
--- a/src/main/java/org/marjoramhoist/dispatch/Journal.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Journal.java
@@ -147,6 +147,9 @@
     inFlight.clear();
     for (Covered each : covered) {
       each.ends().forEach(EndMark::release);
+      if (each.progress() != null) {
+        each.job().progressIsStored(each.progress());
+      }
       if (each.progress() != null && each.progress().status().isFinal()) {
         each.job().endIsStored();
       }
--- a/src/main/java/org/marjoramhoist/dispatch/RunListener.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunListener.java
@@ -1,6 +1,7 @@
 package org.marjoramhoist.dispatch;
 
 import java.util.List;
+import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.RunRef;
 
 /** Hears how runs end. Called from one thread only. */
@@ -21,15 +22,17 @@
   /** Returns the task that a run of an earlier leader may belong to; null if none is known. */
   Task taskFor(RunRef ref);
 
+  /** Returns the job, if it has ended and its end is not stored yet; otherwise null. */
+  Job endingJob(JobId id);
+
+  /** A worker must keep the end of a run until what is known of its job is stored. */
+  void endHeld(Job job, long now);
+
   /** A task was done in a run that an earlier leader ordered. */
   void doneBefore(Task task, long now, List<DispatchAction> out);
 
-  /**
-   * A task failed in a run that an earlier leader ordered.
-   *
-   * @return whether that was not known
-   */
-  boolean failedBefore(Task task, RunRef run, String worker, long now, List<DispatchAction> out);
+  /** A task failed in a run that an earlier leader ordered; that may be known. */
+  void failedBefore(Task task, RunRef run, String worker, long now, List<DispatchAction> out);
 
   /** Tells whether all durable jobs are known. */
   boolean knowsDurableJobs();
--- a/src/test/java/org/marjoramhoist/dispatch/DurableDispatchTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DurableDispatchTest.java
@@ -83,6 +83,14 @@
         .orElse(0);
   }
 
+  private long acknowledgedTo(String worker) {
+    return taken(DispatchAction.Renew.class).stream()
+        .filter(renew -> renew.worker().id().equals(worker))
+        .mapToLong(DispatchAction.Renew::acknowledged)
+        .max()
+        .orElse(0);
+  }
+
   @Test
   void jobIsAcceptedAndStartedOnlyOnceItIsStored() {
     call(CallKind.SUBMIT);
@@ -228,4 +236,80 @@
     step(100, new DispatchEvent.Tick());
     assertThat(acknowledged()).isEqualTo(0);
   }
+
+  /** Has one of a job's two tasks done; its end is not on its way to the store yet. */
+  private RunRef firstDoneOfTwo() {
+    step(1, new DispatchEvent.JobCalled(CallKind.SUBMIT, ID, record(2), "e", ++calls, now));
+    store();
+    List<DispatchAction.Start> starts = taken(DispatchAction.Start.class);
+    starts.forEach(start -> started("w", start.run()));
+    RunRef first = starts.get(0).run();
+    report(new WorkerReport.Ended(1, first, RunEnd.DONE));
+    return first;
+  }
+
+  /**
+   * Has the task that is done run a second time elsewhere, as its first worker was out of reach.
+   */
+  private void reportSecondEnd(RunRef run) {
+    listWorkers(worker("w", 16_000, false), worker("v", 16_000, false));
+    taken(DispatchAction.Renew.class);
+    RunRef second = new RunRef(run.task(), run.number() + 1);
+    report("v", List.of(), new WorkerReport.Ended(1, second, RunEnd.DONE));
+  }
+
+  @Test
+  void endOfSecondRunIsNotAcknowledgedBeforeTheTaskIsStoredAsDone() {
+    RunRef run = firstDoneOfTwo();
+    reportSecondEnd(run);
+    step(70, new DispatchEvent.Tick());
+    assertThat(acknowledgedTo("v")).isEqualTo(0);
+    step(200, new DispatchEvent.Tick());
+    store();
+    step(100, new DispatchEvent.Tick());
+    assertThat(acknowledgedTo("v")).isEqualTo(1);
+  }
+
+  @Test
+  void endOfSecondRunIsNotAcknowledgedWhileTheFirstIsOnItsWayToTheStore() {
+    final RunRef run = firstDoneOfTwo();
+    step(210, new DispatchEvent.Tick());
+    final JournalBatch batch = taken(DispatchAction.Store.class).get(0).batch();
+    reportSecondEnd(run);
+    step(70, new DispatchEvent.Tick());
+    assertThat(acknowledgedTo("v")).isEqualTo(0);
+    step(1, new DispatchEvent.BatchStored(batch.number()));
+    step(210, new DispatchEvent.Tick());
+    store();
+    step(100, new DispatchEvent.Tick());
+    assertThat(acknowledgedTo("v")).isEqualTo(1);
+  }
+
+  @Test
+  void endOfSecondRunIsNotAcknowledgedBeforeTheEndOfTheJobIsStored() {
+    call(CallKind.SUBMIT);
+    store();
+    RunRef run = start();
+    report(new WorkerReport.Ended(1, run, RunEnd.DONE));
+    reportSecondEnd(run);
+    step(70, new DispatchEvent.Tick());
+    assertThat(acknowledgedTo("v")).isEqualTo(0);
+    store();
+    step(100, new DispatchEvent.Tick());
+    assertThat(acknowledgedTo("v")).isEqualTo(1);
+  }
+
+  @Test
+  void endOfSecondRunIsAcknowledgedIfTheTaskIsStoredAsDone() {
+    final RunRef run = firstDoneOfTwo();
+    step(210, new DispatchEvent.Tick());
+    step(
+        1,
+        new DispatchEvent.BatchStored(taken(DispatchAction.Store.class).get(0).batch().number()));
+    reportSecondEnd(run);
+    step(70, new DispatchEvent.Tick());
+    assertThat(acknowledgedTo("v")).isEqualTo(1);
+    step(300, new DispatchEvent.Tick());
+    assertThat(taken(DispatchAction.Store.class)).isEmpty();
+  }
 }
