--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
@@ -146,7 +146,7 @@
     report("w", List.of(), new WorkerReport.Ended(1, run, RunEnd.LAPSED));
     RunRef next = taken(DispatchAction.Start.class).get(0).run();
     WorkerReport late =
-        new WorkerReport(older, 5, List.of(new WorkerReport.Running(run, 10)), List.of());
+        new WorkerReport(older, 5, List.of(new WorkerReport.Running(run, 10)), List.of(), true);
     step(1, new DispatchEvent.Renewed("w", now, Optional.of(late)));
     assertThat(taken(DispatchAction.Stop.class)).isEmpty();
     started("w", next);
