One base for what a leader keeps in the store; say which list was read

JobStore and RosterStore each had the same pauses, repeats and end of a term; TermStore has them once. Workers.listed meant the list, that it was read and that a worker is in it; names now differ. No behaviour changes.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -282,7 +282,7 @@
   }
 
   private void workersListed(List<WorkerInfo> list, long now, List<DispatchAction> out) {
-    workers.listed(list, now, out);
+    workers.listRead(list, now, out);
     tick(now, out);
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/Workers.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Workers.java
@@ -38,10 +38,10 @@
   private final long earlierRunsOverAt;
   private final Map<String, Worker> known = new LinkedHashMap<>();
   private final Roster roster = new Roster();
-  private boolean listed;
+  private boolean wasListed;
   private boolean settledLogged;
   private long listedAt;
-  private long lapsedBackAt;
+  private long lapsedReturnBy;
 
   /**
    * Creates an empty set.
@@ -65,8 +65,8 @@
   }
 
   /** Takes in the list of workers. */
-  void listed(List<WorkerInfo> list, long now, List<DispatchAction> out) {
-    noteListed(now);
+  void listRead(List<WorkerInfo> list, long now, List<DispatchAction> out) {
+    noteRead(now);
     Set<String> ids = new HashSet<>();
     List<String> joined = new ArrayList<>();
     for (WorkerInfo info : list) {
@@ -82,7 +82,7 @@
     List<String> unlisted = new ArrayList<>();
     List<String> forgotten = new ArrayList<>();
     for (Worker worker : List.copyOf(known.values())) {
-      boolean isListed = ids.contains(worker.id()) || worker.listed && now < lapsedBackAt;
+      boolean isListed = ids.contains(worker.id()) || worker.listed && now < lapsedReturnBy;
       if (worker.listed && !isListed) {
         unlisted.add(worker.id());
       }
@@ -96,11 +96,11 @@
     roster.flush(known.values(), out);
   }
 
-  private void noteListed(long now) {
-    if (!listed || now - listedAt > LIST_AGE_MICROS) {
-      lapsedBackAt = now + LISTED_AGAIN_MICROS;
+  private void noteRead(long now) {
+    if (!wasListed || now - listedAt > LIST_AGE_MICROS) {
+      lapsedReturnBy = now + LISTED_AGAIN_MICROS;
     }
-    listed = true;
+    wasListed = true;
     listedAt = now;
   }
 
@@ -121,7 +121,7 @@
     for (WorkerInfo info : stored) {
       Worker worker = known.get(info.id());
       if (worker == null) {
-        add(info).listed = !listed || now < lapsedBackAt;
+        add(info).listed = !wasListed || now < lapsedReturnBy;
       } else {
         worker.inRoster = true;
       }
@@ -173,7 +173,7 @@
 
   /** Tells whether no worker, listed or lapsed, could run some step of a job if it were empty. */
   boolean canNeverRun(JobDescription job, RequestClass requestClass) {
-    if (!listed || !roster.isLoaded()) {
+    if (!wasListed || !roster.isLoaded()) {
       return false;
     }
     for (StepSpec step : job.steps()) {
@@ -190,7 +190,9 @@
   }
 
   private boolean haveAllReported() {
-    return listed && roster.isLoaded() && known.values().stream().allMatch(worker -> worker.synced);
+    return wasListed
+        && roster.isLoaded()
+        && known.values().stream().allMatch(worker -> worker.synced);
   }
 
   /** Logs, once, that no run of an earlier leader can be at work out of sight. */
--- a/src/main/java/org/marjoramhoist/entry/JobStore.java
+++ b/src/main/java/org/marjoramhoist/entry/JobStore.java
@@ -23,22 +23,13 @@
  * change whose answer was lost can't take effect after a later one, and that key tells whether it
  * did. Confined to the loop's thread.
  */
-final class JobStore implements AutoCloseable {
+final class JobStore extends TermStore {
 
   private static final String WRITER = JobRecords.ROOT + "writer/0";
-  private static final long FIRST_PAUSE_MILLIS = 40;
-  private static final long LONGEST_PAUSE_MILLIS = 400;
-
-  private final long term;
-  private final KeyValueClient store;
-  private final Loop loop;
-  private final StoreRetry retry;
-  private final Consumer<DispatchEvent> events;
-  private final Consumer<String> onStale;
+
   private long writerRevision;
   private int ordinal;
   private JournalBatch batch;
-  private boolean closed;
 
   /**
    * Creates the access of a term.
@@ -54,12 +45,7 @@
       Loop loop,
       Consumer<DispatchEvent> events,
       Consumer<String> onStale) {
-    this.term = term;
-    this.store = store;
-    this.retry = new StoreRetry(loop, health, FIRST_PAUSE_MILLIS, LONGEST_PAUSE_MILLIS);
-    this.loop = loop;
-    this.events = events;
-    this.onStale = onStale;
+    super(term, store, health, loop, events, onStale);
   }
 
   /**
@@ -96,26 +82,12 @@
     store.readAll(WRITER).whenComplete((page, error) -> later(() -> writerRead(page, error)));
   }
 
-  private void later(Runnable task) {
-    loop.execute(() -> unlessClosed(task));
-  }
-
-  private void unlessClosed(Runnable task) {
-    if (!closed) {
-      task.run();
-    }
-  }
-
-  private void retry(Throwable error, Runnable task) {
-    retry.failed(error, () -> unlessClosed(task));
-  }
-
   private void writerRead(Page page, Throwable error) {
     if (error != null) {
       retry(error, this::start);
       return;
     }
-    retry.reached();
+    reached();
     Writer last = lastOf(page.items());
     writerRevision = last.revision();
     if (last.term() == term) {
@@ -142,7 +114,7 @@
     if (error != null) {
       retry(error, this::start);
     } else if (reply.done()) {
-      retry.reached();
+      reached();
       writerRevision = reply.revision();
       load();
     } else {
@@ -163,7 +135,7 @@
                         retry(error, this::load);
                         return;
                       }
-                      retry.reached();
+                      reached();
                       events.accept(
                           new DispatchEvent.JobsLoaded(
                               ordinal,
@@ -194,7 +166,7 @@
   }
 
   private void stored(long revision) {
-    retry.reached();
+    reached();
     writerRevision = revision;
     events.accept(new DispatchEvent.BatchStored(batch.number()));
   }
@@ -211,9 +183,4 @@
       retry(new IllegalStateException("the leader's record has changed"), this::send);
     }
   }
-
-  @Override
-  public void close() {
-    closed = true;
-  }
 }
--- a/src/main/java/org/marjoramhoist/entry/RosterStore.java
+++ b/src/main/java/org/marjoramhoist/entry/RosterStore.java
@@ -29,23 +29,13 @@
  * lost can't undo a later addition. An addition that takes effect late leaves a worker too many,
  * which a later leader asks in vain. Confined to the loop's thread.
  */
-final class RosterStore implements AutoCloseable {
+final class RosterStore extends TermStore {
 
   /** The root of all keys; hosts do not watch it. */
   private static final String ROOT = "marjoramhoist.roster/0/";
 
-  private static final long FIRST_PAUSE_MILLIS = 40;
-  private static final long LONGEST_PAUSE_MILLIS = 400;
-
-  private final long term;
-  private final KeyValueClient store;
-  private final Loop loop;
-  private final StoreRetry retry;
-  private final Consumer<DispatchEvent> events;
-  private final Consumer<String> onStale;
   private final Map<String, Long> revisions = new HashMap<>();
   private RosterChange change;
-  private boolean closed;
 
   /**
    * Creates the access of a term.
@@ -61,12 +51,7 @@
       Loop loop,
       Consumer<DispatchEvent> events,
       Consumer<String> onStale) {
-    this.term = term;
-    this.store = store;
-    this.retry = new StoreRetry(loop, health, FIRST_PAUSE_MILLIS, LONGEST_PAUSE_MILLIS);
-    this.loop = loop;
-    this.events = events;
-    this.onStale = onStale;
+    super(term, store, health, loop, events, onStale);
   }
 
   /** Reads what earlier terms stored. */
@@ -80,10 +65,10 @@
 
   private void wasRead(Page page, Throwable error, Consumer<List<Item>> next) {
     if (error != null) {
-      retry.failed(error, () -> unlessClosed(() -> read(next)));
+      retry(error, () -> read(next));
       return;
     }
-    retry.reached();
+    reached();
     revisions.clear();
     page.items().forEach(item -> revisions.put(idOf(item), item.revision()));
     next.accept(page.items());
@@ -145,9 +130,9 @@
 
   private void answered(TxnReply reply, Throwable error) {
     if (error != null) {
-      retry.failed(error, () -> unlessClosed(this::send));
+      retry(error, this::send);
     } else if (reply.done()) {
-      retry.reached();
+      reached();
       change.added().forEach(worker -> revisions.put(worker.id(), reply.revision()));
       stored();
     } else {
@@ -170,26 +155,11 @@
       onStale.accept("the record names another leader");
       return;
     }
-    loop.afterAbout(FIRST_PAUSE_MILLIS, () -> unlessClosed(() -> read(items -> send())));
+    afterPause(() -> read(items -> send()));
   }
 
   private boolean namesAnotherLeader(Item item) {
     boolean isRecord = item.key().equals(StoreLink.LEADER) && item.value() != null;
     return isRecord && item.revision() != term;
   }
-
-  private void later(Runnable task) {
-    loop.execute(() -> unlessClosed(task));
-  }
-
-  private void unlessClosed(Runnable task) {
-    if (!closed) {
-      task.run();
-    }
-  }
-
-  @Override
-  public void close() {
-    closed = true;
-  }
 }
