--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -1,7 +1,6 @@
 package org.marjoramhoist.dispatch;
 
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
@@ -25,7 +24,6 @@
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.JobStatus;
-import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.job.RunRef;
 import org.marjoramhoist.log.LogEvent;
 
@@ -38,7 +36,7 @@
 public final class Dispatcher {
 
   /** How long after the start of a term entry hosts may hand on the jobs of an earlier leader. */
-  private static final long CLAIM_MICROS = 1_000_000;
+  static final long CLAIM_MICROS = 1_000_000;
 
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
@@ -53,7 +51,7 @@
   private final WaitingOrder order = new WaitingOrder(durations);
   private final Backlog backlog = new Backlog(order);
   private final Workers workers;
-  private final WaitingLine line = new WaitingLine(order);
+  private final Allocator allocator;
   private final Jobs jobs = new Jobs();
   private final RunControl runs;
   private final DurableJobs durable;
@@ -75,6 +73,7 @@
     this.workers = new Workers(now, earlierRunsOverAt);
     this.placement = new Placement(policy, durations);
     this.runs = new RunControl(policy, new Ends());
+    this.allocator = new Allocator(now, jobs, workers, runs, placement, order);
   }
 
   /**
@@ -97,7 +96,7 @@
     events.forEach(event -> take(now, event, out));
     if (mayPlace && startsAllowed) {
       mayPlace = false;
-      placeWaiting(now, out);
+      allocator.placeWaiting(now, out);
     }
     durable.flush(now, out);
     return out;
@@ -295,21 +294,12 @@
       expire(job, now, out);
     }
     jobs.prune(now);
-    for (Job job : backlog.measure(orderWaiting(now), workers.all(), now)) {
+    for (Job job : backlog.measure(allocator.orderWaiting(now), workers.all(), now)) {
       end(job, JobOutcome.REFUSED, "too much waits before it", now, out);
     }
     mayPlace = true;
   }
 
-  /** Puts the waiting jobs in their order as of now, and returns their places. */
-  private List<WaitingOrder.Place> orderWaiting(long now) {
-    jobs.waiting().removeIf(job -> !job.hasWaitingTask());
-    jobs.takeJoined();
-    List<WaitingOrder.Place> places = order.places(jobs.waiting(), now);
-    line.set(places);
-    return places;
-  }
-
   private void expire(Job job, long now, List<DispatchAction> out) {
     if (job.isDurable()) {
       return;
@@ -346,59 +336,6 @@
     };
   }
 
-  private void placeWaiting(long now, List<DispatchAction> out) {
-    line.join(jobs.takeJoined(), now);
-    if (line.isEmpty() || !runs.window().isOpen()) {
-      return;
-    }
-    Resources least = new Resources(line.leastCpuMillis(), 0, 0);
-    List<Worker> roomy = Placement.withRoom(workers.all(), least, now);
-    long most = Placement.mostCpuMillis(roomy);
-    boolean settled = workers.isSettled(now);
-    Iterator<Job> waiting = line.iterator();
-    while (waiting.hasNext() && !roomy.isEmpty() && runs.window().isOpen()) {
-      Job job = waiting.next();
-      if (job.leastCpuMillis() <= most && mayPlace(job, settled, now)) {
-        place(job, roomy, least, now, out);
-        most = Placement.mostCpuMillis(roomy);
-      }
-      if (!jobs.waiting().contains(job)) {
-        waiting.remove();
-      } else if (!job.hasWaitingTask()) {
-        jobs.waiting().remove(job);
-        waiting.remove();
-      }
-    }
-  }
-
-  private boolean mayPlace(Job job, boolean settled, long now) {
-    boolean mayHaveRun = job.resumed || now - since > CLAIM_MICROS;
-    return (settled || !mayHaveRun) && jobs.waiting().contains(job) && !jobs.isHeldBack(job);
-  }
-
-  /** Starts what can be started of a job; tasks of one step that need the same fit alike. */
-  private void place(
-      Job job, List<Worker> roomy, Resources least, long now, List<DispatchAction> out) {
-    int fullStep = -1;
-    for (Task task : job.waitingTasks()) {
-      if (!runs.window().isOpen()) {
-        return;
-      }
-      if (task.ref.step() == fullStep) {
-        continue;
-      }
-      Placement.Choice choice = placement.choose(task, roomy);
-      if (choice != null) {
-        runs.start(task, choice.worker(), choice.micros(), now, out);
-        if (!Placement.hasRoom(choice.worker(), least, now)) {
-          roomy.remove(choice.worker());
-        }
-      } else if (task.failedOn == null) {
-        fullStep = task.ref.step();
-      }
-    }
-  }
-
   /** Returns how many jobs have no started task, by the name of their class. */
   public Map<String, Integer> waitingByClass() {
     return jobs.waitingByClass();
