--- a/src/test/java/org/marjoramhoist/lead/ElectionTest.java
+++ b/src/test/java/org/marjoramhoist/lead/ElectionTest.java
@@ -361,4 +361,17 @@
     step(0, new ElectionEvent.HostsSeen(HOSTS));
     assertThat(election.mayStart(now)).isFalse();
   }
+
+  /** One of few hosts that are registered again is no majority of those that run. */
+  @Test
+  void hostWhoseRegistrationLapsedCountsForTime() {
+    lead(5);
+    step(10, new ElectionEvent.HostsSeen(Map.of("a", SMALL, "b", SMALL)));
+    for (int i = 0; i < 7; i++) {
+      confirm(100, "a");
+    }
+    assertThat(election.mayOrder(now)).isFalse();
+    confirm(10_000, "a");
+    assertThat(election.mayOrder(now)).isTrue();
+  }
 }
