One fixture for tests of the store's users, one way to ask for the record; docs of two figures

StoreLinkTest and RosterStoreTest each built the stand-in, its client and a loop; StoreFixture does, their assertions are as they were. Election asked for its record in two places with the same state. StoreLink.addresses was not called any more. LoopLoad counts turns since room is given out once a turn, and a worker that may be missing as the store was away counts as listed: their doc comments now say so.

--- a/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
@@ -28,7 +28,7 @@
   /**
    * What is known of the workers.
    *
-   * @param listed how many stand in the list of workers
+   * @param listed how many stand in the list, or may be missing there as the store was away
    * @param synced how many of those have answered this leader and not started again since
    * @param usable how many of those may be given work now
    * @param totalCpuMillis what the listed workers have, in thousandths of a core
--- a/src/main/java/org/marjoramhoist/entry/LoopLoad.java
+++ b/src/main/java/org/marjoramhoist/entry/LoopLoad.java
@@ -16,14 +16,14 @@
   /**
    * The load since the last sample.
    *
-   * @param steps how many events were decided on
+   * @param steps in how many turns of the loop events were decided on
    * @param stepMicros how long that and carrying the decisions out took
    * @param longestStepMicros the longest of these
    * @param tickLateMicros how much later than due the latest tick came
    */
   record Sample(int steps, long stepMicros, long longestStepMicros, long tickLateMicros) {}
 
-  /** Takes in that an event was decided on, and the decisions were carried out. */
+  /** Takes in that the events of a turn were decided on, and the decisions carried out. */
   void stepped(long micros) {
     steps++;
     stepMicros += micros;
--- a/src/main/java/org/marjoramhoist/entry/StoreLink.java
+++ b/src/main/java/org/marjoramhoist/entry/StoreLink.java
@@ -81,11 +81,6 @@
     return capacity;
   }
 
-  /** Returns the peer addresses of the registered hosts, by their names. */
-  Map<String, String> addresses() {
-    return hosts.addresses();
-  }
-
   /** Returns the peer addresses of the hosts that are or lately were registered. */
   Map<String, String> reachable() {
     return hosts.reachable(Loop.now());
--- a/src/main/java/org/marjoramhoist/lead/Election.java
+++ b/src/main/java/org/marjoramhoist/lead/Election.java
@@ -291,9 +291,13 @@
   }
 
   private List<ElectionAction> takeRecord(long now, long expected) {
+    notBefore = now + TAKE_PAUSE_MICROS;
+    return askForRecord(now, expected);
+  }
+
+  private List<ElectionAction> askForRecord(long now, long expected) {
     taking = true;
     takeAskedAt = now;
-    notBefore = now + TAKE_PAUSE_MICROS;
     return List.of(new ElectionAction.TakeRecord(expected));
   }
 
@@ -334,9 +338,7 @@
     if (leadingTerm == 0 || taking) {
       return List.of();
     }
-    taking = true;
-    takeAskedAt = now;
-    return List.of(new ElectionAction.TakeRecord(0));
+    return askForRecord(now, 0);
   }
 
   /** A leader that hears neither most hosts nor its record may have been replaced. */
--- a/src/test/java/org/marjoramhoist/entry/RosterStoreTest.java
+++ b/src/test/java/org/marjoramhoist/entry/RosterStoreTest.java
@@ -2,29 +2,19 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.io.IOException;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.dispatch.DispatchEvent;
 import org.marjoramhoist.dispatch.RosterChange;
 import org.marjoramhoist.dispatch.WorkerInfo;
-import org.marjoramhoist.http.HttpCaller;
 import org.marjoramhoist.job.Resources;
-import org.marjoramhoist.platform.KeyValueClient;
-import org.marjoramhoist.platform.standin.PlatformStoreStandIn;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 
 /** Changes of the stored roster, with a stand-in of the store. */
-class RosterStoreTest {
+class RosterStoreTest extends StoreFixture {
 
-  private static final long CALL_MILLIS = 500;
   private static final long WAIT_MILLIS = 500;
   private static final long TERM = 7;
   private static final WorkerInfo WORKER =
@@ -33,36 +23,13 @@
 
   private final ConcurrentLinkedQueue<DispatchEvent> events = new ConcurrentLinkedQueue<>();
   private final ConcurrentLinkedQueue<String> stale = new ConcurrentLinkedQueue<>();
-  private PlatformStoreStandIn store;
-  private XnioWorker worker;
-  private Loop loop;
   private RosterStore roster;
 
   @BeforeEach
-  void begin() throws IOException {
-    store = new PlatformStoreStandIn("127.0.0.1:0");
-    worker =
-        Xnio.getInstance()
-            .createWorker(
-                OptionMap.builder()
-                    .set(Options.WORKER_IO_THREADS, 1)
-                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                    .set(Options.THREAD_DAEMON, true)
-                    .getMap());
-    loop = new Loop(worker.getIoThread());
-    KeyValueClient client =
-        new KeyValueClient(store.address(), new HttpCaller(worker), CALL_MILLIS);
+  void begin() {
     roster = new RosterStore(TERM, client, new StoreHealth(), loop, events::add, stale::add);
   }
 
-  @AfterEach
-  void end() {
-    loop.close();
-    worker.shutdown();
-    store.close();
-  }
-
   /** The leader's record lapsed with the store: no other leader is named, and it may come back. */
   @Test
   void absentRecordIsNoSignOfAnotherLeader() throws InterruptedException {
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/entry/StoreFixture.java
@@ -0,0 +1,46 @@
+package org.marjoramhoist.entry;
+
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.marjoramhoist.http.HttpCaller;
+import org.marjoramhoist.platform.KeyValueClient;
+import org.marjoramhoist.platform.standin.PlatformStoreStandIn;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** A stand-in of the store, a client of it, and the loop that a host's parts run on. */
+abstract class StoreFixture {
+
+  private static final long CALL_MILLIS = 500;
+
+  PlatformStoreStandIn store;
+  KeyValueClient client;
+  Loop loop;
+  private XnioWorker worker;
+
+  @BeforeEach
+  final void openStore() throws IOException {
+    store = new PlatformStoreStandIn("127.0.0.1:0");
+    worker =
+        Xnio.getInstance()
+            .createWorker(
+                OptionMap.builder()
+                    .set(Options.WORKER_IO_THREADS, 1)
+                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                    .set(Options.THREAD_DAEMON, true)
+                    .getMap());
+    loop = new Loop(worker.getIoThread());
+    client = new KeyValueClient(store.address(), new HttpCaller(worker), CALL_MILLIS);
+  }
+
+  @AfterEach
+  final void closeStore() {
+    loop.close();
+    worker.shutdownNow();
+    store.close();
+  }
+}
--- a/src/test/java/org/marjoramhoist/entry/StoreLinkTest.java
+++ b/src/test/java/org/marjoramhoist/entry/StoreLinkTest.java
@@ -4,61 +4,31 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.marjoramhoist.http.HttpCaller;
 import org.marjoramhoist.lead.HostCapacity;
-import org.marjoramhoist.platform.KeyValueClient;
 import org.marjoramhoist.platform.KeyValueClient.Change;
 import org.marjoramhoist.platform.KeyValueClient.Item;
-import org.marjoramhoist.platform.standin.PlatformStoreStandIn;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 
 /** A second lease for the registration left the leader's record to expire with the first. */
-class StoreLinkTest {
+class StoreLinkTest extends StoreFixture {
 
   private static final String HOST = "marjoramhoist/hosts/a";
   private static final long PATIENCE_MILLIS = 5_000;
   private static final long QUIET_MILLIS = 300;
 
-  private PlatformStoreStandIn store;
-  private XnioWorker worker;
-  private Loop loop;
   private StoreLink link;
 
   @BeforeEach
-  void register() throws Exception {
-    store = new PlatformStoreStandIn("127.0.0.1:0");
-    worker =
-        Xnio.getInstance()
-            .createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
-    loop = new Loop(worker.getIoThread());
-    KeyValueClient client = new KeyValueClient(store.address(), new HttpCaller(worker), 500);
+  void register() throws InterruptedException {
+    HostCapacity capacity = HostCapacity.of(1, 1_000);
     link =
         new StoreLink(
-            client,
-            loop,
-            new StoreHealth(),
-            "a",
-            7,
-            "127.0.0.1:1",
-            HostCapacity.of(1, 1_000),
-            event -> {});
+            client, loop, new StoreHealth(), "a", 7, "127.0.0.1:1", capacity, event -> {});
     loop.execute(link::start);
     await(this::isRegistered);
   }
 
-  @AfterEach
-  void close() {
-    loop.close();
-    worker.shutdownNow();
-    store.close();
-  }
-
   private boolean isRegistered() {
     return store.keys(HOST).contains(HOST);
   }
