--- a/src/main/java/org/marjoramhoist/cli/Command.java
+++ b/src/main/java/org/marjoramhoist/cli/Command.java
@@ -18,6 +18,11 @@
   /** Declares its arguments. */
   void declare(Subparser parser);
 
+  /** Tells whether it sets up logging itself, by its settings. */
+  default boolean configuresLogging() {
+    return false;
+  }
+
   /**
    * Runs it.
    *
--- a/src/main/java/org/marjoramhoist/cli/EntryCommand.java
+++ b/src/main/java/org/marjoramhoist/cli/EntryCommand.java
@@ -35,6 +35,11 @@
     parser.addArgument("--settings").required(true).help("the settings file");
   }
 
+  @Override
+  public boolean configuresLogging() {
+    return true;
+  }
+
   @Override
   public ExitCode run(Namespace arguments) throws Exception {
     Path file = Path.of(arguments.getString("settings"));
--- a/src/main/java/org/marjoramhoist/cli/Main.java
+++ b/src/main/java/org/marjoramhoist/cli/Main.java
@@ -34,11 +34,14 @@
     for (Command command : commands()) {
       commands.put(command.name(), command);
     }
-    ArgumentParser parser = parser(commands);
+    ArgumentParser parser = parser(commands, List.of(arguments));
     try {
       Namespace parsed = parser.parseArgs(arguments);
-      Logging.configure(parsed.getString("log_format"), parsed.getString("log_level"));
-      return commands.get(parsed.getString(COMMAND)).run(parsed);
+      Command command = commands.get(parsed.getString(COMMAND));
+      if (!command.configuresLogging()) {
+        Logging.configure(parsed.getString("log_format"), parsed.getString("log_level"));
+      }
+      return command.run(parsed);
     } catch (HelpScreenException e) {
       return ExitCode.OK;
     } catch (ArgumentParserException e) {
@@ -77,9 +80,12 @@
         new DevCommand());
   }
 
-  private static ArgumentParser parser(Map<String, Command> commands) {
+  /** Returns the parser; only commands that are named get their arguments, which saves time. */
+  private static ArgumentParser parser(Map<String, Command> commands, List<String> arguments) {
     ArgumentParser parser =
         ArgumentParsers.newFor("marjoramhoist")
+            // Detection starts a process.
+            .terminalWidthDetection(false)
             .build()
             .description("Dispatches sub-second tasks from callers to upstreams.")
             .epilog(
@@ -103,7 +109,9 @@
               .help(command.summary())
               .description(command.summary())
               .epilog("Example: " + command.example());
-      command.declare(sub);
+      if (arguments.contains(command.name())) {
+        command.declare(sub);
+      }
     }
     return parser;
   }
--- a/src/main/java/org/marjoramhoist/cli/ServeCommand.java
+++ b/src/main/java/org/marjoramhoist/cli/ServeCommand.java
@@ -33,6 +33,11 @@
     parser.addArgument("--settings").required(true).help("the settings file");
   }
 
+  @Override
+  public boolean configuresLogging() {
+    return true;
+  }
+
   @Override
   public ExitCode run(Namespace arguments) throws Exception {
     Settings settings = settings(Path.of(arguments.getString("settings")));
--- a/src/main/java/org/marjoramhoist/cli/TrialCommand.java
+++ b/src/main/java/org/marjoramhoist/cli/TrialCommand.java
@@ -10,6 +10,7 @@
 import org.marjoramhoist.experiment.LeasedWorker;
 import org.marjoramhoist.http.HttpReply;
 import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.log.Logging;
 import org.marjoramhoist.trial.PlatformCluster;
 
 /** Runs entry hosts with stand-ins of the platform in one process, and sends them jobs. */
@@ -57,6 +58,11 @@
     parser.addArgument("--jobs").type(Integer.class).setDefault(100).help("jobs to send");
   }
 
+  @Override
+  public boolean configuresLogging() {
+    return true;
+  }
+
   @Override
   public ExitCode run(Namespace arguments) throws Exception {
     int hosts = arguments.getInt("hosts");
@@ -65,6 +71,11 @@
       throw new CommandFailure(
           ExitCode.BAD_INPUT, "hosts must be from 1 to 20, jobs from 1 to " + MAX_JOBS);
     }
+    // As an entry host logs; the build archives the classes that a trial has loaded.
+    Logging.configure(
+        arguments.getString("log_format"),
+        arguments.getString("log_level"),
+        Logging.Target.STANDARD_OUTPUT_QUEUED);
     try (PlatformCluster cluster = new PlatformCluster(hosts, WORKERS, NO_OBSERVER)) {
       if (!cluster.awaitReady(READY_MILLIS)) {
         throw new CommandFailure(ExitCode.FAILED, "the hosts did not get ready");
--- a/src/main/java/org/marjoramhoist/log/EventLog.java
+++ b/src/main/java/org/marjoramhoist/log/EventLog.java
@@ -1,5 +1,9 @@
 package org.marjoramhoist.log;
 
+import java.time.Instant;
+import java.time.format.DateTimeFormatter;
+import java.time.format.DateTimeFormatterBuilder;
+import java.util.Locale;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -13,7 +17,11 @@
  */
 public final class EventLog {
 
-  private static final Logger LOGGER = LogManager.getLogger("marjoramhoist");
+  private static final Logger LOGGER = LogManager.getLogger(Logging.LOGGER);
+
+  /** UTC with milliseconds; needs no locale, whose data take long to load. */
+  private static final DateTimeFormatter TIME =
+      new DateTimeFormatterBuilder().appendInstant(3).toFormatter(Locale.ROOT);
 
   private EventLog() {}
 
@@ -46,6 +54,7 @@
 
   private static StringMapMessage messageOf(LogEvent event, String detail) {
     return new StringMapMessage()
+        .with("time", TIME.format(Instant.now()))
         .with("code", event.code())
         .with("event", event.name())
         .with("detail", detail);
--- a/src/main/java/org/marjoramhoist/log/Logging.java
+++ b/src/main/java/org/marjoramhoist/log/Logging.java
@@ -4,12 +4,9 @@
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.core.LifeCycle;
+import org.apache.logging.log4j.core.LoggerContext;
+import org.apache.logging.log4j.core.config.Configuration;
 import org.apache.logging.log4j.core.config.Configurator;
-import org.apache.logging.log4j.core.config.builder.api.AppenderComponentBuilder;
-import org.apache.logging.log4j.core.config.builder.api.ConfigurationBuilder;
-import org.apache.logging.log4j.core.config.builder.api.ConfigurationBuilderFactory;
-import org.apache.logging.log4j.core.config.builder.api.LayoutComponentBuilder;
-import org.apache.logging.log4j.core.config.builder.impl.BuiltConfiguration;
 import org.apache.logging.log4j.core.impl.Log4jContextFactory;
 
 /**
@@ -20,16 +17,25 @@
  */
 public final class Logging {
 
-  private static final String TIME = "%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z'}{UTC}";
+  private static final String TIME = "%K{time}";
   private static final String TEXT_PATTERN = TIME + " %-5p E%K{code} %K{event} %K{detail}%n%ex";
   private static final String JSON_PATTERN =
       "{\"time\":\""
           + TIME
           + "\",\"level\":\"%p\",\"code\":%K{code},\"event\":\"%K{event}\","
           + "\"detail\":\"%enc{%K{detail}}{JSON}\",\"exception\":\"%enc{%ex}{JSON}\"}%n";
-  private static final String APPENDER = "console";
-  private static final String QUEUE = "queue";
-  private static final int QUEUED_EVENTS = 4_096;
+
+  private static final String LIBRARY_TEXT_PATTERN =
+      "%d{UNIX_MILLIS} %-5p E" + LogEvent.INTERNAL_FAULT.code() + " %c %m%n%ex";
+  private static final String LIBRARY_JSON_PATTERN =
+      "{\"unixMillis\":%d{UNIX_MILLIS},\"level\":\"%p\",\"code\":"
+          + LogEvent.INTERNAL_FAULT.code()
+          + ",\"event\":\""
+          + LogEvent.INTERNAL_FAULT
+          + "\",\"detail\":\"%enc{%c %m}{JSON}\",\"exception\":\"%enc{%ex}{JSON}\"}%n";
+
+  /** The name of the one logger. */
+  static final String LOGGER = "marjoramhoist";
 
   /** Where log events go. */
   public enum Target {
@@ -60,42 +66,28 @@
    */
   public static void configure(String format, String level, Target target) {
     boolean queued = target == Target.STANDARD_OUTPUT_QUEUED;
-    ConfigurationBuilder<BuiltConfiguration> builder =
-        ConfigurationBuilderFactory.newConfigurationBuilder();
-    builder.setStatusLevel(Level.ERROR);
-    builder.setShutdownHook("disable");
-    String pattern = format.equals("json") ? JSON_PATTERN : TEXT_PATTERN;
-    LayoutComponentBuilder layout =
-        builder
-            .newLayout("PatternLayout")
-            .addAttribute("pattern", pattern)
-            .addAttribute("alwaysWriteExceptions", false);
-    AppenderComponentBuilder appender =
-        builder
-            .newAppender(APPENDER, "Console")
-            .addAttribute("target", queued ? "SYSTEM_OUT" : "SYSTEM_ERR")
-            .addAttribute("follow", true)
-            .add(layout);
-    builder.add(appender);
-    String used = queued ? QUEUE : APPENDER;
-    if (queued) {
-      builder.add(
-          builder
-              .newAppender(QUEUE, "Async")
-              .addAttribute("bufferSize", QUEUED_EVENTS)
-              .addAttribute("blocking", false)
-              .addComponent(builder.newAppenderRef(APPENDER)));
-    }
-    builder.add(
-        builder
-            .newLogger("marjoramhoist", Level.valueOf(level.toUpperCase(Locale.ROOT)))
-            .addAttribute("additivity", false)
-            .add(builder.newAppenderRef(used)));
-    builder.add(builder.newRootLogger(Level.ERROR).add(builder.newAppenderRef(used)));
-    Configurator.reconfigure(builder.build());
+    boolean json = format.equals("json");
+    Level least = Level.valueOf(level.toUpperCase(Locale.ROOT));
+    use(
+        new ConsoleConfiguration(
+            least,
+            json ? JSON_PATTERN : TEXT_PATTERN,
+            json ? LIBRARY_JSON_PATTERN : LIBRARY_TEXT_PATTERN,
+            queued));
     keepUntilTheEnd();
   }
 
+  /**
+   * Puts a configuration in force: the first one by starting with it, as looking for a default one
+   * takes a good part of the time that a process needs to start.
+   */
+  private static void use(Configuration configuration) {
+    LoggerContext context = Configurator.initialize(configuration);
+    if (context.getConfiguration() != configuration) {
+      Configurator.reconfigure(configuration);
+    }
+  }
+
   /** Writes what is queued; nothing is logged after that. */
   public static void finish() {
     LogManager.shutdown();
--- a/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
+++ b/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
@@ -17,6 +17,8 @@
 import org.marjoramhoist.http.HttpReply;
 import org.marjoramhoist.http.LoopbackServer;
 import org.marjoramhoist.job.Resources;
+import org.marjoramhoist.json.InvalidDocumentException;
+import org.marjoramhoist.json.JsonText;
 import org.marjoramhoist.platform.standin.PlatformStoreStandIn;
 import org.marjoramhoist.platform.standin.PlatformWorkerStandIn;
 import org.marjoramhoist.platform.standin.SampleDocuments;
@@ -41,6 +43,8 @@
   private static final int PORTS_PER_HOST = 3;
   private static final NodeSettings.Limits LIMITS = new NodeSettings.Limits(1, 1_000);
   private static final String LOOPBACK = "127.0.0.1:";
+  private static final double FAR_FACTOR = 1.5;
+  private static final int DRAIN_SECONDS = 6;
   private static final Resources TASK_NEED = new Resources(1_000, 64, 0);
   private static final Resources CAPACITY = new Resources(8_000, 8_192, 0);
 
@@ -97,12 +101,29 @@
     SampleDocuments.putWorker(store, name, worker);
   }
 
+  /** Returns a host's settings, which take the way through the parser that a file takes. */
   private NodeSettings settingsOf(String name, NodeSettings.Limits machine, List<Integer> ports) {
-    NodeSettings.Listen listen =
-        new NodeSettings.Listen(
-            LOOPBACK + ports.get(0), LOOPBACK + ports.get(1), LOOPBACK + ports.get(2), "");
-    return new NodeSettings(
-        name, "dev", listen, store.address(), 1_000, 1.5, 120_000, 6_000, machine, "info");
+    Map<String, Object> listen =
+        Map.of(
+            "callers", LOOPBACK + ports.get(0),
+            "ready", LOOPBACK + ports.get(1),
+            "peers", LOOPBACK + ports.get(2));
+    Map<String, Object> limits =
+        Map.of("processorShare", machine.cores(), "linkMbps", machine.linkMbps());
+    Map<String, Object> text =
+        Map.of(
+            "host", name,
+            "failureDomain", "dev",
+            "listen", listen,
+            "store", store.address(),
+            "farFactor", FAR_FACTOR,
+            "drainSeconds", DRAIN_SECONDS,
+            "limits", limits);
+    try {
+      return NodeSettings.parse(name, JsonText.of(text));
+    } catch (InvalidDocumentException e) {
+      throw new IllegalStateException("settings of " + name, e);
+    }
   }
 
   /** Declares the sample class of request under a version. */
--- a/src/test/java/org/marjoramhoist/log/LoggingTest.java
+++ b/src/test/java/org/marjoramhoist/log/LoggingTest.java
@@ -33,20 +33,34 @@
     assertThat(hook.isStarted()).isFalse();
   }
 
-  @Test
-  void writesEventAsOneJsonObjectPerLine() throws Exception {
+  /** Returns the one line that is logged as JSON meanwhile. */
+  private static JsonNode logged(Runnable action) throws Exception {
     PrintStream before = System.err;
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     System.setErr(new PrintStream(bytes, true, StandardCharsets.UTF_8));
     try {
       Logging.configure("json", "info");
-      EventLog.info(LogEvent.STORE_UP, "a \"quoted\"\nline {}", 7);
+      action.run();
     } finally {
       System.setErr(before);
     }
     String text = bytes.toString(StandardCharsets.UTF_8);
     assertThat(text.strip().lines().count()).isEqualTo(1);
-    JsonNode event = JsonText.MAPPER.readTree(text);
+    return JsonText.MAPPER.readTree(text);
+  }
+
+  @Test
+  void writesErrorsOfLibrariesWithTheirMessage() throws Exception {
+    JsonNode line = logged(() -> LogManager.getLogger("some.library").error("it \"broke\""));
+    assertThat(line.path("code").asInt()).isEqualTo(LogEvent.INTERNAL_FAULT.code());
+    assertThat(line.path("detail").asText()).isEqualTo("some.library it \"broke\"");
+    assertThat(line.path("unixMillis").asLong()).isGreaterThan(0);
+  }
+
+  @Test
+  void writesEventAsOneJsonObjectPerLine() throws Exception {
+    JsonNode event = logged(() -> EventLog.info(LogEvent.STORE_UP, "a \"quoted\"\nline {}", 7));
+    assertThat(event.path("time").asText()).matches("\\d{4}-\\d\\d-\\d\\dT[\\d:]{8}[.]\\d{3}Z");
     assertThat(event.path("code").asInt()).isEqualTo(LogEvent.STORE_UP.code());
     assertThat(event.path("event").asText()).isEqualTo("STORE_UP");
     assertThat(event.path("detail").asText()).isEqualTo("a \"quoted\"\nline 7");
