--- a/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
@@ -35,4 +35,28 @@
   public WorkerInfo {
     labels = Set.copyOf(labels);
   }
+
+  // Written out, as the generated methods are linked at their first use, which takes milliseconds
+  // of
+  // a start.
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof WorkerInfo that
+        && id.equals(that.id)
+        && upstream.equals(that.upstream)
+        && address.equals(that.address)
+        && failureDomain.equals(that.failureDomain)
+        && capacity.equals(that.capacity)
+        && kind.equals(that.kind)
+        && rack.equals(that.rack)
+        && labels.equals(that.labels)
+        && draining == that.draining
+        && bornMillis == that.bornMillis;
+  }
+
+  @Override
+  public int hashCode() {
+    return id.hashCode();
+  }
 }
--- a/src/main/java/org/marjoramhoist/entry/RosterStore.java
+++ b/src/main/java/org/marjoramhoist/entry/RosterStore.java
@@ -11,7 +11,6 @@
 import org.marjoramhoist.dispatch.RosterChange;
 import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.job.Resources;
-import org.marjoramhoist.json.JsonText;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.platform.KeyValueClient;
@@ -84,7 +83,7 @@
 
   private static WorkerInfo readWorker(Item item) {
     try {
-      return JsonText.MAPPER.readValue(item.value(), WorkerInfo.class);
+      return StoredWorker.read(item.value());
     } catch (JsonProcessingException e) {
       EventLog.warn(
           LogEvent.STORED_WORKER_INVALID, "key={} reason={}", item.key(), e.getOriginalMessage());
@@ -117,7 +116,7 @@
     }
     List<Put> puts =
         change.added().stream()
-            .map(worker -> new Put(ROOT + worker.id(), JsonText.of(worker), 0))
+            .map(worker -> new Put(ROOT + worker.id(), StoredWorker.write(worker), 0))
             .toList();
     if (puts.isEmpty() && deletes.isEmpty()) {
       stored();
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/StoredWorker.java
@@ -0,0 +1,69 @@
+package org.marjoramhoist.entry;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashSet;
+import java.util.Set;
+import org.marjoramhoist.dispatch.WorkerInfo;
+import org.marjoramhoist.job.Resources;
+import org.marjoramhoist.json.JsonText;
+
+/**
+ * The form of a worker in the stored roster.
+ *
+ * <p>Fields are read and written one by one: looking them up by reflection takes longer than all
+ * else that a new leader does with the roster. Stateless and safe for use by several threads.
+ */
+final class StoredWorker {
+
+  private StoredWorker() {}
+
+  /** Returns a worker's form. */
+  static String write(WorkerInfo worker) {
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
+    node.put("id", worker.id());
+    node.put("upstream", worker.upstream());
+    node.put("address", worker.address());
+    node.put("failureDomain", worker.failureDomain());
+    node.putObject("capacity")
+        .put("cpuMillis", worker.capacity().cpuMillis())
+        .put("memoryMib", worker.capacity().memoryMib())
+        .put("accelerators", worker.capacity().accelerators());
+    node.put("kind", worker.kind());
+    node.put("rack", worker.rack());
+    worker.labels().forEach(node.putArray("labels")::add);
+    node.put("draining", worker.draining());
+    node.put("bornMillis", worker.bornMillis());
+    return node.toString();
+  }
+
+  /**
+   * Reads a worker.
+   *
+   * @throws JsonProcessingException if the text is no JSON
+   */
+  static WorkerInfo read(String text) throws JsonProcessingException {
+    JsonNode node = JsonText.MAPPER.readTree(text);
+    JsonNode room = node.path("capacity");
+    Resources capacity =
+        new Resources(
+            room.path("cpuMillis").asLong(),
+            room.path("memoryMib").asLong(),
+            room.path("accelerators").asLong());
+    Set<String> labels = new HashSet<>();
+    node.path("labels").forEach(label -> labels.add(label.asText()));
+    return new WorkerInfo(
+        node.path("id").asText(),
+        node.path("upstream").asText(),
+        node.path("address").asText(),
+        node.path("failureDomain").asText(),
+        capacity,
+        node.path("kind").asText(),
+        node.path("rack").asText(),
+        labels,
+        node.path("draining").asBoolean(),
+        node.path("bornMillis").asLong());
+  }
+}
--- a/src/main/java/org/marjoramhoist/job/JobId.java
+++ b/src/main/java/org/marjoramhoist/job/JobId.java
@@ -37,4 +37,18 @@
   public String toString() {
     return value;
   }
+
+  // Written out, as the generated methods are linked at their first use, which takes milliseconds
+  // of
+  // a start.
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof JobId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/src/main/java/org/marjoramhoist/job/Resources.java
+++ b/src/main/java/org/marjoramhoist/job/Resources.java
@@ -33,4 +33,21 @@
         && memoryMib >= need.memoryMib
         && accelerators >= need.accelerators;
   }
+
+  // Written out, as the generated methods are linked at their first use, which takes milliseconds
+  // of
+  // a start.
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Resources that
+        && cpuMillis == that.cpuMillis
+        && memoryMib == that.memoryMib
+        && accelerators == that.accelerators;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(cpuMillis) ^ Long.hashCode(memoryMib) ^ Long.hashCode(accelerators);
+  }
 }
--- a/src/main/java/org/marjoramhoist/job/TaskRef.java
+++ b/src/main/java/org/marjoramhoist/job/TaskRef.java
@@ -9,4 +9,22 @@
  * @param step the number of the step, from 0
  * @param index the number of the task within the step, from 0
  */
-public record TaskRef(JobId job, int step, int index) {}
+public record TaskRef(JobId job, int step, int index) {
+
+  // Written out, as the generated methods are linked at their first use, which takes milliseconds
+  // of
+  // a start.
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof TaskRef that
+        && index == that.index
+        && step == that.step
+        && job.equals(that.job);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * (31 * job.hashCode() + step) + index;
+  }
+}
--- a/src/main/java/org/marjoramhoist/platform/Declarations.java
+++ b/src/main/java/org/marjoramhoist/platform/Declarations.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.job.RequestClass;
 import org.marjoramhoist.job.Resources;
@@ -28,6 +29,8 @@
   /** The prefix under which workers register. */
   public static final String WORKERS_PREFIX = "servers/";
 
+  private static final Pattern ADDRESS = Pattern.compile("[0-9.]+:[0-9]{1,5}");
+
   private Declarations() {}
 
   /**
@@ -105,7 +108,7 @@
     JsonNode room = root.path("capacity");
     return root.path("service").isTextual()
         && root.path("address").isTextual()
-        && root.path("address").asText().matches("[0-9.]+:[0-9]{1,5}")
+        && ADDRESS.matcher(root.path("address").asText()).matches()
         && (state.equals("ready") || state.equals("draining"))
         && room.path("cpu").isNumber()
         && room.path("memMb").isNumber()
--- a/src/test/java/org/marjoramhoist/entry/RosterStoreTest.java
+++ b/src/test/java/org/marjoramhoist/entry/RosterStoreTest.java
@@ -11,6 +11,7 @@
 import org.marjoramhoist.dispatch.RosterChange;
 import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.job.Resources;
+import org.marjoramhoist.json.JsonText;
 
 /** Changes of the stored roster, with a stand-in of the store. */
 class RosterStoreTest extends StoreFixture {
@@ -30,6 +31,25 @@
     roster = new RosterStore(TERM, client, new StoreHealth(), loop, events::add, stale::add);
   }
 
+  @Test
+  void readsWhatWasWritten() throws Exception {
+    WorkerInfo worker =
+        new WorkerInfo(
+            "w-1",
+            "reviews",
+            "10.0.0.1:80",
+            "north",
+            new Resources(16_000, 65_536, 2),
+            "a",
+            "r-1",
+            Set.of("a", "r-1", "ssd"),
+            true,
+            1_700_000_000_123L);
+    assertThat(StoredWorker.read(StoredWorker.write(worker))).isEqualTo(worker);
+    // The form that earlier versions wrote.
+    assertThat(StoredWorker.read(JsonText.of(worker))).isEqualTo(worker);
+  }
+
   /** The leader's record lapsed with the store: no other leader is named, and it may come back. */
   @Test
   void absentRecordIsNoSignOfAnotherLeader() throws InterruptedException {
