--- a/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -40,6 +40,14 @@
   /** An entry host is gone, and with it the callers that it served. */
   record EntryLost(String entry) implements DispatchEvent {}
 
+  /**
+   * This leader's term ends while its entry hosts live on: all jobs are given up, those without a
+   * started task as not run.
+   *
+   * @param reason why, for the answers
+   */
+  record TermEnded(String reason) implements DispatchEvent {}
+
   /** Something was heard of a worker, or nothing was when something should have been. */
   sealed interface FromWorker extends DispatchEvent {
     /** Returns the worker's id. */
--- a/src/main/java/org/marjoramhoist/dispatch/DispatchPolicy.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchPolicy.java
@@ -9,6 +9,36 @@
  * @param farFactor how many times as long a task runs away from its data
  * @param renewWaitMillis how long a worker may wait for an end before it answers a renewal
  * @param keepMillis how long callers may ask for a durable job that has ended
+ * @param scope what the leader leads
  */
 public record DispatchPolicy(
-    long leaseMillis, double farFactor, long renewWaitMillis, long keepMillis) {}
+    long leaseMillis, double farFactor, long renewWaitMillis, long keepMillis, Scope scope) {
+
+  /** What a leader leads. */
+  public enum Scope {
+    /** All workers, under a record in the store. */
+    PARTITION,
+
+    /**
+     * The workers of a failure domain that is cut off, beside a partition's leader that may live.
+     * It takes on ephemeral jobs only, leaves runs and ends that aren't its own alone, and gives up
+     * once it sees that another leader orders runs on its workers.
+     */
+    DOMAIN
+  }
+
+  /** Creates the policy of a partition's leader. */
+  public DispatchPolicy(long leaseMillis, double farFactor, long renewWaitMillis, long keepMillis) {
+    this(leaseMillis, farFactor, renewWaitMillis, keepMillis, Scope.PARTITION);
+  }
+
+  /** Returns the same policy for the leader of a failure domain. */
+  public DispatchPolicy forDomain() {
+    return new DispatchPolicy(leaseMillis, farFactor, renewWaitMillis, keepMillis, Scope.DOMAIN);
+  }
+
+  /** Tells whether the leader leads only a failure domain that is cut off. */
+  public boolean isForDomain() {
+    return scope == Scope.DOMAIN;
+  }
+}
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -19,6 +19,7 @@
 import org.marjoramhoist.dispatch.DispatchEvent.StartUnanswered;
 import org.marjoramhoist.dispatch.DispatchEvent.StartsAllowed;
 import org.marjoramhoist.dispatch.DispatchEvent.StopEnded;
+import org.marjoramhoist.dispatch.DispatchEvent.TermEnded;
 import org.marjoramhoist.dispatch.DispatchEvent.Tick;
 import org.marjoramhoist.dispatch.DispatchEvent.WorkersListed;
 import org.marjoramhoist.job.JobId;
@@ -46,6 +47,10 @@
   private static final double MICROS_PER_MILLI = 1_000.0;
 
   private final long since;
+
+  /** Null unless this leads only a failure domain. */
+  private final DomainGuard guard;
+
   private final DurationModel durations = new DurationModel();
   private final Placement placement;
   private final WaitingOrder order = new WaitingOrder(durations);
@@ -68,12 +73,14 @@
    * @param epochMillis the time since 1970, in milliseconds, at which the steady clock was 0
    */
   public Dispatcher(DispatchPolicy policy, long now, long earlierRunsOverAt, long epochMillis) {
-    this.since = now;
+    // No host hands jobs on to the leader of a domain that is cut off.
+    this.since = policy.isForDomain() ? now - CLAIM_MICROS : now;
+    this.guard = policy.isForDomain() ? new DomainGuard(now) : null;
     this.durable = new DurableJobs(policy.keepMillis(), epochMillis);
     this.workers = new Workers(now, earlierRunsOverAt);
     this.placement = new Placement(policy, durations);
     this.runs = new RunControl(policy, new Ends());
-    this.allocator = new Allocator(now, jobs, workers, runs, placement, order);
+    this.allocator = new Allocator(since, jobs, workers, runs, placement, order);
   }
 
   /**
@@ -94,7 +101,7 @@
   public List<DispatchAction> step(long now, List<DispatchEvent> events) {
     List<DispatchAction> out = new ArrayList<>();
     events.forEach(event -> take(now, event, out));
-    if (mayPlace && startsAllowed) {
+    if (mayPlace && startsAllowed && mayUseWorkers()) {
       mayPlace = false;
       allocator.placeWaiting(now, out);
     }
@@ -102,6 +109,10 @@
     return out;
   }
 
+  private boolean mayUseWorkers() {
+    return guard == null || guard.mayStart(workers.all());
+  }
+
   private void take(long now, DispatchEvent event, List<DispatchAction> out) {
     if (event instanceof JobSubmitted submitted) {
       submitted(submitted, now, out);
@@ -129,6 +140,8 @@
     } else if (event instanceof RosterStored roster) {
       workers.rosterStored(roster.number(), out);
       mayPlace = true;
+    } else if (event instanceof TermEnded ended) {
+      termEnded(ended.reason(), now, out);
     } else if (event instanceof Tick) {
       tick(now, out);
     } else if (event instanceof FromWorker heard) {
@@ -290,6 +303,11 @@
       runs.tick(worker, now, out);
     }
     workers.logSettled(now, out);
+    if (guard != null) {
+      guard
+          .reasonToGiveUp(workers.all(), now)
+          .ifPresent(reason -> out.add(new DispatchAction.StepDown(reason)));
+    }
     for (Job job : List.copyOf(jobs.all())) {
       expire(job, now, out);
     }
@@ -300,6 +318,13 @@
     mayPlace = true;
   }
 
+  private void termEnded(String reason, long now, List<DispatchAction> out) {
+    for (Job job : List.copyOf(jobs.all())) {
+      JobOutcome outcome = job.started ? JobOutcome.ABANDONED : JobOutcome.REFUSED;
+      end(job, outcome, reason, now, out);
+    }
+  }
+
   private void expire(Job job, long now, List<DispatchAction> out) {
     if (job.isDurable()) {
       return;
--- a/src/main/java/org/marjoramhoist/dispatch/EarlierRuns.java
+++ b/src/main/java/org/marjoramhoist/dispatch/EarlierRuns.java
@@ -20,18 +20,24 @@
 
   private final RunListener listener;
 
-  EarlierRuns(RunListener listener) {
+  private final DispatchPolicy policy;
+
+  EarlierRuns(DispatchPolicy policy, RunListener listener) {
+    this.policy = policy;
     this.listener = listener;
   }
 
   /** Takes in that such a run is at work. */
   void atWork(Worker worker, RunRef ref, long now, List<DispatchAction> out) {
     Task task = listener.taskFor(ref);
-    if (task != null && task.isWaiting()) {
+    if (task != null && task.isWaiting() && !policy.isForDomain()) {
       takeOver(worker, task, ref, now);
       return;
     }
     Long since = worker.foreignRuns.putIfAbsent(ref, now);
+    if (policy.isForDomain()) {
+      return;
+    }
     boolean due = since == null || now - since > STOP_AGAIN_MICROS;
     boolean known = listener.knowsDurableJobs();
     boolean claimable = task == null && (!known || listener.mayBeClaimed(now));
@@ -41,8 +47,20 @@
     }
   }
 
+  /**
+   * Tells whether a run that is at work may yet turn out to belong to a job, so that it must be
+   * kept: an entry host may still hand its job on, or the stored jobs are not known.
+   */
+  boolean mayBelongToJob(long now) {
+    boolean known = listener.knowsDurableJobs() && !listener.mayBeClaimed(now);
+    return !known && !policy.isForDomain();
+  }
+
   /** Takes in that such a run has ended. */
   void ended(Worker worker, Ended end, long now, List<DispatchAction> out) {
+    if (policy.isForDomain()) {
+      return;
+    }
     boolean done = end.how() == RunEnd.DONE;
     if (!done && end.how() != RunEnd.FAILED) {
       return;
--- a/src/main/java/org/marjoramhoist/dispatch/RunControl.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunControl.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
 import org.marjoramhoist.dispatch.WorkerReport.Ended;
+import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
 import org.marjoramhoist.dispatch.WorkerReport.Running;
 import org.marjoramhoist.job.RunRef;
 import org.marjoramhoist.log.LogEvent;
@@ -38,7 +39,7 @@
   RunControl(DispatchPolicy policy, RunListener listener) {
     this.policy = policy;
     this.listener = listener;
-    this.earlier = new EarlierRuns(listener);
+    this.earlier = new EarlierRuns(policy, listener);
   }
 
   /** Returns the orders to start that have not ended. */
@@ -200,6 +201,7 @@
       earlier.ended(worker, end, now, out);
       return;
     }
+    noteForeignStop(run, end, out);
     over(run);
     switch (end.how()) {
       case DONE -> listener.runDone(run, now, out);
@@ -209,6 +211,15 @@
     run.task.job.holdUntilStored(worker, end);
   }
 
+  /** A run that this leader did not stop was stopped by another one. */
+  private void noteForeignStop(Run run, Ended end, List<DispatchAction> out) {
+    boolean own = run.phase == Run.Phase.STOPPING || run.phase == Run.Phase.STOPPED;
+    if (policy.isForDomain() && end.how() == RunEnd.STOPPED && !own) {
+      out.add(
+          new DispatchAction.StepDown("another leader stopped a run on worker " + run.worker.id()));
+    }
+  }
+
   /** Takes in that all durable jobs are known: looks again at the ends that were not. */
   void jobsLoaded(Iterable<Worker> workers, long now, List<DispatchAction> out) {
     for (Worker worker : workers) {
@@ -314,10 +325,7 @@
       return;
     }
     if (!worker.isReachable() || !worker.synced) {
-      long pause = worker.runs.isEmpty() ? LONG_RETRY_MICROS : RETRY_MICROS;
-      if (worker.renewedAt == 0 || now - worker.renewedAt > pause) {
-        renew(worker, 0, 0, now, out);
-      }
+      renewAfter(worker, worker.runs.isEmpty() ? LONG_RETRY_MICROS : RETRY_MICROS, now, out);
       return;
     }
     boolean mustWatch = false;
@@ -326,13 +334,20 @@
       mustWatch |= run.phase != Run.Phase.STARTING;
       stopped |= run.phase == Run.Phase.STOPPED || run.phase == Run.Phase.STOPPING;
     }
-    if (mustWatch || !worker.foreignRuns.isEmpty()) {
+    boolean mustKeep = !worker.foreignRuns.isEmpty() && earlier.mayBelongToJob(now);
+    if (mustWatch || mustKeep) {
       long wait = stopped ? STOP_REPORT_WAIT_MILLIS : policy.renewWaitMillis();
       renew(worker, leaseEnd(worker, now), wait, now, out);
       return;
     }
+    if (!worker.foreignRuns.isEmpty()) {
+      // Without a lease, so that nobody's run lives longer by it.
+      renewAfter(worker, RETRY_MICROS, now, out);
+      return;
+    }
     boolean mustAcknowledge =
-        worker.acknowledged() > worker.acknowledgedSent
+        !policy.isForDomain()
+            && worker.acknowledged() > worker.acknowledgedSent
             && (worker.acknowledgementHeldBack || now - worker.lastReportAt > ACK_DELAY_MICROS);
     boolean mustLook = worker.runs.isEmpty() && now - worker.lastReportAt > IDLE_LOOK_MICROS;
     if (mustAcknowledge || mustLook) {
@@ -359,21 +374,34 @@
   /** Asks for the next ends at once if it can show them, otherwise only often enough to renew. */
   private void renewForMoreEnds(Worker worker, long now, List<DispatchAction> out) {
     if (worker.canShowMoreEnds() || now - worker.renewedAt > RETRY_MICROS) {
-      boolean atWork = !worker.runs.isEmpty() || !worker.foreignRuns.isEmpty();
+      boolean mustKeep = !worker.foreignRuns.isEmpty() && earlier.mayBelongToJob(now);
+      boolean atWork = !worker.runs.isEmpty() || mustKeep;
       renew(worker, atWork ? leaseEnd(worker, now) : 0, 0, now, out);
     }
   }
 
+  /** Asks for a report without extending any lease, unless one was asked for lately. */
+  private void renewAfter(Worker worker, long pause, long now, List<DispatchAction> out) {
+    if (worker.renewedAt == 0 || now - worker.renewedAt > pause) {
+      renew(worker, 0, 0, now, out);
+    }
+  }
+
   private void renew(Worker worker, long lease, long wait, long now, List<DispatchAction> out) {
     worker.renewals++;
     worker.renewedAt = now;
     worker.leaseUntilMillis = Math.max(worker.leaseUntilMillis, lease);
     worker.acknowledgementHeldBack = worker.mayBeReborn;
-    long acknowledged = worker.acknowledgementHeldBack ? 0 : worker.acknowledged();
+    long acknowledged = mayAcknowledge(worker) ? worker.acknowledged() : 0;
     worker.acknowledgedSent = Math.max(worker.acknowledgedSent, acknowledged);
     out.add(new DispatchAction.Renew(worker.info(), acknowledged, lease, wait));
   }
 
+  /** A domain's leader lets workers forget nothing, as the partition's leader must see it all. */
+  private boolean mayAcknowledge(Worker worker) {
+    return !worker.acknowledgementHeldBack && !policy.isForDomain();
+  }
+
   static String describe(Run run) {
     return "job="
         + run.ref.task().job()
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/Duty.java
@@ -0,0 +1,206 @@
+package org.marjoramhoist.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.marjoramhoist.dispatch.DispatchAction;
+import org.marjoramhoist.dispatch.DispatchEvent;
+import org.marjoramhoist.dispatch.Dispatcher;
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.message.HostMessage;
+import org.marjoramhoist.message.HostMessage.Finished;
+import org.marjoramhoist.message.HostMessage.Submit;
+import org.marjoramhoist.message.HostMessage.Withdraw;
+import org.marjoramhoist.platform.WorkerCalls;
+
+/**
+ * One term of leading: feeds the decisions and carries out what they ask for.
+ *
+ * <p>While it may not be the leader any more, as it is out of contact, events wait and nothing is
+ * ordered. After {@link #close} nothing more is decided or ordered. Confined to the loop's thread.
+ */
+abstract class Duty implements AutoCloseable {
+
+  private static final long TICK_MILLIS = 20;
+
+  /** Delivers the end of a job, or of a call about one, to the host whose caller waits. */
+  interface Delivery {
+    void deliver(String host, HostMessage answer);
+  }
+
+  /**
+   * What this host may do now as leader.
+   *
+   * @param order whether it may order anything
+   * @param start whether it may start new runs
+   */
+  record Permits(BooleanSupplier order, BooleanSupplier start) {}
+
+  final Loop loop;
+  final Dispatcher dispatcher;
+  final NodeMetrics metrics;
+  final Permits permits;
+  final Delivery delivery;
+  final Consumer<String> onStale;
+  final LoopLoad load = new LoopLoad();
+  private final long term;
+  private final WorkerOrders orders;
+  private final List<DispatchEvent> events = new ArrayList<>();
+  private boolean due;
+  private boolean mayStartTold = true;
+  private boolean closed;
+
+  /**
+   * Creates a term.
+   *
+   * @param onStale is told why this host must not lead any more
+   */
+  Duty(
+      long term,
+      Dispatcher dispatcher,
+      Loop loop,
+      WorkerCalls workers,
+      NodeMetrics metrics,
+      Permits permits,
+      Delivery delivery,
+      Consumer<String> onStale) {
+    this.term = term;
+    this.dispatcher = dispatcher;
+    this.loop = loop;
+    this.metrics = metrics;
+    this.permits = permits;
+    this.delivery = delivery;
+    this.onStale = onStale;
+    this.orders = new WorkerOrders(term, workers, metrics, this::take);
+  }
+
+  final long term() {
+    return term;
+  }
+
+  final boolean isClosed() {
+    return closed;
+  }
+
+  /** Returns how many events wait to be decided on. */
+  final int queued() {
+    return events.size();
+  }
+
+  final Map<String, Integer> waiting() {
+    return dispatcher.waitingByClass();
+  }
+
+  /** Takes in a message of an entry host, which may be this one. */
+  void fromEntry(String host, HostMessage message) {
+    long now = Loop.now();
+    if (message instanceof Submit submit) {
+      take(
+          new DispatchEvent.JobSubmitted(
+              submit.job(),
+              submit.requestClass(),
+              host,
+              now - submit.ageMicros(),
+              now + submit.patienceMicros(),
+              submit.generation()));
+    } else if (message instanceof Withdraw withdraw) {
+      take(new DispatchEvent.JobWithdrawn(withdraw.job(), host));
+    }
+  }
+
+  /** Takes in that an entry host is gone. */
+  final void entryLost(String host) {
+    take(new DispatchEvent.EntryLost(host));
+  }
+
+  final void tick() {
+    if (!closed) {
+      long now = Loop.now();
+      take(new DispatchEvent.Tick());
+      loop.after(TICK_MILLIS, this::tick);
+      load.ticked(now, Loop.now() + Loop.micros(TICK_MILLIS));
+    }
+  }
+
+  /**
+   * Takes in an event. All that the loop hears in one turn is decided on at once, so that a leader
+   * that falls behind gives out room less often.
+   */
+  final void take(DispatchEvent event) {
+    events.add(event);
+    if (!due) {
+      due = true;
+      loop.execute(this::decide);
+    }
+  }
+
+  private void decide() {
+    due = false;
+    if (closed || !permits.order().getAsBoolean()) {
+      return;
+    }
+    boolean mayStart = permits.start().getAsBoolean();
+    if (mayStart != mayStartTold) {
+      mayStartTold = mayStart;
+      events.add(0, new DispatchEvent.StartsAllowed(mayStart));
+    }
+    List<DispatchEvent> heard = List.copyOf(events);
+    events.clear();
+    long now = Loop.now();
+    dispatcher.step(now, heard).forEach(this::run);
+    load.stepped(Loop.now() - now);
+  }
+
+  private void run(DispatchAction action) {
+    if (closed) {
+      return;
+    }
+    if (action instanceof DispatchAction.Start start) {
+      orders.start(start);
+    } else if (action instanceof DispatchAction.Renew renew) {
+      orders.renew(renew);
+    } else if (action instanceof DispatchAction.Stop stop) {
+      orders.stop(stop);
+    } else if (action instanceof DispatchAction.Finish finish) {
+      finish(finish);
+    } else if (action instanceof DispatchAction.StepDown stepDown) {
+      onStale.accept(stepDown.reason());
+    } else if (action instanceof DispatchAction.Log log) {
+      log(log);
+    } else {
+      runOther(action);
+    }
+  }
+
+  /** Carries out an action that not every leader has. */
+  abstract void runOther(DispatchAction action);
+
+  private void finish(DispatchAction.Finish finish) {
+    Finished end =
+        new Finished(finish.job(), finish.outcome(), finish.reason(), finish.retryAfterMillis());
+    finish.entries().forEach(host -> delivery.deliver(host, end));
+  }
+
+  private void log(DispatchAction.Log log) {
+    metrics.decided(log.event());
+    switch (log.event()) {
+      case JOB_COMPLETED -> EventLog.debug(log.event(), "{}", log.detail());
+      case WORKER_EJECTED -> EventLog.warn(log.event(), "{}", log.detail());
+      default -> EventLog.info(log.event(), "{}", log.detail());
+    }
+  }
+
+  /** Carries out, right now, what an event asks for at the end of the term. */
+  final void takeLast(DispatchEvent event) {
+    if (!closed) {
+      dispatcher.step(Loop.now(), event).forEach(this::run);
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+  }
+}
--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -16,6 +16,7 @@
 import org.marjoramhoist.lead.ElectionEvent;
 import org.marjoramhoist.lead.ElectionPolicy;
 import org.marjoramhoist.lead.HostCapacity;
+import org.marjoramhoist.lead.LocalElection;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.peer.FrameNetwork;
@@ -96,6 +97,7 @@
             settings.host(),
             incarnation,
             settings.listen().peers(),
+            settings.failureDomain(),
             HostCapacity.of(settings.limits().cores(), settings.limits().linkMbps()),
             event -> made[0].take(event));
     DispatchPolicy policy =
@@ -104,6 +106,27 @@
             settings.farFactor(),
             RENEW_WAIT_MILLIS,
             settings.keepMillis());
+    LocalPartition[] madeLocal = new LocalPartition[1];
+    LocalPartition local =
+        new LocalPartition(
+            settings.host(),
+            loop,
+            new LocalElection(settings.host(), times),
+            storeLink,
+            reach,
+            jobs,
+            () ->
+                new LocalDuty(
+                    election.knownTerm(),
+                    policy,
+                    madeLocal[0].workers(),
+                    loop,
+                    workerCalls,
+                    metrics,
+                    new Duty.Permits(madeLocal[0]::mayOrder, madeLocal[0]::mayStart),
+                    (host, answer) -> madeLocal[0].deliver(host, answer),
+                    reason -> madeLocal[0].mustStepDown(reason)));
+    madeLocal[0] = local;
     this.partition =
         new Partition(
             settings.host(),
@@ -115,18 +138,21 @@
             reach,
             jobs,
             this.calls,
+            local,
             lead ->
                 new LeaderDuty(
                     lead.term(),
                     policy,
                     earlierRunsOverAt(lead.earlierGone()),
+                    Loop.epochMillis(),
                     loop,
                     store,
                     health,
                     workerCalls,
                     metrics,
-                    new LeaderDuty.Permits(made[0]::mayOrder, made[0]::mayStart),
+                    new Duty.Permits(made[0]::mayOrder, made[0]::mayStart),
                     (host, answer) -> made[0].deliver(host, answer),
+                    workers -> made[0].workersListed(workers),
                     reason -> made[0].take(new ElectionEvent.MustStepDown(reason))));
     made[0] = partition;
     metrics.gauge("marjoramhoist.jobs.open", jobs::count);
--- a/src/main/java/org/marjoramhoist/entry/FollowerLinks.java
+++ b/src/main/java/org/marjoramhoist/entry/FollowerLinks.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -35,6 +36,7 @@
   private final FrameNetwork network;
   private final Supplier<Map<String, String>> addresses;
   private final BiConsumer<String, HostMessage> onMessage;
+  private Consumer<String> onOpened = host -> {};
   private final Consumer<String> onLost;
   private final Map<String, Follower> followers = new HashMap<>();
   private boolean closed;
@@ -61,6 +63,19 @@
     this.onLost = onLost;
   }
 
+  /** Tells a task of each link that opens, by the name of its host. */
+  void onOpened(Consumer<String> task) {
+    onOpened = task;
+  }
+
+  /** Returns the hosts to which there are links. */
+  List<String> linked() {
+    return followers.entrySet().stream()
+        .filter(each -> each.getValue().link != null)
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   /** Sends a heartbeat on each link, and opens those that are missing. */
   void beat(HostMessage heartbeat) {
     long now = Loop.now();
@@ -112,6 +127,7 @@
           follower.heardAt = Loop.now();
           follower.lost = false;
           link.send(heartbeat);
+          onOpened.accept(name);
         },
         refused -> follower.opening = false);
   }
--- a/src/main/java/org/marjoramhoist/entry/JobCalls.java
+++ b/src/main/java/org/marjoramhoist/entry/JobCalls.java
@@ -87,7 +87,7 @@
   }
 
   private void add(OpenCall entry) {
-    if (!reach.mayReach()) {
+    if (!reach.mayReachPartition()) {
       entry.caller.accept(entry.givenUp());
       return;
     }
@@ -117,7 +117,7 @@
   void tick() {
     long now = Loop.now();
     for (OpenCall entry : List.copyOf(open.values())) {
-      if (now > entry.deadline || !entry.sent && !reach.mayReach()) {
+      if (now > entry.deadline || !entry.sent && !reach.mayReachPartition()) {
         giveUp(entry);
       }
     }
--- a/src/main/java/org/marjoramhoist/entry/KnownHosts.java
+++ b/src/main/java/org/marjoramhoist/entry/KnownHosts.java
@@ -24,11 +24,13 @@
 
   private final Map<String, String> addresses = new LinkedHashMap<>();
   private final Map<String, HostCapacity> capacities = new HashMap<>();
+  private final Map<String, String> domains = new HashMap<>();
   private final Map<String, Former> former = new LinkedHashMap<>();
 
   /** Takes in a registration. */
-  void registered(String host, String address, HostCapacity capacity) {
+  void registered(String host, String address, String domain, HostCapacity capacity) {
     addresses.put(host, address);
+    domains.put(host, domain);
     capacities.put(host, capacity);
     former.remove(host);
   }
@@ -57,9 +59,22 @@
     return capacities;
   }
 
+  /** Returns the failure domain of a host that is or was registered; empty if none is known. */
+  String domainOf(String host) {
+    return domains.getOrDefault(host, "");
+  }
+
+  /** Returns what the registered hosts of a failure domain could carry as leader. */
+  Map<String, HostCapacity> capacitiesIn(String domain) {
+    Map<String, HostCapacity> found = new HashMap<>(capacities);
+    found.keySet().removeIf(host -> !domainOf(host).equals(domain));
+    return found;
+  }
+
   /** Returns the peer addresses of the hosts that are or lately were registered. */
   Map<String, String> reachable(long now) {
     former.values().removeIf(each -> each.until() <= now);
+    domains.keySet().removeIf(host -> !addresses.containsKey(host) && !former.containsKey(host));
     if (former.isEmpty()) {
       return addresses;
     }
--- a/src/main/java/org/marjoramhoist/entry/LeaderReach.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderReach.java
@@ -4,7 +4,8 @@
 import java.util.List;
 
 /**
- * The leader that this host can send to, and for how long there has been none.
+ * The leaders that this host can send to, and for how long there has been none: that of the
+ * partition, and while the failure domain is cut off that of the domain.
  *
  * <p>Confined to the loop's thread.
  */
@@ -17,7 +18,9 @@
   private static final long LEADERLESS_MICROS = 1_200_000;
 
   private final List<Runnable> onFound = new ArrayList<>();
+  private final List<Runnable> onLocalChange = new ArrayList<>();
   private LeaderPort leader;
+  private LeaderPort local;
   private long lostAt = Loop.now();
   private boolean hadLeader;
 
@@ -26,6 +29,28 @@
     onFound.add(task);
   }
 
+  /** Runs a task each time that a leader of the failure domain is found or lost. */
+  void onLocalChange(Runnable task) {
+    onLocalChange.add(task);
+  }
+
+  /** Takes in the leader of the failure domain; null if there is none any more. */
+  void setLocal(LeaderPort port) {
+    if (local == port) {
+      return;
+    }
+    if (port == null) {
+      lostAt = Loop.now();
+    }
+    local = port;
+    onLocalChange.forEach(Runnable::run);
+  }
+
+  /** Returns the leader of the failure domain while that is cut off; null if there is none. */
+  LeaderPort local() {
+    return local;
+  }
+
   /** Takes in that a leader can be reached. */
   void found(LeaderPort port) {
     leader = port;
@@ -41,16 +66,21 @@
     }
   }
 
-  /** Returns the leader in charge; null if there is none. */
+  /** Returns the partition's leader; null if there is none. */
   LeaderPort leader() {
     return leader;
   }
 
-  /** Tells whether a leader can be reached, or may be soon. */
-  boolean mayReach() {
+  /** Tells whether the partition's leader can be reached, or may be soon. */
+  boolean mayReachPartition() {
     return leader != null || Loop.now() - lostAt < LEADERLESS_MICROS;
   }
 
+  /** Tells whether some leader can be reached, or may be soon. */
+  boolean mayReach() {
+    return local != null || mayReachPartition();
+  }
+
   /** Tells whether a leader is reached, or was until a short time ago. */
   boolean isServed() {
     return hadLeader && mayReach();
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/LocalDuty.java
@@ -0,0 +1,78 @@
+package org.marjoramhoist.entry;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.marjoramhoist.dispatch.DispatchAction;
+import org.marjoramhoist.dispatch.DispatchEvent;
+import org.marjoramhoist.dispatch.DispatchPolicy;
+import org.marjoramhoist.dispatch.Dispatcher;
+import org.marjoramhoist.dispatch.WorkerInfo;
+import org.marjoramhoist.platform.WorkerCalls;
+
+/**
+ * One term of leading a failure domain that is cut off from the store and the other hosts: its
+ * workers as they were last known, and ephemeral jobs of its hosts.
+ *
+ * <p>Nothing is stored. Confined to the loop's thread.
+ */
+final class LocalDuty extends Duty {
+
+  /** Workers stay listed as long as the list that names them counts as read lately. */
+  private static final long LIST_MILLIS = 500;
+
+  private final List<WorkerInfo> workers;
+
+  /**
+   * Creates a term.
+   *
+   * @param term the highest term of the partition that is known, the fencing token of all orders
+   * @param workers the domain's workers
+   * @param onStale is told why this host must not lead any more
+   */
+  LocalDuty(
+      long term,
+      DispatchPolicy policy,
+      List<WorkerInfo> workers,
+      Loop loop,
+      WorkerCalls calls,
+      NodeMetrics metrics,
+      Permits permits,
+      Delivery delivery,
+      Consumer<String> onStale) {
+    super(
+        term,
+        new Dispatcher(policy.forDomain(), Loop.now(), Loop.now(), 0),
+        loop,
+        calls,
+        metrics,
+        permits,
+        delivery,
+        onStale);
+    this.workers = workers;
+  }
+
+  void start() {
+    take(new DispatchEvent.RosterLoaded(workers));
+    take(new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
+    list();
+    tick();
+  }
+
+  private void list() {
+    if (!isClosed()) {
+      take(new DispatchEvent.WorkersListed(workers));
+      loop.after(LIST_MILLIS, this::list);
+    }
+  }
+
+  /** Gives up all jobs, told to the hosts that wait for them, and ends the term. */
+  void end(String reason) {
+    takeLast(new DispatchEvent.TermEnded(reason));
+    close();
+  }
+
+  @Override
+  void runOther(DispatchAction action) {
+    // Without the store there is nothing to write, and no call about a stored job comes here.
+  }
+}
--- a/src/main/java/org/marjoramhoist/entry/Loop.java
+++ b/src/main/java/org/marjoramhoist/entry/Loop.java
@@ -26,6 +26,11 @@
     return TimeUnit.NANOSECONDS.toMicros(System.nanoTime());
   }
 
+  /** Returns the time since 1970, in milliseconds, at which the steady clock was 0. */
+  static long epochMillis() {
+    return System.currentTimeMillis() - TimeUnit.MICROSECONDS.toMillis(now());
+  }
+
   static long micros(long millis) {
     return millis * MICROS_PER_MILLI;
   }
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -16,8 +16,10 @@
 /**
  * The jobs whose callers wait at this host.
  *
- * <p>Invariant: each caller is answered once. A job is called not run only if it was handed to no
- * leader, or if the leader in charge says so. Confined to the loop's thread.
+ * <p>Invariants: each caller is answered once. A job is called not run only if it was handed to no
+ * leader, or if the leader in charge says so. No job is with the partition's leader and with that
+ * of a failure domain that is cut off, as neither knows what the other one runs. Confined to the
+ * loop's thread.
  */
 final class OpenJobs {
 
@@ -30,6 +32,10 @@
     private final long arrivedAt;
     private long deadline;
     private long sentTerm;
+
+    /** The leader of the failure domain that it was handed to; null if it was not. */
+    private LeaderPort local;
+
     private int generation;
     private final List<Consumer<Finished>> callers = new ArrayList<>();
 
@@ -48,6 +54,7 @@
   OpenJobs(LeaderReach reach) {
     this.reach = reach;
     reach.onFound(() -> List.copyOf(open.values()).forEach(this::send));
+    reach.onLocalChange(this::localChanged);
   }
 
   /** Returns how many jobs are open. */
@@ -93,21 +100,54 @@
   /** Hands a job to the leader, if there is one; it may be lost while jobs are handed to it. */
   private void send(OpenJob entry) {
     LeaderPort leader = reach.leader();
-    if (leader == null) {
+    if (entry.local != null) {
       return;
     }
+    if (leader != null) {
+      sendToPartition(entry, leader);
+    } else if (entry.sentTerm == 0 && reach.local() != null) {
+      entry.local = reach.local();
+      entry.local.send(messageOf(entry));
+    }
+  }
+
+  private void sendToPartition(OpenJob entry, LeaderPort leader) {
     if (entry.sentTerm != 0 && entry.sentTerm != leader.term()) {
       entry.generation++;
     }
     entry.sentTerm = leader.term();
+    leader.send(messageOf(entry));
+  }
+
+  private static Submit messageOf(OpenJob entry) {
     long now = Loop.now();
-    leader.send(
-        new Submit(
-            entry.job,
-            entry.requestClass,
-            now - entry.arrivedAt,
-            entry.deadline - now,
-            entry.generation));
+    return new Submit(
+        entry.job,
+        entry.requestClass,
+        now - entry.arrivedAt,
+        entry.deadline - now,
+        entry.generation);
+  }
+
+  /**
+   * Takes in that the leader of the failure domain changed. What another leader has can't be
+   * settled from here and is given up; what none has goes to the present one.
+   */
+  private void localChanged() {
+    LeaderPort local = reach.local();
+    for (OpenJob entry : List.copyOf(open.values())) {
+      boolean elsewhere = entry.local != null ? entry.local != local : entry.sentTerm != 0;
+      if (elsewhere && (local != null || entry.local != null)) {
+        giveUp(entry, "its leader is cut off");
+      } else {
+        send(entry);
+      }
+    }
+  }
+
+  private void giveUp(OpenJob entry, String reason) {
+    withdraw(entry);
+    answer(entry, new Finished(entry.job.id(), JobOutcome.ABANDONED, reason, 0));
   }
 
   /** Cancels a job; tells whether it was open here. */
@@ -116,21 +156,39 @@
     if (entry == null) {
       return false;
     }
-    withdraw(id);
+    withdraw(entry);
     answer(entry, new Finished(id, JobOutcome.CANCELLED, "cancelled by its caller", 0));
     return true;
   }
 
-  private void withdraw(JobId id) {
-    if (reach.leader() != null) {
-      reach.leader().send(new Withdraw(id));
+  private void withdraw(OpenJob entry) {
+    LeaderPort leader = entry.local != null ? entry.local : reach.leader();
+    if (leader != null) {
+      leader.send(new Withdraw(entry.job.id()));
     }
   }
 
-  /** Takes in the end of a job, told by the leader in charge. */
+  /** Takes in the end of a job, told by the partition's leader in charge. */
   void finished(Finished end) {
     OpenJob entry = open.get(end.job());
-    if (entry != null) {
+    if (entry != null && entry.local == null) {
+      answer(entry, end);
+    }
+  }
+
+  /**
+   * Takes in the end of a job, told by the leader of the failure domain. One that it refused, so
+   * that it has not run, goes to the partition's leader if that is reached again.
+   */
+  void finishedLocally(Finished end) {
+    OpenJob entry = open.get(end.job());
+    if (entry == null || entry.local == null) {
+      return;
+    }
+    if (end.outcome() == JobOutcome.REFUSED && reach.leader() != null) {
+      entry.local = null;
+      send(entry);
+    } else {
       answer(entry, end);
     }
   }
@@ -145,10 +203,10 @@
     long now = Loop.now();
     for (OpenJob entry : List.copyOf(open.values())) {
       if (now > entry.deadline + DEADLINE_GRACE_MICROS) {
-        JobOutcome outcome = entry.sentTerm == 0 ? JobOutcome.REFUSED : JobOutcome.ABANDONED;
-        withdraw(entry.job.id());
+        JobOutcome outcome = outcomeUnheard(entry);
+        withdraw(entry);
         answer(entry, new Finished(entry.job.id(), outcome, "deadline passed", 0));
-      } else if (entry.sentTerm == 0 && !reach.mayReach()) {
+      } else if (entry.sentTerm == 0 && entry.local == null && !reach.mayReach()) {
         answer(entry, notSent(entry.job.id()));
       }
     }
@@ -157,8 +215,13 @@
   /** Gives up all open jobs, as the host stops. */
   void abandonAll() {
     for (OpenJob entry : List.copyOf(open.values())) {
-      JobOutcome outcome = entry.sentTerm == 0 ? JobOutcome.REFUSED : JobOutcome.ABANDONED;
-      answer(entry, new Finished(entry.job.id(), outcome, "the host stops", 0));
+      answer(entry, new Finished(entry.job.id(), outcomeUnheard(entry), "the host stops", 0));
     }
   }
+
+  /** Returns what a caller is told of a job whose end was not heard. */
+  private static JobOutcome outcomeUnheard(OpenJob entry) {
+    boolean handedOn = entry.sentTerm != 0 || entry.local != null;
+    return handedOn ? JobOutcome.ABANDONED : JobOutcome.REFUSED;
+  }
 }
--- a/src/main/java/org/marjoramhoist/entry/Partition.java
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -1,10 +1,12 @@
 package org.marjoramhoist.entry;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.lead.Election;
 import org.marjoramhoist.lead.ElectionAction;
 import org.marjoramhoist.lead.ElectionEvent;
@@ -46,12 +48,18 @@
   private final OpenJobs jobs;
   private final JobCalls calls;
   private final Function<ElectionAction.Lead, LeaderDuty> duties;
+  private final LocalPartition local;
+  private final DomainLists domainLists = new DomainLists();
   private FrameNetwork network;
   private volatile LeaderDuty duty;
   private LeaderPort ownPort;
   private FollowerLinks followers;
   private LinkPort leaderPort;
   private boolean retiring;
+
+  /** Since when most hosts did not answer; 0 if they did. */
+  private long aloneSince;
+
   private Map<String, Integer> waiting = Map.of();
   private final SuspensionDetector suspension = new SuspensionDetector();
   private final Succession succession;
@@ -95,6 +103,7 @@
       LeaderReach reach,
       OpenJobs jobs,
       JobCalls calls,
+      LocalPartition local,
       Function<ElectionAction.Lead, LeaderDuty> duties) {
     this.self = self;
     this.succession = new Succession(store.capacity());
@@ -106,11 +115,13 @@
     this.reach = reach;
     this.jobs = jobs;
     this.calls = calls;
+    this.local = local;
     this.duties = duties;
   }
 
   void start(FrameNetwork peers) {
     network = peers;
+    local.start(peers);
     loop.every(TICK_MILLIS, () -> take(new ElectionEvent.Tick()));
     loop.every(HEARTBEAT_MILLIS, this::beat);
   }
@@ -177,10 +188,45 @@
         (others.size() + 1) / 2 + 1,
         network,
         loop,
-        result ->
-            take(
-                new ElectionEvent.HostsAsked(
-                    result.answered(), result.leaderHeard(), result.leaderGone())));
+        result -> asked(result, others.size()));
+  }
+
+  private void asked(HostSurvey.Result result, int asked) {
+    noteIsolation(result, asked);
+    take(
+        new ElectionEvent.HostsAsked(result.answered(), result.leaderHeard(), result.leaderGone()));
+  }
+
+  /** A host is isolated if twice in a row most hosts did not answer, nor the store meanwhile. */
+  private void noteIsolation(HostSurvey.Result result, int asked) {
+    boolean minority = !result.leaderHeard() && 2 * (result.answered() + 1) <= asked + 1;
+    if (!minority || election.knownTerm() == 0) {
+      aloneSince = 0;
+    } else if (aloneSince == 0) {
+      aloneSince = Loop.now();
+    } else if (!health.hasAnsweredSince(aloneSince)) {
+      local.isolated();
+    }
+  }
+
+  /** Takes in the list of workers that this host has read as leader. */
+  void workersListed(List<WorkerInfo> workers) {
+    domainLists.update(workers);
+    local.setWorkers(domainLists.of(store.failureDomain()));
+    if (followers != null) {
+      followers.linked().forEach(this::tellDomainWorkers);
+    }
+  }
+
+  private void tellDomainWorkers(String host) {
+    domainLists.due(host, store.domainOf(host)).ifPresent(list -> followers.send(host, list));
+  }
+
+  private void followerLinked(String host) {
+    domainLists.forget(host);
+    if (followers != null) {
+      tellDomainWorkers(host);
+    }
   }
 
   private void lead(ElectionAction.Lead lead) {
@@ -189,11 +235,13 @@
     EventLog.info(
         LogEvent.LEADER_ELECTED, "term={} earlierLeaderGone={}", term, lead.earlierGone());
     dropLeader();
+    local.partitionLeaderHeard();
     duty = duties.apply(lead);
     succession.begin(Loop.now());
     followers =
         new FollowerLinks(
             self, network, store::reachable, this::fromFollower, host -> entryLost(host));
+    followers.onOpened(this::followerLinked);
     ownPort = new OwnPort(term);
     duty.start();
     beat();
@@ -276,6 +324,7 @@
    */
   void retire() {
     retiring = true;
+    local.retire();
     take(new ElectionEvent.Retired());
     if (duty != null) {
       handOver(succession.successor(Loop.now()), "the host stops");
@@ -311,7 +360,9 @@
 
   @Override
   public void received(FrameLink link, HostMessage message) {
-    if (message instanceof Heartbeat heartbeat) {
+    if (local.isFor(link, message)) {
+      local.received(link, message);
+    } else if (message instanceof Heartbeat heartbeat) {
       heard(link, heartbeat);
     } else if (message instanceof LeaderQuery) {
       link.send(
@@ -338,6 +389,8 @@
     }
     if (heartbeat.term() >= election.knownTerm() && duty == null) {
       take(new ElectionEvent.LeaderHeard(heartbeat.term(), heartbeat.host()));
+      aloneSince = 0;
+      local.partitionLeaderHeard();
       waiting = heartbeat.waiting();
       if (!isLeaderLink(link)) {
         EventLog.info(
@@ -367,6 +420,7 @@
 
   @Override
   public void closed(FrameLink link) {
+    local.closed(link);
     if (isLeaderLink(link)) {
       long term = leaderPort.term();
       dropLeader();
--- a/src/main/java/org/marjoramhoist/entry/StoreHealth.java
+++ b/src/main/java/org/marjoramhoist/entry/StoreHealth.java
@@ -36,6 +36,11 @@
     return up && reachedAt != 0 && Loop.now() - reachedAt < FRESH_MICROS;
   }
 
+  /** Tells whether the store has answered since a time. */
+  boolean hasAnsweredSince(long time) {
+    return reachedAt >= time;
+  }
+
   /** Returns for how long the store has not answered, in microseconds. */
   long silenceMicros() {
     return up ? 0 : Loop.now() - Math.max(since, reachedAt);
--- a/src/main/java/org/marjoramhoist/entry/StoreLink.java
+++ b/src/main/java/org/marjoramhoist/entry/StoreLink.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -43,6 +44,7 @@
   private final String host;
   private final long incarnation;
   private final String peerAddress;
+  private final String failureDomain;
   private final HostCapacity capacity;
   private final Consumer<ElectionEvent> election;
   private final KnownHosts hosts = new KnownHosts();
@@ -57,6 +59,7 @@
       String host,
       long incarnation,
       String peerAddress,
+      String failureDomain,
       HostCapacity capacity,
       Consumer<ElectionEvent> election) {
     this.store = store;
@@ -65,6 +68,7 @@
     this.host = host;
     this.incarnation = incarnation;
     this.peerAddress = peerAddress;
+    this.failureDomain = failureDomain;
     this.capacity = capacity;
     this.election = election;
   }
@@ -86,6 +90,28 @@
     return hosts.reachable(Loop.now());
   }
 
+  /** Returns the failure domain of this host. */
+  String failureDomain() {
+    return failureDomain;
+  }
+
+  /** Returns the failure domain of a host that is or was registered; empty if none is known. */
+  String domainOf(String name) {
+    return hosts.domainOf(name);
+  }
+
+  /** Returns the registered hosts of this host's failure domain. */
+  Map<String, HostCapacity> domainMembers() {
+    return hosts.capacitiesIn(failureDomain);
+  }
+
+  /** Returns the peer addresses of the hosts of this host's failure domain. */
+  Map<String, String> reachableInDomain() {
+    Map<String, String> found = new LinkedHashMap<>(reachable());
+    found.keySet().removeIf(name -> !domainOf(name).equals(failureDomain));
+    return found;
+  }
+
   private void register() {
     store
         .grantLease(LEASE_MILLIS)
@@ -109,6 +135,8 @@
             peerAddress,
             "incarnation",
             incarnation,
+            "failureDomain",
+            failureDomain,
             "startsPerSecond",
             capacity.startsPerSecond()));
   }
@@ -289,7 +317,8 @@
       JsonNode node = JsonText.MAPPER.readTree(item.value());
       String name = item.key().substring(HOSTS.length());
       HostCapacity carries = new HostCapacity(node.path("startsPerSecond").asLong());
-      hosts.registered(name, node.path("address").asText(), carries);
+      String domain = node.path("failureDomain").asText();
+      hosts.registered(name, node.path("address").asText(), domain, carries);
     } catch (IOException e) {
       EventLog.warn(LogEvent.CONFIG_RESOURCE_INVALID, "key={} can't be read", item.key());
     }
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/WorkerOrders.java
@@ -0,0 +1,102 @@
+package org.marjoramhoist.entry;
+
+import java.util.function.Consumer;
+import org.marjoramhoist.dispatch.DispatchAction;
+import org.marjoramhoist.dispatch.DispatchEvent;
+import org.marjoramhoist.dispatch.WorkerInfo;
+import org.marjoramhoist.http.HttpFailure;
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.LogEvent;
+import org.marjoramhoist.platform.WorkerCalls;
+
+/**
+ * Sends a leader's orders to workers and tells what came of them.
+ *
+ * <p>Confined to the loop's thread.
+ */
+final class WorkerOrders {
+
+  private static final long START_TIMEOUT_MILLIS = 120;
+  private static final long STOP_TIMEOUT_MILLIS = 150;
+  private static final long RENEW_TIMEOUT_MILLIS = 150;
+
+  private final long term;
+  private final WorkerCalls workers;
+  private final NodeMetrics metrics;
+  private final Consumer<DispatchEvent> events;
+
+  /**
+   * Creates the orders of a term.
+   *
+   * @param term the fencing token of all orders
+   * @param events takes what came of them
+   */
+  WorkerOrders(
+      long term, WorkerCalls workers, NodeMetrics metrics, Consumer<DispatchEvent> events) {
+    this.term = term;
+    this.workers = workers;
+    this.metrics = metrics;
+    this.events = events;
+  }
+
+  void start(DispatchAction.Start start) {
+    long sentAt = Loop.now();
+    WorkerInfo worker = start.worker();
+    EventLog.debug(LogEvent.RUN_ORDERED, "run={} worker={}", start.run(), worker.id());
+    workers
+        .start(
+            worker.address(),
+            worker.id(),
+            start.run(),
+            start.payload(),
+            start.leaseUntilMillis(),
+            term,
+            START_TIMEOUT_MILLIS)
+        .whenComplete(
+            (reply, error) -> {
+              metrics.order("start", error == null ? reply.verdict().name() : "UNANSWERED");
+              if (error == null) {
+                events.accept(
+                    new DispatchEvent.StartAnswered(worker.id(), start.run(), sentAt, reply));
+              } else {
+                boolean mayRun = HttpFailure.mayHaveArrived(error);
+                events.accept(new DispatchEvent.StartUnanswered(worker.id(), start.run(), mayRun));
+              }
+            });
+  }
+
+  void stop(DispatchAction.Stop stop) {
+    WorkerInfo worker = stop.worker();
+    workers
+        .stop(worker.address(), worker.id(), stop.run(), term, STOP_TIMEOUT_MILLIS)
+        .whenComplete(
+            (done, error) -> {
+              boolean answered = error == null && done;
+              metrics.order("stop", answered ? "CONFIRMED" : "UNANSWERED");
+              events.accept(new DispatchEvent.StopEnded(worker.id(), stop.run(), answered));
+            });
+  }
+
+  void renew(DispatchAction.Renew renew) {
+    long sentAt = Loop.now();
+    WorkerInfo worker = renew.worker();
+    workers
+        .renew(
+            worker.address(),
+            worker.id(),
+            term,
+            renew.acknowledged(),
+            renew.leaseUntilMillis(),
+            renew.waitMillis(),
+            RENEW_TIMEOUT_MILLIS)
+        .whenComplete(
+            (report, error) -> {
+              metrics.order("renew", error == null ? "ANSWERED" : "UNANSWERED");
+              if (error == null) {
+                events.accept(new DispatchEvent.Renewed(worker.id(), sentAt, report));
+              } else {
+                events.accept(new DispatchEvent.RenewalFailed(worker.id()));
+              }
+            });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/lead/LocalElection.java
@@ -0,0 +1,231 @@
+package org.marjoramhoist.lead;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * One host's part in finding a leader for its failure domain while that is cut off from the other
+ * hosts and from the store.
+ *
+ * <p>A candidate sends heartbeats to the hosts of its domain; it leads once more than half of them
+ * accept it, and as long as they do. Nothing is stored. Invariants: a host accepts one candidate at
+ * a time, and another only once it has not heard the first for longer than that one may go on
+ * without it; none stands, leads or is accepted while the partition's leader is heard. Confined to
+ * one thread.
+ */
+public final class LocalElection {
+
+  /** How long after it was last found to be cut off a host counts as such. */
+  private static final long ISOLATION_MICROS = 1_200_000;
+
+  /** How long a candidate waits to be accepted. */
+  private static final long STAND_MICROS = 1_000_000;
+
+  /** How long a host that gave up leading does not stand. */
+  private static final long PAUSE_MICROS = 2_000_000;
+
+  /** What a host that accepts a candidate waits for it beyond the candidate's contact time. */
+  private static final long ACCEPT_MARGIN_MICROS = 150_000;
+
+  private final String self;
+  private final ElectionPolicy policy;
+  private final Map<String, Long> confirmedAt = new HashMap<>();
+  private Map<String, HostCapacity> members = Map.of();
+  private long isolatedSince;
+  private long isolatedAt;
+  private boolean retired;
+  private String accepted = "";
+  private long acceptedAt;
+  private boolean standing;
+  private long stoodAt;
+  private boolean leading;
+  private long notBefore;
+
+  /**
+   * Creates a host's part.
+   *
+   * @param self the host
+   * @param policy the time-outs
+   */
+  public LocalElection(String self, ElectionPolicy policy) {
+    this.self = self;
+    this.policy = policy;
+  }
+
+  /** Takes in the hosts of the failure domain, this one among them, and what each could carry. */
+  public void membersSeen(Map<String, HostCapacity> hosts) {
+    members = Map.copyOf(hosts);
+  }
+
+  /** Returns the other hosts of the failure domain. */
+  public Set<String> others() {
+    return members.keySet().stream()
+        .filter(host -> !host.equals(self))
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
+  /** Takes in that this host reaches neither most hosts nor the store. */
+  public void isolated(long now) {
+    if (now - isolatedAt > ISOLATION_MICROS) {
+      isolatedSince = now;
+    }
+    isolatedAt = now;
+  }
+
+  /** Takes in that this host stops: it doesn't stand any more. */
+  public void retire() {
+    retired = true;
+  }
+
+  /** Takes in that the partition's leader was heard, or that this host leads the partition. */
+  public List<LocalAction> partitionLeaderHeard() {
+    isolatedAt = 0;
+    accepted = "";
+    return stepDown("the partition's leader is heard");
+  }
+
+  /** Takes in that this host can't lead its domain, and returns what must be done. */
+  public List<LocalAction> mustStepDown(long now, String reason) {
+    notBefore = now + PAUSE_MICROS;
+    return stepDown(reason);
+  }
+
+  /** Tells whether this host leads its domain. */
+  public boolean isLeading() {
+    return leading;
+  }
+
+  /** Tells whether this host leads its domain and may order runs. */
+  public boolean mayOrder(long now) {
+    return leading && now <= mostConfirmedAt(now) + policy.contactMicros();
+  }
+
+  /** Tells whether this host leads its domain and may start new runs. */
+  public boolean mayStart(long now) {
+    return leading && now <= mostConfirmedAt(now) + policy.startMicros();
+  }
+
+  /**
+   * Takes in a candidate's heartbeat.
+   *
+   * @return whether this host accepts the candidate
+   */
+  public boolean accepts(long now, String candidate) {
+    if (!isIsolated(now) || leading || standing && !ranksBefore(candidate)) {
+      return false;
+    }
+    boolean free = now - acceptedAt > policy.contactMicros() + ACCEPT_MARGIN_MICROS;
+    if (!candidate.equals(accepted) && !accepted.isEmpty() && !free) {
+      return false;
+    }
+    accepted = candidate;
+    acceptedAt = now;
+    return true;
+  }
+
+  /** Takes in that a host accepted a heartbeat of this candidate. */
+  public List<LocalAction> confirmed(long now, String host, long sentAt) {
+    confirmedAt.merge(host, sentAt, Math::max);
+    return standing ? leadIfAccepted(now) : List.of();
+  }
+
+  /** Returns what must be done as time has passed. */
+  public List<LocalAction> tick(long now) {
+    if (leading) {
+      boolean lost = now > mostConfirmedAt(now) + policy.contactMicros();
+      return lost ? stepDown("most hosts of the domain were not heard") : List.of();
+    }
+    if (standing) {
+      return checkCandidacy(now);
+    }
+    return mayStand(now) ? stand(now) : List.of();
+  }
+
+  private boolean isIsolated(long now) {
+    return isolatedAt != 0 && now - isolatedAt <= ISOLATION_MICROS;
+  }
+
+  private boolean mayStand(long now) {
+    boolean unled = accepted.isEmpty() || now - acceptedAt > policy.suspectMicros();
+    return !retired
+        && isIsolated(now)
+        && unled
+        && now >= notBefore
+        && now - isolatedSince >= rank() * policy.rankMicros();
+  }
+
+  private List<LocalAction> stand(long now) {
+    standing = true;
+    stoodAt = now;
+    accepted = "";
+    confirmedAt.clear();
+    if (others().isEmpty()) {
+      return leadIfAccepted(now);
+    }
+    return List.of(new LocalAction.Stand());
+  }
+
+  private List<LocalAction> checkCandidacy(long now) {
+    boolean yields = !accepted.isEmpty();
+    boolean failed = now - stoodAt > STAND_MICROS;
+    if (isIsolated(now) && !yields && !failed) {
+      return List.of();
+    }
+    notBefore = now + (1 + rank()) * policy.rankMicros();
+    return stepDown(yields ? "another host stands" : "most hosts of the domain did not accept");
+  }
+
+  private List<LocalAction> leadIfAccepted(long now) {
+    boolean yields = !accepted.isEmpty();
+    if (yields || now > mostConfirmedAt(now) + policy.startMicros()) {
+      return List.of();
+    }
+    standing = false;
+    leading = true;
+    return List.of(new LocalAction.Lead());
+  }
+
+  private List<LocalAction> stepDown(String reason) {
+    if (!standing && !leading) {
+      return List.of();
+    }
+    standing = false;
+    leading = false;
+    return List.of(new LocalAction.StepDown(reason));
+  }
+
+  private int rank() {
+    int rank = 0;
+    for (String other : others()) {
+      rank += ranksBefore(other) ? 1 : 0;
+    }
+    return rank;
+  }
+
+  /** Hosts that could carry more rank before others; equal ones in the order of names. */
+  private boolean ranksBefore(String other) {
+    HostCapacity own = members.getOrDefault(self, HostCapacity.UNKNOWN);
+    int order = members.getOrDefault(other, HostCapacity.UNKNOWN).compareTo(own);
+    return order > 0 || order == 0 && other.compareTo(self) < 0;
+  }
+
+  /** Returns since when more than half of the domain's hosts, this one included, were heard. */
+  private long mostConfirmedAt(long now) {
+    Set<String> others = others();
+    int needed = (others.size() + 1) / 2;
+    if (needed == 0) {
+      return now;
+    }
+    List<Long> times =
+        confirmedAt.entrySet().stream()
+            .filter(each -> others.contains(each.getKey()))
+            .map(Map.Entry::getValue)
+            .sorted(Comparator.reverseOrder())
+            .toList();
+    return times.size() < needed ? Long.MIN_VALUE / 2 : times.get(needed - 1);
+  }
+}
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -56,6 +56,12 @@
   EARLIER_RUNS_SETTLED(3106),
   /** What the leader knows and how its loop keeps up, about once a second. */
   LEADER_STATUS(3107),
+  /** This host leads its failure domain, which is cut off. */
+  DOMAIN_LEADER_ELECTED(3108),
+  /** This host no longer leads its failure domain. */
+  DOMAIN_LEADER_STEPPED_DOWN(3109),
+  /** Another host leads this host's failure domain, which is cut off. */
+  DOMAIN_LEADER_FOUND(3110),
   /** A submission was accepted. */
   JOB_ACCEPTED(4001),
   /** A submission was refused. */
--- a/src/main/java/org/marjoramhoist/message/HostMessage.java
+++ b/src/main/java/org/marjoramhoist/message/HostMessage.java
@@ -2,9 +2,11 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
 import java.util.Map;
 import org.marjoramhoist.dispatch.CallKind;
 import org.marjoramhoist.dispatch.CallResult;
+import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
@@ -30,7 +32,10 @@
   @JsonSubTypes.Type(value = HostMessage.LeaderQuery.class, name = "q"),
   @JsonSubTypes.Type(value = HostMessage.LeaderQueryReply.class, name = "p"),
   @JsonSubTypes.Type(value = HostMessage.ConfigQuery.class, name = "c"),
-  @JsonSubTypes.Type(value = HostMessage.ConfigCopy.class, name = "d")
+  @JsonSubTypes.Type(value = HostMessage.ConfigCopy.class, name = "d"),
+  @JsonSubTypes.Type(value = HostMessage.DomainWorkers.class, name = "u"),
+  @JsonSubTypes.Type(value = HostMessage.LocalHeartbeat.class, name = "l"),
+  @JsonSubTypes.Type(value = HostMessage.LocalHeartbeatReply.class, name = "m")
 })
 public sealed interface HostMessage {
 
@@ -149,4 +154,24 @@
 
   /** Passes on the text of a configuration as the operator wrote it. */
   record ConfigCopy(String text) implements HostMessage {}
+
+  /** Tells a host the workers of its failure domain, in case that is cut off. */
+  record DomainWorkers(List<WorkerInfo> workers) implements HostMessage {}
+
+  /**
+   * Says that a host stands as leader of its failure domain, or leads it.
+   *
+   * @param host the candidate
+   * @param leads whether it leads already
+   * @param sentAt when it was sent, on the candidate's steady clock in microseconds
+   */
+  record LocalHeartbeat(String host, boolean leads, long sentAt) implements HostMessage {}
+
+  /**
+   * Answers a candidate's heartbeat.
+   *
+   * @param accepts whether the sender accepts the candidate
+   * @param heartbeatSentAt the time that the heartbeat carried
+   */
+  record LocalHeartbeatReply(boolean accepts, long heartbeatSentAt) implements HostMessage {}
 }
--- a/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
+++ b/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
@@ -1,8 +1,11 @@
 package org.marjoramhoist.trial;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -12,6 +15,7 @@
 import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.entry.EntryNode;
 import org.marjoramhoist.experiment.LeasedWorker;
+import org.marjoramhoist.http.HostPort;
 import org.marjoramhoist.http.HttpCall;
 import org.marjoramhoist.http.HttpCaller;
 import org.marjoramhoist.http.HttpReply;
@@ -42,6 +46,7 @@
   private static final String UPSTREAM = "reviews";
   private static final int PORTS_PER_HOST = 3;
   private static final NodeSettings.Limits LIMITS = new NodeSettings.Limits(1, 1_000);
+  private static final String DOMAIN = "dev";
   private static final String LOOPBACK = "127.0.0.1:";
   private static final double FAR_FACTOR = 1.5;
   private static final int DRAIN_SECONDS = 6;
@@ -52,8 +57,17 @@
   private final List<PlatformWorkerStandIn> workers = new ArrayList<>();
   private final List<NodeSettings> settings = new ArrayList<>();
   private final List<EntryNode> hosts = new ArrayList<>();
+  private final Map<Integer, ServerSocket> silent = new HashMap<>();
   private final HttpCaller caller = new HttpCaller("cluster-caller", 1);
 
+  /**
+   * Where an entry host is and what it says of its machine.
+   *
+   * @param failureDomain its failure domain
+   * @param machine what its machine can do
+   */
+  public record Host(String failureDomain, NodeSettings.Limits machine) {}
+
   /**
    * Starts a cluster of equal hosts.
    *
@@ -68,7 +82,7 @@
   }
 
   /**
-   * Starts a cluster.
+   * Starts a cluster in one failure domain.
    *
    * @param machines what each entry host says of its machine
    * @param workerCount how many workers
@@ -78,42 +92,57 @@
   public PlatformCluster(
       List<NodeSettings.Limits> machines, int workerCount, LeasedWorker.Observer observer)
       throws IOException {
+    this(
+        machines.stream().map(machine -> new Host(DOMAIN, machine)).toList(),
+        Collections.nCopies(workerCount, DOMAIN),
+        observer);
+  }
+
+  /**
+   * Starts a cluster.
+   *
+   * @param entryHosts the entry hosts
+   * @param workerDomains the failure domain of each worker
+   * @param observer hears what the workers do
+   * @throws IOException if a part can't be started
+   */
+  public PlatformCluster(
+      List<Host> entryHosts, List<String> workerDomains, LeasedWorker.Observer observer)
+      throws IOException {
     declare(1);
-    final int hostCount = machines.size();
-    for (int i = 0; i < workerCount; i++) {
-      addWorker("worker-" + i, observer);
+    for (int i = 0; i < workerDomains.size(); i++) {
+      addWorker("worker-" + i, workerDomains.get(i), observer);
     }
-    List<Integer> ports = LoopbackServer.freePorts(hostCount * PORTS_PER_HOST);
-    for (int i = 0; i < hostCount; i++) {
-      settings.add(
-          settingsOf(
-              "host-" + i, machines.get(i), ports.subList(i * PORTS_PER_HOST, ports.size())));
+    List<Integer> ports = LoopbackServer.freePorts(entryHosts.size() * PORTS_PER_HOST);
+    for (int i = 0; i < entryHosts.size(); i++) {
+      List<Integer> own = ports.subList(i * PORTS_PER_HOST, ports.size());
+      settings.add(settingsOf("host-" + i, entryHosts.get(i), own));
       hosts.add(EntryNode.start(settings.get(i)));
     }
   }
 
-  private void addWorker(String name, LeasedWorker.Observer observer) {
+  private void addWorker(String name, String domain, LeasedWorker.Observer observer) {
     WorkerInfo info =
         new WorkerInfo(
-            name, UPSTREAM, "", "dev", CAPACITY, "a", "rack-1", Set.of("a", "rack-1"), false, 1);
+            name, UPSTREAM, "", domain, CAPACITY, "a", "rack-1", Set.of("a", "rack-1"), false, 1);
     PlatformWorkerStandIn worker = new PlatformWorkerStandIn(info, TASK_NEED, observer);
     workers.add(worker);
     SampleDocuments.putWorker(store, name, worker);
   }
 
   /** Returns a host's settings, which take the way through the parser that a file takes. */
-  private NodeSettings settingsOf(String name, NodeSettings.Limits machine, List<Integer> ports) {
+  private NodeSettings settingsOf(String name, Host host, List<Integer> ports) {
     Map<String, Object> listen =
         Map.of(
             "callers", LOOPBACK + ports.get(0),
             "ready", LOOPBACK + ports.get(1),
             "peers", LOOPBACK + ports.get(2));
     Map<String, Object> limits =
-        Map.of("processorShare", machine.cores(), "linkMbps", machine.linkMbps());
+        Map.of("processorShare", host.machine().cores(), "linkMbps", host.machine().linkMbps());
     Map<String, Object> text =
         Map.of(
             "host", name,
-            "failureDomain", "dev",
+            "failureDomain", host.failureDomain(),
             "listen", listen,
             "store", store.address(),
             "farFactor", FAR_FACTOR,
@@ -151,6 +180,26 @@
     hosts.get(host).close();
   }
 
+  /**
+   * Ends a host at once and lets connections to its peers' address open and stay silent, as behind
+   * a cut.
+   *
+   * @throws IOException if the address can't be taken
+   */
+  public void silence(int host) throws IOException {
+    kill(host);
+    ServerSocket socket = new ServerSocket();
+    socket.setReuseAddress(true);
+    socket.bind(HostPort.parse(settings.get(host).listen().peers()));
+    silent.put(host, socket);
+  }
+
+  /** Starts a silenced host again. */
+  public void restore(int host) throws IOException {
+    silent.remove(host).close();
+    hosts.set(host, EntryNode.start(settings.get(host)));
+  }
+
   /** Starts all hosts again, under the names and addresses that they had. */
   public void restartHosts() throws IOException {
     for (int i = 0; i < hosts.size(); i++) {
@@ -230,5 +279,12 @@
     workers.forEach(PlatformWorkerStandIn::close);
     store.close();
     caller.close();
+    for (ServerSocket socket : silent.values()) {
+      try {
+        socket.close();
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
   }
 }
--- a/src/test/java/org/marjoramhoist/entry/StoreLinkTest.java
+++ b/src/test/java/org/marjoramhoist/entry/StoreLinkTest.java
@@ -24,7 +24,7 @@
     HostCapacity capacity = HostCapacity.of(1, 1_000);
     link =
         new StoreLink(
-            client, loop, new StoreHealth(), "a", 7, "127.0.0.1:1", capacity, event -> {});
+            client, loop, new StoreHealth(), "a", 7, "127.0.0.1:1", "north", capacity, event -> {});
     loop.execute(link::start);
     await(this::isRegistered);
   }
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/lead/LocalElectionTest.java
@@ -0,0 +1,136 @@
+package org.marjoramhoist.lead;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** The election of a leader within a failure domain that is cut off. */
+class LocalElectionTest {
+
+  private static final long MILLI = 1_000;
+  private static final ElectionPolicy POLICY =
+      new ElectionPolicy(450 * MILLI, 600 * MILLI, 400 * MILLI, 200 * MILLI, 30 * MILLI);
+  private static final HostCapacity EQUAL = new HostCapacity(100);
+  private static final Map<String, HostCapacity> THREE = Map.of("a", EQUAL, "b", EQUAL, "c", EQUAL);
+
+  private long now = 50_000 * MILLI;
+
+  private LocalElection host(String name, Map<String, HostCapacity> members) {
+    LocalElection election = new LocalElection(name, POLICY);
+    election.membersSeen(members);
+    return election;
+  }
+
+  private LocalElection leaderOfThree() {
+    LocalElection election = host("a", THREE);
+    election.isolated(now);
+    assertThat(election.tick(now)).containsExactly(new LocalAction.Stand());
+    assertThat(election.confirmed(now, "b", now)).containsExactly(new LocalAction.Lead());
+    return election;
+  }
+
+  @Test
+  void nobodyStandsWhoIsNotCutOff() {
+    LocalElection election = host("a", THREE);
+    assertThat(election.tick(now)).isEmpty();
+    assertThat(election.accepts(now, "b")).isFalse();
+  }
+
+  @Test
+  void leadsOnceMostHostsOfTheDomainAccept() {
+    Map<String, HostCapacity> five =
+        Map.of("a", EQUAL, "b", EQUAL, "c", EQUAL, "d", EQUAL, "e", EQUAL);
+    LocalElection election = host("a", five);
+    election.isolated(now);
+    election.tick(now);
+    assertThat(election.confirmed(now, "b", now)).isEmpty();
+    assertThat(election.confirmed(now, "stranger", now)).isEmpty();
+    assertThat(election.mayOrder(now)).isFalse();
+    assertThat(election.confirmed(now, "c", now)).containsExactly(new LocalAction.Lead());
+    assertThat(election.mayStart(now)).isTrue();
+  }
+
+  @Test
+  void loneHostOfItsDomainLeadsAtOnce() {
+    LocalElection election = host("a", Map.of("a", EQUAL));
+    election.isolated(now);
+    assertThat(election.tick(now)).containsExactly(new LocalAction.Lead());
+    now += 10_000 * MILLI;
+    assertThat(election.mayOrder(now)).isTrue();
+  }
+
+  @Test
+  void orderOfStandingFollowsWhatHostsCarry() {
+    LocalElection small = host("a", Map.of("a", EQUAL, "b", new HostCapacity(500)));
+    small.isolated(now);
+    assertThat(small.tick(now)).isEmpty();
+    assertThat(small.accepts(now, "b")).isTrue();
+    now += 31 * MILLI;
+    assertThat(small.tick(now)).isEmpty();
+  }
+
+  @Test
+  void acceptsOneCandidateOnly() {
+    LocalElection election = host("c", THREE);
+    election.isolated(now);
+    assertThat(election.accepts(now, "b")).isTrue();
+    assertThat(election.accepts(now + 600 * MILLI, "a")).isFalse();
+    // The first may have gone on for its contact time, 600 ms, after the heartbeat was sent.
+    assertThat(election.accepts(now + 800 * MILLI, "a")).isTrue();
+  }
+
+  @Test
+  void candidateYieldsToOneThatRanksBefore() {
+    LocalElection election = host("b", THREE);
+    election.isolated(now);
+    now += 30 * MILLI;
+    assertThat(election.tick(now)).containsExactly(new LocalAction.Stand());
+    assertThat(election.accepts(now, "c")).isFalse();
+    assertThat(election.accepts(now, "a")).isTrue();
+    assertThat(election.confirmed(now, "c", now)).isEmpty();
+    List<LocalAction> actions = election.tick(now);
+    assertThat(actions).containsExactly(new LocalAction.StepDown("another host stands"));
+  }
+
+  @Test
+  void leaderWithoutMostHostsStartsNothingAndStepsDown() {
+    LocalElection election = leaderOfThree();
+    now += 401 * MILLI;
+    assertThat(election.mayStart(now)).isFalse();
+    assertThat(election.mayOrder(now)).isTrue();
+    now += 200 * MILLI;
+    assertThat(election.mayOrder(now)).isFalse();
+    assertThat(election.tick(now)).hasSize(1);
+    assertThat(election.isLeading()).isFalse();
+  }
+
+  @Test
+  void leaderStepsDownWhenThePartitionsLeaderIsHeard() {
+    LocalElection election = leaderOfThree();
+    assertThat(election.partitionLeaderHeard()).hasSize(1);
+    assertThat(election.mayOrder(now)).isFalse();
+    assertThat(election.tick(now)).isEmpty();
+  }
+
+  @Test
+  void hostThatMustNotLeadPausesBeforeItStandsAgain() {
+    LocalElection election = leaderOfThree();
+    assertThat(election.mustStepDown(now, "a worker has another leader")).hasSize(1);
+    now += 1_000 * MILLI;
+    election.isolated(now);
+    assertThat(election.tick(now)).isEmpty();
+    now += 1_001 * MILLI;
+    election.isolated(now);
+    assertThat(election.tick(now)).containsExactly(new LocalAction.Stand());
+  }
+
+  @Test
+  void hostThatStopsDoesNotStand() {
+    LocalElection election = host("a", THREE);
+    election.retire();
+    election.isolated(now);
+    assertThat(election.tick(now)).isEmpty();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/trial/DomainCutTest.java
@@ -0,0 +1,140 @@
+package org.marjoramhoist.trial;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.config.NodeSettings;
+import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
+import org.marjoramhoist.experiment.LeasedWorker;
+import org.marjoramhoist.http.HttpReply;
+import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.TaskRef;
+
+/**
+ * Real hosts in two failure domains, one of which loses the other and the store. The leader is in
+ * the other one, whose hosts have larger machines.
+ */
+class DomainCutTest {
+
+  private static final long READY_MILLIS = 20_000;
+  private static final long CUT_KNOWN_MILLIS = 2_500;
+  private static final PlatformCluster.Host NORTH =
+      new PlatformCluster.Host("north", new NodeSettings.Limits(1, 1_000));
+  private static final PlatformCluster.Host SOUTH =
+      new PlatformCluster.Host("south", new NodeSettings.Limits(4, 1_000));
+  private static final List<Integer> SOUTH_HOSTS = List.of(2, 3, 4);
+
+  /** Notes on which workers tasks begin, and tasks that run twice at the same time. */
+  private static final class Starts implements LeasedWorker.Observer {
+    private final Map<TaskRef, Integer> running = new HashMap<>();
+    private final Set<String> twice = ConcurrentHashMap.newKeySet();
+    private final Set<String> used = ConcurrentHashMap.newKeySet();
+
+    @Override
+    public synchronized void began(LeasedWorker worker, RunRef run) {
+      used.add(worker.info().failureDomain());
+      if (running.merge(run.task(), 1, Integer::sum) > 1) {
+        twice.add(run.toString());
+      }
+    }
+
+    @Override
+    public synchronized void ended(LeasedWorker worker, RunRef run, RunEnd how) {
+      running.merge(run.task(), -1, Integer::sum);
+    }
+  }
+
+  private final Starts starts = new Starts();
+  private PlatformCluster cluster;
+  private int jobs;
+
+  @BeforeEach
+  void start() throws IOException, InterruptedException {
+    cluster =
+        new PlatformCluster(
+            List.of(NORTH, NORTH, SOUTH, SOUTH, SOUTH),
+            List.of("north", "north", "south", "south"),
+            starts);
+    assertThat(cluster.awaitReady(READY_MILLIS)).isTrue();
+    // A larger host that follows for two seconds is handed the lead.
+    long deadline = System.nanoTime() + READY_MILLIS * 1_000_000;
+    while (SOUTH_HOSTS.stream().noneMatch(host -> cluster.hosts().get(host).isLeader())) {
+      assertThat(System.nanoTime()).isLessThan(deadline);
+      Thread.sleep(20);
+    }
+  }
+
+  @AfterEach
+  void stop() {
+    cluster.close();
+    assertThat(starts.twice).isEmpty();
+  }
+
+  private CompletableFuture<HttpReply> send(int host, int tasks, int millis) {
+    String id = String.format(Locale.ROOT, "%016x", ++jobs);
+    return cluster.send(host, "POST", id, PlatformCluster.job(tasks, millis));
+  }
+
+  private void cutNorthOff() throws IOException {
+    cluster.store().setDown(true);
+    for (int host : SOUTH_HOSTS) {
+      cluster.silence(host);
+    }
+  }
+
+  @Test
+  void domainThatIsCutOffServesItsCallersOnItsWorkers() throws Exception {
+    assertThat(send(0, 2, 30).join().status()).isEqualTo(200);
+    cutNorthOff();
+    Thread.sleep(CUT_KNOWN_MILLIS);
+    starts.used.clear();
+    for (int host : List.of(0, 1, 0, 1)) {
+      assertThat(send(host, 3, 40).join().status()).isEqualTo(200);
+    }
+    assertThat(starts.used).containsExactly("north");
+  }
+
+  @Test
+  void jobHandedInAtTheCutIsAnsweredOnce() throws Exception {
+    CompletableFuture<HttpReply> before = send(0, 4, 600);
+    Thread.sleep(100);
+    cutNorthOff();
+    // Its leader is gone: whether it ran can't be told, so it must not be called refused.
+    assertThat(before.join().status()).isEqualTo(504);
+  }
+
+  @Test
+  void partitionsLeaderTakesOverWhenTheCutHeals() throws Exception {
+    cutNorthOff();
+    Thread.sleep(CUT_KNOWN_MILLIS);
+    assertThat(send(0, 2, 40).join().status()).isEqualTo(200);
+    cluster.store().setDown(false);
+    for (int host : SOUTH_HOSTS) {
+      cluster.restore(host);
+    }
+    assertThat(cluster.awaitReady(READY_MILLIS)).isTrue();
+    Thread.sleep(1_000);
+    for (int host = 0; host < 5; host++) {
+      assertThat(send(host, 3, 40).join().status()).isEqualTo(200);
+    }
+  }
+
+  @Test
+  void durableJobsAreRefusedMeanwhile() throws Exception {
+    cutNorthOff();
+    Thread.sleep(CUT_KNOWN_MILLIS);
+    String id = String.format(Locale.ROOT, "%016x", ++jobs);
+    int status = cluster.send(0, "POST", id, PlatformCluster.durableJob(1, 30)).join().status();
+    assertThat(status).isEqualTo(503);
+  }
+}
