--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -47,6 +47,13 @@
   private static final long STOP_TIMEOUT = 150 * MILLI;
   private static final long STORE_ANSWER = 4 * MILLI;
   private static final long STORE_RETRY = 100 * MILLI;
+
+  /** When a leader takes an entry host for lost that it does not hear any more. */
+  private static final long LOST_AFTER = 1_000_000;
+
+  /** How much later callers hand in again what they were not answered. */
+  private static final long RESENT_AFTER = 1_300_000;
+
   private static final String ENTRY = "entry";
   private static final DispatchPolicy POLICY = new DispatchPolicy(980, 1.5, 250, 120_000);
 
@@ -79,7 +86,20 @@
     private boolean over;
     private boolean paused;
 
+    /** The workers of the failure domain that it leads; empty if it leads the partition. */
+    private final Set<String> led;
+
+    /** Begins a term of leading a failure domain that is cut off. */
+    private Term(long token, Set<String> led) {
+      this.token = token;
+      this.led = led;
+      this.dispatcher = new Dispatcher(POLICY.forDomain(), time.now(), time.now(), 0);
+      take(new DispatchEvent.RosterLoaded(listedWorkers()));
+      take(new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
+    }
+
     private Term(long token) {
+      this.led = Set.of();
       this.token = token;
       final int ordinal = jobStore.claim(token);
       this.dispatcher = new Dispatcher(POLICY, time.now(), time.now() + EARLIER_RUNS, 0);
@@ -87,6 +107,21 @@
       time.after(STORE_ANSWER, this::loadRoster);
     }
 
+    private boolean isLocal() {
+      return !led.isEmpty();
+    }
+
+    private boolean reaches(String worker) {
+      return isLocal() ? led.contains(worker) : !cut.contains(worker);
+    }
+
+    private List<WorkerInfo> listedWorkers() {
+      return workers.values().stream()
+          .filter(worker -> isLocal() ? reaches(worker.info().id()) : !worker.unlisted)
+          .map(LeasedWorker::info)
+          .toList();
+    }
+
     private void loadRoster() {
       if (jobStore.down) {
         time.after(STORE_RETRY, this::loadRoster);
@@ -162,7 +197,11 @@
   private final Set<JobId> begun = new HashSet<>();
   private final Map<TaskRef, Integer> doneRuns = new HashMap<>();
   private final List<String> breaches = new ArrayList<>();
+  private final Set<JobId> localJobs = new HashSet<>();
   private Term term;
+  private Term local;
+  private Set<String> cut = Set.of();
+  private Set<String> domain = Set.of();
   private long tokens;
 
   DispatchFleet(long seed) {
@@ -189,13 +228,6 @@
     network.lostAnswers = share;
   }
 
-  private List<WorkerInfo> listedWorkers() {
-    return workers.values().stream()
-        .filter(worker -> !worker.unlisted)
-        .map(LeasedWorker::info)
-        .toList();
-  }
-
   /** Starts a new term; an earlier leader hears nothing any more. */
   void elect() {
     if (term != null) {
@@ -211,13 +243,92 @@
       if (each.job().isDurable()) {
         continue;
       }
-      if (!ends.containsKey(each.job().id())) {
+      boolean elsewhere = !domain.isEmpty() && isOfDomain(each.job().id());
+      if (!ends.containsKey(each.job().id())
+          && !elsewhere
+          && !localJobs.contains(each.job().id())) {
         generations.merge(each.job().id(), 1, Integer::sum);
         hand(each);
       }
     }
   }
 
+  /** Cuts workers off from the leader, with the callers of every third job. */
+  void cutOff(Set<String> workerIds) {
+    cut = Set.copyOf(workerIds);
+    cutHostsOff(workerIds);
+  }
+
+  /**
+   * Cuts the hosts of workers off from the leader, which still reaches the workers. The callers of
+   * every third job give up on what the leader has of theirs, which hears of that later, and hand
+   * it in again later still.
+   */
+  void cutHostsOff(Set<String> workerIds) {
+    domain = Set.copyOf(workerIds);
+    List<JobId> mine = openJobs().stream().filter(this::isWithPartition).toList();
+    time.after(LOST_AFTER, () -> mine.forEach(id -> term.take(withdrawal(id))));
+    time.after(LOST_AFTER + RESENT_AFTER, () -> mine.forEach(this::handAgain));
+  }
+
+  private boolean isWithPartition(JobId id) {
+    return isOfDomain(id) && !localJobs.contains(id);
+  }
+
+  private static boolean isOfDomain(JobId id) {
+    return id.hashCode() % 3 == 0;
+  }
+
+  private static DispatchEvent withdrawal(JobId id) {
+    return new DispatchEvent.JobWithdrawn(id, ENTRY);
+  }
+
+  private void handAgain(JobId id) {
+    ends.remove(id);
+    // What an earlier leader began of it is unknown to the one that gets it now.
+    begun.remove(id);
+    hand(offered.get(id));
+  }
+
+  /** Lets hosts that are cut off have a leader of their own, with the last token. */
+  void electLocal() {
+    if (domain.isEmpty() || hasLocalLeader()) {
+      return;
+    }
+    local = new Term(term.token, domain);
+    local.list();
+    local.tick();
+  }
+
+  /** Tells whether workers that are cut off have a leader of their own. */
+  boolean hasLocalLeader() {
+    return local != null && !local.over;
+  }
+
+  /** Ends the cut; the leader of the cut workers hears of it after a time. */
+  void heal(long micros) {
+    cut = Set.of();
+    domain = Set.of();
+    Term ending = local;
+    if (ending != null) {
+      time.after(micros, () -> endLocal(ending));
+    }
+  }
+
+  private void endLocal(Term ending) {
+    ending.take(new DispatchEvent.TermEnded("the cut is healed"));
+    ending.over = true;
+    if (local == ending) {
+      local = null;
+      // Hosts give up what they heard no end of.
+      for (JobId id : List.copyOf(localJobs)) {
+        ends.putIfAbsent(id, new Ended(JobOutcome.ABANDONED, time.now(), "its leader is gone"));
+        time.after(RESENT_AFTER, () -> handAgain(id));
+      }
+      localJobs.clear();
+    }
+  }
+
   /** Makes the leader hear nothing for a time, as if its process were stopped. */
   void pauseLeader(long micros) {
     term.pause(micros);
@@ -268,7 +379,16 @@
   }
 
   private void hand(Offered job) {
-    term.take(
+    JobId id = job.job().id();
+    boolean toLocal = hasLocalLeader() && isOfDomain(id);
+    if (toLocal) {
+      localJobs.add(id);
+    } else if (!domain.isEmpty() && isOfDomain(id)) {
+      ends.put(id, new Ended(JobOutcome.ABANDONED, time.now(), "no leader is reached"));
+      return;
+    }
+    Term to = toLocal ? local : term;
+    to.take(
         new DispatchEvent.JobSubmitted(
             job.job(),
             job.requestClass(),
@@ -299,12 +419,17 @@
   }
 
   private void run(Term from, DispatchAction action) {
+    if (from.isLocal() && from.over) {
+      return;
+    }
     if (action instanceof DispatchAction.Start start) {
       start(from, start);
     } else if (action instanceof DispatchAction.Stop stop) {
       stop(from, stop);
     } else if (action instanceof DispatchAction.Renew renew) {
       renew(from, renew);
+    } else if (action instanceof DispatchAction.Finish finish && from == local) {
+      finishedLocally(finish);
     } else if (action instanceof DispatchAction.Finish finish && from == term) {
       finished(finish);
     } else if (action instanceof DispatchAction.Store changes) {
@@ -313,11 +438,26 @@
       time.after(STORE_ANSWER, () -> from.storeRoster(roster.change()));
     } else if (action instanceof DispatchAction.Reply reply && from == term) {
       callers.replied(reply, breaches);
+    } else if (action instanceof DispatchAction.StepDown && from.isLocal()) {
+      endLocal(from);
     } else if (action instanceof DispatchAction.StepDown) {
       from.over = true;
     }
   }
 
+  /** What a domain's leader gives up is handed in again later, and what it refused at once. */
+  private void finishedLocally(DispatchAction.Finish finish) {
+    JobId id = finish.job();
+    localJobs.remove(id);
+    finished(finish);
+    boolean refused = finish.outcome() == JobOutcome.REFUSED;
+    if (refused && domain.isEmpty()) {
+      handAgain(id);
+    } else if (finish.outcome() == JobOutcome.ABANDONED) {
+      time.after(RESENT_AFTER, () -> handAgain(id));
+    }
+  }
+
   private void finished(DispatchAction.Finish finish) {
     if (finish.outcome() == JobOutcome.REFUSED && begun.contains(finish.job())) {
       breaches.add("job " + finish.job() + " was refused after a task of it had begun");
@@ -330,7 +470,7 @@
     RunRef run = start.run();
     long sentAt = time.now();
     network.<StartReply>call(
-        workers.get(id),
+        target(from, id),
         START_TIMEOUT,
         (worker, answer) -> answer.accept(startOn(worker, start, from.token)),
         reply ->
@@ -340,6 +480,11 @@
                     : new DispatchEvent.StartUnanswered(id, run, true)));
   }
 
+  /** Returns a worker, or null if a leader does not reach it. */
+  private LeasedWorker target(Term from, String worker) {
+    return from.reaches(worker) ? workers.get(worker) : null;
+  }
+
   private StartReply startOn(LeasedWorker worker, DispatchAction.Start start, long token) {
     TaskRef task = start.run().task();
     Offered job = offered.get(task.job());
@@ -353,7 +498,7 @@
   private void stop(Term from, DispatchAction.Stop stop) {
     String id = stop.worker().id();
     network.<Boolean>call(
-        workers.get(id),
+        target(from, id),
         STOP_TIMEOUT,
         (worker, answer) -> answer.accept(worker.stop(stop.run(), from.token)),
         done -> from.take(new DispatchEvent.StopEnded(id, stop.run(), done.orElse(false))));
@@ -363,7 +508,7 @@
     String id = renew.worker().id();
     long sentAt = time.now();
     network.<WorkerReport>call(
-        workers.get(id),
+        target(from, id),
         STOP_TIMEOUT + renew.waitMillis() * MILLI,
         (worker, answer) ->
             worker.renew(
