A message that can't be dealt with leaves the link between two hosts open

Cause: an exception while a message was dealt with left the link's buffer between reading and writing, so the next bytes were read as frames from the wrong place and the link closed. Change: FrameLink logs the fault and goes on with the next message; FrameNetworkTest, which failed before, sends two messages of which the first can't be dealt with.

--- a/src/main/java/org/marjoramhoist/peer/FrameLink.java
+++ b/src/main/java/org/marjoramhoist/peer/FrameLink.java
@@ -141,7 +141,7 @@
       inbound.getInt();
       byte[] frame = new byte[length];
       inbound.get(frame);
-      listener.received(this, FrameCodec.decode(frame, HostMessage.class));
+      deliver(FrameCodec.decode(frame, HostMessage.class));
     }
     if (wanted > inbound.capacity()) {
       inbound = ByteBuffer.allocate(wanted).put(inbound);
@@ -150,6 +150,15 @@
     }
   }
 
+  /** A message that can't be dealt with takes neither the link nor the process with it. */
+  private void deliver(HostMessage message) {
+    try {
+      listener.received(this, message);
+    } catch (RuntimeException e) {
+      EventLog.fault("message " + message.getClass().getSimpleName(), e);
+    }
+  }
+
   @Override
   public void close() {
     if (!closed) {
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/peer/FrameNetworkTest.java
@@ -0,0 +1,87 @@
+package org.marjoramhoist.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.http.LoopbackServer;
+import org.marjoramhoist.message.HostMessage;
+import org.marjoramhoist.message.HostMessage.LeaderQuery;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Links between hosts on loopback. */
+class FrameNetworkTest {
+
+  private static final long PATIENCE_MILLIS = 5_000;
+
+  private final AtomicInteger heard = new AtomicInteger();
+  private final CountDownLatch both = new CountDownLatch(2);
+  private final FrameLink.Listener listener =
+      new FrameLink.Listener() {
+        @Override
+        public void received(FrameLink link, HostMessage message) {
+          both.countDown();
+          if (heard.incrementAndGet() == 1) {
+            throw new IllegalStateException("a fault of the receiver");
+          }
+        }
+
+        @Override
+        public void closed(FrameLink link) {
+          heard.addAndGet(100);
+        }
+      };
+  private XnioWorker worker;
+  private FrameNetwork network;
+  private String address;
+
+  @BeforeEach
+  void listen() throws Exception {
+    int port = LoopbackServer.freePorts(1).get(0);
+    address = "127.0.0.1:" + port;
+    worker =
+        Xnio.getInstance()
+            .createWorker(
+                OptionMap.builder()
+                    .set(Options.WORKER_IO_THREADS, 1)
+                    .set(Options.THREAD_DAEMON, true)
+                    .getMap());
+    network = new FrameNetwork(worker, new InetSocketAddress("127.0.0.1", port), listener);
+  }
+
+  @AfterEach
+  void stop() {
+    network.close();
+    worker.shutdownNow();
+  }
+
+  @Test
+  void faultInOneMessageLeavesTheLinkOpen() throws Exception {
+    CompletableFuture<FrameLink> opened = new CompletableFuture<>();
+    network.open(
+        address,
+        PATIENCE_MILLIS,
+        listener,
+        opened::complete,
+        refused -> opened.completeExceptionally(new IllegalStateException("not opened")));
+    FrameLink link = opened.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+    worker
+        .getIoThread()
+        .execute(
+            () -> {
+              link.send(new LeaderQuery("one"));
+              link.send(new LeaderQuery("two"));
+            });
+    assertThat(both.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    assertThat(heard.get()).isEqualTo(2);
+  }
+}
