A leader at its limit completes what it carries; hosts remember what they told their callers

Change: time-outs follow how long answers lately took to be read (CallPatience); the leader tells its hosts in each heartbeat what share of new jobs they may send on (Intake), and they refuse the rest before the leader pays for it. Ruled out: learning from calls without an answer too, since workers that leave half of their orders unanswered would then look like a slow leader. Hosts now remember for 30 s what they told (RecentEnds): a lost answer is given again, and a job that may have run is never called not run (OpenJobsTest).

--- a/src/main/java/org/marjoramhoist/entry/Duty.java
+++ b/src/main/java/org/marjoramhoist/entry/Duty.java
@@ -84,6 +84,11 @@
     return closed;
   }
 
+  /** Returns how long workers lately took to answer on average, in microseconds. */
+  final double meanDelayMicros() {
+    return orders.meanDelayMicros();
+  }
+
   /** Returns how many events wait to be decided on. */
   final int queued() {
     return events.size();
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -48,7 +48,10 @@
   }
 
   private final Map<JobId, OpenJob> open = new LinkedHashMap<>();
+  private final RecentEnds recent = new RecentEnds();
   private final LeaderReach reach;
+  private double intake = 1;
+  private double admitted;
 
   /** Creates an empty set, whose jobs are sent to each leader that is found. */
   OpenJobs(LeaderReach reach) {
@@ -83,12 +86,21 @@
       known.deadline = Math.max(known.deadline, deadline);
       return;
     }
-    if (!reach.mayReach()) {
-      caller.accept(notSent(job.id()));
+    Finished before = recent.finalEnd(job.id(), arrivedAt);
+    if (before != null) {
+      caller.accept(before);
       return;
     }
     OpenJob entry = new OpenJob(job, requestClass, arrivedAt, deadline);
     entry.callers.add(caller);
+    if (!reach.mayReach()) {
+      answer(entry, notSent(job.id()));
+      return;
+    }
+    if (!isAdmitted()) {
+      answer(entry, notAdmitted(job.id()));
+      return;
+    }
     open.put(job.id(), entry);
     send(entry);
   }
@@ -97,6 +109,11 @@
     return new Finished(id, JobOutcome.REFUSED, "no leader is reached", LeaderReach.RETRY_MILLIS);
   }
 
+  private static Finished notAdmitted(JobId id) {
+    long retry = LeaderReach.RETRY_MILLIS + Math.floorMod(id.hashCode(), LeaderReach.RETRY_MILLIS);
+    return new Finished(id, JobOutcome.REFUSED, "the leader is overloaded", retry);
+  }
+
   /** Hands a job to the leader, if there is one; it may be lost while jobs are handed to it. */
   private void send(OpenJob entry) {
     LeaderPort leader = reach.leader();
@@ -195,7 +212,30 @@
 
   private void answer(OpenJob entry, Finished end) {
     open.remove(entry.job.id());
-    entry.callers.forEach(caller -> caller.accept(end));
+    Finished told = recent.honest(end, Loop.now());
+    recent.add(told, Loop.now());
+    for (Consumer<Finished> caller : entry.callers) {
+      caller.accept(told);
+    }
+  }
+
+  /** Takes in what share of the new jobs the partition's leader can take, from 0 to 1. */
+  void setIntake(double share) {
+    intake = share;
+  }
+
+  /** Tells whether the leader can take one more job; spreads those that it can't take evenly. */
+  private boolean isAdmitted() {
+    if (intake >= 1 || reach.leader() == null) {
+      admitted = 0;
+      return true;
+    }
+    admitted += intake;
+    if (admitted < 1) {
+      return false;
+    }
+    admitted -= 1;
+    return true;
   }
 
   /** Answers the jobs whose callers stop waiting, and those that no leader will be found for. */
--- a/src/main/java/org/marjoramhoist/entry/Partition.java
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -10,6 +10,7 @@
 import org.marjoramhoist.lead.Election;
 import org.marjoramhoist.lead.ElectionAction;
 import org.marjoramhoist.lead.ElectionEvent;
+import org.marjoramhoist.lead.Intake;
 import org.marjoramhoist.lead.Succession;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
@@ -50,6 +51,7 @@
   private final Function<ElectionAction.Lead, LeaderDuty> duties;
   private final LocalPartition local;
   private final DomainLists domainLists = new DomainLists();
+  private Intake intake = new Intake();
   private FrameNetwork network;
   private volatile LeaderDuty duty;
   private LeaderPort ownPort;
@@ -238,6 +240,7 @@
     local.partitionLeaderHeard();
     duty = duties.apply(lead);
     succession.begin(Loop.now());
+    intake = new Intake();
     followers =
         new FollowerLinks(
             self, network, store::reachable, this::fromFollower, host -> entryLost(host));
@@ -289,8 +292,11 @@
     if (duty == null) {
       return;
     }
+    double share = intake.next(duty.meanDelayMicros());
+    jobs.setIntake(share);
     followers.beat(
-        new Heartbeat(duty.term(), self, config.current().version(), duty.waiting(), Loop.now()));
+        new Heartbeat(
+            duty.term(), self, config.current().version(), duty.waiting(), share, Loop.now()));
     handOverIfDue();
   }
 
@@ -392,6 +398,7 @@
       aloneSince = 0;
       local.partitionLeaderHeard();
       waiting = heartbeat.waiting();
+      jobs.setIntake(heartbeat.intake());
       if (!isLeaderLink(link)) {
         EventLog.info(
             LogEvent.LEADER_CHANGED, "leader={} term={}", heartbeat.host(), heartbeat.term());
--- a/src/main/java/org/marjoramhoist/entry/WorkerOrders.java
+++ b/src/main/java/org/marjoramhoist/entry/WorkerOrders.java
@@ -24,6 +24,7 @@
   private final WorkerCalls workers;
   private final NodeMetrics metrics;
   private final Consumer<DispatchEvent> events;
+  private final CallPatience patience = new CallPatience();
 
   /**
    * Creates the orders of a term.
@@ -39,8 +40,14 @@
     this.events = events;
   }
 
+  /** Returns how long workers lately took to answer on average, in microseconds. */
+  double meanDelayMicros() {
+    return patience.meanMicros();
+  }
+
   void start(DispatchAction.Start start) {
     long sentAt = Loop.now();
+    long timeout = patience.timeoutMillis(START_TIMEOUT_MILLIS);
     WorkerInfo worker = start.worker();
     EventLog.debug(LogEvent.RUN_ORDERED, "run={} worker={}", start.run(), worker.id());
     workers
@@ -51,9 +58,10 @@
             start.payload(),
             start.leaseUntilMillis(),
             term,
-            START_TIMEOUT_MILLIS)
+            timeout)
         .whenComplete(
             (reply, error) -> {
+              learn(sentAt, 0, error);
               metrics.order("start", error == null ? reply.verdict().name() : "UNANSWERED");
               if (error == null) {
                 events.accept(
@@ -66,11 +74,14 @@
   }
 
   void stop(DispatchAction.Stop stop) {
+    long sentAt = Loop.now();
+    long timeout = patience.timeoutMillis(STOP_TIMEOUT_MILLIS);
     WorkerInfo worker = stop.worker();
     workers
-        .stop(worker.address(), worker.id(), stop.run(), term, STOP_TIMEOUT_MILLIS)
+        .stop(worker.address(), worker.id(), stop.run(), term, timeout)
         .whenComplete(
             (done, error) -> {
+              learn(sentAt, 0, error);
               boolean answered = error == null && done;
               metrics.order("stop", answered ? "CONFIRMED" : "UNANSWERED");
               events.accept(new DispatchEvent.StopEnded(worker.id(), stop.run(), answered));
@@ -79,6 +90,7 @@
 
   void renew(DispatchAction.Renew renew) {
     long sentAt = Loop.now();
+    long timeout = patience.timeoutMillis(RENEW_TIMEOUT_MILLIS);
     WorkerInfo worker = renew.worker();
     workers
         .renew(
@@ -88,9 +100,10 @@
             renew.acknowledged(),
             renew.leaseUntilMillis(),
             renew.waitMillis(),
-            RENEW_TIMEOUT_MILLIS)
+            timeout)
         .whenComplete(
             (report, error) -> {
+              learn(sentAt, renew.waitMillis(), error);
               metrics.order("renew", error == null ? "ANSWERED" : "UNANSWERED");
               if (error == null) {
                 events.accept(new DispatchEvent.Renewed(worker.id(), sentAt, report));
@@ -99,4 +112,11 @@
               }
             });
   }
+
+  /** Learns from an answer how long answers take; what a worker was asked to wait counts not. */
+  private void learn(long sentAt, long waitMillis, Throwable error) {
+    if (error == null) {
+      patience.answered(Math.max(0, Loop.now() - sentAt - Loop.micros(waitMillis)));
+    }
+  }
 }
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/lead/Intake.java
@@ -0,0 +1,40 @@
+package org.marjoramhoist.lead;
+
+/**
+ * What share of the new jobs a leader's hosts send on to it, so that a leader that is asked for
+ * more than its processor carries completes what it can.
+ *
+ * <p>A job costs the leader time even if it is refused, so hosts refuse the rest themselves. The
+ * measure is how late the leader reads the answers of its workers: milliseconds as a rule, and more
+ * than any of them takes once its processor is full. The share falls by a part of itself and rises
+ * in small steps, so leaders find what they carry without knowing it. Confined to one thread.
+ */
+public final class Intake {
+
+  /** A delay that no leader has whose processor is not full. */
+  private static final long FULL_MICROS = 40_000;
+
+  /** A delay at which there is time for more. */
+  private static final long SPARE_MICROS = 20_000;
+
+  private static final double FALL = 0.8;
+  private static final double RISE = 0.04;
+  private static final double LEAST = 0.05;
+
+  private double share = 1;
+
+  /**
+   * Takes in how late answers are read at present; to be called at even intervals.
+   *
+   * @param delayMicros the mean delay
+   * @return the share of the new jobs to be sent on, from 0 to 1
+   */
+  public double next(double delayMicros) {
+    if (delayMicros > FULL_MICROS) {
+      share = Math.max(LEAST, share * FALL);
+    } else if (delayMicros < SPARE_MICROS) {
+      share = Math.min(1, share + RISE);
+    }
+    return share;
+  }
+}
--- a/src/main/java/org/marjoramhoist/message/HostMessage.java
+++ b/src/main/java/org/marjoramhoist/message/HostMessage.java
@@ -46,10 +46,16 @@
    * @param host the leader
    * @param configVersion the version of the configuration in force at the leader
    * @param waiting jobs without a started task, by the name of their class
+   * @param intake the share of the new jobs that hosts are to send on, from 0 to 1
    * @param sentAt when it was sent, on the leader's steady clock in microseconds
    */
   record Heartbeat(
-      long term, String host, long configVersion, Map<String, Integer> waiting, long sentAt)
+      long term,
+      String host,
+      long configVersion,
+      Map<String, Integer> waiting,
+      double intake,
+      long sentAt)
       implements HostMessage {}
 
   /**
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
@@ -0,0 +1,137 @@
+package org.marjoramhoist.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobFeature;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.JobOutcome;
+import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.message.HostMessage;
+import org.marjoramhoist.message.HostMessage.Finished;
+import org.marjoramhoist.message.HostMessage.Submit;
+
+/** Which leader an entry host's jobs go to, and what their callers are told. */
+class OpenJobsTest {
+
+  private static final JobId ID = new JobId("00000000000000a1");
+  private static final RequestClass CLASS =
+      new RequestClass("check", "h", "/p/", "reviews", 0, 3, 1.6, 60, false);
+  private static final long PATIENCE_MICROS = 10_000_000;
+
+  private final LeaderReach reach = new LeaderReach();
+  private final OpenJobs jobs = new OpenJobs(reach);
+  private final List<String> sent = new ArrayList<>();
+  private final List<JobOutcome> told = new ArrayList<>();
+
+  private LeaderPort port(String name, long term) {
+    return new LeaderPort() {
+      @Override
+      public long term() {
+        return term;
+      }
+
+      @Override
+      public void send(HostMessage message) {
+        if (message instanceof Submit submit) {
+          sent.add(name + " " + submit.job().id());
+        }
+      }
+    };
+  }
+
+  private void submit(JobId id) {
+    JobDescription job = new JobDescription(id, "p", List.of(), Set.<JobFeature>of());
+    long now = Loop.now();
+    jobs.submit(job, CLASS, now, now + PATIENCE_MICROS, end -> told.add(end.outcome()));
+  }
+
+  private static Finished end(JobOutcome outcome) {
+    return new Finished(ID, outcome, "test", 0);
+  }
+
+  @Test
+  void jobThatNoLeaderHasGoesToTheDomainsLeader() {
+    submit(ID);
+    reach.setLocal(port("domain", 0));
+    assertThat(sent).containsExactly("domain " + ID);
+    jobs.finishedLocally(end(JobOutcome.SUCCEEDED));
+    assertThat(told).containsExactly(JobOutcome.SUCCEEDED);
+  }
+
+  @Test
+  void jobThatTheOtherLeaderHasIsNeverHandedToBoth() {
+    LeaderPort partition = port("partition", 7);
+    reach.found(partition);
+    submit(ID);
+    reach.lost(partition);
+    reach.setLocal(port("domain", 0));
+    assertThat(sent).containsExactly("partition " + ID);
+    assertThat(told).containsExactly(JobOutcome.ABANDONED);
+  }
+
+  @Test
+  void jobOfTheDomainsLeaderIsNotHandedOnWhenThePartitionsIsFound() {
+    reach.setLocal(port("domain", 0));
+    submit(ID);
+    reach.found(port("partition", 7));
+    assertThat(sent).containsExactly("domain " + ID);
+    reach.setLocal(null);
+    assertThat(told).containsExactly(JobOutcome.ABANDONED);
+  }
+
+  @Test
+  void jobThatTheDomainsLeaderHasNotBegunGoesOnToThePartitions() {
+    reach.setLocal(port("domain", 0));
+    submit(ID);
+    reach.found(port("partition", 7));
+    jobs.finishedLocally(end(JobOutcome.REFUSED));
+    assertThat(sent).containsExactly("domain " + ID, "partition " + ID).inOrder();
+    assertThat(told).isEmpty();
+  }
+
+  @Test
+  void endsOfOneLeaderDoNotCountForJobsOfTheOther() {
+    reach.setLocal(port("domain", 0));
+    submit(ID);
+    jobs.finished(end(JobOutcome.REFUSED));
+    assertThat(told).isEmpty();
+  }
+
+  @Test
+  void lostAnswerIsGivenAgainUnderLaterLeaders() {
+    reach.found(port("partition", 7));
+    submit(ID);
+    jobs.finished(end(JobOutcome.SUCCEEDED));
+    reach.found(port("later", 8));
+    submit(ID);
+    assertThat(told).containsExactly(JobOutcome.SUCCEEDED, JobOutcome.SUCCEEDED);
+    assertThat(sent).containsExactly("partition " + ID);
+  }
+
+  @Test
+  void jobThatMayHaveRunIsNeverCalledNotRun() {
+    reach.found(port("partition", 7));
+    submit(ID);
+    jobs.finished(end(JobOutcome.ABANDONED));
+    submit(ID);
+    jobs.finished(end(JobOutcome.REFUSED));
+    assertThat(told).containsExactly(JobOutcome.ABANDONED, JobOutcome.ABANDONED);
+  }
+
+  @Test
+  void sendsOnTheShareThatTheLeaderTakes() {
+    reach.found(port("partition", 7));
+    jobs.setIntake(0.25);
+    for (int i = 0; i < 100; i++) {
+      submit(new JobId(String.format("%016x", i)));
+    }
+    assertThat(sent).hasSize(25);
+    assertThat(told).hasSize(75);
+    assertThat(Set.copyOf(told)).containsExactly(JobOutcome.REFUSED);
+  }
+}
