--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -249,7 +249,7 @@
           && !elsewhere
           && !localJobs.contains(each.job().id())) {
         generations.merge(each.job().id(), 1, Integer::sum);
-        hand(each);
+        handTo(term, each);
       }
     }
   }
@@ -392,7 +392,10 @@
       ends.put(id, new Ended(JobOutcome.ABANDONED, time.now(), "no leader is reached"));
       return;
     }
-    Term to = toLocal ? local : term;
+    handTo(toLocal ? local : term, job);
+  }
+
+  private void handTo(Term to, Offered job) {
     to.take(
         new DispatchEvent.JobSubmitted(
             job.job(),
