Intake falls after 1.5 s on end; hosts are told of their domain's workers two seconds into a term

Change: the share falls only after 15 intervals on end, at once when it has fallen before (IntakeTest); lists are told after 2 s.

--- a/src/main/java/org/marjoramhoist/entry/Partition.java
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -37,6 +37,10 @@
 
   private static final long TICK_MILLIS = 25;
   private static final long HEARTBEAT_MILLIS = 100;
+
+  /** A new leader has more urgent things to do than to tell hosts of their domains' workers. */
+  private static final long TELL_WORKERS_AFTER_MICROS = 2_000_000;
+
   private static final long UNSERVED_MICROS = 1_500_000;
 
   private final String self;
@@ -57,6 +61,7 @@
   private LeaderPort ownPort;
   private FollowerLinks followers;
   private LinkPort leaderPort;
+  private long ledSince;
   private boolean retiring;
 
   /** Since when most hosts did not answer; 0 if they did. */
@@ -244,7 +249,8 @@
     followers =
         new FollowerLinks(
             self, network, store::reachable, this::fromFollower, host -> entryLost(host));
-    followers.onOpened(this::followerLinked);
+    followers.onOpened(domainLists::forget);
+    ledSince = Loop.now();
     ownPort = new OwnPort(term);
     duty.start();
     beat();
--- a/src/main/java/org/marjoramhoist/lead/Intake.java
+++ b/src/main/java/org/marjoramhoist/lead/Intake.java
@@ -17,11 +17,18 @@
   /** A delay at which there is time for more. */
   private static final long SPARE_MICROS = 20_000;
 
+  /**
+   * For how many intervals on end the processor must be full before the share falls: a process that
+   * has just started is slow for a second, and then carries all it is asked for.
+   */
+  private static final int FULL_INTERVALS = 15;
+
   private static final double FALL = 0.8;
   private static final double RISE = 0.04;
   private static final double LEAST = 0.05;
 
   private double share = 1;
+  private int full;
 
   /**
    * Takes in how late answers are read at present; to be called at even intervals.
@@ -30,7 +37,8 @@
    * @return the share of the new jobs to be sent on, from 0 to 1
    */
   public double next(double delayMicros) {
-    if (delayMicros > FULL_MICROS) {
+    full = delayMicros > FULL_MICROS ? full + 1 : 0;
+    if (full >= FULL_INTERVALS || full > 0 && share < 1) {
       share = Math.max(LEAST, share * FALL);
     } else if (delayMicros < SPARE_MICROS) {
       share = Math.min(1, share + RISE);
--- a/src/test/java/org/marjoramhoist/lead/IntakeTest.java
+++ b/src/test/java/org/marjoramhoist/lead/IntakeTest.java
@@ -49,4 +49,14 @@
       assertThat(intake.next(15_000)).isEqualTo(1);
     }
   }
+
+  @Test
+  void slowFirstSecondChangesNothing() {
+    Intake intake = new Intake();
+    for (int i = 0; i < 12; i++) {
+      assertThat(intake.next(200_000)).isEqualTo(1);
+    }
+    assertThat(intake.next(5_000)).isEqualTo(1);
+    assertThat(intake.next(200_000)).isEqualTo(1);
+  }
 }
