A call that is about to be sent while the process stops fails as not sent

Seen as an uncaught error of the I/O thread once errors of libraries were logged with their message. The emulator remembers jobs that a domain's leader had, as hosts do.

--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -199,6 +199,7 @@
   private final List<String> breaches = new ArrayList<>();
   private final Set<JobId> handedAgain = new HashSet<>();
   private final Set<JobId> localJobs = new HashSet<>();
+  private final Set<JobId> everLocal = new HashSet<>();
   private Term term;
   private Term local;
   private Set<String> cut = Set.of();
@@ -376,8 +377,8 @@
   /** Hands a job in again, as a caller whose connection broke. */
   void resubmit(JobId id) {
     ends.remove(id);
-    if (hasLocalLeader()) {
-      // Its host remembers what it was told, which the domain's leader does not know.
+    if (hasLocalLeader() || everLocal.contains(id)) {
+      // Its host remembers what its caller was told, which the other leader does not know.
       handedAgain.add(id);
     }
     hand(offered.get(id));
@@ -388,6 +389,7 @@
     boolean toLocal = hasLocalLeader() && isOfDomain(id);
     if (toLocal) {
       localJobs.add(id);
+      everLocal.add(id);
     } else if (!domain.isEmpty() && isOfDomain(id)) {
       ends.put(id, new Ended(JobOutcome.ABANDONED, time.now(), "no leader is reached"));
       return;
--- a/src/main/java/org/marjoramhoist/http/HttpCaller.java
+++ b/src/main/java/org/marjoramhoist/http/HttpCaller.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -201,17 +202,21 @@
         IoUtils.safeClose(to);
         return;
       }
-      to.getIoThread()
-          .execute(
-              () -> {
-                if (timer == null) {
-                  startTimer(to.getIoThread());
-                }
-                if (!ended.get()) {
-                  sent = true;
-                  to.sendRequest(request(), new Sent(this));
-                }
-              });
+      try {
+        to.getIoThread().execute(() -> sendNow(to));
+      } catch (RejectedExecutionException e) {
+        fail(false, "the process stops");
+      }
+    }
+
+    private void sendNow(ClientConnection to) {
+      if (timer == null) {
+        startTimer(to.getIoThread());
+      }
+      if (!ended.get()) {
+        sent = true;
+        to.sendRequest(request(), new Sent(this));
+      }
     }
 
     private ClientRequest request() {
