--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -200,6 +200,7 @@
   private final Set<JobId> handedAgain = new HashSet<>();
   private final Set<JobId> localJobs = new HashSet<>();
   private final Set<JobId> everLocal = new HashSet<>();
+  private final Map<JobId, Long> handAgainAt = new HashMap<>();
   private Term term;
   private Term local;
   private Set<String> cut = Set.of();
@@ -270,7 +271,7 @@
     domain = Set.copyOf(workerIds);
     List<JobId> mine = openJobs().stream().filter(this::isWithPartition).toList();
     time.after(LOST_AFTER, () -> mine.forEach(id -> term.take(withdrawal(id))));
-    time.after(LOST_AFTER + RESENT_AFTER, () -> mine.forEach(this::handAgain));
+    mine.forEach(id -> handAgainAfter(LOST_AFTER + RESENT_AFTER, id));
   }
 
   private boolean isWithPartition(JobId id) {
@@ -285,6 +286,19 @@
     return new DispatchEvent.JobWithdrawn(id, ENTRY);
   }
 
+  /** Hands a job in again after a time, counted from when its caller last was told something. */
+  private void handAgainAfter(long micros, JobId id) {
+    long at = time.now() + micros;
+    handAgainAt.put(id, at);
+    time.after(micros, () -> handAgainIfDue(id, at));
+  }
+
+  private void handAgainIfDue(JobId id, long at) {
+    if (handAgainAt.remove(id, at)) {
+      handAgain(id);
+    }
+  }
+
   private void handAgain(JobId id) {
     ends.remove(id);
     // Its host remembers that it was given up, and never says that it has not run.
@@ -325,7 +339,7 @@
       // Hosts give up what they heard no end of.
       for (JobId id : List.copyOf(localJobs)) {
         ends.putIfAbsent(id, new Ended(JobOutcome.ABANDONED, time.now(), "its leader is gone"));
-        time.after(RESENT_AFTER, () -> handAgain(id));
+        handAgainAfter(RESENT_AFTER, id);
       }
       localJobs.clear();
     }
@@ -376,6 +390,9 @@
 
   /** Hands a job in again, as a caller whose connection broke. */
   void resubmit(JobId id) {
+    if (handAgainAt.containsKey(id)) {
+      return;
+    }
     ends.remove(id);
     if (hasLocalLeader() || everLocal.contains(id)) {
       // Its host remembers what its caller was told, which the other leader does not know.
@@ -464,7 +481,7 @@
     if (refused && domain.isEmpty()) {
       handAgain(id);
     } else if (finish.outcome() == JobOutcome.ABANDONED) {
-      time.after(RESENT_AFTER, () -> handAgain(id));
+      handAgainAfter(RESENT_AFTER, id);
     }
   }
 
