--- a/src/main/java/org/marjoramhoist/entry/HostSurvey.java
+++ b/src/main/java/org/marjoramhoist/entry/HostSurvey.java
@@ -27,6 +27,7 @@
   private final Map<FrameLink, String> links = new LinkedHashMap<>();
   private int asked;
   private int answered;
+  private int reached;
   private boolean heard;
   private boolean leaderAnswered;
   private boolean leaderGone;
@@ -35,11 +36,12 @@
   /**
    * What the hosts said.
    *
-   * @param answered how many answered
+   * @param answered how many answered, or refused the connection
+   * @param reached how many answered
    * @param leaderHeard whether any of them hears a leader
    * @param leaderGone whether the process that led is known to lead no more
    */
-  record Result(int answered, boolean leaderHeard, boolean leaderGone) {}
+  record Result(int answered, int reached, boolean leaderHeard, boolean leaderGone) {}
 
   private HostSurvey(String self, String leader, int enough, Consumer<Result> result) {
     this.self = self;
@@ -115,13 +117,14 @@
     if (!ended) {
       ended = true;
       links.keySet().forEach(FrameLink::close);
-      result.accept(new Result(answered, heard, leaderGone));
+      result.accept(new Result(answered, reached, heard, leaderGone));
     }
   }
 
   @Override
   public void received(FrameLink link, HostMessage message) {
     if (!ended && message instanceof LeaderQueryReply reply) {
+      reached++;
       answered(links.get(link), reply.hears(), reply.leads());
     }
   }
--- a/src/main/java/org/marjoramhoist/entry/Partition.java
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -204,9 +204,12 @@
         new ElectionEvent.HostsAsked(result.answered(), result.leaderHeard(), result.leaderGone()));
   }
 
-  /** A host is isolated if twice in a row most hosts did not answer, nor the store meanwhile. */
+  /**
+   * A host is isolated if twice in a row most hosts did not answer, nor the store meanwhile.
+   * Refused connections are no answers here, as a cut may refuse them.
+   */
   private void noteIsolation(HostSurvey.Result result, int asked) {
-    boolean minority = !result.leaderHeard() && 2 * (result.answered() + 1) <= asked + 1;
+    boolean minority = !result.leaderHeard() && 2 * (result.reached() + 1) <= asked + 1;
     if (!minority || election.knownTerm() == 0) {
       aloneSince = 0;
     } else if (aloneSince == 0) {
--- a/src/test/java/org/marjoramhoist/trial/DomainCutTest.java
+++ b/src/test/java/org/marjoramhoist/trial/DomainCutTest.java
@@ -104,6 +104,16 @@
     assertThat(starts.used).containsExactly("north");
   }
 
+  /** A cut may refuse connections rather than swallow them; that looks as if all had ended. */
+  @Test
+  void domainWhoseConnectionsAreRefusedServesItsCallers() throws Exception {
+    cluster.store().setDown(true);
+    SOUTH_HOSTS.forEach(cluster::kill);
+    Thread.sleep(CUT_KNOWN_MILLIS);
+    assertThat(send(0, 3, 40).join().status()).isEqualTo(200);
+    assertThat(send(1, 3, 40).join().status()).isEqualTo(200);
+  }
+
   @Test
   void jobHandedInAtTheCutIsAnsweredOnce() throws Exception {
     CompletableFuture<HttpReply> before = send(0, 4, 600);
