--- /dev/null
+++ b/src/test/java/org/marjoramhoist/dispatch/DomainDispatchTest.java
@@ -0,0 +1,123 @@
+package org.marjoramhoist.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.dispatch.WorkerReport.Ended;
+import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
+import org.marjoramhoist.dispatch.WorkerReport.Running;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.JobOutcome;
+import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.TaskRef;
+
+/** The leader of a failure domain that is cut off, beside a partition's leader that may live. */
+class DomainDispatchTest extends DispatcherFixture {
+
+  private static final RunRef FOREIGN =
+      new RunRef(new TaskRef(new JobId("00000000000000ff"), 0, 0), 3);
+
+  private int jobs;
+
+  @BeforeEach
+  void lead() {
+    List<WorkerInfo> workers = List.of(worker("w", 4_000, false), worker("x", 4_000, false));
+    dispatcher = new Dispatcher(POLICY.forDomain(), now, now, 0);
+    step(0, new DispatchEvent.RosterLoaded(workers));
+    step(0, new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
+    step(0, new DispatchEvent.WorkersListed(workers));
+    actions.clear();
+  }
+
+  private JobId submit(int tasks) {
+    JobId id = new JobId(String.format(Locale.ROOT, "%016x", ++jobs));
+    JobDescription job = new JobDescription(id, "p", List.of(tasks(tasks, List.of())), Set.of());
+    step(1, new DispatchEvent.JobSubmitted(job, CLASS, "e", now, now + 5_000 * MILLI, 0));
+    return id;
+  }
+
+  private void tick(long millis) {
+    step(millis, new DispatchEvent.Tick());
+  }
+
+  private static List<Running> foreign() {
+    return List.of(new Running(FOREIGN, 10));
+  }
+
+  @Test
+  void startsNothingBeforeAllWorkersAreFreeOfOthersRuns() {
+    report("w", List.of());
+    report("x", foreign());
+    submit(2);
+    tick(20);
+    assertThat(taken(DispatchAction.Start.class)).isEmpty();
+    report("x", List.of());
+    tick(20);
+    assertThat(taken(DispatchAction.Start.class)).hasSize(2);
+  }
+
+  @Test
+  void neitherStopsNorRenewsRunsOfOthersAndLetsNoEndBeForgotten() {
+    report("w", List.of());
+    report("x", foreign(), new Ended(1, FOREIGN, RunEnd.DONE));
+    for (int i = 0; i < 20; i++) {
+      tick(50);
+      report("x", foreign(), new Ended(1, FOREIGN, RunEnd.DONE));
+    }
+    assertThat(taken(DispatchAction.Stop.class)).isEmpty();
+    for (DispatchAction.Renew renew : taken(DispatchAction.Renew.class)) {
+      assertThat(renew.leaseUntilMillis()).isEqualTo(0);
+      assertThat(renew.acknowledged()).isEqualTo(0);
+    }
+  }
+
+  @Test
+  void givesUpIfRunsOfOthersGoOn() {
+    report("w", List.of());
+    report("x", foreign());
+    tick(1_500);
+    assertThat(taken(DispatchAction.StepDown.class)).isEmpty();
+    tick(200);
+    assertThat(taken(DispatchAction.StepDown.class)).hasSize(1);
+  }
+
+  @Test
+  void givesUpWhenRunOfAnotherLeaderAppears() {
+    report("w", List.of());
+    report("x", List.of());
+    submit(1);
+    assertThat(taken(DispatchAction.Start.class)).hasSize(1);
+    report("x", foreign());
+    tick(20);
+    assertThat(taken(DispatchAction.StepDown.class)).hasSize(1);
+  }
+
+  @Test
+  void givesUpWhenAnotherLeaderStopsItsRun() {
+    report("w", List.of());
+    report("x", List.of());
+    submit(1);
+    DispatchAction.Start start = taken(DispatchAction.Start.class).get(0);
+    started(start.worker().id(), start.run());
+    report(start.worker().id(), List.of(), new Ended(1, start.run(), RunEnd.STOPPED));
+    assertThat(taken(DispatchAction.StepDown.class)).hasSize(1);
+  }
+
+  @Test
+  void endOfTheTermRefusesOnlyWhatHasNotBegun() {
+    report("w", List.of());
+    report("x", List.of());
+    submit(8);
+    submit(1);
+    actions.removeIf(action -> !(action instanceof DispatchAction.Finish));
+    step(0, new DispatchEvent.TermEnded("the cut is healed"));
+    List<JobOutcome> ends =
+        taken(DispatchAction.Finish.class).stream().map(DispatchAction.Finish::outcome).toList();
+    assertThat(ends).containsExactly(JobOutcome.ABANDONED, JobOutcome.REFUSED).inOrder();
+  }
+}
