--- a/src/test/java/org/marjoramhoist/peer/FrameNetworkTest.java
+++ b/src/test/java/org/marjoramhoist/peer/FrameNetworkTest.java
@@ -29,8 +29,9 @@
       new FrameLink.Listener() {
         @Override
         public void received(FrameLink link, HostMessage message) {
+          boolean isFirst = heard.incrementAndGet() == 1;
           both.countDown();
-          if (heard.incrementAndGet() == 1) {
+          if (isFirst) {
             throw new IllegalStateException("a fault of the receiver");
           }
         }
