Read as a newcomer: one word for the leader of a domain that is cut off, isolation and intake in classes of their own

Local* is Domain* now, IsolatedDomain a host's part in it; IsolationDetector (pure, with tests of its own) and IntakeGate come out of Partition and OpenJobs.

--- a/src/main/java/org/marjoramhoist/entry/LocalDuty.java
+++ b/src/main/java/org/marjoramhoist/entry/DomainDuty.java
@@ -15,7 +15,7 @@
  *
  * <p>Nothing is stored. Confined to the loop's thread.
  */
-final class LocalDuty extends Duty {
+final class DomainDuty extends Duty {
 
   /** Workers stay listed as long as the list that names them counts as read lately. */
   private static final long LIST_MILLIS = 500;
@@ -29,7 +29,7 @@
    * @param workers the domain's workers
    * @param onStale is told why this host must not lead any more
    */
-  LocalDuty(
+  DomainDuty(
       long term,
       DispatchPolicy policy,
       List<WorkerInfo> workers,
--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -12,11 +12,11 @@
 import org.marjoramhoist.dispatch.DispatchPolicy;
 import org.marjoramhoist.http.HostPort;
 import org.marjoramhoist.http.HttpCaller;
+import org.marjoramhoist.lead.DomainElection;
 import org.marjoramhoist.lead.Election;
 import org.marjoramhoist.lead.ElectionEvent;
 import org.marjoramhoist.lead.ElectionPolicy;
 import org.marjoramhoist.lead.HostCapacity;
-import org.marjoramhoist.lead.LocalElection;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.peer.FrameNetwork;
@@ -106,27 +106,27 @@
             settings.farFactor(),
             RENEW_WAIT_MILLIS,
             settings.keepMillis());
-    LocalPartition[] madeLocal = new LocalPartition[1];
-    LocalPartition local =
-        new LocalPartition(
+    IsolatedDomain[] madeDomain = new IsolatedDomain[1];
+    IsolatedDomain domain =
+        new IsolatedDomain(
             settings.host(),
             loop,
-            new LocalElection(settings.host(), times),
+            new DomainElection(settings.host(), times),
             storeLink,
             reach,
             jobs,
             () ->
-                new LocalDuty(
+                new DomainDuty(
                     election.knownTerm(),
                     policy,
-                    madeLocal[0].workers(),
+                    madeDomain[0].workers(),
                     loop,
                     workerCalls,
                     metrics,
-                    new Duty.Permits(madeLocal[0]::mayOrder, madeLocal[0]::mayStart),
-                    (host, answer) -> madeLocal[0].deliver(host, answer),
-                    reason -> madeLocal[0].mustStepDown(reason)));
-    madeLocal[0] = local;
+                    new Duty.Permits(madeDomain[0]::mayOrder, madeDomain[0]::mayStart),
+                    (host, answer) -> madeDomain[0].deliver(host, answer),
+                    reason -> madeDomain[0].mustStepDown(reason)));
+    madeDomain[0] = domain;
     this.partition =
         new Partition(
             settings.host(),
@@ -138,7 +138,7 @@
             reach,
             jobs,
             this.calls,
-            local,
+            domain,
             lead ->
                 new LeaderDuty(
                     lead.term(),
--- a/src/main/java/org/marjoramhoist/entry/LocalPartition.java
+++ b/src/main/java/org/marjoramhoist/entry/IsolatedDomain.java
@@ -3,15 +3,15 @@
 import java.util.List;
 import java.util.function.Supplier;
 import org.marjoramhoist.dispatch.WorkerInfo;
-import org.marjoramhoist.lead.LocalAction;
-import org.marjoramhoist.lead.LocalElection;
+import org.marjoramhoist.lead.DomainAction;
+import org.marjoramhoist.lead.DomainElection;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.message.HostMessage;
+import org.marjoramhoist.message.HostMessage.DomainHeartbeat;
+import org.marjoramhoist.message.HostMessage.DomainHeartbeatReply;
 import org.marjoramhoist.message.HostMessage.DomainWorkers;
 import org.marjoramhoist.message.HostMessage.Finished;
-import org.marjoramhoist.message.HostMessage.LocalHeartbeat;
-import org.marjoramhoist.message.HostMessage.LocalHeartbeatReply;
 import org.marjoramhoist.peer.FrameLink;
 import org.marjoramhoist.peer.FrameNetwork;
 
@@ -22,7 +22,7 @@
  * <p>Invariant: a domain's leader orders runs only while it hears most hosts of its domain and none
  * of them hears the partition's leader. Confined to the loop's thread.
  */
-final class LocalPartition implements FrameLink.Listener {
+final class IsolatedDomain implements FrameLink.Listener {
 
   private static final long TICK_MILLIS = 25;
   private static final long HEARTBEAT_MILLIS = 100;
@@ -35,16 +35,16 @@
 
   private final String self;
   private final Loop loop;
-  private final LocalElection election;
+  private final DomainElection election;
   private final StoreLink store;
   private final LeaderReach reach;
   private final OpenJobs jobs;
-  private final Supplier<LocalDuty> duties;
+  private final Supplier<DomainDuty> duties;
   private final SuspensionDetector suspension = new SuspensionDetector();
   private FrameNetwork network;
   private List<WorkerInfo> workers = List.of();
   private FollowerLinks followers;
-  private LocalDuty duty;
+  private DomainDuty duty;
   private FrameLink leaderLink;
   private long leaderHeardAt;
 
@@ -53,14 +53,14 @@
    *
    * @param duties makes a term of leading the domain
    */
-  LocalPartition(
+  IsolatedDomain(
       String self,
       Loop loop,
-      LocalElection election,
+      DomainElection election,
       StoreLink store,
       LeaderReach reach,
       OpenJobs jobs,
-      Supplier<LocalDuty> duties) {
+      Supplier<DomainDuty> duties) {
     this.self = self;
     this.loop = loop;
     this.election = election;
@@ -127,13 +127,13 @@
     }
   }
 
-  private void run(LocalAction action) {
-    if (action instanceof LocalAction.Stand) {
+  private void run(DomainAction action) {
+    if (action instanceof DomainAction.Stand) {
       openLinks();
       beat();
-    } else if (action instanceof LocalAction.Lead) {
+    } else if (action instanceof DomainAction.Lead) {
       lead();
-    } else if (action instanceof LocalAction.StepDown stepDown) {
+    } else if (action instanceof DomainAction.StepDown stepDown) {
       stepDown(stepDown.reason());
     }
   }
@@ -151,15 +151,15 @@
     EventLog.info(LogEvent.DOMAIN_LEADER_ELECTED, "workers={}", workers.size());
     duty = duties.get();
     duty.start();
-    reach.setLocal(new OwnPort(duty));
+    reach.setDomainLeader(new OwnPort(duty));
     beat();
   }
 
   /** The way to this host as leader of its domain. */
   private final class OwnPort implements LeaderPort {
-    private final LocalDuty target;
+    private final DomainDuty target;
 
-    private OwnPort(LocalDuty target) {
+    private OwnPort(DomainDuty target) {
       this.target = target;
     }
 
@@ -187,7 +187,7 @@
       EventLog.info(LogEvent.DOMAIN_LEADER_STEPPED_DOWN, "reason={}", reason);
       duty.end(reason);
       duty = null;
-      reach.setLocal(null);
+      reach.setDomainLeader(null);
     }
     FollowerLinks links = followers;
     followers = null;
@@ -198,12 +198,12 @@
 
   private void beat() {
     if (followers != null) {
-      followers.beat(new LocalHeartbeat(self, duty != null, Loop.now()));
+      followers.beat(new DomainHeartbeat(self, duty != null, Loop.now()));
     }
   }
 
   private void fromFollower(String host, HostMessage message) {
-    if (message instanceof LocalHeartbeatReply reply) {
+    if (message instanceof DomainHeartbeatReply reply) {
       if (reply.accepts()) {
         election.confirmed(Loop.now(), host, reply.heartbeatSentAt()).forEach(this::run);
       }
@@ -229,7 +229,7 @@
 
   private void answered(HostMessage answer) {
     if (answer instanceof Finished end) {
-      jobs.finishedLocally(end);
+      jobs.finishedByDomainLeader(end);
     }
   }
 
@@ -237,7 +237,7 @@
   public void received(FrameLink link, HostMessage message) {
     if (message instanceof DomainWorkers list) {
       setWorkers(list.workers());
-    } else if (message instanceof LocalHeartbeat heartbeat) {
+    } else if (message instanceof DomainHeartbeat heartbeat) {
       heard(link, heartbeat);
     } else if (link == leaderLink) {
       answered(message);
@@ -248,12 +248,12 @@
   boolean isFor(FrameLink link, HostMessage message) {
     return link == leaderLink
         || message instanceof DomainWorkers
-        || message instanceof LocalHeartbeat;
+        || message instanceof DomainHeartbeat;
   }
 
-  private void heard(FrameLink link, LocalHeartbeat heartbeat) {
+  private void heard(FrameLink link, DomainHeartbeat heartbeat) {
     boolean accepted = election.accepts(Loop.now(), heartbeat.host());
-    link.send(new LocalHeartbeatReply(accepted, heartbeat.sentAt()));
+    link.send(new DomainHeartbeatReply(accepted, heartbeat.sentAt()));
     if (link == leaderLink) {
       leaderHeardAt = Loop.now();
     } else if (accepted && heartbeat.leads()) {
@@ -265,12 +265,12 @@
     EventLog.info(LogEvent.DOMAIN_LEADER_FOUND, "leader={}", host);
     leaderLink = link;
     leaderHeardAt = Loop.now();
-    reach.setLocal(new LinkPort(0, link));
+    reach.setDomainLeader(new LinkPort(0, link));
   }
 
   private void dropLeader() {
     leaderLink = null;
-    reach.setLocal(null);
+    reach.setDomainLeader(null);
   }
 
   @Override
--- a/src/main/java/org/marjoramhoist/entry/LeaderReach.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderReach.java
@@ -18,9 +18,9 @@
   private static final long LEADERLESS_MICROS = 1_200_000;
 
   private final List<Runnable> onFound = new ArrayList<>();
-  private final List<Runnable> onLocalChange = new ArrayList<>();
+  private final List<Runnable> onDomainLeaderChange = new ArrayList<>();
   private LeaderPort leader;
-  private LeaderPort local;
+  private LeaderPort domainLeader;
   private long lostAt = Loop.now();
   private boolean hadLeader;
 
@@ -30,25 +30,25 @@
   }
 
   /** Runs a task each time that a leader of the failure domain is found or lost. */
-  void onLocalChange(Runnable task) {
-    onLocalChange.add(task);
+  void onDomainLeaderChange(Runnable task) {
+    onDomainLeaderChange.add(task);
   }
 
   /** Takes in the leader of the failure domain; null if there is none any more. */
-  void setLocal(LeaderPort port) {
-    if (local == port) {
+  void setDomainLeader(LeaderPort port) {
+    if (domainLeader == port) {
       return;
     }
     if (port == null) {
       lostAt = Loop.now();
     }
-    local = port;
-    onLocalChange.forEach(Runnable::run);
+    domainLeader = port;
+    onDomainLeaderChange.forEach(Runnable::run);
   }
 
   /** Returns the leader of the failure domain while that is cut off; null if there is none. */
-  LeaderPort local() {
-    return local;
+  LeaderPort domainLeader() {
+    return domainLeader;
   }
 
   /** Takes in that a leader can be reached. */
@@ -78,7 +78,7 @@
 
   /** Tells whether some leader can be reached, or may be soon. */
   boolean mayReach() {
-    return local != null || mayReachPartition();
+    return domainLeader != null || mayReachPartition();
   }
 
   /** Tells whether a leader is reached, or was until a short time ago. */
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -34,7 +34,7 @@
     private long sentTerm;
 
     /** The leader of the failure domain that it was handed to; null if it was not. */
-    private LeaderPort local;
+    private LeaderPort domainLeader;
 
     private int generation;
     private final List<Consumer<Finished>> callers = new ArrayList<>();
@@ -50,14 +50,13 @@
   private final Map<JobId, OpenJob> open = new LinkedHashMap<>();
   private final RecentEnds recent = new RecentEnds();
   private final LeaderReach reach;
-  private double intake = 1;
-  private double admitted;
+  private final IntakeGate intake = new IntakeGate();
 
   /** Creates an empty set, whose jobs are sent to each leader that is found. */
   OpenJobs(LeaderReach reach) {
     this.reach = reach;
     reach.onFound(() -> List.copyOf(open.values()).forEach(this::send));
-    reach.onLocalChange(this::localChanged);
+    reach.onDomainLeaderChange(this::domainLeaderChanged);
   }
 
   /** Returns how many jobs are open. */
@@ -97,7 +96,7 @@
       answer(entry, notSent(job.id()));
       return;
     }
-    if (!isAdmitted()) {
+    if (reach.leader() != null && !intake.admits()) {
       answer(entry, notAdmitted(job.id()));
       return;
     }
@@ -117,14 +116,14 @@
   /** Hands a job to the leader, if there is one; it may be lost while jobs are handed to it. */
   private void send(OpenJob entry) {
     LeaderPort leader = reach.leader();
-    if (entry.local != null) {
+    if (entry.domainLeader != null) {
       return;
     }
     if (leader != null) {
       sendToPartition(entry, leader);
-    } else if (entry.sentTerm == 0 && reach.local() != null) {
-      entry.local = reach.local();
-      entry.local.send(messageOf(entry));
+    } else if (entry.sentTerm == 0 && reach.domainLeader() != null) {
+      entry.domainLeader = reach.domainLeader();
+      entry.domainLeader.send(messageOf(entry));
     }
   }
 
@@ -150,11 +149,12 @@
    * Takes in that the leader of the failure domain changed. What another leader has can't be
    * settled from here and is given up; what none has goes to the present one.
    */
-  private void localChanged() {
-    LeaderPort local = reach.local();
+  private void domainLeaderChanged() {
+    LeaderPort present = reach.domainLeader();
     for (OpenJob entry : List.copyOf(open.values())) {
-      boolean elsewhere = entry.local != null ? entry.local != local : entry.sentTerm != 0;
-      if (elsewhere && (local != null || entry.local != null)) {
+      boolean elsewhere =
+          entry.domainLeader != null ? entry.domainLeader != present : entry.sentTerm != 0;
+      if (elsewhere && (present != null || entry.domainLeader != null)) {
         giveUp(entry, "its leader is cut off");
       } else {
         send(entry);
@@ -179,7 +179,7 @@
   }
 
   private void withdraw(OpenJob entry) {
-    LeaderPort leader = entry.local != null ? entry.local : reach.leader();
+    LeaderPort leader = entry.domainLeader != null ? entry.domainLeader : reach.leader();
     if (leader != null) {
       leader.send(new Withdraw(entry.job.id()));
     }
@@ -188,7 +188,7 @@
   /** Takes in the end of a job, told by the partition's leader in charge. */
   void finished(Finished end) {
     OpenJob entry = open.get(end.job());
-    if (entry != null && entry.local == null) {
+    if (entry != null && entry.domainLeader == null) {
       answer(entry, end);
     }
   }
@@ -197,13 +197,13 @@
    * Takes in the end of a job, told by the leader of the failure domain. One that it refused, so
    * that it has not run, goes to the partition's leader if that is reached again.
    */
-  void finishedLocally(Finished end) {
+  void finishedByDomainLeader(Finished end) {
     OpenJob entry = open.get(end.job());
-    if (entry == null || entry.local == null) {
+    if (entry == null || entry.domainLeader == null) {
       return;
     }
     if (end.outcome() == JobOutcome.REFUSED && reach.leader() != null) {
-      entry.local = null;
+      entry.domainLeader = null;
       send(entry);
     } else {
       answer(entry, end);
@@ -221,21 +221,7 @@
 
   /** Takes in what share of the new jobs the partition's leader can take, from 0 to 1. */
   void setIntake(double share) {
-    intake = share;
-  }
-
-  /** Tells whether the leader can take one more job; spreads those that it can't take evenly. */
-  private boolean isAdmitted() {
-    if (intake >= 1 || reach.leader() == null) {
-      admitted = 0;
-      return true;
-    }
-    admitted += intake;
-    if (admitted < 1) {
-      return false;
-    }
-    admitted -= 1;
-    return true;
+    intake.setShare(share);
   }
 
   /** Answers the jobs whose callers stop waiting, and those that no leader will be found for. */
@@ -246,7 +232,7 @@
         JobOutcome outcome = outcomeUnheard(entry);
         withdraw(entry);
         answer(entry, new Finished(entry.job.id(), outcome, "deadline passed", 0));
-      } else if (entry.sentTerm == 0 && entry.local == null && !reach.mayReach()) {
+      } else if (entry.sentTerm == 0 && entry.domainLeader == null && !reach.mayReach()) {
         answer(entry, notSent(entry.job.id()));
       }
     }
@@ -261,7 +247,7 @@
 
   /** Returns what a caller is told of a job whose end was not heard. */
   private static JobOutcome outcomeUnheard(OpenJob entry) {
-    boolean handedOn = entry.sentTerm != 0 || entry.local != null;
+    boolean handedOn = entry.sentTerm != 0 || entry.domainLeader != null;
     return handedOn ? JobOutcome.ABANDONED : JobOutcome.REFUSED;
   }
 }
--- a/src/main/java/org/marjoramhoist/entry/Partition.java
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -11,6 +11,7 @@
 import org.marjoramhoist.lead.ElectionAction;
 import org.marjoramhoist.lead.ElectionEvent;
 import org.marjoramhoist.lead.Intake;
+import org.marjoramhoist.lead.IsolationDetector;
 import org.marjoramhoist.lead.Succession;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
@@ -38,9 +39,6 @@
   private static final long TICK_MILLIS = 25;
   private static final long HEARTBEAT_MILLIS = 100;
 
-  /** A new leader has more urgent things to do than to tell hosts of their domains' workers. */
-  private static final long TELL_WORKERS_AFTER_MICROS = 2_000_000;
-
   private static final long UNSERVED_MICROS = 1_500_000;
 
   private final String self;
@@ -53,7 +51,8 @@
   private final OpenJobs jobs;
   private final JobCalls calls;
   private final Function<ElectionAction.Lead, LeaderDuty> duties;
-  private final LocalPartition local;
+  private final IsolatedDomain domain;
+  private final IsolationDetector isolation;
   private final DomainLists domainLists = new DomainLists();
   private Intake intake = new Intake();
   private FrameNetwork network;
@@ -61,12 +60,8 @@
   private LeaderPort ownPort;
   private FollowerLinks followers;
   private LinkPort leaderPort;
-  private long ledSince;
   private boolean retiring;
 
-  /** Since when most hosts did not answer; 0 if they did. */
-  private long aloneSince;
-
   private Map<String, Integer> waiting = Map.of();
   private final SuspensionDetector suspension = new SuspensionDetector();
   private final Succession succession;
@@ -110,7 +105,7 @@
       LeaderReach reach,
       OpenJobs jobs,
       JobCalls calls,
-      LocalPartition local,
+      IsolatedDomain domain,
       Function<ElectionAction.Lead, LeaderDuty> duties) {
     this.self = self;
     this.succession = new Succession(store.capacity());
@@ -122,13 +117,14 @@
     this.reach = reach;
     this.jobs = jobs;
     this.calls = calls;
-    this.local = local;
+    this.domain = domain;
+    this.isolation = new IsolationDetector(health::hasAnsweredSince);
     this.duties = duties;
   }
 
   void start(FrameNetwork peers) {
     network = peers;
-    local.start(peers);
+    domain.start(peers);
     loop.every(TICK_MILLIS, () -> take(new ElectionEvent.Tick()));
     loop.every(HEARTBEAT_MILLIS, this::beat);
   }
@@ -199,30 +195,19 @@
   }
 
   private void asked(HostSurvey.Result result, int asked) {
-    noteIsolation(result, asked);
+    boolean isolated =
+        isolation.hostsAsked(Loop.now(), asked, result.reached(), result.leaderHeard());
+    if (isolated && election.knownTerm() != 0) {
+      domain.isolated();
+    }
     take(
         new ElectionEvent.HostsAsked(result.answered(), result.leaderHeard(), result.leaderGone()));
   }
 
-  /**
-   * A host is isolated if twice in a row most hosts did not answer, nor the store meanwhile.
-   * Refused connections are no answers here, as a cut may refuse them.
-   */
-  private void noteIsolation(HostSurvey.Result result, int asked) {
-    boolean minority = !result.leaderHeard() && 2 * (result.reached() + 1) <= asked + 1;
-    if (!minority || election.knownTerm() == 0) {
-      aloneSince = 0;
-    } else if (aloneSince == 0) {
-      aloneSince = Loop.now();
-    } else if (!health.hasAnsweredSince(aloneSince)) {
-      local.isolated();
-    }
-  }
-
   /** Takes in the list of workers that this host has read as leader. */
   void workersListed(List<WorkerInfo> workers) {
     domainLists.update(workers);
-    local.setWorkers(domainLists.of(store.failureDomain()));
+    domain.setWorkers(domainLists.of(store.failureDomain()));
     if (followers != null) {
       followers.linked().forEach(this::tellDomainWorkers);
     }
@@ -232,20 +217,13 @@
     domainLists.due(host, store.domainOf(host)).ifPresent(list -> followers.send(host, list));
   }
 
-  private void followerLinked(String host) {
-    domainLists.forget(host);
-    if (followers != null) {
-      tellDomainWorkers(host);
-    }
-  }
-
   private void lead(ElectionAction.Lead lead) {
     endDuty();
     long term = lead.term();
     EventLog.info(
         LogEvent.LEADER_ELECTED, "term={} earlierLeaderGone={}", term, lead.earlierGone());
     dropLeader();
-    local.partitionLeaderHeard();
+    domain.partitionLeaderHeard();
     duty = duties.apply(lead);
     succession.begin(Loop.now());
     intake = new Intake();
@@ -253,7 +231,6 @@
         new FollowerLinks(
             self, network, store::reachable, this::fromFollower, host -> entryLost(host));
     followers.onOpened(domainLists::forget);
-    ledSince = Loop.now();
     ownPort = new OwnPort(term);
     duty.start();
     beat();
@@ -339,7 +316,7 @@
    */
   void retire() {
     retiring = true;
-    local.retire();
+    domain.retire();
     take(new ElectionEvent.Retired());
     if (duty != null) {
       handOver(succession.successor(Loop.now()), "the host stops");
@@ -375,8 +352,8 @@
 
   @Override
   public void received(FrameLink link, HostMessage message) {
-    if (local.isFor(link, message)) {
-      local.received(link, message);
+    if (domain.isFor(link, message)) {
+      domain.received(link, message);
     } else if (message instanceof Heartbeat heartbeat) {
       heard(link, heartbeat);
     } else if (message instanceof LeaderQuery) {
@@ -404,8 +381,8 @@
     }
     if (heartbeat.term() >= election.knownTerm() && duty == null) {
       take(new ElectionEvent.LeaderHeard(heartbeat.term(), heartbeat.host()));
-      aloneSince = 0;
-      local.partitionLeaderHeard();
+      isolation.leaderHeard();
+      domain.partitionLeaderHeard();
       waiting = heartbeat.waiting();
       jobs.setIntake(heartbeat.intake());
       if (!isLeaderLink(link)) {
@@ -436,7 +413,7 @@
 
   @Override
   public void closed(FrameLink link) {
-    local.closed(link);
+    domain.closed(link);
     if (isLeaderLink(link)) {
       long term = leaderPort.term();
       dropLeader();
--- a/src/main/java/org/marjoramhoist/lead/LocalAction.java
+++ b/src/main/java/org/marjoramhoist/lead/DomainAction.java
@@ -1,14 +1,14 @@
 package org.marjoramhoist.lead;
 
 /** What the election of a domain's leader asks for. Immutable and safe for several threads. */
-public sealed interface LocalAction {
+public sealed interface DomainAction {
 
   /** Send heartbeats to the hosts of the failure domain. */
-  record Stand() implements LocalAction {}
+  record Stand() implements DomainAction {}
 
   /** Begin to lead the failure domain. */
-  record Lead() implements LocalAction {}
+  record Lead() implements DomainAction {}
 
   /** Stop leading or standing, and send no more heartbeats. */
-  record StepDown(String reason) implements LocalAction {}
+  record StepDown(String reason) implements DomainAction {}
 }
--- a/src/main/java/org/marjoramhoist/lead/LocalElection.java
+++ b/src/main/java/org/marjoramhoist/lead/DomainElection.java
@@ -17,7 +17,7 @@
  * without it; none stands, leads or is accepted while the partition's leader is heard. Confined to
  * one thread.
  */
-public final class LocalElection {
+public final class DomainElection {
 
   /** How long after it was last found to be cut off a host counts as such. */
   private static final long ISOLATION_MICROS = 1_200_000;
@@ -51,7 +51,7 @@
    * @param self the host
    * @param policy the time-outs
    */
-  public LocalElection(String self, ElectionPolicy policy) {
+  public DomainElection(String self, ElectionPolicy policy) {
     this.self = self;
     this.policy = policy;
   }
@@ -82,14 +82,14 @@
   }
 
   /** Takes in that the partition's leader was heard, or that this host leads the partition. */
-  public List<LocalAction> partitionLeaderHeard() {
+  public List<DomainAction> partitionLeaderHeard() {
     isolatedAt = 0;
     accepted = "";
     return stepDown("the partition's leader is heard");
   }
 
   /** Takes in that this host can't lead its domain, and returns what must be done. */
-  public List<LocalAction> mustStepDown(long now, String reason) {
+  public List<DomainAction> mustStepDown(long now, String reason) {
     notBefore = now + PAUSE_MICROS;
     return stepDown(reason);
   }
@@ -128,13 +128,13 @@
   }
 
   /** Takes in that a host accepted a heartbeat of this candidate. */
-  public List<LocalAction> confirmed(long now, String host, long sentAt) {
+  public List<DomainAction> confirmed(long now, String host, long sentAt) {
     confirmedAt.merge(host, sentAt, Math::max);
     return standing ? leadIfAccepted(now) : List.of();
   }
 
   /** Returns what must be done as time has passed. */
-  public List<LocalAction> tick(long now) {
+  public List<DomainAction> tick(long now) {
     if (leading) {
       boolean lost = now > mostConfirmedAt(now) + policy.contactMicros();
       return lost ? stepDown("most hosts of the domain were not heard") : List.of();
@@ -158,7 +158,7 @@
         && now - isolatedSince >= rank() * policy.rankMicros();
   }
 
-  private List<LocalAction> stand(long now) {
+  private List<DomainAction> stand(long now) {
     standing = true;
     stoodAt = now;
     accepted = "";
@@ -166,10 +166,10 @@
     if (others().isEmpty()) {
       return leadIfAccepted(now);
     }
-    return List.of(new LocalAction.Stand());
+    return List.of(new DomainAction.Stand());
   }
 
-  private List<LocalAction> checkCandidacy(long now) {
+  private List<DomainAction> checkCandidacy(long now) {
     boolean yields = !accepted.isEmpty();
     boolean failed = now - stoodAt > STAND_MICROS;
     if (isIsolated(now) && !yields && !failed) {
@@ -179,23 +179,23 @@
     return stepDown(yields ? "another host stands" : "most hosts of the domain did not accept");
   }
 
-  private List<LocalAction> leadIfAccepted(long now) {
+  private List<DomainAction> leadIfAccepted(long now) {
     boolean yields = !accepted.isEmpty();
     if (yields || now > mostConfirmedAt(now) + policy.startMicros()) {
       return List.of();
     }
     standing = false;
     leading = true;
-    return List.of(new LocalAction.Lead());
+    return List.of(new DomainAction.Lead());
   }
 
-  private List<LocalAction> stepDown(String reason) {
+  private List<DomainAction> stepDown(String reason) {
     if (!standing && !leading) {
       return List.of();
     }
     standing = false;
     leading = false;
-    return List.of(new LocalAction.StepDown(reason));
+    return List.of(new DomainAction.StepDown(reason));
   }
 
   private int rank() {
--- a/src/main/java/org/marjoramhoist/message/HostMessage.java
+++ b/src/main/java/org/marjoramhoist/message/HostMessage.java
@@ -34,8 +34,8 @@
   @JsonSubTypes.Type(value = HostMessage.ConfigQuery.class, name = "c"),
   @JsonSubTypes.Type(value = HostMessage.ConfigCopy.class, name = "d"),
   @JsonSubTypes.Type(value = HostMessage.DomainWorkers.class, name = "u"),
-  @JsonSubTypes.Type(value = HostMessage.LocalHeartbeat.class, name = "l"),
-  @JsonSubTypes.Type(value = HostMessage.LocalHeartbeatReply.class, name = "m")
+  @JsonSubTypes.Type(value = HostMessage.DomainHeartbeat.class, name = "l"),
+  @JsonSubTypes.Type(value = HostMessage.DomainHeartbeatReply.class, name = "m")
 })
 public sealed interface HostMessage {
 
@@ -171,7 +171,7 @@
    * @param leads whether it leads already
    * @param sentAt when it was sent, on the candidate's steady clock in microseconds
    */
-  record LocalHeartbeat(String host, boolean leads, long sentAt) implements HostMessage {}
+  record DomainHeartbeat(String host, boolean leads, long sentAt) implements HostMessage {}
 
   /**
    * Answers a candidate's heartbeat.
@@ -179,5 +179,5 @@
    * @param accepts whether the sender accepts the candidate
    * @param heartbeatSentAt the time that the heartbeat carried
    */
-  record LocalHeartbeatReply(boolean accepts, long heartbeatSentAt) implements HostMessage {}
+  record DomainHeartbeatReply(boolean accepts, long heartbeatSentAt) implements HostMessage {}
 }
--- a/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
@@ -57,9 +57,9 @@
   @Test
   void jobThatNoLeaderHasGoesToTheDomainsLeader() {
     submit(ID);
-    reach.setLocal(port("domain", 0));
+    reach.setDomainLeader(port("domain", 0));
     assertThat(sent).containsExactly("domain " + ID);
-    jobs.finishedLocally(end(JobOutcome.SUCCEEDED));
+    jobs.finishedByDomainLeader(end(JobOutcome.SUCCEEDED));
     assertThat(told).containsExactly(JobOutcome.SUCCEEDED);
   }
 
@@ -69,34 +69,34 @@
     reach.found(partition);
     submit(ID);
     reach.lost(partition);
-    reach.setLocal(port("domain", 0));
+    reach.setDomainLeader(port("domain", 0));
     assertThat(sent).containsExactly("partition " + ID);
     assertThat(told).containsExactly(JobOutcome.ABANDONED);
   }
 
   @Test
   void jobOfTheDomainsLeaderIsNotHandedOnWhenThePartitionsIsFound() {
-    reach.setLocal(port("domain", 0));
+    reach.setDomainLeader(port("domain", 0));
     submit(ID);
     reach.found(port("partition", 7));
     assertThat(sent).containsExactly("domain " + ID);
-    reach.setLocal(null);
+    reach.setDomainLeader(null);
     assertThat(told).containsExactly(JobOutcome.ABANDONED);
   }
 
   @Test
   void jobThatTheDomainsLeaderHasNotBegunGoesOnToThePartitions() {
-    reach.setLocal(port("domain", 0));
+    reach.setDomainLeader(port("domain", 0));
     submit(ID);
     reach.found(port("partition", 7));
-    jobs.finishedLocally(end(JobOutcome.REFUSED));
+    jobs.finishedByDomainLeader(end(JobOutcome.REFUSED));
     assertThat(sent).containsExactly("domain " + ID, "partition " + ID).inOrder();
     assertThat(told).isEmpty();
   }
 
   @Test
   void endsOfOneLeaderDoNotCountForJobsOfTheOther() {
-    reach.setLocal(port("domain", 0));
+    reach.setDomainLeader(port("domain", 0));
     submit(ID);
     jobs.finished(end(JobOutcome.REFUSED));
     assertThat(told).isEmpty();
--- a/src/test/java/org/marjoramhoist/lead/LocalElectionTest.java
+++ b/src/test/java/org/marjoramhoist/lead/DomainElectionTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 /** The election of a leader within a failure domain that is cut off. */
-class LocalElectionTest {
+class DomainElectionTest {
 
   private static final long MILLI = 1_000;
   private static final ElectionPolicy POLICY =
@@ -17,23 +17,23 @@
 
   private long now = 50_000 * MILLI;
 
-  private LocalElection host(String name, Map<String, HostCapacity> members) {
-    LocalElection election = new LocalElection(name, POLICY);
+  private DomainElection host(String name, Map<String, HostCapacity> members) {
+    DomainElection election = new DomainElection(name, POLICY);
     election.membersSeen(members);
     return election;
   }
 
-  private LocalElection leaderOfThree() {
-    LocalElection election = host("a", THREE);
+  private DomainElection leaderOfThree() {
+    DomainElection election = host("a", THREE);
     election.isolated(now);
-    assertThat(election.tick(now)).containsExactly(new LocalAction.Stand());
-    assertThat(election.confirmed(now, "b", now)).containsExactly(new LocalAction.Lead());
+    assertThat(election.tick(now)).containsExactly(new DomainAction.Stand());
+    assertThat(election.confirmed(now, "b", now)).containsExactly(new DomainAction.Lead());
     return election;
   }
 
   @Test
   void nobodyStandsWhoIsNotCutOff() {
-    LocalElection election = host("a", THREE);
+    DomainElection election = host("a", THREE);
     assertThat(election.tick(now)).isEmpty();
     assertThat(election.accepts(now, "b")).isFalse();
   }
@@ -42,28 +42,28 @@
   void leadsOnceMostHostsOfTheDomainAccept() {
     Map<String, HostCapacity> five =
         Map.of("a", EQUAL, "b", EQUAL, "c", EQUAL, "d", EQUAL, "e", EQUAL);
-    LocalElection election = host("a", five);
+    DomainElection election = host("a", five);
     election.isolated(now);
     election.tick(now);
     assertThat(election.confirmed(now, "b", now)).isEmpty();
     assertThat(election.confirmed(now, "stranger", now)).isEmpty();
     assertThat(election.mayOrder(now)).isFalse();
-    assertThat(election.confirmed(now, "c", now)).containsExactly(new LocalAction.Lead());
+    assertThat(election.confirmed(now, "c", now)).containsExactly(new DomainAction.Lead());
     assertThat(election.mayStart(now)).isTrue();
   }
 
   @Test
   void loneHostOfItsDomainLeadsAtOnce() {
-    LocalElection election = host("a", Map.of("a", EQUAL));
+    DomainElection election = host("a", Map.of("a", EQUAL));
     election.isolated(now);
-    assertThat(election.tick(now)).containsExactly(new LocalAction.Lead());
+    assertThat(election.tick(now)).containsExactly(new DomainAction.Lead());
     now += 10_000 * MILLI;
     assertThat(election.mayOrder(now)).isTrue();
   }
 
   @Test
   void orderOfStandingFollowsWhatHostsCarry() {
-    LocalElection small = host("a", Map.of("a", EQUAL, "b", new HostCapacity(500)));
+    DomainElection small = host("a", Map.of("a", EQUAL, "b", new HostCapacity(500)));
     small.isolated(now);
     assertThat(small.tick(now)).isEmpty();
     assertThat(small.accepts(now, "b")).isTrue();
@@ -73,7 +73,7 @@
 
   @Test
   void acceptsOneCandidateOnly() {
-    LocalElection election = host("c", THREE);
+    DomainElection election = host("c", THREE);
     election.isolated(now);
     assertThat(election.accepts(now, "b")).isTrue();
     assertThat(election.accepts(now + 600 * MILLI, "a")).isFalse();
@@ -83,20 +83,20 @@
 
   @Test
   void candidateYieldsToOneThatRanksBefore() {
-    LocalElection election = host("b", THREE);
+    DomainElection election = host("b", THREE);
     election.isolated(now);
     now += 30 * MILLI;
-    assertThat(election.tick(now)).containsExactly(new LocalAction.Stand());
+    assertThat(election.tick(now)).containsExactly(new DomainAction.Stand());
     assertThat(election.accepts(now, "c")).isFalse();
     assertThat(election.accepts(now, "a")).isTrue();
     assertThat(election.confirmed(now, "c", now)).isEmpty();
-    List<LocalAction> actions = election.tick(now);
-    assertThat(actions).containsExactly(new LocalAction.StepDown("another host stands"));
+    List<DomainAction> actions = election.tick(now);
+    assertThat(actions).containsExactly(new DomainAction.StepDown("another host stands"));
   }
 
   @Test
   void leaderWithoutMostHostsStartsNothingAndStepsDown() {
-    LocalElection election = leaderOfThree();
+    DomainElection election = leaderOfThree();
     now += 401 * MILLI;
     assertThat(election.mayStart(now)).isFalse();
     assertThat(election.mayOrder(now)).isTrue();
@@ -108,7 +108,7 @@
 
   @Test
   void leaderStepsDownWhenThePartitionsLeaderIsHeard() {
-    LocalElection election = leaderOfThree();
+    DomainElection election = leaderOfThree();
     assertThat(election.partitionLeaderHeard()).hasSize(1);
     assertThat(election.mayOrder(now)).isFalse();
     assertThat(election.tick(now)).isEmpty();
@@ -116,19 +116,19 @@
 
   @Test
   void hostThatMustNotLeadPausesBeforeItStandsAgain() {
-    LocalElection election = leaderOfThree();
+    DomainElection election = leaderOfThree();
     assertThat(election.mustStepDown(now, "a worker has another leader")).hasSize(1);
     now += 1_000 * MILLI;
     election.isolated(now);
     assertThat(election.tick(now)).isEmpty();
     now += 1_001 * MILLI;
     election.isolated(now);
-    assertThat(election.tick(now)).containsExactly(new LocalAction.Stand());
+    assertThat(election.tick(now)).containsExactly(new DomainAction.Stand());
   }
 
   @Test
   void hostThatStopsDoesNotStand() {
-    LocalElection election = host("a", THREE);
+    DomainElection election = host("a", THREE);
     election.retire();
     election.isolated(now);
     assertThat(election.tick(now)).isEmpty();
