A suspension before a host leads does not end its lead

Cause, found by reading: the detector compares with its last call, which is only made while a host leads; a host that stood still an hour before gave up the record, or its domain, at its first decision. Change: it starts anew when the record is asked for, or the first heartbeat of a candidate is sent; not while the host leads, as a suspension just before would be hidden. IsolatedDomainTest failed before.

--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -115,6 +115,7 @@
             storeLink,
             reach,
             jobs,
+            new SuspensionDetector(),
             () ->
                 new DomainDuty(
                     election.knownTerm(),
--- a/src/main/java/org/marjoramhoist/entry/IsolatedDomain.java
+++ b/src/main/java/org/marjoramhoist/entry/IsolatedDomain.java
@@ -40,7 +40,7 @@
   private final LeaderReach reach;
   private final OpenJobs jobs;
   private final Supplier<DomainDuty> duties;
-  private final SuspensionDetector suspension = new SuspensionDetector();
+  private final SuspensionDetector suspension;
   private FrameNetwork network;
   private List<WorkerInfo> workers = List.of();
   private FollowerLinks followers;
@@ -51,6 +51,7 @@
   /**
    * Creates a host's part.
    *
+   * @param suspension finds out that the process stood still
    * @param duties makes a term of leading the domain
    */
   IsolatedDomain(
@@ -60,6 +61,7 @@
       StoreLink store,
       LeaderReach reach,
       OpenJobs jobs,
+      SuspensionDetector suspension,
       Supplier<DomainDuty> duties) {
     this.self = self;
     this.loop = loop;
@@ -67,6 +69,7 @@
     this.store = store;
     this.reach = reach;
     this.jobs = jobs;
+    this.suspension = suspension;
     this.duties = duties;
   }
 
@@ -139,6 +142,8 @@
   }
 
   private void openLinks() {
+    // Before any host confirms anything: a suspension from here on ends what they confirmed.
+    suspension.restart();
     followers =
         new FollowerLinks(
             self, network, store::reachableInDomain, this::fromFollower, this::entryLost);
--- a/src/main/java/org/marjoramhoist/entry/Partition.java
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -169,7 +169,7 @@
     } else if (action instanceof ElectionAction.ReadRecord) {
       store.readRecord();
     } else if (action instanceof ElectionAction.TakeRecord take) {
-      store.takeRecord(take.expectedRevision());
+      takeRecord(take.expectedRevision());
     } else if (action instanceof ElectionAction.Lead lead) {
       lead(lead);
     } else if (action instanceof ElectionAction.StepDown stepDown) {
@@ -179,6 +179,14 @@
     }
   }
 
+  private void takeRecord(long expectedRevision) {
+    if (duty == null) {
+      // A suspension from here on makes the record worthless, an earlier one does not.
+      suspension.restart();
+    }
+    store.takeRecord(expectedRevision);
+  }
+
   private void ask() {
     Map<String, String> others = new LinkedHashMap<>(store.reachable());
     others.keySet().retainAll(election.otherHosts(Loop.now()));
--- a/src/main/java/org/marjoramhoist/entry/SuspensionDetector.java
+++ b/src/main/java/org/marjoramhoist/entry/SuspensionDetector.java
@@ -37,7 +37,12 @@
     return wallMillis.getAsLong() - TimeUnit.NANOSECONDS.toMillis(steadyNanos.getAsLong());
   }
 
-  /** Tells whether the time of day has run ahead of the steady clock since the last call. */
+  /** Forgets what has been; to be called when a new permission is asked for. */
+  void restart() {
+    offsetMillis = offset();
+  }
+
+  /** Tells whether the time of day has run ahead of the steady clock since the last call of any. */
   boolean wasSuspended() {
     long before = offsetMillis;
     offsetMillis = offset();
--- a/src/main/java/org/marjoramhoist/job/Resources.java
+++ b/src/main/java/org/marjoramhoist/job/Resources.java
@@ -34,9 +34,7 @@
         && accelerators >= need.accelerators;
   }
 
-  // Written out, as the generated methods are linked at their first use, which takes milliseconds
-  // of
-  // a start.
+  // Written out: linking the generated methods takes milliseconds of a process's start.
 
   @Override
   public boolean equals(Object other) {
--- a/src/main/java/org/marjoramhoist/job/RunRef.java
+++ b/src/main/java/org/marjoramhoist/job/RunRef.java
@@ -10,9 +10,7 @@
  */
 public record RunRef(TaskRef task, int number) {
 
-  // Written out, as the generated methods are linked at their first use, which takes milliseconds
-  // of
-  // a start.
+  // Written out: linking the generated methods takes milliseconds of a process's start.
 
   @Override
   public boolean equals(Object other) {
--- a/src/main/java/org/marjoramhoist/job/TaskRef.java
+++ b/src/main/java/org/marjoramhoist/job/TaskRef.java
@@ -11,9 +11,7 @@
  */
 public record TaskRef(JobId job, int step, int index) {
 
-  // Written out, as the generated methods are linked at their first use, which takes milliseconds
-  // of
-  // a start.
+  // Written out: linking the generated methods takes milliseconds of a process's start.
 
   @Override
   public boolean equals(Object other) {
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/entry/IsolatedDomainTest.java
@@ -0,0 +1,97 @@
+package org.marjoramhoist.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.dispatch.DispatchPolicy;
+import org.marjoramhoist.lead.DomainElection;
+import org.marjoramhoist.lead.ElectionPolicy;
+import org.marjoramhoist.lead.HostCapacity;
+
+/** The only host of a failure domain that is cut off. */
+class IsolatedDomainTest extends StoreFixture {
+
+  private static final long SUSPENDED_MILLIS = 5_000;
+  private static final ElectionPolicy TIMES =
+      new ElectionPolicy(450_000, 600_000, 400_000, 200_000, 30_000);
+
+  private final AtomicLong wallMillis = new AtomicLong(1_000_000);
+  private final LeaderReach reach = new LeaderReach();
+  private IsolatedDomain domain;
+
+  private IsolatedDomain create() {
+    HostCapacity capacity = HostCapacity.of(1, 1_000);
+    StoreLink link =
+        new StoreLink(
+            client, loop, new StoreHealth(), "a", 7, "127.0.0.1:1", "north", capacity, e -> {});
+    return new IsolatedDomain(
+        "a",
+        loop,
+        new DomainElection("a", TIMES),
+        link,
+        reach,
+        new OpenJobs(reach),
+        new SuspensionDetector(wallMillis::get, () -> 0),
+        () ->
+            new DomainDuty(
+                5,
+                new DispatchPolicy(980, 1.5, 250, 120_000),
+                List.of(),
+                loop,
+                null,
+                new NodeMetrics(),
+                new Duty.Permits(() -> false, () -> false),
+                (host, answer) -> {},
+                reason -> {}));
+  }
+
+  private boolean onLoop(BooleanSupplier question) throws InterruptedException {
+    AtomicBoolean answer = new AtomicBoolean();
+    CountDownLatch asked = new CountDownLatch(1);
+    loop.execute(
+        () -> {
+          answer.set(question.getAsBoolean());
+          asked.countDown();
+        });
+    assertThat(asked.await(5, TimeUnit.SECONDS)).isTrue();
+    return answer.get();
+  }
+
+  private void lead() throws InterruptedException {
+    onLoop(
+        () -> {
+          domain.isolated();
+          return true;
+        });
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+    while (!onLoop(() -> reach.domainLeader() != null)) {
+      assertThat(System.nanoTime()).isLessThan(deadline);
+      Thread.sleep(10);
+    }
+  }
+
+  @Test
+  void hostThatWasSuspendedBeforeItLedMayOrder() throws Exception {
+    domain = create();
+    wallMillis.addAndGet(SUSPENDED_MILLIS);
+    domain.start(null);
+    lead();
+    assertThat(onLoop(() -> domain.mayOrder())).isTrue();
+  }
+
+  @Test
+  void hostThatIsSuspendedWhileItLeadsStepsDown() throws Exception {
+    domain = create();
+    domain.start(null);
+    lead();
+    wallMillis.addAndGet(SUSPENDED_MILLIS);
+    assertThat(onLoop(() -> domain.mayOrder())).isFalse();
+    assertThat(onLoop(() -> reach.domainLeader() == null)).isTrue();
+  }
+}
