One piece of code for the majority of hosts heard, the way to another leader, and the tests' notes of starts

Both elections worked out since when most hosts were heard (now Majority.heardSince), Partition and IsolatedDomain had the same LinkPort, and two cluster tests the same observer (StartsObserver).

--- a/src/main/java/org/marjoramhoist/entry/IsolatedDomain.java
+++ b/src/main/java/org/marjoramhoist/entry/IsolatedDomain.java
@@ -180,14 +180,6 @@
     }
   }
 
-  /** The way to another host that leads the domain. */
-  private record LinkPort(long term, FrameLink link) implements LeaderPort {
-    @Override
-    public void send(HostMessage message) {
-      link.send(message);
-    }
-  }
-
   private void stepDown(String reason) {
     if (duty != null) {
       EventLog.info(LogEvent.DOMAIN_LEADER_STEPPED_DOWN, "reason={}", reason);
--- a/src/main/java/org/marjoramhoist/entry/Partition.java
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -66,14 +66,6 @@
   private final SuspensionDetector suspension = new SuspensionDetector();
   private final Succession succession;
 
-  /** The way to another host that leads. */
-  private record LinkPort(long term, FrameLink link) implements LeaderPort {
-    @Override
-    public void send(HostMessage message) {
-      link.send(message);
-    }
-  }
-
   /** The way to this host as leader. */
   private final class OwnPort implements LeaderPort {
     private final long term;
--- a/src/main/java/org/marjoramhoist/lead/DomainElection.java
+++ b/src/main/java/org/marjoramhoist/lead/DomainElection.java
@@ -1,6 +1,5 @@
 package org.marjoramhoist.lead;
 
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +30,9 @@
   /** What a host that accepts a candidate waits for it beyond the candidate's contact time. */
   private static final long ACCEPT_MARGIN_MICROS = 150_000;
 
+  /** A time before all others, to which time-outs can be added. */
+  private static final long NEVER_MICROS = Long.MIN_VALUE / 2;
+
   private final String self;
   private final ElectionPolicy policy;
   private final Map<String, Long> confirmedAt = new HashMap<>();
@@ -216,16 +218,9 @@
   /** Returns since when more than half of the domain's hosts, this one included, were heard. */
   private long mostConfirmedAt(long now) {
     Set<String> others = others();
-    int needed = (others.size() + 1) / 2;
-    if (needed == 0) {
+    if (others.isEmpty()) {
       return now;
     }
-    List<Long> times =
-        confirmedAt.entrySet().stream()
-            .filter(each -> others.contains(each.getKey()))
-            .map(Map.Entry::getValue)
-            .sorted(Comparator.reverseOrder())
-            .toList();
-    return times.size() < needed ? Long.MIN_VALUE / 2 : times.get(needed - 1);
+    return Majority.heardSince(confirmedAt, others).orElse(NEVER_MICROS);
   }
 }
--- a/src/main/java/org/marjoramhoist/lead/Election.java
+++ b/src/main/java/org/marjoramhoist/lead/Election.java
@@ -1,6 +1,5 @@
 package org.marjoramhoist.lead;
 
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -368,14 +367,7 @@
     if (others.isEmpty()) {
       return electorate.wasAlwaysAlone() ? now : 0;
     }
-    int needed = (others.size() + 1) / 2;
-    List<Long> times =
-        confirmedAt.entrySet().stream()
-            .filter(each -> others.contains(each.getKey()))
-            .map(Map.Entry::getValue)
-            .sorted(Comparator.reverseOrder())
-            .toList();
-    return times.size() < needed ? 0 : times.get(needed - 1);
+    return Majority.heardSince(confirmedAt, others).orElse(0);
   }
 
   private List<ElectionAction> stepDown(long now, String reason) {
--- a/src/test/java/org/marjoramhoist/trial/DomainCutTest.java
+++ b/src/test/java/org/marjoramhoist/trial/DomainCutTest.java
@@ -3,22 +3,14 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.config.NodeSettings;
-import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
-import org.marjoramhoist.experiment.LeasedWorker;
 import org.marjoramhoist.http.HttpReply;
-import org.marjoramhoist.job.RunRef;
-import org.marjoramhoist.job.TaskRef;
 
 /**
  * Real hosts in two failure domains, one of which loses the other and the store. The leader is in
@@ -34,27 +26,7 @@
       new PlatformCluster.Host("south", new NodeSettings.Limits(4, 1_000));
   private static final List<Integer> SOUTH_HOSTS = List.of(3, 4, 5, 6);
 
-  /** Notes on which workers tasks begin, and tasks that run twice at the same time. */
-  private static final class Starts implements LeasedWorker.Observer {
-    private final Map<TaskRef, Integer> running = new HashMap<>();
-    private final Set<String> twice = ConcurrentHashMap.newKeySet();
-    private final Set<String> used = ConcurrentHashMap.newKeySet();
-
-    @Override
-    public synchronized void began(LeasedWorker worker, RunRef run) {
-      used.add(worker.info().failureDomain());
-      if (running.merge(run.task(), 1, Integer::sum) > 1) {
-        twice.add(run.toString());
-      }
-    }
-
-    @Override
-    public synchronized void ended(LeasedWorker worker, RunRef run, RunEnd how) {
-      running.merge(run.task(), -1, Integer::sum);
-    }
-  }
-
-  private final Starts starts = new Starts();
+  private final StartsObserver starts = new StartsObserver();
   private PlatformCluster cluster;
   private int jobs;
 
--- a/src/test/java/org/marjoramhoist/trial/PlatformClusterTest.java
+++ b/src/test/java/org/marjoramhoist/trial/PlatformClusterTest.java
@@ -4,21 +4,14 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
-import org.marjoramhoist.experiment.LeasedWorker;
 import org.marjoramhoist.http.HttpReply;
-import org.marjoramhoist.job.RunRef;
-import org.marjoramhoist.job.TaskRef;
 
 /** Real hosts over HTTP and TCP with stand-ins of the platform's store and workers. */
 class PlatformClusterTest {
@@ -27,25 +20,7 @@
   private static final long READY_MILLIS = 20_000;
   private static final String SUCCEEDED = "{\"state\":\"succeeded\"}";
 
-  /** Notes tasks that run twice at the same time. */
-  private static final class Starts implements LeasedWorker.Observer {
-    private final Map<TaskRef, Integer> running = new HashMap<>();
-    private final ConcurrentLinkedQueue<String> twice = new ConcurrentLinkedQueue<>();
-
-    @Override
-    public synchronized void began(LeasedWorker worker, RunRef run) {
-      if (running.merge(run.task(), 1, Integer::sum) > 1) {
-        twice.add(run.toString());
-      }
-    }
-
-    @Override
-    public synchronized void ended(LeasedWorker worker, RunRef run, RunEnd how) {
-      running.merge(run.task(), -1, Integer::sum);
-    }
-  }
-
-  private final Starts starts = new Starts();
+  private final StartsObserver starts = new StartsObserver();
   private PlatformCluster cluster;
   private int jobs;
 
