--- a/src/main/java/org/marjoramhoist/config/NodeSettings.java
+++ b/src/main/java/org/marjoramhoist/config/NodeSettings.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.marjoramhoist.dispatch.SchedulingPolicy;
 import org.marjoramhoist.json.InvalidDocumentException;
 import org.marjoramhoist.json.Problems;
 import org.marjoramhoist.json.StrictObject;
@@ -21,6 +22,7 @@
  * @param keepMillis how long callers may ask for a durable job that has ended
  * @param drainMillis how long a graceful shutdown may take
  * @param limits what the host's machine can do
+ * @param scheduling how a leader uses the room of its workers
  * @param logLevel the least level of log events
  */
 public record NodeSettings(
@@ -33,6 +35,7 @@
     long keepMillis,
     long drainMillis,
     Limits limits,
+    SchedulingPolicy scheduling,
     String logLevel) {
 
   private static final long MINUTE_MILLIS = 60_000;
@@ -108,6 +111,7 @@
           (long) (keepSeconds * SECOND_MILLIS),
           (long) (drainSeconds * SECOND_MILLIS),
           limits,
+          SchedulingSettings.read(root),
           root.text("logLevel", "info"));
     }
   }
--- a/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -24,6 +24,7 @@
    * @param arrivedAt when the caller's request came in
    * @param deadline when the caller stops waiting
    * @param generation how many leaders were given the job before this one
+   * @param origin the failure domain of the entry host; empty if it is not known
    */
   record JobSubmitted(
       JobDescription job,
@@ -31,8 +32,21 @@
       String entry,
       long arrivedAt,
       long deadline,
-      int generation)
-      implements DispatchEvent {}
+      int generation,
+      String origin)
+      implements DispatchEvent {
+
+    /** Creates an event of a host whose failure domain is not known. */
+    public JobSubmitted(
+        JobDescription job,
+        RequestClass requestClass,
+        String entry,
+        long arrivedAt,
+        long deadline,
+        int generation) {
+      this(job, requestClass, entry, arrivedAt, deadline, generation, "");
+    }
+  }
 
   /** An entry host no longer waits for a job, or its caller cancelled it. */
   record JobWithdrawn(JobId job, String entry) implements DispatchEvent {}
--- a/src/main/java/org/marjoramhoist/dispatch/DispatchPolicy.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchPolicy.java
@@ -10,9 +10,15 @@
  * @param renewWaitMillis how long a worker may wait for an end before it answers a renewal
  * @param keepMillis how long callers may ask for a durable job that has ended
  * @param scope what the leader leads
+ * @param scheduling how room is used
  */
 public record DispatchPolicy(
-    long leaseMillis, double farFactor, long renewWaitMillis, long keepMillis, Scope scope) {
+    long leaseMillis,
+    double farFactor,
+    long renewWaitMillis,
+    long keepMillis,
+    Scope scope,
+    SchedulingPolicy scheduling) {
 
   /** What a leader leads. */
   public enum Scope {
@@ -27,14 +33,26 @@
     DOMAIN
   }
 
-  /** Creates the policy of a partition's leader. */
+  /** Creates the policy of a partition's leader with the default scheduling. */
   public DispatchPolicy(long leaseMillis, double farFactor, long renewWaitMillis, long keepMillis) {
-    this(leaseMillis, farFactor, renewWaitMillis, keepMillis, Scope.PARTITION);
+    this(
+        leaseMillis,
+        farFactor,
+        renewWaitMillis,
+        keepMillis,
+        Scope.PARTITION,
+        SchedulingPolicy.DEFAULT);
+  }
+
+  /** Returns the same policy with another scheduling. */
+  public DispatchPolicy withScheduling(SchedulingPolicy next) {
+    return new DispatchPolicy(leaseMillis, farFactor, renewWaitMillis, keepMillis, scope, next);
   }
 
   /** Returns the same policy for the leader of a failure domain. */
   public DispatchPolicy forDomain() {
-    return new DispatchPolicy(leaseMillis, farFactor, renewWaitMillis, keepMillis, Scope.DOMAIN);
+    return new DispatchPolicy(
+        leaseMillis, farFactor, renewWaitMillis, keepMillis, Scope.DOMAIN, scheduling);
   }
 
   /** Tells whether the leader leads only a failure domain that is cut off. */
--- a/src/main/java/org/marjoramhoist/entry/Duty.java
+++ b/src/main/java/org/marjoramhoist/entry/Duty.java
@@ -109,12 +109,20 @@
               host,
               now - submit.ageMicros(),
               now + submit.patienceMicros(),
-              submit.generation()));
+              submit.generation(),
+              originOf(host)));
     } else if (message instanceof Withdraw withdraw) {
       take(new DispatchEvent.JobWithdrawn(withdraw.job(), host));
     }
   }
 
+  /**
+   * Returns the failure domain of an entry host; empty if it is not known or makes no difference.
+   */
+  String originOf(String host) {
+    return "";
+  }
+
   /** Takes in that an entry host is gone. */
   final void entryLost(String host) {
     take(new DispatchEvent.EntryLost(host));
--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -102,10 +102,11 @@
             event -> made[0].take(event));
     DispatchPolicy policy =
         new DispatchPolicy(
-            settings.leaseMillis() - LEASE_SLACK_MILLIS,
-            settings.farFactor(),
-            RENEW_WAIT_MILLIS,
-            settings.keepMillis());
+                settings.leaseMillis() - LEASE_SLACK_MILLIS,
+                settings.farFactor(),
+                RENEW_WAIT_MILLIS,
+                settings.keepMillis())
+            .withScheduling(settings.scheduling());
     IsolatedDomain[] madeDomain = new IsolatedDomain[1];
     IsolatedDomain domain =
         new IsolatedDomain(
@@ -154,6 +155,7 @@
                     new Duty.Permits(made[0]::mayOrder, made[0]::mayStart),
                     (host, answer) -> made[0].deliver(host, answer),
                     workers -> made[0].workersListed(workers),
+                    storeLink::domainOf,
                     reason -> made[0].take(new ElectionEvent.MustStepDown(reason))));
     made[0] = partition;
     metrics.gauge("marjoramhoist.jobs.open", jobs::count);
--- a/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import org.marjoramhoist.dispatch.CallKind;
 import org.marjoramhoist.dispatch.DispatchAction;
 import org.marjoramhoist.dispatch.DispatchEvent;
@@ -43,6 +44,7 @@
   private final JobStore jobStore;
   private final RosterStore rosterStore;
   private final Consumer<List<WorkerInfo>> onListed;
+  private final UnaryOperator<String> domainOf;
   private final long epochMillis;
   private boolean loading;
 
@@ -54,6 +56,7 @@
    *     that is out of reach
    * @param epochMillis the time since 1970, in milliseconds, at which the steady clock was 0
    * @param onListed is told the workers each time that their list was read
+   * @param domainOf returns the failure domain of a host; empty if it is not known
    * @param onStale is told why this host must not lead any more
    */
   LeaderDuty(
@@ -69,6 +72,7 @@
       Permits permits,
       Delivery delivery,
       Consumer<List<WorkerInfo>> onListed,
+      UnaryOperator<String> domainOf,
       Consumer<String> onStale) {
     super(
         term,
@@ -82,6 +86,7 @@
     this.store = store;
     this.health = health;
     this.onListed = onListed;
+    this.domainOf = domainOf;
     this.epochMillis = epochMillis;
     this.jobStore = new JobStore(term, store, health, loop, this::take, onStale);
     this.rosterStore = new RosterStore(term, store, health, loop, this::take, onStale);
@@ -128,6 +133,11 @@
     }
   }
 
+  @Override
+  String originOf(String host) {
+    return domainOf.apply(host);
+  }
+
   private DispatchEvent called(String host, JobCall call, long now) {
     long arrivedAt = now - call.ageMicros();
     StoredJob record = null;
--- a/src/test/java/org/marjoramhoist/config/NodeSettingsTest.java
+++ b/src/test/java/org/marjoramhoist/config/NodeSettingsTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
+import org.marjoramhoist.dispatch.SchedulingPolicy;
 import org.marjoramhoist.json.InvalidDocumentException;
 
 class NodeSettingsTest {
@@ -24,6 +25,39 @@
     assertThat(settings.leaseMillis()).isEqualTo(1_000);
   }
 
+  /** A deployment that asks for nothing new must be served as before. */
+  @Test
+  void schedulingIsTheDefaultUnlessAskedFor() throws InvalidDocumentException {
+    NodeSettings settings = NodeSettings.parse("test", TEXT);
+    assertThat(settings.scheduling()).isEqualTo(SchedulingPolicy.DEFAULT);
+  }
+
+  @Test
+  void readsScheduling() throws InvalidDocumentException {
+    String scheduling =
+        ",\"scheduling\":{\"placement\":\"slack\",\"overload\":\"shed\",\"fairShares\":true,"
+            + "\"jobValues\":[{\"priority\":2,\"value\":5.5}],\"workerHealth\":\"outcomes\"}}";
+    NodeSettings settings =
+        NodeSettings.parse("test", TEXT.substring(0, TEXT.length() - 1) + scheduling);
+    assertThat(settings.scheduling().placement()).isEqualTo(SchedulingPolicy.Placement.SLACK);
+    assertThat(settings.scheduling().overload()).isEqualTo(SchedulingPolicy.Overload.SHED);
+    assertThat(settings.scheduling().fairShares()).isTrue();
+    assertThat(settings.scheduling().jobValue(2)).isEqualTo(5.5);
+    assertThat(settings.scheduling().jobValue(0)).isEqualTo(1);
+    assertThat(settings.scheduling().workerHealth())
+        .isEqualTo(SchedulingPolicy.WorkerHealth.OUTCOMES);
+  }
+
+  @Test
+  void namesAnUnknownChoice() {
+    String scheduling = ",\"scheduling\":{\"overload\":\"drop\"}}";
+    InvalidDocumentException error =
+        assertThrows(
+            InvalidDocumentException.class,
+            () -> NodeSettings.parse("test", TEXT.substring(0, TEXT.length() - 1) + scheduling));
+    assertThat(error).hasMessageThat().contains("[queue, shed]");
+  }
+
   @Test
   void namesEveryFault() {
     InvalidDocumentException error =
