--- a/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobStatus;
@@ -186,6 +187,19 @@
    */
   record StartsAllowed(boolean allowed) implements DispatchEvent {}
 
+  /**
+   * The failure domains that the operator drains are known, or have changed. Nothing is started
+   * before the first such event.
+   *
+   * @param domains the domains on whose workers nothing may be started
+   */
+  record DomainsDrained(Set<String> domains) implements DispatchEvent {
+    /** Creates an event with a copy of the set. */
+    public DomainsDrained {
+      domains = Set.copyOf(domains);
+    }
+  }
+
   /** Time has passed. */
   record Tick() implements DispatchEvent {}
 }
--- a/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
@@ -1,5 +1,7 @@
 package org.marjoramhoist.dispatch;
 
+import java.util.List;
+
 /**
  * What a leader's decisions know at one moment, in figures for logs and metrics.
  *
@@ -7,6 +9,7 @@
  *
  * @param workers what is known of the workers
  * @param runs what is known of the runs
+ * @param drain what is known of drained failure domains
  * @param startsAllowed whether new runs may be started
  * @param settled whether no run of an earlier leader can be at work out of sight
  * @param waitingJobs how many jobs have tasks that may start now
@@ -15,6 +18,7 @@
 public record DispatchSnapshot(
     Workers workers,
     Runs runs,
+    Drain drain,
     boolean startsAllowed,
     boolean settled,
     int waitingJobs,
@@ -23,7 +27,13 @@
   /** The figures of a host that does not lead. */
   public static final DispatchSnapshot NONE =
       new DispatchSnapshot(
-          new Workers(0, 0, 0, 0, 0, 0), new Runs(0, 0, 0, 0, 0, 0, 0), false, false, 0, 0);
+          new Workers(0, 0, 0, 0, 0, 0),
+          new Runs(0, 0, 0, 0, 0, 0, 0),
+          new Drain(false, List.of(), 0, 0),
+          false,
+          false,
+          0,
+          0);
 
   /**
    * What is known of the workers.
@@ -63,6 +73,21 @@
       int unansweredStarts,
       int silentStarts) {}
 
+  /**
+   * What is known of drained failure domains.
+   *
+   * @param known whether it is known which are drained; nothing is started before
+   * @param domains the drained domains
+   * @param workers how many known workers are in them
+   * @param runs how many runs are at work there
+   */
+  public record Drain(boolean known, List<String> domains, int workers, int runs) {
+    /** Creates the figures with a copy of the list. */
+    public Drain {
+      domains = List.copyOf(domains);
+    }
+  }
+
   @Override
   public String toString() {
     return "listed="
@@ -91,6 +116,12 @@
         + runs.unansweredStarts
         + " silent="
         + runs.silentStarts
+        + " drained="
+        + (drain.known ? drain.domains : "unknown")
+        + " drainedWorkers="
+        + drain.workers
+        + " drainedRuns="
+        + drain.runs
         + " startsAllowed="
         + startsAllowed
         + " settled="
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
 import org.marjoramhoist.dispatch.DispatchEvent.BatchStored;
+import org.marjoramhoist.dispatch.DispatchEvent.DomainsDrained;
 import org.marjoramhoist.dispatch.DispatchEvent.EntryLost;
 import org.marjoramhoist.dispatch.DispatchEvent.FromWorker;
 import org.marjoramhoist.dispatch.DispatchEvent.JobCalled;
@@ -45,6 +46,7 @@
   private static final double MAX_BACKLOG_MICROS = 5_000_000;
 
   private static final double MICROS_PER_MILLI = 1_000.0;
+  private static final String ONLY_DRAINED = "only drained failure domains could run it";
 
   private final long since;
 
@@ -110,7 +112,7 @@
   }
 
   private boolean mayUseWorkers() {
-    return guard == null || guard.mayStart(workers.all());
+    return workers.drains().isKnown() && (guard == null || guard.mayStart(workers.all()));
   }
 
   private void take(long now, DispatchEvent event, List<DispatchAction> out) {
@@ -134,8 +136,13 @@
     } else if (event instanceof StartsAllowed allowed) {
       startsAllowed = allowed.allowed();
       mayPlace = true;
+    } else if (event instanceof DomainsDrained drained) {
+      workers.drain(drained.domains(), now);
+      refuseUnservable(now, out);
+      tick(now, out);
     } else if (event instanceof RosterLoaded roster) {
       workers.rosterLoaded(roster.workers(), now, out);
+      refuseUnservable(now, out);
       tick(now, out);
     } else if (event instanceof RosterStored roster) {
       workers.rosterStored(roster.number(), out);
@@ -197,11 +204,25 @@
       end(job, JobOutcome.SUCCEEDED, "done before", now, out);
     } else if (!job.started && workers.canNeverRun(job.description(), job.requestClass())) {
       end(job, JobOutcome.FAILED, "no worker can run it", now, out);
-    } else {
+    } else if (!refuseIfUnservable(job, now, out)) {
       mayPlace = true;
     }
   }
 
+  /** Refuses a job that has not started and that only drained failure domains could run. */
+  private boolean refuseIfUnservable(Job job, long now, List<DispatchAction> out) {
+    boolean mayRefuse = !job.started && !job.isDurable();
+    if (mayRefuse && workers.mustAwaitDrained(job.description(), job.requestClass())) {
+      end(job, JobOutcome.REFUSED, ONLY_DRAINED, now, out);
+      return true;
+    }
+    return false;
+  }
+
+  private void refuseUnservable(long now, List<DispatchAction> out) {
+    List.copyOf(jobs.all()).forEach(job -> refuseIfUnservable(job, now, out));
+  }
+
   private void called(JobCalled call, long now, List<DispatchAction> out) {
     if (!durable.isLoaded()) {
       durable.defer(call);
@@ -247,6 +268,9 @@
     if (workers.canNeverRun(record.job(), record.requestClass())) {
       return "no worker can run it";
     }
+    if (workers.mustAwaitDrained(record.job(), record.requestClass())) {
+      return ONLY_DRAINED;
+    }
     return backlog.totalMicros() > MAX_BACKLOG_MICROS ? "too much waits" : null;
   }
 
@@ -295,6 +319,7 @@
 
   private void workersListed(List<WorkerInfo> list, long now, List<DispatchAction> out) {
     workers.listRead(list, now, out);
+    refuseUnservable(now, out);
     tick(now, out);
   }
 
@@ -303,6 +328,7 @@
       runs.tick(worker, now, out);
     }
     workers.logSettled(now, out);
+    workers.drains().logIdle(workers.all(), out);
     if (guard != null) {
       guard
           .reasonToGiveUp(workers.all(), now)
@@ -372,6 +398,7 @@
     return new DispatchSnapshot(
         census.workers(),
         census.runs(runs.window()),
+        workers.drains().snapshot(workers.all()),
         startsAllowed,
         workers.isSettled(now),
         jobs.waiting().size(),
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/Drains.java
@@ -0,0 +1,75 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.marjoramhoist.dispatch.DispatchAction.Log;
+import org.marjoramhoist.log.LogEvent;
+
+/**
+ * Which failure domains the operator drains.
+ *
+ * <p>Invariant: nothing is started before this is known, and then nothing on a worker of a drained
+ * domain. Confined to one thread.
+ */
+final class Drains {
+
+  private Set<String> domains = Set.of();
+  private boolean known;
+
+  /** The drained domains that were logged to be idle. */
+  private final Set<String> idle = new HashSet<>();
+
+  void set(Set<String> next) {
+    known = true;
+    domains = next;
+    idle.retainAll(next);
+  }
+
+  /** Tells whether it is known which domains are drained. */
+  boolean isKnown() {
+    return known;
+  }
+
+  boolean isEmpty() {
+    return domains.isEmpty();
+  }
+
+  boolean covers(WorkerInfo worker) {
+    return domains.contains(worker.failureDomain());
+  }
+
+  /** Logs, once for each drain, that no task is known to be at work in a drained domain. */
+  void logIdle(Collection<Worker> workers, List<DispatchAction> out) {
+    if (idle.size() == domains.size()) {
+      return;
+    }
+    for (String domain : new TreeSet<>(domains)) {
+      List<Worker> own = new ArrayList<>(workers);
+      own.removeIf(worker -> !worker.info().failureDomain().equals(domain));
+      if (own.stream().allMatch(Drains::isIdle) && idle.add(domain)) {
+        out.add(new Log(LogEvent.DOMAIN_IDLE, "domain=" + domain + " workers=" + own.size()));
+      }
+    }
+  }
+
+  private static boolean isIdle(Worker worker) {
+    return worker.synced && worker.runs.isEmpty() && worker.foreignRuns.isEmpty();
+  }
+
+  /** Returns what is known, in figures. */
+  DispatchSnapshot.Drain snapshot(Collection<Worker> workers) {
+    int count = 0;
+    int runs = 0;
+    for (Worker worker : workers) {
+      if (covers(worker.info())) {
+        count++;
+        runs += worker.runs.size() + worker.foreignRuns.size();
+      }
+    }
+    return new DispatchSnapshot.Drain(known, List.copyOf(new TreeSet<>(domains)), count, runs);
+  }
+}
--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -46,8 +46,13 @@
   /** What is learned of its run times beyond what its kind tells. */
   final DurationModel.Term duration = new DurationModel.Term();
 
+  /** How much work it may be given while it warms up. */
+  final WarmUp warmUp = new WarmUp();
+
   Resources free;
 
+  private boolean drained;
+
   /** Whether it stands in the list of workers, or may be missing there as the store was away. */
   boolean listed = true;
 
@@ -192,9 +197,22 @@
     return !runs.isEmpty() || renewed || !heldEnds.isEmpty();
   }
 
+  /** Takes in whether the operator drains its failure domain. */
+  void setDrained(boolean next, long now) {
+    if (drained && !next) {
+      warmUp.restart(now);
+    }
+    drained = next;
+  }
+
+  /** Tells whether the operator drains its failure domain, so that it gets no new work. */
+  boolean isDrained() {
+    return drained;
+  }
+
   /** Tells whether it may be given work now or soon, as far as is known. */
   boolean mayTakeWork() {
-    return listed && isReachable() && !info.draining();
+    return listed && isReachable() && !info.draining() && !drained;
   }
 
   /** Tells whether it may be given work. */
@@ -203,6 +221,9 @@
     if (!known || info.draining() || !foreignRuns.isEmpty() || now < pausedUntil) {
       return false;
     }
+    if (drained || runs.size() >= warmUp.mostTasks(now)) {
+      return false;
+    }
     return failureStreak < FAILURES_BEFORE_PAUSE || runs.isEmpty();
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
@@ -18,6 +18,9 @@
  * @param labels its kind, its rack and what else it is labelled with
  * @param draining whether it is leaving and must get no new work
  * @param bornMillis its start, in milliseconds since the epoch; tells its lives apart
+ * @param warmUpMillis how much longer it runs slowly, as it said last. It passes by itself, so
+ *     infos that differ in it alone are equal: a worker that warms up is not stored or sent anew
+ *     each time that it says how long that still takes.
  */
 public record WorkerInfo(
     String id,
@@ -29,13 +32,40 @@
     String rack,
     Set<String> labels,
     boolean draining,
-    long bornMillis) {
+    long bornMillis,
+    long warmUpMillis) {
 
   /** Creates the info with a copy of the labels. */
   public WorkerInfo {
     labels = Set.copyOf(labels);
   }
 
+  /** Creates the info of a worker that does not warm up. */
+  public WorkerInfo(
+      String id,
+      String upstream,
+      String address,
+      String failureDomain,
+      Resources capacity,
+      String kind,
+      String rack,
+      Set<String> labels,
+      boolean draining,
+      long bornMillis) {
+    this(
+        id,
+        upstream,
+        address,
+        failureDomain,
+        capacity,
+        kind,
+        rack,
+        labels,
+        draining,
+        bornMillis,
+        0);
+  }
+
   // Written out: linking the generated methods takes milliseconds of a process's start.
 
   @Override
--- a/src/main/java/org/marjoramhoist/dispatch/Workers.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Workers.java
@@ -38,6 +38,7 @@
   private final long earlierRunsOverAt;
   private final Map<String, Worker> known = new LinkedHashMap<>();
   private final Roster roster = new Roster();
+  private final Drains drains = new Drains();
   private boolean wasListed;
   private boolean settledLogged;
   private long listedAt;
@@ -73,10 +74,10 @@
       ids.add(info.id());
       Worker worker = known.get(info.id());
       if (worker == null) {
-        add(info);
+        add(info, now);
         joined.add(info.id());
       } else {
-        update(worker, info, out);
+        update(worker, info, now, out);
       }
     }
     List<String> unlisted = new ArrayList<>();
@@ -104,13 +105,30 @@
     listedAt = now;
   }
 
-  private Worker add(WorkerInfo info) {
+  private Worker add(WorkerInfo info, long now) {
     Worker worker = new Worker(info);
     worker.inRoster = roster.holds(info.id());
     known.put(info.id(), worker);
+    noteLimits(worker, now);
     return worker;
   }
 
+  /** Takes in what keeps a worker from work, or from all the work that it has room for. */
+  private void noteLimits(Worker worker, long now) {
+    worker.setDrained(drains.covers(worker.info()), now);
+    worker.warmUp.told(worker.info().bornMillis(), worker.info().warmUpMillis(), now);
+  }
+
+  /** Takes in which failure domains are drained. */
+  void drain(Set<String> domains, long now) {
+    drains.set(domains);
+    known.values().forEach(worker -> noteLimits(worker, now));
+  }
+
+  Drains drains() {
+    return drains;
+  }
+
   private boolean mustStayKnown(Worker worker, long now) {
     return now <= earlierRunsOverAt || worker.mustStayKnown(now);
   }
@@ -121,7 +139,7 @@
     for (WorkerInfo info : stored) {
       Worker worker = known.get(info.id());
       if (worker == null) {
-        add(info).listed = !wasListed || now < lapsedReturnBy;
+        add(info, now).listed = !wasListed || now < lapsedReturnBy;
       } else {
         worker.inRoster = true;
       }
@@ -161,7 +179,7 @@
     return ids.size() + " " + ids.subList(0, Math.min(MOST_LOGGED, ids.size()));
   }
 
-  private static void update(Worker worker, WorkerInfo info, List<DispatchAction> out) {
+  private void update(Worker worker, WorkerInfo info, long now, List<DispatchAction> out) {
     if (info.draining() && !worker.info().draining()) {
       out.add(new Log(LogEvent.WORKER_LEAVING, "worker=" + info.id()));
     }
@@ -169,15 +187,31 @@
       worker.synced = false;
     }
     worker.setInfo(info);
+    noteLimits(worker, now);
   }
 
   /** Tells whether no worker, listed or lapsed, could run some step of a job if it were empty. */
   boolean canNeverRun(JobDescription job, RequestClass requestClass) {
+    return cannotRunOn(known.values(), job, requestClass);
+  }
+
+  /** Tells whether only workers of drained failure domains could run some step of a job. */
+  boolean mustAwaitDrained(JobDescription job, RequestClass requestClass) {
+    if (drains.isEmpty()) {
+      return false;
+    }
+    List<Worker> others = new ArrayList<>(known.values());
+    others.removeIf(Worker::isDrained);
+    return cannotRunOn(others, job, requestClass);
+  }
+
+  private boolean cannotRunOn(
+      Collection<Worker> workers, JobDescription job, RequestClass requestClass) {
     if (!wasListed || !roster.isLoaded()) {
       return false;
     }
     for (StepSpec step : job.steps()) {
-      if (known.values().stream().noneMatch(w -> Placement.canEverRun(requestClass, step, w))) {
+      if (workers.stream().noneMatch(w -> Placement.canEverRun(requestClass, step, w))) {
         return true;
       }
     }
--- a/src/main/java/org/marjoramhoist/entry/DomainDuty.java
+++ b/src/main/java/org/marjoramhoist/entry/DomainDuty.java
@@ -27,12 +27,14 @@
    *
    * @param term the highest term of the partition that is known, the fencing token of all orders
    * @param workers the domain's workers
+   * @param drained which failure domains are drained, as this host knows
    * @param onStale is told why this host must not lead any more
    */
   DomainDuty(
       long term,
       DispatchPolicy policy,
       List<WorkerInfo> workers,
+      DrainedDomains drained,
       Loop loop,
       WorkerCalls calls,
       NodeMetrics metrics,
@@ -42,6 +44,7 @@
     super(
         term,
         new Dispatcher(policy.forDomain(), Loop.now(), Loop.now(), 0),
+        drained,
         loop,
         calls,
         metrics,
@@ -52,6 +55,7 @@
   }
 
   void start() {
+    followDrains();
     take(new DispatchEvent.RosterLoaded(workers));
     take(new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
     list();
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/DrainedDomains.java
@@ -0,0 +1,143 @@
+package org.marjoramhoist.entry;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.LogEvent;
+import org.marjoramhoist.message.HostMessage;
+import org.marjoramhoist.message.HostMessage.DrainCopy;
+import org.marjoramhoist.message.HostMessage.DrainQuery;
+import org.marjoramhoist.platform.Declarations;
+import org.marjoramhoist.platform.KeyValueClient.Change;
+import org.marjoramhoist.platform.KeyValueClient.Item;
+
+/**
+ * The failure domains that the operator drains, as this host knows them from the store or from
+ * another host.
+ *
+ * <p>Invariant: the set in force only moves forward by store revision. What the store's keys say is
+ * kept apart from it, since a copy of another host may be ahead of this host's watch, which then
+ * still delivers older changes. Confined to the loop's thread, but for {@link #current} and {@link
+ * #revision}.
+ */
+final class DrainedDomains implements PrefixWatch.Listener {
+
+  /** The revision of a set that is not known. */
+  static final long UNKNOWN = 0;
+
+  /**
+   * A set of drained domains.
+   *
+   * @param revision the store revision as of which it is valid; {@link #UNKNOWN} if none is known
+   */
+  private record Snapshot(long revision, Set<String> domains) {}
+
+  private final List<Consumer<Set<String>>> listeners = new ArrayList<>();
+  private final Set<String> stored = new HashSet<>();
+  private volatile Snapshot inForce = new Snapshot(UNKNOWN, Set.of());
+
+  /** Returns the store revision as of which the set is valid; {@link #UNKNOWN} at first. */
+  long revision() {
+    return inForce.revision();
+  }
+
+  /** Returns the set; empty if neither the store was read nor another host has told. */
+  Optional<Set<String>> current() {
+    Snapshot now = inForce;
+    return now.revision() == UNKNOWN ? Optional.empty() : Optional.of(now.domains());
+  }
+
+  /**
+   * Tells a listener the set, if it is known, and each later one.
+   *
+   * @return ends this
+   */
+  Runnable follow(Consumer<Set<String>> listener) {
+    listeners.add(listener);
+    current().ifPresent(listener);
+    return () -> listeners.remove(listener);
+  }
+
+  @Override
+  public void replaced(List<Item> items, long asOf) {
+    stored.clear();
+    items.forEach(item -> Declarations.drainedDomain(item.key()).ifPresent(stored::add));
+    storeSays(asOf);
+  }
+
+  @Override
+  public void changed(Change change) {
+    Optional<String> domain = Declarations.drainedDomain(change.item().key());
+    if (domain.isEmpty()) {
+      return;
+    }
+    if (change.isDeletion()) {
+      stored.remove(domain.get());
+    } else {
+      stored.add(domain.get());
+    }
+    storeSays(change.item().revision());
+  }
+
+  private void storeSays(long revision) {
+    // One transaction may change several keys under one revision, so an equal one counts too.
+    if (revision >= inForce.revision()) {
+      // A store in which nothing was ever written may be at revision 0.
+      put(Math.max(revision, UNKNOWN + 1), stored, "store");
+    }
+  }
+
+  /** Asks another host for its set if that is newer. */
+  void compare(long otherRevision, Consumer<HostMessage> sender) {
+    if (otherRevision > revision()) {
+      sender.accept(new DrainQuery(revision()));
+    }
+  }
+
+  /**
+   * Takes in a message of another host.
+   *
+   * @param sender takes the answer
+   * @return whether it was about drained domains
+   */
+  boolean received(HostMessage message, Consumer<HostMessage> sender) {
+    if (message instanceof DrainQuery query) {
+      if (revision() > query.newerThan()) {
+        sender.accept(new DrainCopy(revision(), inForce.domains()));
+      }
+      return true;
+    }
+    if (message instanceof DrainCopy copy) {
+      if (copy.revision() > revision()) {
+        put(copy.revision(), copy.domains(), "peer");
+      }
+      return true;
+    }
+    return false;
+  }
+
+  private void put(long revision, Set<String> domains, String source) {
+    Snapshot before = inForce;
+    inForce = new Snapshot(revision, Set.copyOf(domains));
+    boolean wasKnown = before.revision() != UNKNOWN;
+    if (wasKnown && before.domains().equals(inForce.domains())) {
+      return;
+    }
+    logDifference(LogEvent.DOMAIN_DRAINED, before.domains(), inForce.domains(), source);
+    logDifference(LogEvent.DOMAIN_RESTORED, inForce.domains(), before.domains(), source);
+    List.copyOf(listeners).forEach(listener -> listener.accept(inForce.domains()));
+  }
+
+  private void logDifference(LogEvent event, Set<String> from, Set<String> to, String source) {
+    Set<String> added = new TreeSet<>(to);
+    added.removeAll(from);
+    added.forEach(
+        domain ->
+            EventLog.info(event, "domain={} revision={} source={}", domain, revision(), source));
+  }
+}
--- a/src/main/java/org/marjoramhoist/entry/Duty.java
+++ b/src/main/java/org/marjoramhoist/entry/Duty.java
@@ -45,21 +45,25 @@
   final Delivery delivery;
   final Consumer<String> onStale;
   final LoopLoad load = new LoopLoad();
+  private final DrainedDomains drained;
   private final long term;
   private final WorkerOrders orders;
   private final List<DispatchEvent> events = new ArrayList<>();
   private boolean due;
   private boolean mayStartTold = true;
   private boolean closed;
+  private Runnable endOfFollowing = () -> {};
 
   /**
    * Creates a term.
    *
+   * @param drained which failure domains are drained, as this host knows
    * @param onStale is told why this host must not lead any more
    */
   Duty(
       long term,
       Dispatcher dispatcher,
+      DrainedDomains drained,
       Loop loop,
       WorkerCalls workers,
       NodeMetrics metrics,
@@ -68,6 +72,7 @@
       Consumer<String> onStale) {
     this.term = term;
     this.dispatcher = dispatcher;
+    this.drained = drained;
     this.loop = loop;
     this.metrics = metrics;
     this.permits = permits;
@@ -128,6 +133,11 @@
     take(new DispatchEvent.EntryLost(host));
   }
 
+  /** Tells the decisions which failure domains are drained, from now on and before all else. */
+  final void followDrains() {
+    endOfFollowing = drained.follow(set -> take(new DispatchEvent.DomainsDrained(set)));
+  }
+
   final void tick() {
     if (!closed) {
       long now = Loop.now();
@@ -215,5 +225,6 @@
   @Override
   public void close() {
     closed = true;
+    endOfFollowing.run();
   }
 }
--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -68,6 +68,7 @@
   private final OpenJobs jobs = new OpenJobs(reach);
   private final JobCalls calls;
   private final ConfigWatch config = new ConfigWatch();
+  private final DrainedDomains drained = new DrainedDomains();
   private final NodeMetrics metrics = new NodeMetrics();
   private final StoreLink storeLink;
   private final Partition partition;
@@ -116,12 +117,14 @@
             storeLink,
             reach,
             jobs,
+            drained,
             new SuspensionDetector(),
             () ->
                 new DomainDuty(
                     election.knownTerm(),
                     policy,
                     madeDomain[0].workers(),
+                    drained,
                     loop,
                     workerCalls,
                     metrics,
@@ -137,6 +140,7 @@
             storeLink,
             health,
             config,
+            drained,
             reach,
             jobs,
             this.calls,
@@ -147,6 +151,7 @@
                     policy,
                     earlierRunsOverAt(lead.earlierGone()),
                     Loop.epochMillis(),
+                    drained,
                     loop,
                     store,
                     health,
@@ -161,13 +166,15 @@
     metrics.gauge("marjoramhoist.jobs.open", jobs::count);
     metrics.gauge("marjoramhoist.leader", () -> partition.isLeader() ? 1 : 0);
     metrics.gauge("marjoramhoist.config.version", () -> config.current().version());
+    metrics.gauge("marjoramhoist.drain.revision", drained::revision);
     metrics.gauge("marjoramhoist.store.up", () -> health.isServed() ? 1 : 0);
     this.network = new FrameNetwork(worker, HostPort.parse(settings.listen().peers()), partition);
     this.http = http();
     PrefixWatch operator =
-        new PrefixWatch(store, Declarations.OPERATOR_PREFIX, loop, health, config);
+        new PrefixWatch(store, Declarations.OPERATOR_PREFIX, loop, health, drained, config);
     loop.execute(
         () -> {
+          drained.follow(metrics::drained);
           partition.start(network);
           storeLink.start();
           operator.start();
--- a/src/main/java/org/marjoramhoist/entry/IsolatedDomain.java
+++ b/src/main/java/org/marjoramhoist/entry/IsolatedDomain.java
@@ -39,6 +39,7 @@
   private final StoreLink store;
   private final LeaderReach reach;
   private final OpenJobs jobs;
+  private final DrainedDomains drained;
   private final Supplier<DomainDuty> duties;
   private final SuspensionDetector suspension;
   private FrameNetwork network;
@@ -51,6 +52,7 @@
   /**
    * Creates a host's part.
    *
+   * @param drained which failure domains are drained, as this host knows
    * @param suspension finds out that the process stood still
    * @param duties makes a term of leading the domain
    */
@@ -61,6 +63,7 @@
       StoreLink store,
       LeaderReach reach,
       OpenJobs jobs,
+      DrainedDomains drained,
       SuspensionDetector suspension,
       Supplier<DomainDuty> duties) {
     this.self = self;
@@ -69,6 +72,7 @@
     this.store = store;
     this.reach = reach;
     this.jobs = jobs;
+    this.drained = drained;
     this.suspension = suspension;
     this.duties = duties;
   }
@@ -196,12 +200,16 @@
 
   private void beat() {
     if (followers != null) {
-      followers.beat(new DomainHeartbeat(self, duty != null, Loop.now()));
+      followers.beat(new DomainHeartbeat(self, duty != null, drained.revision(), Loop.now()));
     }
   }
 
   private void fromFollower(String host, HostMessage message) {
+    if (drained.received(message, answer -> sendTo(host, answer))) {
+      return;
+    }
     if (message instanceof DomainHeartbeatReply reply) {
+      drained.compare(reply.drainRevision(), query -> sendTo(host, query));
       if (reply.accepts()) {
         election.confirmed(Loop.now(), host, reply.heartbeatSentAt()).forEach(this::run);
       }
@@ -210,6 +218,12 @@
     }
   }
 
+  private void sendTo(String host, HostMessage message) {
+    if (followers != null) {
+      followers.send(host, message);
+    }
+  }
+
   private void entryLost(String host) {
     if (duty != null) {
       duty.entryLost(host);
@@ -220,8 +234,8 @@
   void deliver(String host, HostMessage answer) {
     if (host.equals(self)) {
       answered(answer);
-    } else if (followers != null) {
-      followers.send(host, answer);
+    } else {
+      sendTo(host, answer);
     }
   }
 
@@ -251,7 +265,8 @@
 
   private void heard(FrameLink link, DomainHeartbeat heartbeat) {
     boolean accepted = election.accepts(Loop.now(), heartbeat.host());
-    link.send(new DomainHeartbeatReply(accepted, heartbeat.sentAt()));
+    drained.compare(heartbeat.drainRevision(), link::send);
+    link.send(new DomainHeartbeatReply(accepted, drained.revision(), heartbeat.sentAt()));
     if (link == leaderLink) {
       leaderHeardAt = Loop.now();
     } else if (accepted && heartbeat.leads()) {
--- a/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
@@ -55,6 +55,7 @@
    * @param earlierRunsOverAt when no run that an earlier leader ordered can be at work on a worker
    *     that is out of reach
    * @param epochMillis the time since 1970, in milliseconds, at which the steady clock was 0
+   * @param drained which failure domains are drained, as this host knows
    * @param onListed is told the workers each time that their list was read
    * @param domainOf returns the failure domain of a host; empty if it is not known
    * @param onStale is told why this host must not lead any more
@@ -64,6 +65,7 @@
       DispatchPolicy policy,
       long earlierRunsOverAt,
       long epochMillis,
+      DrainedDomains drained,
       Loop loop,
       KeyValueClient store,
       StoreHealth health,
@@ -77,6 +79,7 @@
     super(
         term,
         new Dispatcher(policy, Loop.now(), earlierRunsOverAt, epochMillis),
+        drained,
         loop,
         workers,
         metrics,
@@ -93,6 +96,7 @@
   }
 
   void start() {
+    followDrains();
     loop.after(LOAD_DELAY_MILLIS, this::loadJobs);
     rosterStore.start();
     loop.after(STATUS_MILLIS, this::tellStatus);
--- a/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
+++ b/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
@@ -38,6 +38,8 @@
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Set<String> classes = new HashSet<>();
+  private final Set<String> shownDomains = new HashSet<>();
+  private volatile Set<String> drained = Set.of();
   private volatile LeaderStatus status = LeaderStatus.NONE;
 
   NodeMetrics() {
@@ -56,6 +58,9 @@
     gauge("marjoramhoist.leader.starts.silent", () -> runs().silentStarts());
     gauge("marjoramhoist.leader.starts.allowed", () -> flag(status.decisions().startsAllowed()));
     gauge("marjoramhoist.leader.orders.allowed", () -> flag(status.mayOrder()));
+    gauge("marjoramhoist.leader.workers.drained", () -> drain().workers());
+    gauge("marjoramhoist.leader.runs.drained", () -> drain().runs());
+    gauge("marjoramhoist.leader.drains.known", () -> flag(drain().known()));
     gauge("marjoramhoist.leader.settled", () -> flag(status.decisions().settled()));
     gauge("marjoramhoist.leader.jobs.waiting", () -> status.decisions().waitingJobs());
     gauge("marjoramhoist.leader.waiting.micros", () -> status.decisions().waitingMicros());
@@ -73,6 +78,10 @@
     return status.decisions().runs();
   }
 
+  private DispatchSnapshot.Drain drain() {
+    return status.decisions().drain();
+  }
+
   private static int flag(boolean value) {
     return value ? 1 : 0;
   }
@@ -110,6 +119,19 @@
     registry.counter("marjoramhoist.orders", "kind", kind, "result", result).increment();
   }
 
+  /** Takes in which failure domains are drained; those that no longer are stay, with 0. */
+  void drained(Set<String> domains) {
+    drained = Set.copyOf(domains);
+    for (String domain : domains) {
+      if (shownDomains.add(domain)) {
+        Gauge.builder("marjoramhoist.domain.drained", () -> flag(drained.contains(domain)))
+            .tags(Tags.of("domain", domain))
+            .strongReference(true)
+            .register(registry);
+      }
+    }
+  }
+
   /** Shows a number that is read when it is asked for. */
   void gauge(String name, Supplier<Number> value) {
     Gauge.builder(name, value).strongReference(true).register(registry);
--- a/src/main/java/org/marjoramhoist/entry/Partition.java
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -47,6 +47,7 @@
   private final StoreLink store;
   private final StoreHealth health;
   private final ConfigWatch config;
+  private final DrainedDomains drained;
   private final LeaderReach reach;
   private final OpenJobs jobs;
   private final JobCalls calls;
@@ -94,6 +95,7 @@
       StoreLink store,
       StoreHealth health,
       ConfigWatch config,
+      DrainedDomains drained,
       LeaderReach reach,
       OpenJobs jobs,
       JobCalls calls,
@@ -106,6 +108,7 @@
     this.store = store;
     this.health = health;
     this.config = config;
+    this.drained = drained;
     this.reach = reach;
     this.jobs = jobs;
     this.calls = calls;
@@ -282,7 +285,13 @@
     jobs.setIntake(share);
     followers.beat(
         new Heartbeat(
-            duty.term(), self, config.current().version(), duty.waiting(), share, Loop.now()));
+            duty.term(),
+            self,
+            config.current().version(),
+            drained.revision(),
+            duty.waiting(),
+            share,
+            Loop.now()));
     handOverIfDue();
   }
 
@@ -324,7 +333,7 @@
   }
 
   private void fromFollower(String host, HostMessage message) {
-    if (duty == null) {
+    if (duty == null || drained.received(message, answer -> followers.send(host, answer))) {
       return;
     }
     if (message instanceof HeartbeatReply reply) {
@@ -335,6 +344,7 @@
       succession.follows(host, reply.mayLead(), Loop.now());
       take(new ElectionEvent.HeartbeatConfirmed(host, reply.heartbeatSentAt()));
       askForConfig(reply.configVersion(), answer -> followers.send(host, answer));
+      drained.compare(reply.drainRevision(), query -> followers.send(host, query));
     } else if (message instanceof ConfigCopy copy) {
       config.offer(copy.text(), "host " + host);
     } else if (message instanceof ConfigQuery) {
@@ -352,6 +362,9 @@
 
   @Override
   public void received(FrameLink link, HostMessage message) {
+    if (drained.received(message, link::send)) {
+      return;
+    }
     if (domain.isFor(link, message)) {
       domain.received(link, message);
     } else if (message instanceof Heartbeat heartbeat) {
@@ -394,11 +407,13 @@
       }
       askForConfig(heartbeat.configVersion(), link::send);
     }
+    drained.compare(heartbeat.drainRevision(), link::send);
     link.send(
         new HeartbeatReply(
             election.knownTerm(),
             self,
             config.current().version(),
+            drained.revision(),
             health.isServed() && !retiring,
             heartbeat.sentAt()));
   }
--- a/src/main/java/org/marjoramhoist/entry/PrefixWatch.java
+++ b/src/main/java/org/marjoramhoist/entry/PrefixWatch.java
@@ -33,16 +33,16 @@
   private final String prefix;
   private final Loop loop;
   private final StoreRetry retry;
-  private final Listener listener;
+  private final List<Listener> listeners;
   private long asOf = UNREAD;
 
   PrefixWatch(
-      KeyValueClient store, String prefix, Loop loop, StoreHealth health, Listener listener) {
+      KeyValueClient store, String prefix, Loop loop, StoreHealth health, Listener... listeners) {
     this.store = store;
     this.prefix = prefix;
     this.loop = loop;
     this.retry = new StoreRetry(loop, health, FIRST_PAUSE_MILLIS, LONGEST_PAUSE_MILLIS);
-    this.listener = listener;
+    this.listeners = List.of(listeners);
   }
 
   /** Begins, and goes on for as long as the loop runs. */
@@ -63,7 +63,7 @@
     }
     retry.reached();
     asOf = page.asOf();
-    listener.replaced(page.items(), asOf);
+    listeners.forEach(listener -> listener.replaced(page.items(), asOf));
     start();
   }
 
@@ -77,7 +77,9 @@
       asOf = UNREAD;
     } else {
       asOf = Math.max(asOf, reply.asOf());
-      reply.changes().forEach(listener::changed);
+      for (Change change : reply.changes()) {
+        listeners.forEach(listener -> listener.changed(change));
+      }
     }
     start();
   }
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -48,6 +48,12 @@
   private static final long STORE_ANSWER = 4 * MILLI;
   private static final long STORE_RETRY = 100 * MILLI;
 
+  /** How long leaders take to hear that a drain has begun or ended. */
+  private static final long DRAIN_HEARD = 300 * MILLI;
+
+  /** From this long after a drain began nothing may start in its failure domain. */
+  private static final long DRAIN_BOUND = 5_000 * MILLI;
+
   /** When a leader takes an entry host for lost that it does not hear any more. */
   private static final long LOST_AFTER = 1_000_000;
 
@@ -94,6 +100,7 @@
       this.token = token;
       this.led = led;
       this.dispatcher = new Dispatcher(POLICY.forDomain(), time.now(), time.now(), 0);
+      tellDrains();
       take(new DispatchEvent.RosterLoaded(listedWorkers()));
       take(new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
     }
@@ -103,10 +110,15 @@
       this.token = token;
       final int ordinal = jobStore.claim(token);
       this.dispatcher = new Dispatcher(POLICY, time.now(), time.now() + EARLIER_RUNS, 0);
+      tellDrains();
       time.after(STORE_ANSWER, () -> load(ordinal));
       time.after(STORE_ANSWER, this::loadRoster);
     }
 
+    private void tellDrains() {
+      take(new DispatchEvent.DomainsDrained(drained));
+    }
+
     private boolean isLocal() {
       return !led.isEmpty();
     }
@@ -203,6 +215,11 @@
   private final Map<JobId, Long> handAgainAt = new HashMap<>();
   private Term term;
   private Term local;
+  private final Map<String, Long> drainedSince = new HashMap<>();
+
+  /** The failure domains that hosts know to be drained. */
+  private Set<String> drained = Set.of();
+
   private Set<String> cut = Set.of();
   private Set<String> domain = Set.of();
   private long tokens;
@@ -221,6 +238,21 @@
     return List.copyOf(workers.values());
   }
 
+  /** Drains a failure domain, or ends that; leaders hear of it after a time. */
+  void setDrained(String failureDomain, boolean on) {
+    if (on) {
+      drainedSince.putIfAbsent(failureDomain, time.now());
+    } else {
+      drainedSince.remove(failureDomain);
+    }
+    time.after(DRAIN_HEARD, this::drainsHeard);
+  }
+
+  private void drainsHeard() {
+    drained = Set.copyOf(drainedSince.keySet());
+    term.tellDrains();
+  }
+
   /** Makes a share of the orders go unanswered and be carried out seconds later. */
   void setLateOrders(double share) {
     network.lateOrders = share;
@@ -555,6 +587,10 @@
   @Override
   public void began(LeasedWorker worker, RunRef run) {
     begun.add(run.task().job());
+    Long since = drainedSince.get(worker.info().failureDomain());
+    if (since != null && time.now() - since > DRAIN_BOUND) {
+      breaches.add("run " + run + " begins in a drained domain");
+    }
     Set<RunRef> running = atWork.computeIfAbsent(run.task(), key -> new HashSet<>());
     if (!running.isEmpty()) {
       breaches.add("task " + run.task() + " begins as " + run + " while " + running + " run");
--- a/src/main/java/org/marjoramhoist/experiment/DispatchLoad.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchLoad.java
@@ -21,6 +21,9 @@
   /** The upstream of all jobs and workers. */
   static final String UPSTREAM = "reviews";
 
+  /** The failure domains of the workers. */
+  static final List<String> FAILURE_DOMAINS = List.of("domain-a", "domain-b");
+
   private static final double MICROS_PER_SECOND = 1_000_000;
   private static final double MICROS_PER_MILLI = 1_000;
   private static final double ESTIMATE_SPREAD = 0.4;
@@ -100,7 +103,7 @@
         id,
         UPSTREAM,
         "10.0.0.1:80",
-        "domain-a",
+        FAILURE_DOMAINS.get(Math.floorMod(id.hashCode(), FAILURE_DOMAINS.size())),
         new Resources(cpuMillis, 65_536, 0),
         kind,
         rack,
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -110,12 +110,18 @@
   WORKER_LEAVING(4204),
   /** Workers joined the list or left it. */
   WORKERS_CHANGED(4205),
+  /** No task is at work on the workers of a drained failure domain, as far as the leader knows. */
+  DOMAIN_IDLE(4206),
   /** A configuration revision is in force at this host. */
   CONFIG_APPLIED(5001),
   /** An older configuration revision was refused. */
   CONFIG_OLDER_REFUSED(5002),
   /** A stored resource can't be read and was left out. */
   CONFIG_RESOURCE_INVALID(5003),
+  /** The operator drains a failure domain; this host knows. */
+  DOMAIN_DRAINED(5004),
+  /** The operator no longer drains a failure domain; this host knows. */
+  DOMAIN_RESTORED(5005),
   /** The store can't be reached. */
   STORE_DOWN(6001),
   /** The store can be reached again. */
--- a/src/main/java/org/marjoramhoist/message/HostMessage.java
+++ b/src/main/java/org/marjoramhoist/message/HostMessage.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.marjoramhoist.dispatch.CallKind;
 import org.marjoramhoist.dispatch.CallResult;
 import org.marjoramhoist.dispatch.WorkerInfo;
@@ -33,6 +34,8 @@
   @JsonSubTypes.Type(value = HostMessage.LeaderQueryReply.class, name = "p"),
   @JsonSubTypes.Type(value = HostMessage.ConfigQuery.class, name = "c"),
   @JsonSubTypes.Type(value = HostMessage.ConfigCopy.class, name = "d"),
+  @JsonSubTypes.Type(value = HostMessage.DrainQuery.class, name = "x"),
+  @JsonSubTypes.Type(value = HostMessage.DrainCopy.class, name = "y"),
   @JsonSubTypes.Type(value = HostMessage.DomainWorkers.class, name = "u"),
   @JsonSubTypes.Type(value = HostMessage.DomainHeartbeat.class, name = "l"),
   @JsonSubTypes.Type(value = HostMessage.DomainHeartbeatReply.class, name = "m")
@@ -45,6 +48,8 @@
    * @param term its term
    * @param host the leader
    * @param configVersion the version of the configuration in force at the leader
+   * @param drainRevision the store revision as of which the leader knows the drained failure
+   *     domains; 0 if it does not
    * @param waiting jobs without a started task, by the name of their class
    * @param intake the share of the new jobs that hosts are to send on, from 0 to 1
    * @param sentAt when it was sent, on the leader's steady clock in microseconds
@@ -53,6 +58,7 @@
       long term,
       String host,
       long configVersion,
+      long drainRevision,
       Map<String, Integer> waiting,
       double intake,
       long sentAt)
@@ -64,11 +70,18 @@
    * @param term the highest term that the sender knows of
    * @param host the sender
    * @param configVersion the version of the configuration in force at the sender
+   * @param drainRevision the store revision as of which the sender knows the drained failure
+   *     domains; 0 if it does not
    * @param mayLead whether the sender could lead: the store answers it, and it is not stopping
    * @param heartbeatSentAt the time that the heartbeat carried
    */
   record HeartbeatReply(
-      long term, String host, long configVersion, boolean mayLead, long heartbeatSentAt)
+      long term,
+      String host,
+      long configVersion,
+      long drainRevision,
+      boolean mayLead,
+      long heartbeatSentAt)
       implements HostMessage {}
 
   /**
@@ -161,6 +174,17 @@
   /** Passes on the text of a configuration as the operator wrote it. */
   record ConfigCopy(String text) implements HostMessage {}
 
+  /** Asks for the drained failure domains, if the receiver knows them as of a later revision. */
+  record DrainQuery(long newerThan) implements HostMessage {}
+
+  /**
+   * Passes on which failure domains are drained.
+   *
+   * @param revision the store revision as of which they are
+   * @param domains the drained domains
+   */
+  record DrainCopy(long revision, Set<String> domains) implements HostMessage {}
+
   /** Tells a host the workers of its failure domain, in case that is cut off. */
   record DomainWorkers(List<WorkerInfo> workers) implements HostMessage {}
 
@@ -169,15 +193,21 @@
    *
    * @param host the candidate
    * @param leads whether it leads already
+   * @param drainRevision the store revision as of which it knows the drained failure domains; 0 if
+   *     it does not
    * @param sentAt when it was sent, on the candidate's steady clock in microseconds
    */
-  record DomainHeartbeat(String host, boolean leads, long sentAt) implements HostMessage {}
+  record DomainHeartbeat(String host, boolean leads, long drainRevision, long sentAt)
+      implements HostMessage {}
 
   /**
    * Answers a candidate's heartbeat.
    *
    * @param accepts whether the sender accepts the candidate
+   * @param drainRevision the store revision as of which the sender knows the drained failure
+   *     domains; 0 if it does not
    * @param heartbeatSentAt the time that the heartbeat carried
    */
-  record DomainHeartbeatReply(boolean accepts, long heartbeatSentAt) implements HostMessage {}
+  record DomainHeartbeatReply(boolean accepts, long drainRevision, long heartbeatSentAt)
+      implements HostMessage {}
 }
--- a/src/main/java/org/marjoramhoist/platform/Declarations.java
+++ b/src/main/java/org/marjoramhoist/platform/Declarations.java
@@ -26,6 +26,9 @@
   /** The key of the configuration. */
   public static final String CONFIG_KEY = OPERATOR_PREFIX + "config";
 
+  /** The prefix of the keys that each name a failure domain to be drained. */
+  private static final String DRAIN_PREFIX = OPERATOR_PREFIX + "evacuate/";
+
   /** The prefix under which workers register. */
   public static final String WORKERS_PREFIX = "servers/";
 
@@ -65,6 +68,13 @@
         route.hasNonNull("advice"));
   }
 
+  /** Returns the failure domain that a key orders to be drained; empty if it orders none. */
+  public static Optional<String> drainedDomain(String key) {
+    return key.startsWith(DRAIN_PREFIX) && key.length() > DRAIN_PREFIX.length()
+        ? Optional.of(key.substring(DRAIN_PREFIX.length()))
+        : Optional.empty();
+  }
+
   /**
    * Reads a worker's entry.
    *
@@ -100,7 +110,8 @@
             labels.size() < 2 ? "" : labels.get(1),
             Set.copyOf(labels),
             root.path("state").asText().equals("draining"),
-            root.path("born").asLong()));
+            root.path("born").asLong(),
+            Math.max(0, root.path("warmupLeftMs").asLong())));
   }
 
   private static boolean isWorker(JsonNode root) {
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherFixture.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherFixture.java
@@ -37,6 +37,7 @@
 
   final void beginTerm(long earlierRunsOverAt, List<WorkerInfo> roster) {
     dispatcher = new Dispatcher(POLICY, now, earlierRunsOverAt, 0);
+    step(0, new DispatchEvent.DomainsDrained(Set.of()));
     step(0, new DispatchEvent.RosterLoaded(roster));
   }
 
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/dispatch/DomainDrainTest.java
@@ -0,0 +1,254 @@
+package org.marjoramhoist.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.dispatch.WorkerReport.Ended;
+import org.marjoramhoist.dispatch.WorkerReport.RunEnd;
+import org.marjoramhoist.dispatch.WorkerReport.Running;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.JobOutcome;
+import org.marjoramhoist.job.Resources;
+import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.StepSpec;
+import org.marjoramhoist.log.LogEvent;
+
+/** Failure domains that the operator drains: nothing is started there, all else goes on. */
+class DomainDrainTest extends DispatcherFixture {
+
+  private static final WorkerInfo NORTH = worker("n", "north", 1_000, 0);
+  private static final WorkerInfo SOUTH = worker("s", "south", 64_000, 0);
+
+  private int jobs;
+
+  @BeforeEach
+  void listBoth() {
+    begin(POLICY, NORTH, SOUTH);
+  }
+
+  private void begin(DispatchPolicy policy, WorkerInfo... workers) {
+    dispatcher = new Dispatcher(policy, now, now, 0);
+    step(0, new DispatchEvent.RosterLoaded(List.of(workers)));
+    step(0, new DispatchEvent.JobsLoaded(1, List.of(), List.of()));
+    listWorkers(workers);
+    for (WorkerInfo worker : workers) {
+      report(worker.id(), List.of());
+    }
+    actions.clear();
+  }
+
+  private static WorkerInfo worker(String id, String domain, long cpuMillis, long warmUpMillis) {
+    return new WorkerInfo(
+        id,
+        "reviews",
+        "10.0.0.1:1",
+        domain,
+        new Resources(cpuMillis, 1_000, 0),
+        "a",
+        "r-1",
+        Set.of("a", "r-1", id),
+        false,
+        1,
+        warmUpMillis);
+  }
+
+  private void drain(String... domains) {
+    step(1, new DispatchEvent.DomainsDrained(Set.of(domains)));
+  }
+
+  private void submit(int tasks) {
+    submit(tasks(tasks, List.of()));
+  }
+
+  private void submit(StepSpec step) {
+    JobId id = new JobId(String.format(Locale.ROOT, "%016x", ++jobs));
+    JobDescription job = new JobDescription(id, "p", List.of(step), Set.of());
+    step(1, new DispatchEvent.JobSubmitted(job, CLASS, "e", now, now + 5_000 * MILLI, 0));
+  }
+
+  private static StepSpec taskOn(String label) {
+    return new StepSpec(1, new Resources(1_000, 1, 0), 50, List.of(), label, "", 0);
+  }
+
+  private void tick(long millis) {
+    step(millis, new DispatchEvent.Tick());
+  }
+
+  private List<String> startedOn() {
+    return taken(DispatchAction.Start.class).stream().map(start -> start.worker().id()).toList();
+  }
+
+  private List<LogEvent> logged() {
+    return taken(DispatchAction.Log.class).stream().map(DispatchAction.Log::event).toList();
+  }
+
+  /** A new leader that knew of no drain yet would start tasks in a drained domain. */
+  @Test
+  void startsNothingBeforeTheDrainedDomainsAreKnown() {
+    submit(4);
+    tick(50);
+    assertThat(startedOn()).isEmpty();
+    drain("north");
+    assertThat(startedOn()).containsExactly("s", "s", "s", "s");
+  }
+
+  /** What is heard in one turn is decided on at once, whatever the order. */
+  @Test
+  void drainHeardInTheTurnOfTheJobHoldsForIt() {
+    drain();
+    JobDescription job =
+        new JobDescription(
+            new JobId("00000000000000aa"), "p", List.of(tasks(2, List.of())), Set.of());
+    now += MILLI;
+    actions.addAll(
+        dispatcher.step(
+            now,
+            List.of(
+                new DispatchEvent.JobSubmitted(job, CLASS, "e", now, now + 5_000 * MILLI, 0),
+                new DispatchEvent.DomainsDrained(Set.of("north")))));
+    assertThat(startedOn()).containsExactly("s", "s");
+  }
+
+  @Test
+  void workAtRunEndsNormallyAndNothingFollowsIt() {
+    drain("south");
+    submit(1);
+    RunRef run = taken(DispatchAction.Start.class).get(0).run();
+    started("n", run);
+    drain("north");
+    submit(2);
+    report("n", List.of(new Running(run, 10)));
+    assertThat(taken(DispatchAction.Stop.class)).isEmpty();
+    assertThat(startedOn()).containsExactly("s", "s");
+    taken(DispatchAction.Finish.class);
+    report("n", List.of(), new Ended(1, run, RunEnd.DONE));
+    tick(20);
+    assertThat(taken(DispatchAction.Finish.class).get(0).outcome()).isEqualTo(JobOutcome.SUCCEEDED);
+    assertThat(startedOn()).isEmpty();
+  }
+
+  @Test
+  void drainThatComesGoesAndComesAgainHoldsEachTime() {
+    for (int round = 0; round < 2; round++) {
+      drain("north");
+      submit(1);
+      assertThat(startedOn()).containsExactly("s");
+      drain("south");
+      submit(1);
+      DispatchAction.Start start = taken(DispatchAction.Start.class).get(0);
+      assertThat(start.worker().id()).isEqualTo("n");
+      report("n", List.of(), new Ended(round + 1, start.run(), RunEnd.DONE));
+    }
+  }
+
+  @Test
+  void workerThatJoinsDrainedDomainGetsNoWork() {
+    drain("north");
+    listWorkers(worker("s", "north", 64_000, 0), worker("new", "north", 64_000, 0), NORTH);
+    report("new", List.of());
+    submit(1);
+    assertThat(startedOn()).isEmpty();
+  }
+
+  @Test
+  void jobThatOnlyDrainedWorkersCouldRunIsRefusedAndNotFailed() {
+    drain("north");
+    submit(taskOn("n"));
+    DispatchAction.Finish end = taken(DispatchAction.Finish.class).get(0);
+    assertThat(end.outcome()).isEqualTo(JobOutcome.REFUSED);
+    assertThat(end.retryAfterMillis()).isGreaterThan(0);
+    submit(taskOn("nowhere"));
+    assertThat(taken(DispatchAction.Finish.class).get(0).outcome()).isEqualTo(JobOutcome.FAILED);
+  }
+
+  @Test
+  void waitingJobIsRefusedWhenItsOnlyWorkersAreDrained() {
+    submit(taskOn("n"));
+    drain("north");
+    assertThat(startedOn()).isEmpty();
+    assertThat(taken(DispatchAction.Finish.class).get(0).outcome()).isEqualTo(JobOutcome.REFUSED);
+  }
+
+  @Test
+  void jobThatHasStartedIsNotCalledNotRun() {
+    drain();
+    submit(new StepSpec(2, new Resources(1_000, 1, 0), 50, List.of(), "n", "", 0));
+    assertThat(startedOn()).containsExactly("n");
+    drain("north");
+    assertThat(taken(DispatchAction.Finish.class)).isEmpty();
+  }
+
+  /** The leader of a domain that is cut off has only that domain's workers. */
+  @Test
+  void leaderOfDrainedDomainTakesNoWorkAndRefusesAtOnce() {
+    begin(POLICY.forDomain(), NORTH);
+    submit(1);
+    assertThat(startedOn()).isEmpty();
+    drain("north");
+    submit(1);
+    assertThat(startedOn()).isEmpty();
+    assertThat(taken(DispatchAction.Finish.class).stream().map(DispatchAction.Finish::outcome))
+        .containsExactly(JobOutcome.REFUSED, JobOutcome.REFUSED);
+  }
+
+  @Test
+  void drainedWorkersDontCountAsCapacity() {
+    drain("south");
+    DispatchSnapshot shown = dispatcher.snapshot(now);
+    assertThat(shown.workers().usable()).isEqualTo(1);
+    assertThat(shown.workers().usableFreeCpuMillis()).isEqualTo(1_000);
+    assertThat(shown.drain()).isEqualTo(new DispatchSnapshot.Drain(true, List.of("south"), 1, 0));
+    for (int i = 0; i < 40; i++) {
+      submit(40);
+    }
+    tick(20);
+    // 1,600 tasks of 50 ms wait for one core: those in time would be many on the drained 64.
+    assertThat(dispatcher.snapshot(now).waitingMicros()).isGreaterThan(200_000);
+    assertThat(taken(DispatchAction.Finish.class)).isNotEmpty();
+  }
+
+  @Test
+  void tellsOnceThatDrainedDomainIsIdle() {
+    drain("south");
+    submit(1);
+    RunRef run = taken(DispatchAction.Start.class).get(0).run();
+    started("n", run);
+    actions.clear();
+    drain("north");
+    assertThat(logged()).doesNotContain(LogEvent.DOMAIN_IDLE);
+    report("n", List.of(), new Ended(1, run, RunEnd.DONE));
+    tick(20);
+    assertThat(logged()).contains(LogEvent.DOMAIN_IDLE);
+    tick(20);
+    assertThat(logged()).doesNotContain(LogEvent.DOMAIN_IDLE);
+  }
+
+  @Test
+  void workerThatWarmsUpGetsMoreWorkStepByStep() {
+    begin(POLICY, worker("n", "north", 64_000, 4_000));
+    drain();
+    submit(20);
+    assertThat(startedOn()).hasSize(1);
+    tick(1_100);
+    assertThat(startedOn()).hasSize(1);
+    tick(1_000);
+    assertThat(startedOn()).hasSize(2);
+    tick(2_000);
+    assertThat(startedOn()).hasSize(16);
+  }
+
+  @Test
+  void workerWarmsUpAfterTheDrainOfItsDomain() {
+    begin(POLICY, worker("n", "north", 64_000, 4_000));
+    drain("north");
+    tick(10_000);
+    drain();
+    submit(20);
+    assertThat(startedOn()).hasSize(1);
+  }
+}
--- a/src/test/java/org/marjoramhoist/dispatch/RosterTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/RosterTest.java
@@ -74,6 +74,7 @@
   @Test
   void nothingIsSettledBeforeTheRosterIsRead() {
     dispatcher = new Dispatcher(POLICY, now, now + 1_700 * MILLI, 0);
+    step(0, new DispatchEvent.DomainsDrained(Set.of()));
     listWorkers(LISTED);
     report("listed", List.of());
     submit(1);
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/entry/DrainedDomainsTest.java
@@ -0,0 +1,152 @@
+package org.marjoramhoist.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.message.HostMessage;
+import org.marjoramhoist.message.HostMessage.DrainCopy;
+import org.marjoramhoist.message.HostMessage.DrainQuery;
+import org.marjoramhoist.platform.KeyValueClient.Change;
+import org.marjoramhoist.platform.KeyValueClient.Item;
+
+/** The set of drained domains, from the store's watch and from other hosts. */
+class DrainedDomainsTest extends StoreFixture {
+
+  private static final String PREFIX = "op/evacuate/";
+
+  private final DrainedDomains drained = new DrainedDomains();
+  private final List<HostMessage> sent = new ArrayList<>();
+
+  private void put(String domain, long revision) {
+    drained.changed(new Change(new Item(PREFIX + domain, "{}", revision)));
+  }
+
+  private void delete(String domain, long revision) {
+    drained.changed(new Change(new Item(PREFIX + domain, null, revision)));
+  }
+
+  private void copy(long revision, String... domains) {
+    drained.received(new DrainCopy(revision, Set.of(domains)), sent::add);
+  }
+
+  private Set<String> current() {
+    return drained.current().orElseThrow();
+  }
+
+  @Test
+  void isUnknownUntilTheStoreWasReadOrAnotherHostTold() {
+    assertThat(drained.current()).isEmpty();
+    drained.replaced(List.of(), 0);
+    assertThat(current()).isEmpty();
+  }
+
+  @Test
+  void followsTheKeysOfTheStore() {
+    drained.replaced(List.of(new Item(PREFIX + "a", "{}", 3), new Item("op/config", "{}", 4)), 10);
+    assertThat(current()).containsExactly("a");
+    put("b", 11);
+    delete("a", 12);
+    put("a", 13);
+    delete("b", 14);
+    assertThat(current()).containsExactly("a");
+    drained.replaced(List.of(new Item(PREFIX + "c", "{}", 20)), 21);
+    assertThat(current()).containsExactly("c");
+  }
+
+  /** A transaction gives all its keys one revision. */
+  @Test
+  void takesInAllChangesOfOneRevision() {
+    drained.replaced(List.of(), 10);
+    put("a", 11);
+    put("b", 11);
+    assertThat(current()).containsExactly("a", "b");
+  }
+
+  /** The host's own watch may be behind another host's, and must not take it back. */
+  @Test
+  void olderChangesDontTakeBackWhatAnotherHostTold() {
+    drained.replaced(List.of(), 10);
+    copy(15);
+    put("a", 12);
+    assertThat(current()).isEmpty();
+    delete("a", 14);
+    put("b", 16);
+    assertThat(current()).containsExactly("b");
+    copy(13, "a");
+    assertThat(current()).containsExactly("b");
+    drained.replaced(List.of(), 15);
+    assertThat(current()).containsExactly("b");
+    drained.replaced(List.of(), 17);
+    assertThat(current()).isEmpty();
+  }
+
+  @Test
+  void asksForNewerSetAndPassesOnItsOwn() {
+    DrainedDomains other = new DrainedDomains();
+    other.replaced(List.of(new Item(PREFIX + "a", "{}", 5)), 7);
+    drained.compare(other.revision(), sent::add);
+    assertThat(sent).containsExactly(new DrainQuery(0));
+    List<HostMessage> answers = new ArrayList<>();
+    assertThat(other.received(sent.get(0), answers::add)).isTrue();
+    assertThat(drained.received(answers.get(0), sent::add)).isTrue();
+    assertThat(current()).containsExactly("a");
+    sent.clear();
+    drained.compare(other.revision(), sent::add);
+    drained.received(new DrainQuery(7), sent::add);
+    assertThat(sent).isEmpty();
+  }
+
+  @Test
+  void tellsFollowersTheSetAndItsChangesOnly() {
+    List<Set<String>> heard = new ArrayList<>();
+    drained.replaced(List.of(), 1);
+    final Runnable end = drained.follow(heard::add);
+    put("a", 2);
+    put("a", 3);
+    end.run();
+    delete("a", 4);
+    assertThat(heard).containsExactly(Set.of(), Set.of("a")).inOrder();
+  }
+
+  private void watchStore(BlockingQueue<Set<String>> heard) {
+    loop.execute(
+        () -> {
+          drained.follow(heard::add);
+          new PrefixWatch(client, "op/", loop, new StoreHealth(), drained).start();
+        });
+  }
+
+  /** Waits for a set; others may be in force before. */
+  private static void await(BlockingQueue<Set<String>> heard, String... domains)
+      throws InterruptedException {
+    Set<String> next;
+    do {
+      next = heard.poll(5, TimeUnit.SECONDS);
+      assertThat(next).isNotNull();
+    } while (!next.equals(Set.of(domains)));
+  }
+
+  @Test
+  void readsAgainAfterOutageAndLostHistory() throws Exception {
+    BlockingQueue<Set<String>> heard = new LinkedBlockingQueue<>();
+    watchStore(heard);
+    await(heard);
+    store.put(PREFIX + "a", "{}");
+    await(heard, "a");
+    store.setDown(true);
+    store.put(PREFIX + "b", "{}");
+    store.delete(PREFIX + "a");
+    store.compact();
+    store.setDown(false);
+    await(heard, "b");
+    store.loseReplies(1);
+    store.delete(PREFIX + "b");
+    await(heard);
+  }
+}
--- a/src/test/java/org/marjoramhoist/entry/IsolatedDomainTest.java
+++ b/src/test/java/org/marjoramhoist/entry/IsolatedDomainTest.java
@@ -23,6 +23,7 @@
 
   private final AtomicLong wallMillis = new AtomicLong(1_000_000);
   private final LeaderReach reach = new LeaderReach();
+  private final DrainedDomains drained = new DrainedDomains();
   private IsolatedDomain domain;
 
   private IsolatedDomain create() {
@@ -37,12 +38,14 @@
         link,
         reach,
         new OpenJobs(reach),
+        drained,
         new SuspensionDetector(wallMillis::get, () -> 0),
         () ->
             new DomainDuty(
                 5,
                 new DispatchPolicy(980, 1.5, 250, 120_000),
                 List.of(),
+                drained,
                 loop,
                 null,
                 new NodeMetrics(),
--- a/src/test/java/org/marjoramhoist/experiment/DispatchHistoryTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/DispatchHistoryTest.java
@@ -84,6 +84,28 @@
     assertWithMessage("seed %s", seed).that(fleet.openJobs()).isEmpty();
   }
 
+  /** A domain is drained and restored at any time, whoever leads and whatever is lost. */
+  @Property(tries = 20, shrinking = ShrinkingMode.OFF, seed = "20261204")
+  void nothingStartsInDrainedDomain(@ForAll long seed) {
+    DispatchFleet fleet = Fleets.dispatching(seed);
+    long end = fleet.time().now() + 24 * SECOND;
+    load(fleet, 0.5, seed).offerUntil(end);
+    SplittableRandom random = new SplittableRandom(seed);
+    while (fleet.time().now() < end) {
+      fleet.setDrained(DispatchLoad.FAILURE_DOMAINS.get(0), random.nextInt(4) != 0);
+      long next = fleet.time().now() + random.nextLong(SECOND, 9 * SECOND);
+      while (fleet.time().now() < next) {
+        fleet.runFor(random.nextLong(50_000, 700_000));
+        Disturbances.disturb(fleet, random);
+      }
+    }
+    Disturbances.end(fleet);
+    fleet.setDrained(DispatchLoad.FAILURE_DOMAINS.get(0), false);
+    fleet.runFor(LONGEST_PATIENCE);
+    assertWithMessage("seed %s", seed).that(fleet.breaches()).isEmpty();
+    assertWithMessage("seed %s", seed).that(fleet.openJobs()).isEmpty();
+  }
+
   @Property(tries = 60, shrinking = ShrinkingMode.OFF, seed = "20261204")
   void noTaskRunsTwiceAtTheSameTime(@ForAll long seed) {
     DispatchFleet fleet = Fleets.dispatching(seed);
--- a/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
+++ b/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
@@ -131,15 +131,24 @@
     String entry =
         "{\"service\":\"huvo11a\",\"address\":\"10.128.0.9:8080\",\"zone\":\"osl-a\",\"slots\":8,"
             + "\"state\":\"draining\",\"born\":9,\"capacity\":{\"cpu\":16000,\"memMb\":32768,"
-            + "\"gpu\":0},\"labels\":[\"a\",\"r1-3\"],\"seq\":4,\"future\":{}}";
+            + "\"gpu\":0},\"labels\":[\"a\",\"r1-3\"],\"seq\":4,"
+            + "\"warmupLeftMs\":700,\"future\":{}}";
     WorkerInfo worker = Declarations.readWorker("servers/i-1", entry).orElseThrow();
     assertThat(worker.id()).isEqualTo("i-1");
     assertThat(worker.kind()).isEqualTo("a");
     assertThat(worker.rack()).isEqualTo("r1-3");
     assertThat(worker.draining()).isTrue();
+    assertThat(worker.warmUpMillis()).isEqualTo(700);
     assertThat(worker.capacity()).isEqualTo(new Resources(16000, 32768, 0));
   }
 
+  @Test
+  void readsWhichFailureDomainIsDrained() {
+    assertThat(Declarations.drainedDomain("op/evacuate/osl-a")).hasValue("osl-a");
+    assertThat(Declarations.drainedDomain("op/evacuate/")).isEmpty();
+    assertThat(Declarations.drainedDomain("op/config")).isEmpty();
+  }
+
   @Test
   void leavesOutEntriesOfAnotherWriter() {
     String room = "\"capacity\":{\"cpu\":1,\"memMb\":1},\"labels\":[]";
--- a/src/test/java/org/marjoramhoist/platform/WireNamesTest.java
+++ b/src/test/java/org/marjoramhoist/platform/WireNamesTest.java
@@ -17,9 +17,10 @@
 
   private static final Pattern WIRE_NAMES =
       Pattern.compile(
-          "/v1/(run-|hold|kv-|advise|pace|machine|ready)|X-Marjoramhoist|\"op/|\"servers/"
+          "/v1/(run-|hold|kv-|advise|pace|machine|ready)|X-Marjoramhoist|\"op/|\"servers/|evacuate"
               + "|\"(seenUpto|expectedRev|clockMs|deadlineMs|waitMs|memMb|estimateMs"
-              + "|bestEffort|preferredRack|maxPerServer|targetRuntimeMs|rejectsOverload)\"");
+              + "|bestEffort|preferredRack|maxPerServer|targetRuntimeMs|rejectsOverload"
+              + "|warmupLeftMs)\"");
 
   private static List<String> namesIn(Path file) {
     try {
--- a/src/test/java/org/marjoramhoist/trial/DomainCutTest.java
+++ b/src/test/java/org/marjoramhoist/trial/DomainCutTest.java
@@ -20,6 +20,7 @@
 
   private static final long READY_MILLIS = 20_000;
   private static final long RETRY_MILLIS = 100;
+  private static final long CUT_MILLIS = 5_000;
   private static final PlatformCluster.Host NORTH =
       new PlatformCluster.Host("north", new NodeSettings.Limits(1, 1_000));
   private static final PlatformCluster.Host SOUTH =
@@ -138,6 +139,23 @@
     assertThat(send(2, 2, 40).join().status()).isEqualTo(200);
   }
 
+  /** Its leader has no other workers, and goes by the drain that its host knew before the cut. */
+  @Test
+  void drainedDomainThatIsCutOffStartsNothing() throws Exception {
+    cluster.store().put("op/evacuate/north", "{}");
+    Thread.sleep(1_000);
+    assertThat(send(0, 2, 30).join().status()).isEqualTo(200);
+    cutNorthOff();
+    starts.used.clear();
+    long deadline = System.nanoTime() + CUT_MILLIS * 1_000_000;
+    while (System.nanoTime() < deadline) {
+      int status = send(0, 1, 10).join().status();
+      assertThat(status).isAnyOf(503, 504);
+      Thread.sleep(RETRY_MILLIS);
+    }
+    assertThat(starts.used).isEmpty();
+  }
+
   @Test
   void durableJobsAreRefusedMeanwhile() throws Exception {
     cutNorthOff();
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/trial/DomainDrainClusterTest.java
@@ -0,0 +1,120 @@
+package org.marjoramhoist.trial;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.config.NodeSettings;
+import org.marjoramhoist.http.HttpReply;
+
+/** Real hosts in two failure domains, one of which the operator drains. */
+class DomainDrainClusterTest {
+
+  private static final String DRAIN_NORTH = "op/evacuate/north";
+  private static final long READY_MILLIS = 20_000;
+
+  /** The longest time until nothing may start in a drained domain any more. */
+  private static final long BOUND_MILLIS = 5_000;
+
+  private static final NodeSettings.Limits LIMITS = new NodeSettings.Limits(1, 1_000);
+  private static final int HOSTS = 3;
+
+  private final StartsObserver starts = new StartsObserver();
+  private PlatformCluster cluster;
+  private int jobs;
+
+  @BeforeEach
+  void start() throws IOException, InterruptedException {
+    cluster =
+        new PlatformCluster(
+            List.of(
+                new PlatformCluster.Host("north", LIMITS),
+                new PlatformCluster.Host("south", LIMITS),
+                new PlatformCluster.Host("south", LIMITS)),
+            List.of("north", "north", "south", "south"),
+            starts);
+    assertThat(cluster.awaitReady(READY_MILLIS)).isTrue();
+  }
+
+  @AfterEach
+  void stop() {
+    cluster.close();
+    assertThat(starts.twice).isEmpty();
+  }
+
+  private CompletableFuture<HttpReply> send(int host, int tasks, int millis) {
+    String id = String.format(Locale.ROOT, "%016x", ++jobs);
+    return cluster.send(host, "POST", id, PlatformCluster.job(tasks, millis));
+  }
+
+  /** Both domains together have room for 32 tasks, one for 16. */
+  private void assertServedBy(int host, String... domains) {
+    starts.used.clear();
+    assertThat(send(host, 24, 60).join().status()).isEqualTo(200);
+    assertThat(starts.used).containsExactlyElementsIn(domains);
+  }
+
+  private int leader() {
+    for (int i = 0; i < HOSTS; i++) {
+      if (cluster.hosts().get(i).isLeader()) {
+        return i;
+      }
+    }
+    throw new AssertionError("nobody leads");
+  }
+
+  @Test
+  void drainedDomainIsLeftAloneUntilTheDrainEnds() throws InterruptedException {
+    assertServedBy(0, "north", "south");
+    cluster.store().put(DRAIN_NORTH, "{}");
+    Thread.sleep(BOUND_MILLIS / 5);
+    assertServedBy(0, "south");
+    cluster.store().compact();
+    assertServedBy(1, "south");
+    cluster.store().delete(DRAIN_NORTH);
+    Thread.sleep(BOUND_MILLIS / 5);
+    assertServedBy(1, "north", "south");
+  }
+
+  @Test
+  void workAtRunInDrainedDomainEnds() throws InterruptedException {
+    CompletableFuture<HttpReply> reply = send(0, 24, 1_000);
+    while (!starts.used.contains("north")) {
+      Thread.sleep(5);
+    }
+    cluster.store().put(DRAIN_NORTH, "{}");
+    assertThat(reply.join().status()).isEqualTo(200);
+  }
+
+  /** A leader that has just been elected must know the drain before it starts anything. */
+  @Test
+  void laterLeaderAndLeaderWithoutStoreKeepToTheDrain() throws InterruptedException {
+    cluster.store().put(DRAIN_NORTH, "{}");
+    Thread.sleep(BOUND_MILLIS / 5);
+    int leader = leader();
+    starts.used.clear();
+    cluster.kill(leader);
+    int other = (leader + 1) % HOSTS;
+    assertServedBy(other, "south");
+    cluster.store().setDown(true);
+    assertServedBy(other, "south");
+    cluster.store().setDown(false);
+  }
+
+  @Test
+  void hostsThatStartUnderDrainStartNothingThere() throws IOException, InterruptedException {
+    cluster.store().put(DRAIN_NORTH, "{}");
+    for (int i = 0; i < HOSTS; i++) {
+      cluster.kill(i);
+    }
+    starts.used.clear();
+    cluster.restartHosts();
+    assertThat(cluster.awaitReady(READY_MILLIS)).isTrue();
+    assertServedBy(0, "south");
+  }
+}
