--- a/src/main/java/org/marjoramhoist/dispatch/SchedulingPolicy.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SchedulingPolicy.java
@@ -70,6 +70,11 @@
     jobValues = Map.copyOf(jobValues);
   }
 
+  /** Returns the same policy with another choice of workers. */
+  public SchedulingPolicy withPlacement(Placement next) {
+    return new SchedulingPolicy(next, overload, fairShares, jobValues, lateValue, workerHealth);
+  }
+
   /** Returns what a job of average size is worth to its caller. */
   public double jobValue(int priority) {
     return jobValues.getOrDefault(priority, DEFAULT_VALUE);
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -12,6 +14,7 @@
 import org.marjoramhoist.dispatch.DispatchAction;
 import org.marjoramhoist.dispatch.DispatchEvent;
 import org.marjoramhoist.dispatch.DispatchPolicy;
+import org.marjoramhoist.dispatch.DispatchSnapshot;
 import org.marjoramhoist.dispatch.Dispatcher;
 import org.marjoramhoist.dispatch.JournalBatch;
 import org.marjoramhoist.dispatch.RosterChange;
@@ -55,7 +58,9 @@
   private static final long RESENT_AFTER = 1_300_000;
 
   private static final String ENTRY = "entry";
-  private static final DispatchPolicy POLICY = new DispatchPolicy(980, 1.5, 250, 120_000);
+
+  /** The policy of the leaders of a fleet that is given none. */
+  static final DispatchPolicy POLICY = new DispatchPolicy(980, 1.5, 250, 120_000);
 
   /**
    * A job that was handed in.
@@ -93,7 +98,7 @@
     private Term(long token, Set<String> led) {
       this.token = token;
       this.led = led;
-      this.dispatcher = new Dispatcher(POLICY.forDomain(), time.now(), time.now(), 0);
+      this.dispatcher = new Dispatcher(policy.forDomain(), time.now(), time.now(), 0);
       take(new DispatchEvent.RosterLoaded(listedWorkers()));
       take(new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
     }
@@ -102,7 +107,7 @@
       this.led = Set.of();
       this.token = token;
       final int ordinal = jobStore.claim(token);
-      this.dispatcher = new Dispatcher(POLICY, time.now(), time.now() + EARLIER_RUNS, 0);
+      this.dispatcher = new Dispatcher(policy, time.now(), time.now() + EARLIER_RUNS, 0);
       time.after(STORE_ANSWER, () -> load(ordinal));
       time.after(STORE_ANSWER, this::loadRoster);
     }
@@ -173,6 +178,7 @@
     private void tick() {
       if (!over) {
         take(new DispatchEvent.Tick());
+        usage.note(dispatcher.snapshot(time.now()));
         time.after(TICK, this::tick);
       }
     }
@@ -186,6 +192,7 @@
   }
 
   private final VirtualTime time = new VirtualTime(START);
+  private final DispatchPolicy policy;
   private final VirtualNetwork network;
   private final Map<String, LeasedWorker> workers = new LinkedHashMap<>();
   private final Map<JobId, Offered> offered = new LinkedHashMap<>();
@@ -196,6 +203,7 @@
   private final Map<TaskRef, Set<RunRef>> atWork = new HashMap<>();
   private final Set<JobId> begun = new HashSet<>();
   private final Map<TaskRef, Integer> doneRuns = new HashMap<>();
+  private final CapacityUse usage = new CapacityUse();
   private final List<String> breaches = new ArrayList<>();
   private final Set<JobId> handedAgain = new HashSet<>();
   private final Set<JobId> localJobs = new HashSet<>();
@@ -208,7 +216,12 @@
   private long tokens;
 
   DispatchFleet(long seed) {
-    network = new VirtualNetwork(time, seed);
+    this(seed, POLICY);
+  }
+
+  DispatchFleet(long seed, DispatchPolicy policy) {
+    this.policy = policy;
+    this.network = new VirtualNetwork(time, seed);
   }
 
   LeasedWorker addWorker(WorkerInfo info, double slowness) {
@@ -519,7 +532,7 @@
     StepSpec step = job.job().steps().get(task.step());
     boolean far =
         !step.preferredRack().isEmpty() && !step.preferredRack().equals(worker.info().rack());
-    double micros = job.taskMicros() * (far ? POLICY.farFactor() : 1);
+    double micros = job.taskMicros() * (far ? policy.farFactor() : 1);
     return worker.start(start.run(), step.need(), micros, start.leaseUntilMillis(), token);
   }
 
@@ -590,14 +603,30 @@
         .toList();
   }
 
+  /** Returns how much of the capacity was in use while jobs waited. */
+  CapacityUse usage() {
+    return usage;
+  }
+
+  /** Returns what the leader's decisions know now. */
+  DispatchSnapshot snapshot() {
+    return term.dispatcher.snapshot(time.now());
+  }
+
+  /** Returns the jobs that were handed in. */
+  Collection<Offered> offered() {
+    return Collections.unmodifiableCollection(offered.values());
+  }
+
   /** Returns the share of the jobs that ended with success within their objective. */
   double shareInTime() {
-    long inTime =
-        offered.values().stream().filter(job -> isInTime(job, ends.get(job.job().id()))).count();
+    long inTime = offered.values().stream().filter(this::isInTime).count();
     return (double) inTime / offered.size();
   }
 
-  private static boolean isInTime(Offered job, Ended end) {
+  /** Tells whether a job ended with success within its objective. */
+  boolean isInTime(Offered job) {
+    Ended end = ends.get(job.job().id());
     return end != null
         && end.outcome() == JobOutcome.SUCCEEDED
         && end.at() - job.arrivedAt() <= job.objectiveMicros();
--- a/src/main/java/org/marjoramhoist/experiment/DispatchLoad.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchLoad.java
@@ -26,6 +26,8 @@
   private static final double ESTIMATE_SPREAD = 0.4;
   private static final double SIZE_SPREAD = 0.4;
   private static final double CPU_SPREAD = 0.2;
+  private static final double LONG_FACTOR = 7;
+  private static final long MOST_REVIEW_CPU_MILLIS = 10_000;
   private static final long MEMORY_MIB = 64;
   private static final long PATIENCE_BASE_MICROS = 1_500_000;
   private static final int PATIENCE_OBJECTIVES = 3;
@@ -38,19 +40,37 @@
    * @param tasks the mean number of tasks
    * @param taskMillis the mean run time of a task on a worker of speed 1
    * @param cpuMillis the mean need of a task, in thousandths of a core
+   * @param mostCpuMillis the greatest need of a task
+   * @param nearShare the share of the jobs that name the rack of their data, if there are racks
    */
   record Kind(
       RequestClass requestClass,
       double perSecond,
       double tasks,
       double taskMillis,
-      double cpuMillis) {}
+      double cpuMillis,
+      long mostCpuMillis,
+      double nearShare) {
+
+    /** Returns the same kind at a multiple of its rate. */
+    Kind times(double factor) {
+      return new Kind(
+          requestClass, perSecond * factor, tasks, taskMillis, cpuMillis, mostCpuMillis, nearShare);
+    }
+
+    /** Returns the mean work that its jobs bring, in cores of speed 1. */
+    double meanCores() {
+      double meanFactor = Math.exp(SIZE_SPREAD * SIZE_SPREAD + CPU_SPREAD * CPU_SPREAD / 2);
+      return perSecond * tasks * taskMillis * cpuMillis * meanFactor / MICROS_PER_SECOND;
+    }
+  }
 
   private final DispatchFleet fleet;
   private final List<Kind> kinds;
   private final List<String> racks;
   private final SplittableRandom random;
   private double durableShare;
+  private double longShare;
   private long made;
 
   /**
@@ -71,6 +91,12 @@
     return this;
   }
 
+  /** Makes a share of the jobs run {@value #LONG_FACTOR} times as long as their kind tells. */
+  DispatchLoad withLongShare(double share) {
+    longShare = share;
+    return this;
+  }
+
   /** Returns a class of request of the upstream. */
   static RequestClass requestClass(String name, int priority, int attempts) {
     return new RequestClass(
@@ -80,9 +106,14 @@
   /** The overdraft reviews, with rates that are multiplied by a factor. */
   static List<Kind> reviews(double factor) {
     return List.of(
-        new Kind(requestClass("check", 0, 3), 24.1 * factor, 8, 60, 6_800),
-        new Kind(requestClass("rescore", 2, 4), 4.37 * factor, 4, 900, 6_800),
-        new Kind(requestClass("lookup", 1, 3), 70 * factor, 2, 200, 6_800));
+        review(requestClass("check", 0, 3), 24.1 * factor, 8, 60),
+        review(requestClass("rescore", 2, 4), 4.37 * factor, 4, 900),
+        review(requestClass("lookup", 1, 3), 70 * factor, 2, 200));
+  }
+
+  private static Kind review(
+      RequestClass requestClass, double perSecond, double tasks, double taskMillis) {
+    return new Kind(requestClass, perSecond, tasks, taskMillis, 6_800, MOST_REVIEW_CPU_MILLIS, 1);
   }
 
   /** Adds 32 workers of two speeds and two sizes in racks of six. */
@@ -133,11 +164,12 @@
 
   /** Makes a job of a kind that arrives now. */
   DispatchFleet.Offered make(Kind kind) {
-    double millis = kind.taskMillis() * spread(SIZE_SPREAD);
-    long estimate = Math.max(1, Math.round(millis * spread(ESTIMATE_SPREAD)));
+    double usual = kind.taskMillis() * spread(SIZE_SPREAD);
+    long estimate = Math.max(1, Math.round(usual * spread(ESTIMATE_SPREAD)));
+    double millis = isDrawn(longShare) ? usual * LONG_FACTOR : usual;
     int count = (int) Math.max(1, Math.round(kind.tasks() * spread(SIZE_SPREAD)));
-    long cpu = Math.min(10_000, Math.round(kind.cpuMillis() * spread(CPU_SPREAD)));
-    String rack = racks.isEmpty() ? "" : racks.get(random.nextInt(racks.size()));
+    long cpu = Math.min(kind.mostCpuMillis(), Math.round(kind.cpuMillis() * spread(CPU_SPREAD)));
+    String rack = drawRack(kind);
     StepSpec step =
         new StepSpec(count, new Resources(cpu, MEMORY_MIB, 0), estimate, List.of(), "", rack, 0);
     JobId id = new JobId(String.format("%016x", ++made));
@@ -155,8 +187,16 @@
   }
 
   private Set<JobFeature> features() {
-    boolean durable = durableShare > 0 && random.nextDouble() < durableShare;
-    return durable ? Set.of(JobFeature.DURABLE) : Set.of();
+    return isDrawn(durableShare) ? Set.of(JobFeature.DURABLE) : Set.of();
+  }
+
+  private String drawRack(Kind kind) {
+    boolean near = !racks.isEmpty() && (kind.nearShare() == 1 || isDrawn(kind.nearShare()));
+    return near ? racks.get(random.nextInt(racks.size())) : "";
+  }
+
+  private boolean isDrawn(double share) {
+    return share > 0 && random.nextDouble() < share;
   }
 
   /** Draws a factor around 1. */
