Placement by slack, and a start window that adapts

Cause: the fastest free worker went to the first job, so that jobs far from their data found slow workers only and were late while capacity was free. At a step in the load jobs waited behind 24 unanswered orders. Change: with scheduling.placement = slack, a task goes to a worker of the slowest kind on which its job is in time with a margin, near its data, and whose room left over is nearest to a multiple of its need. It waits for its data's rack while as many workers as it has waiting tasks are expected in time. The window widens to 192 orders while answers are prompt. Rules are behind PlacementRule; the filters stand once. The default is unchanged.

--- a/src/main/java/org/marjoramhoist/dispatch/Allocator.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Allocator.java
@@ -92,7 +92,7 @@
       if (task.ref.step() == fullStep) {
         continue;
       }
-      Placement.Choice choice = placement.choose(task, roomy);
+      Placement.Choice choice = placement.choose(task, roomy, now);
       if (choice != null) {
         runs.start(task, choice.worker(), choice.micros(), now, out);
         if (!Placement.hasRoom(choice.worker(), least, now)) {
--- a/src/main/java/org/marjoramhoist/dispatch/DispatchPolicy.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchPolicy.java
@@ -55,6 +55,11 @@
         leaseMillis, farFactor, renewWaitMillis, keepMillis, Scope.DOMAIN, scheduling);
   }
 
+  /** Tells whether workers are chosen by the time that jobs have. */
+  public boolean isBySlack() {
+    return scheduling.placement() == SchedulingPolicy.Placement.SLACK;
+  }
+
   /** Tells whether the leader leads only a failure domain that is cut off. */
   public boolean isForDomain() {
     return scope == Scope.DOMAIN;
--- a/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
@@ -7,6 +7,7 @@
  *
  * @param workers what is known of the workers
  * @param runs what is known of the runs
+ * @param starts where the runs of this term were started
  * @param startsAllowed whether new runs may be started
  * @param settled whether no run of an earlier leader can be at work out of sight
  * @param waitingJobs how many jobs have tasks that may start now
@@ -15,6 +16,7 @@
 public record DispatchSnapshot(
     Workers workers,
     Runs runs,
+    Starts starts,
     boolean startsAllowed,
     boolean settled,
     int waitingJobs,
@@ -23,7 +25,13 @@
   /** The figures of a host that does not lead. */
   public static final DispatchSnapshot NONE =
       new DispatchSnapshot(
-          new Workers(0, 0, 0, 0, 0, 0), new Runs(0, 0, 0, 0, 0, 0, 0), false, false, 0, 0);
+          new Workers(0, 0, 0, 0, 0, 0),
+          new Runs(0, 0, 0, 0, 0, 0, 0),
+          new Starts(0, 0, 0, 0),
+          false,
+          false,
+          0,
+          0);
 
   /**
    * What is known of the workers.
@@ -63,6 +71,16 @@
       int unansweredStarts,
       int silentStarts) {}
 
+  /**
+   * Where the runs of this term were started.
+   *
+   * @param ordered how many were ordered
+   * @param fast how many of those on a kind of worker that is faster than the average
+   * @param far how many of those away from the data of their task
+   * @param window how many orders may be under way that were not overtaken
+   */
+  public record Starts(long ordered, long fast, long far, int window) {}
+
   @Override
   public String toString() {
     return "listed="
@@ -91,6 +109,14 @@
         + runs.unansweredStarts
         + " silent="
         + runs.silentStarts
+        + " ordered="
+        + starts.ordered
+        + " fast="
+        + starts.fast
+        + " far="
+        + starts.far
+        + " window="
+        + starts.window
         + " startsAllowed="
         + startsAllowed
         + " settled="
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -78,11 +78,17 @@
     this.guard = policy.isForDomain() ? new DomainGuard(now) : null;
     this.durable = new DurableJobs(policy.keepMillis(), epochMillis);
     this.workers = new Workers(now, earlierRunsOverAt);
-    this.placement = new Placement(policy, durations);
+    this.placement = new Placement(policy, durations, placementRule(policy));
     this.runs = new RunControl(policy, new Ends());
     this.allocator = new Allocator(since, jobs, workers, runs, placement, order);
   }
 
+  private PlacementRule placementRule(DispatchPolicy policy) {
+    return policy.isBySlack()
+        ? new SlackPlacement(durations, new Slack(order), workers)
+        : new FastestPlacement();
+  }
+
   /**
    * Takes in an event and returns what must be done, in order.
    *
@@ -150,7 +156,7 @@
   }
 
   private void fromWorker(long now, FromWorker event, List<DispatchAction> out) {
-    noteStart(event);
+    noteStart(event, now);
     Worker worker = workers.find(event.worker());
     if (worker == null) {
       return;
@@ -177,10 +183,10 @@
     runs.renewed(worker, event.sentAt(), event.report().get(), now, out);
   }
 
-  private void noteStart(FromWorker event) {
+  private void noteStart(FromWorker event, long now) {
     boolean wasOpen = runs.window().isOpen();
     if (event instanceof StartAnswered answered) {
-      runs.window().answered(answered.run());
+      runs.window().answered(answered.run(), now);
     } else if (event instanceof StartUnanswered unanswered) {
       runs.window().unanswered(unanswered.run());
     }
@@ -372,6 +378,7 @@
     return new DispatchSnapshot(
         census.workers(),
         census.runs(runs.window()),
+        placement.figures(runs.window()),
         startsAllowed,
         workers.isSettled(now),
         jobs.waiting().size(),
--- a/src/main/java/org/marjoramhoist/dispatch/DurationModel.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DurationModel.java
@@ -47,6 +47,11 @@
     return factor(kinds, worker.info().kind()) * worker.duration.factor;
   }
 
+  /** Returns how many times as long as on an average worker a task runs on the worker's kind. */
+  double kindFactorOf(Worker worker) {
+    return factor(kinds, worker.info().kind());
+  }
+
   private static double factor(Map<String, Term> terms, String name) {
     Term term = terms.get(name);
     return term == null ? 1 : term.factor;
--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -40,6 +40,9 @@
   final long arrivedAt;
   long deadline;
 
+  /** Until when its tasks wait for room near their data rather than go far from it. */
+  long waitsNearUntil;
+
   /** Whether a run of it was ever ordered, by this leader or an earlier one. */
   boolean started;
 
--- a/src/main/java/org/marjoramhoist/dispatch/Placement.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Placement.java
@@ -8,22 +8,23 @@
 import org.marjoramhoist.job.StepSpec;
 
 /**
- * Chooses the worker for a task: the one on which it is done first, and among equals the one that
- * it fills best.
+ * Finds the workers that may run a task, and lets a rule choose among them.
  *
  * <p>Confined to one thread.
  */
 final class Placement {
 
-  /** Run times that differ by less than this share are taken for equal. */
-  private static final double TIE_SHARE = 0.05;
-
   private final DispatchPolicy policy;
   private final DurationModel durations;
+  private final PlacementRule rule;
+  private long starts;
+  private long fastStarts;
+  private long farStarts;
 
-  Placement(DispatchPolicy policy, DurationModel durations) {
+  Placement(DispatchPolicy policy, DurationModel durations, PlacementRule rule) {
     this.policy = policy;
     this.durations = durations;
+    this.rule = rule;
   }
 
   /**
@@ -35,33 +36,41 @@
   record Choice(Worker worker, double micros) {}
 
   /**
-   * Returns the best worker for a task; null if none has room for it.
+   * Returns the best worker for a task; null if none has room for it or it had better wait.
    *
    * @param workers workers that may be given work now
    */
-  Choice choose(Task task, Collection<Worker> workers) {
-    double micros = predict(task);
-    Worker best = null;
-    double bestMicros = Double.MAX_VALUE;
-    long bestLeft = Long.MAX_VALUE;
+  Choice choose(Task task, Collection<Worker> workers, long now) {
+    PlacementRule.Selection selection = rule.begin(task, predict(task), now);
     for (Worker worker : workers) {
-      if (!worker.free.covers(task.spec().need()) || !mayRun(task, worker)) {
-        continue;
-      }
-      double there = micros * factorOf(task, worker);
-      long left = worker.free.cpuMillis() - task.spec().need().cpuMillis();
-      boolean shorter = there < bestMicros * (1 - TIE_SHARE);
-      boolean equal = there < bestMicros * (1 + TIE_SHARE);
-      if (best == null || shorter || equal && left < bestLeft) {
-        best = worker;
-        bestMicros = there;
-        bestLeft = left;
+      if (worker.free.covers(task.spec().need()) && mayRun(task, worker)) {
+        selection.offer(worker, factorOf(task, worker));
       }
     }
-    return best == null ? null : new Choice(best, bestMicros);
+    Choice choice = selection.chosen();
+    if (choice != null) {
+      count(task, choice.worker());
+    }
+    return choice;
+  }
+
+  private void count(Task task, Worker worker) {
+    starts++;
+    fastStarts += durations.kindFactorOf(worker) < 1 ? 1 : 0;
+    farStarts += isFar(task.spec(), worker) ? 1 : 0;
+  }
+
+  /**
+   * Returns the choices of this term in figures.
+   *
+   * @param window the bound on orders under way
+   */
+  DispatchSnapshot.Starts figures(StartWindow window) {
+    return new DispatchSnapshot.Starts(starts, fastStarts, farStarts, window.limit());
   }
 
-  private static boolean mayRun(Task task, Worker worker) {
+  /** Tells whether a worker may run a task once it has room. */
+  static boolean mayRun(Task task, Worker worker) {
     return fits(task.job.requestClass(), task.spec(), worker)
         && !worker.id().equals(task.failedOn)
         && hasRoomForStep(task, worker);
@@ -83,7 +92,8 @@
             || worker.info().labels().contains(step.requiredLabel()));
   }
 
-  private static boolean isFar(StepSpec step, Worker worker) {
+  /** Tells whether a worker is away from the data of a step. */
+  static boolean isFar(StepSpec step, Worker worker) {
     return !step.preferredRack().isEmpty() && !step.preferredRack().equals(worker.info().rack());
   }
 
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/PlacementRule.java
@@ -0,0 +1,28 @@
+package org.marjoramhoist.dispatch;
+
+/** How a worker is chosen for a task among those that may run it and have room for it. */
+interface PlacementRule {
+
+  /**
+   * Begins a choice.
+   *
+   * @param task the task
+   * @param micros its expected run time on an average worker, near its data
+   */
+  Selection begin(Task task, double micros, long now);
+
+  /** A choice under way. Confined to one thread. */
+  interface Selection {
+
+    /**
+     * Takes in a worker that may run the task now.
+     *
+     * @param factor how many times as long as on an average worker, near its data, the task runs
+     *     there
+     */
+    void offer(Worker worker, double factor);
+
+    /** Returns the best of the workers; null if the task had better wait, or there is none. */
+    Placement.Choice chosen();
+  }
+}
--- a/src/main/java/org/marjoramhoist/dispatch/RunControl.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunControl.java
@@ -34,11 +34,12 @@
   private final DispatchPolicy policy;
   private final RunListener listener;
   private final EarlierRuns earlier;
-  private final StartWindow window = new StartWindow();
+  private final StartWindow window;
 
   RunControl(DispatchPolicy policy, RunListener listener) {
     this.policy = policy;
     this.listener = listener;
+    this.window = new StartWindow(policy.isBySlack());
     this.earlier = new EarlierRuns(policy, listener);
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/StartWindow.java
+++ b/src/main/java/org/marjoramhoist/dispatch/StartWindow.java
@@ -14,22 +14,54 @@
  * overtaken, as one sent notably later was answered, does not show that the leader is behind: its
  * worker is silent. It leaves the window at once, and is bounded by itself.
  *
+ * <p>A window that adapts widens while it is full and answers come promptly, so that a step in the
+ * load does not wait for round trips. An answer that takes much longer than the quickest shows that
+ * orders queue up at the leader: then the window halves, at most once for the orders sent since.
+ *
  * <p>Confined to one thread.
  */
 final class StartWindow {
 
-  private static final int SIZE = 24;
-  private static final int MAX_SILENT = 8 * SIZE;
+  /** The size of a window that does not adapt, and the least of one that does. */
+  private static final int LEAST_SIZE = 24;
+
+  private static final int MOST_SIZE = 8 * LEAST_SIZE;
+  private static final int MAX_SILENT = 8 * LEAST_SIZE;
+
+  /** An answer that takes longer than this multiple of the quickest shows a queue. */
+  private static final int PROMPT_FACTOR = 4;
+
+  /** What an answer may always take longer than the quickest. */
+  private static final long PROMPT_EXTRA_MICROS = 3_000;
+
+  /** An answer that takes this long is never prompt: the quickest may have been slow as well. */
+  private static final long PROMPT_MICROS = 20_000;
+
+  /** How much a window narrows on a late answer, as a divisor. */
+  private static final int NARROWING = 2;
 
   /** How much later than an order one must have been sent to overtake it. */
   private static final long OVERTAKEN_MICROS = 10_000;
 
   private final Map<RunRef, Long> sentAt = new LinkedHashMap<>();
   private final Set<RunRef> silent = new HashSet<>();
+  private final boolean adapts;
+  private int limit = LEAST_SIZE;
+  private long quickest = Long.MAX_VALUE;
+  private long narrowedAt = Long.MIN_VALUE;
+
+  /**
+   * Creates an empty window.
+   *
+   * @param adapts whether it widens while answers come promptly, and narrows when they do not
+   */
+  StartWindow(boolean adapts) {
+    this.adapts = adapts;
+  }
 
   /** Tells whether another order may be sent. */
   boolean isOpen() {
-    return sentAt.size() < SIZE && silent.size() < MAX_SILENT;
+    return sentAt.size() < limit && silent.size() < MAX_SILENT;
   }
 
   /** Returns how many orders have not ended. */
@@ -46,12 +78,33 @@
     sentAt.put(run, now);
   }
 
+  /** Returns how many orders may be under way that were not overtaken. */
+  int limit() {
+    return limit;
+  }
+
   /** Takes in that an order was answered. */
-  void answered(RunRef run) {
+  void answered(RunRef run, long now) {
+    boolean wasFull = sentAt.size() >= limit;
     Long at = sentAt.remove(run);
     silent.remove(run);
     if (at != null) {
       overtake(at - OVERTAKEN_MICROS);
+      if (adapts) {
+        adapt(at, wasFull, now);
+      }
+    }
+  }
+
+  /** Widens by an order for each prompt answer while full; narrows once a round trip if late. */
+  private void adapt(long at, boolean wasFull, long now) {
+    long took = now - at;
+    quickest = Math.min(quickest, took);
+    if (took <= Math.min(PROMPT_MICROS, PROMPT_FACTOR * quickest + PROMPT_EXTRA_MICROS)) {
+      limit = wasFull ? Math.min(MOST_SIZE, limit + 1) : limit;
+    } else if (at > narrowedAt) {
+      limit = Math.max(LEAST_SIZE, limit / NARROWING);
+      narrowedAt = now;
     }
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
@@ -84,8 +84,12 @@
 
   /** Returns how long a job may take within its objective. */
   double objectiveMicros(Job job) {
-    return job.requestClass().stretch() * chainMicros(job, job.longestChainMillis())
-        + job.requestClass().objectiveMillis() * MICROS_PER_MILLI;
+    return stretchMicros(job) + job.requestClass().objectiveMillis() * MICROS_PER_MILLI;
+  }
+
+  /** Returns the part of a job's objective that grows with its work. */
+  double stretchMicros(Job job) {
+    return job.requestClass().stretch() * chainMicros(job, job.longestChainMillis());
   }
 
   /** Returns the processor time that the tasks need that may start now, times their cores. */
--- a/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
+++ b/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
@@ -54,6 +54,10 @@
     gauge("marjoramhoist.leader.runs.foreign", () -> runs().foreign());
     gauge("marjoramhoist.leader.starts.unanswered", () -> runs().unansweredStarts());
     gauge("marjoramhoist.leader.starts.silent", () -> runs().silentStarts());
+    gauge("marjoramhoist.leader.starts.window", () -> starts().window());
+    gauge("marjoramhoist.leader.starts.ordered", () -> starts().ordered());
+    gauge("marjoramhoist.leader.starts.fast", () -> starts().fast());
+    gauge("marjoramhoist.leader.starts.far", () -> starts().far());
     gauge("marjoramhoist.leader.starts.allowed", () -> flag(status.decisions().startsAllowed()));
     gauge("marjoramhoist.leader.orders.allowed", () -> flag(status.mayOrder()));
     gauge("marjoramhoist.leader.settled", () -> flag(status.decisions().settled()));
@@ -69,6 +73,10 @@
     return status.decisions().workers();
   }
 
+  private DispatchSnapshot.Starts starts() {
+    return status.decisions().starts();
+  }
+
   private DispatchSnapshot.Runs runs() {
     return status.decisions().runs();
   }
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/dispatch/AdaptiveStartWindowTest.java
@@ -0,0 +1,75 @@
+package org.marjoramhoist.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.RunRef;
+
+/** Room is free, and the window of unanswered orders decides how soon it is used. */
+class AdaptiveStartWindowTest extends DispatcherFixture {
+
+  private static final int TASKS = 400;
+
+  @BeforeEach
+  void submit() {
+    policy =
+        POLICY.withScheduling(
+            SchedulingPolicy.DEFAULT.withPlacement(SchedulingPolicy.Placement.SLACK));
+    beginTerm(now);
+    listWorkers(worker("w", 1_000_000, false));
+    report("w", List.of());
+    actions.clear();
+    JobId id = new JobId("0000000000000001");
+    JobDescription job = new JobDescription(id, "p", List.of(tasks(TASKS, List.of())), Set.of());
+    step(1, new DispatchEvent.JobSubmitted(job, CLASS, "e", now, now + 9_000 * MILLI, 0));
+  }
+
+  /** Answers all orders after a time, and returns how many there were. */
+  private int answer(long afterMillis) {
+    List<RunRef> orders =
+        taken(DispatchAction.Start.class).stream().map(DispatchAction.Start::run).toList();
+    now += afterMillis * MILLI;
+    orders.forEach(run -> started("w", run));
+    return orders.size();
+  }
+
+  private int unanswered() {
+    return dispatcher.snapshot(now).runs().unansweredStarts();
+  }
+
+  /** With 24 orders a round trip, jobs wait for 17 round trips while capacity is free. */
+  @Test
+  void stepInTheLoadStartsWithinFewRoundTrips() {
+    int ordered = 0;
+    for (int trip = 0; trip < 6; trip++) {
+      ordered += answer(2);
+    }
+    assertThat(ordered).isEqualTo(TASKS);
+  }
+
+  /** Each order adds to the work of a leader that is behind. */
+  @Test
+  void windowOfLeaderThatIsBehindStaysNarrow() {
+    for (int trip = 0; trip < 10; trip++) {
+      assertThat(unanswered()).isEqualTo(24);
+      answer(50);
+    }
+  }
+
+  /** A window that stays wide lets a leader that falls behind add to its work. */
+  @Test
+  void windowNarrowsWhenTheLeaderFallsBehind() {
+    answer(2);
+    answer(2);
+    assertThat(dispatcher.snapshot(now).starts().window()).isAtLeast(48);
+    for (int trip = 0; trip < 4; trip++) {
+      answer(50);
+    }
+    assertThat(dispatcher.snapshot(now).starts().window()).isEqualTo(24);
+  }
+}
