--- a/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
@@ -10,6 +10,7 @@
  * @param workers what is known of the workers
  * @param runs what is known of the runs
  * @param drain what is known of drained failure domains
+ * @param starts where the runs of this term were started
  * @param startsAllowed whether new runs may be started
  * @param settled whether no run of an earlier leader can be at work out of sight
  * @param waitingJobs how many jobs have tasks that may start now
@@ -19,6 +20,7 @@
     Workers workers,
     Runs runs,
     Drain drain,
+    Starts starts,
     boolean startsAllowed,
     boolean settled,
     int waitingJobs,
@@ -30,6 +32,7 @@
           new Workers(0, 0, 0, 0, 0, 0),
           new Runs(0, 0, 0, 0, 0, 0, 0),
           new Drain(false, List.of(), 0, 0),
+          new Starts(0, 0, 0, 0),
           false,
           false,
           0,
@@ -88,6 +91,16 @@
     }
   }
 
+  /**
+   * Where the runs of this term were started.
+   *
+   * @param ordered how many were ordered
+   * @param fast how many of those on a kind of worker that is faster than the average
+   * @param far how many of those away from the data of their task
+   * @param window how many orders may be under way that were not overtaken
+   */
+  public record Starts(long ordered, long fast, long far, int window) {}
+
   @Override
   public String toString() {
     return "listed="
@@ -122,6 +135,14 @@
         + drain.workers
         + " drainedRuns="
         + drain.runs
+        + " ordered="
+        + starts.ordered
+        + " fast="
+        + starts.fast
+        + " far="
+        + starts.far
+        + " window="
+        + starts.window
         + " startsAllowed="
         + startsAllowed
         + " settled="
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -80,11 +80,17 @@
     this.guard = policy.isForDomain() ? new DomainGuard(now) : null;
     this.durable = new DurableJobs(policy.keepMillis(), epochMillis);
     this.workers = new Workers(now, earlierRunsOverAt);
-    this.placement = new Placement(policy, durations);
+    this.placement = new Placement(policy, durations, placementRule(policy));
     this.runs = new RunControl(policy, new Ends());
     this.allocator = new Allocator(since, jobs, workers, runs, placement, order);
   }
 
+  private PlacementRule placementRule(DispatchPolicy policy) {
+    return policy.isBySlack()
+        ? new SlackPlacement(durations, new Slack(order), workers)
+        : new FastestPlacement();
+  }
+
   /**
    * Takes in an event and returns what must be done, in order.
    *
@@ -157,7 +163,7 @@
   }
 
   private void fromWorker(long now, FromWorker event, List<DispatchAction> out) {
-    noteStart(event);
+    noteStart(event, now);
     Worker worker = workers.find(event.worker());
     if (worker == null) {
       return;
@@ -184,10 +190,10 @@
     runs.renewed(worker, event.sentAt(), event.report().get(), now, out);
   }
 
-  private void noteStart(FromWorker event) {
+  private void noteStart(FromWorker event, long now) {
     boolean wasOpen = runs.window().isOpen();
     if (event instanceof StartAnswered answered) {
-      runs.window().answered(answered.run());
+      runs.window().answered(answered.run(), now);
     } else if (event instanceof StartUnanswered unanswered) {
       runs.window().unanswered(unanswered.run());
     }
@@ -399,6 +405,7 @@
         census.workers(),
         census.runs(runs.window()),
         workers.drains().snapshot(workers.all()),
+        placement.figures(runs.window()),
         startsAllowed,
         workers.isSettled(now),
         jobs.waiting().size(),
