Weights of groups of callers by their served share

With scheduling.fairShares, a wave of one failure domain or class takes the room of the others. ServedShares keeps for each group what it asked for and what was served, aged over 1.5 s, against what the group usually asks for, aged over 60 s; GroupWeights turns that into the weight of a job. Until jobs are shed by value, the weight orders late jobs only.

Ruled out: the share of what is asked for now, as it prefers whoever asks for more.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -53,8 +53,9 @@
 
   private final DurationModel durations = new DurationModel();
   private final Placement placement;
-  private final WaitingOrder order = new WaitingOrder(durations);
-  private final Backlog backlog = new Backlog(order);
+  private final GroupWeights weights;
+  private final WaitingOrder order;
+  private final Backlog backlog;
   private final Workers workers;
   private final Allocator allocator;
   private final Jobs jobs = new Jobs();
@@ -76,6 +77,9 @@
     // No host hands jobs on to the leader of a domain that is cut off.
     this.since = policy.isForDomain() ? now - CLAIM_MICROS : now;
     this.guard = policy.isForDomain() ? new DomainGuard(now) : null;
+    this.weights = new GroupWeights(policy.scheduling().fairShares(), now);
+    this.order = new WaitingOrder(durations, weights);
+    this.backlog = new Backlog(order);
     this.durable = new DurableJobs(policy.keepMillis(), epochMillis);
     this.workers = new Workers(now, earlierRunsOverAt);
     this.placement = new Placement(policy, durations);
@@ -192,6 +196,7 @@
     if (job == null) {
       return;
     }
+    weights.arrived(job, now);
     runs.claimEarlier(job, workers.all(), now, out);
     if (job.isComplete()) {
       end(job, JobOutcome.SUCCEEDED, "done before", now, out);
@@ -338,6 +343,7 @@
   }
 
   private void end(Job job, JobOutcome outcome, String reason, long now, List<DispatchAction> out) {
+    weights.ended(job, outcome == JobOutcome.SUCCEEDED && order.isInTime(job, now), now);
     long retryAfter = outcome == JobOutcome.REFUSED ? retryAfterMillis(job.id()) : 0;
     for (Run run : jobs.end(job, outcome, reason, retryAfter, now, out)) {
       runs.stop(run, out);
@@ -381,6 +387,11 @@
   /** What the ends of runs mean for their jobs. */
   private final class Ends implements RunListener {
 
+    @Override
+    public void jobStarted(Job job, long now) {
+      weights.started(job, now);
+    }
+
     @Override
     public void runDone(Run run, long now, List<DispatchAction> out) {
       run.worker.succeeded();
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/GroupWeights.java
@@ -0,0 +1,86 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * By how much the jobs of a group of callers are preferred to those of others: the more, the less
+ * the group lately got of what it is entitled to.
+ *
+ * <p>Durable jobs are in no group, as no caller waits for them. Without fair shares all weights are
+ * 1 and nothing is kept. Confined to one thread.
+ */
+final class GroupWeights {
+
+  /** Bounds what fairness may cost in value. */
+  private static final double MOST = 4;
+
+  private final ServedShares shares;
+  private final Map<Job, Long> servedAt = new HashMap<>();
+
+  /** Creates weights, all of which are 1 unless shares are fair. */
+  GroupWeights(boolean fairShares, long now) {
+    shares = fairShares ? new ServedShares(now) : null;
+  }
+
+  private boolean counts(Job job) {
+    return shares != null && !job.isDurable();
+  }
+
+  private static ServedShares.Group groupOf(Job job) {
+    return new ServedShares.Group(job.origin, job.requestClass().name());
+  }
+
+  /** Takes in a new job, which an earlier leader may have started. */
+  void arrived(Job job, long now) {
+    if (counts(job)) {
+      shares.asked(groupOf(job), job.estimatedWork(), now);
+      if (job.started) {
+        started(job, now);
+      }
+    }
+  }
+
+  /** Takes in that the first task of a job is started. */
+  void started(Job job, long now) {
+    if (counts(job) && servedAt.putIfAbsent(job, now) == null) {
+      shares.served(groupOf(job), job.estimatedWork(), now);
+    }
+  }
+
+  /**
+   * Takes in the end of a job. What was started and isn't done in time was not served.
+   *
+   * @param inTime whether it was done within its objective
+   */
+  void ended(Job job, boolean inTime, long now) {
+    Long since = servedAt.remove(job);
+    if (since != null && !inTime) {
+      shares.takenBack(groupOf(job), job.estimatedWork(), since, now);
+    }
+  }
+
+  /** Returns what the value of a job is to be multiplied by. */
+  double weight(Job job, long now) {
+    if (!counts(job)) {
+      return 1;
+    }
+    return weightOf(shares.level(groupOf(job), now));
+  }
+
+  /**
+   * Returns the weight of a group that got so many times what it is entitled to.
+   *
+   * <p>The square lies between proportional fairness, the inverse, and max-min fairness. With the
+   * inverse, the spread of values among jobs of one class outweighs what a group lacks for too
+   * long.
+   */
+  static double weightOf(double level) {
+    return Math.max(1 / MOST, Math.min(MOST, 1 / (level * level)));
+  }
+
+  /** Returns the served shares of the groups that lately asked for anything. */
+  Map<ServedShares.Group, Double> shares(long now) {
+    return shares == null ? Map.of() : shares.shares(now);
+  }
+}
--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -20,6 +20,7 @@
 
   private static final int RUNS_PER_GENERATION = 32;
   private static final int RUNS_PER_TERM = 64;
+  private static final double MICROS_PER_MILLI = 1_000.0;
 
   private final JobDescription description;
   private final RequestClass requestClass;
@@ -40,6 +41,9 @@
   final long arrivedAt;
   long deadline;
 
+  /** The failure domain of the host that it came in at; empty if it is not known. */
+  String origin = "";
+
   /** Whether a run of it was ever ordered, by this leader or an earlier one. */
   boolean started;
 
@@ -326,6 +330,15 @@
     }
   }
 
+  /** Returns the work of all its tasks as estimated, in thousandths of a core times micros. */
+  double estimatedWork() {
+    double sum = 0;
+    for (StepSpec step : description.steps()) {
+      sum += MICROS_PER_MILLI * step.estimateMillis() * step.count() * step.need().cpuMillis();
+    }
+    return Math.max(1, sum);
+  }
+
   /** Returns the longest chain of the estimates, in milliseconds. */
   long longestChainMillis() {
     return longestChainMillis;
--- a/src/main/java/org/marjoramhoist/dispatch/Jobs.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Jobs.java
@@ -95,6 +95,7 @@
             event.deadline(),
             event.generation());
     job.entries.add(event.entry());
+    job.origin = event.origin();
     if (before != null) {
       job.raiseRunNumbers(before.lastRun());
       job.started |= before.started();
--- a/src/main/java/org/marjoramhoist/dispatch/RunControl.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunControl.java
@@ -55,7 +55,10 @@
     Run run = new Run(ref, task, worker, now, lease, predictedMicros);
     task.run = run;
     window.sent(ref, now);
-    task.job.started = true;
+    if (!task.job.started) {
+      task.job.started = true;
+      listener.jobStarted(task.job, now);
+    }
     worker.add(run);
     worker.leaseUntilMillis = Math.max(worker.leaseUntilMillis, lease);
     out.add(new DispatchAction.Start(worker.info(), ref, task.job.description().payload(), lease));
--- a/src/main/java/org/marjoramhoist/dispatch/RunListener.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunListener.java
@@ -7,6 +7,9 @@
 /** Hears how runs end. Called from one thread only. */
 interface RunListener {
 
+  /** The first task of a job is being started. */
+  void jobStarted(Job job, long now);
+
   /** The task is done. */
   void runDone(Run run, long now, List<DispatchAction> out);
 
--- a/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
@@ -8,7 +8,8 @@
 /**
  * The order in which waiting jobs get room: those that can still meet their objective with some
  * margin first, by a time between the latest start and the end of the objective; then the others,
- * by priority and that time.
+ * by priority and that time. A late job whose group of callers lately got half of its share counts
+ * as one priority higher.
  *
  * <p>Without the margin, under overload each job would get its room at the last moment and miss its
  * objective by what run times differ from their predictions.
@@ -31,31 +32,32 @@
   /** How far the order lies between the latest start and the end of the objective. */
   private static final double ORDER_SHARE = 0.5;
 
+  private static final double LN_2 = Math.log(2);
+
   private final DurationModel durations;
+  private final GroupWeights weights;
 
-  WaitingOrder(DurationModel durations) {
+  WaitingOrder(DurationModel durations, GroupWeights weights) {
     this.durations = durations;
+    this.weights = weights;
   }
 
   /**
    * A job's place.
    *
    * @param late whether it can't be in time any more
-   * @param rank its place among those that are late, or among those that are not; the least first
+   * @param level its priority among those that are late, less what the weight of its group adds
+   * @param rank its place among those of its level, or among those in time; the least first
    */
-  record Place(Job job, boolean late, double rank) implements Comparable<Place> {
+  record Place(Job job, boolean late, double level, double rank) implements Comparable<Place> {
 
     @Override
     public int compareTo(Place other) {
       if (late != other.late) {
         return late ? 1 : -1;
       }
-      int byPriority = late ? Integer.compare(priority(), other.priority()) : 0;
-      return byPriority != 0 ? byPriority : Double.compare(rank, other.rank);
-    }
-
-    private int priority() {
-      return job.requestClass().priority();
+      int byLevel = late ? Double.compare(level, other.level) : 0;
+      return byLevel != 0 ? byLevel : Double.compare(rank, other.rank);
     }
   }
 
@@ -79,7 +81,12 @@
     double left = chainMicros(job, job.remainingChainMillis());
     double latest = job.arrivedAt + objectiveMicros(job) - left;
     double margin = MARGIN_SHARE * left + MARGIN_MICROS + (job.isDurable() ? STORE_MICROS : 0);
-    return new Place(job, latest - margin < now, latest + ORDER_SHARE * left);
+    boolean late = latest - margin < now;
+    return new Place(job, late, late ? level(job, now) : 0, latest + ORDER_SHARE * left);
+  }
+
+  private double level(Job job, long now) {
+    return job.requestClass().priority() - Math.log(weights.weight(job, now)) / LN_2;
   }
 
   /** Returns how long a job may take within its objective. */
@@ -88,6 +95,11 @@
         + job.requestClass().objectiveMillis() * MICROS_PER_MILLI;
   }
 
+  /** Tells whether a time is within a job's objective. */
+  boolean isInTime(Job job, long at) {
+    return at <= job.arrivedAt + objectiveMicros(job);
+  }
+
   /** Returns the processor time that the tasks need that may start now, times their cores. */
   double waitingCpuMicros(Job job) {
     double sum = 0;
