Return times of refused callers from the drain rate, and intake by value

With overload=shed, the times at which refused callers were told to come back grew with what waits and were spread over as much again, whatever had been told before, so a wave came back as a wave. Heartbeats carry a forecast, which hosts use for 2 s for the jobs that they refuse themselves; a heartbeat without it reads as before.

IntakeGate lets jobs of the greatest value per start through first, a tenth of the share evenly. The share is that of starts, as the leader's load comes from these. With overload=queue all is as before.

--- a/src/main/java/org/marjoramhoist/dispatch/Backlog.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Backlog.java
@@ -13,6 +13,7 @@
 
   private final WaitingOrder order;
   private double totalMicros;
+  private double cpuMillis;
 
   Backlog(WaitingOrder order) {
     this.order = order;
@@ -30,6 +31,7 @@
     for (Worker worker : workers) {
       capacity += worker.mayTakeWork() ? worker.info().capacity().cpuMillis() : 0;
     }
+    cpuMillis = capacity;
     totalMicros = 0;
     List<Job> hopeless = new ArrayList<>();
     if (capacity == 0) {
@@ -51,4 +53,9 @@
   double totalMicros() {
     return totalMicros;
   }
+
+  /** Returns what the workers that may take work had then, in thousandths of a core. */
+  double cpuMillis() {
+    return cpuMillis;
+  }
 }
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -22,9 +22,11 @@
 import org.marjoramhoist.dispatch.DispatchEvent.TermEnded;
 import org.marjoramhoist.dispatch.DispatchEvent.Tick;
 import org.marjoramhoist.dispatch.DispatchEvent.WorkersListed;
+import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.JobStatus;
+import org.marjoramhoist.job.RequestClass;
 import org.marjoramhoist.job.RunRef;
 import org.marjoramhoist.log.LogEvent;
 
@@ -56,6 +58,10 @@
   private final GroupWeights weights;
   private final WaitingOrder order;
   private final Backlog backlog;
+
+  /** Null unless what can't be in time is shed. */
+  private final ReturnTimes returns;
+
   private final Workers workers;
   private final Allocator allocator;
   private final Jobs jobs = new Jobs();
@@ -80,6 +86,8 @@
     this.weights = new GroupWeights(policy.scheduling().fairShares(), now);
     this.order = new WaitingOrder(durations, weights);
     this.backlog = new Backlog(order);
+    this.returns =
+        policy.scheduling().overload() == SchedulingPolicy.Overload.SHED ? new ReturnTimes() : null;
     this.durable = new DurableJobs(policy.keepMillis(), epochMillis);
     this.workers = new Workers(now, earlierRunsOverAt);
     this.placement = new Placement(policy, durations);
@@ -241,7 +249,11 @@
     out.add(new Log(LogEvent.JOB_REFUSED, "job=" + call.job() + " reason=" + refusal));
     out.add(
         new DispatchAction.Reply(
-            call.entry(), call.call(), CallResult.REFUSED, null, retryAfterMillis(call.job())));
+            call.entry(),
+            call.call(),
+            CallResult.REFUSED,
+            null,
+            retryAfterMillis(call.record().job(), call.record().requestClass(), now)));
   }
 
   /** Returns why a durable job can't be taken on now; null if it can. */
@@ -317,7 +329,11 @@
       expire(job, now, out);
     }
     jobs.prune(now);
-    for (Job job : backlog.measure(allocator.orderWaiting(now), workers.all(), now)) {
+    List<Job> hopeless = backlog.measure(allocator.orderWaiting(now), workers.all(), now);
+    if (returns != null) {
+      returns.measured(backlog.totalMicros() * backlog.cpuMillis(), backlog.cpuMillis(), now);
+    }
+    for (Job job : hopeless) {
       end(job, JobOutcome.REFUSED, "too much waits before it", now, out);
     }
     mayPlace = true;
@@ -344,7 +360,10 @@
 
   private void end(Job job, JobOutcome outcome, String reason, long now, List<DispatchAction> out) {
     weights.ended(job, outcome == JobOutcome.SUCCEEDED && order.isInTime(job, now), now);
-    long retryAfter = outcome == JobOutcome.REFUSED ? retryAfterMillis(job.id()) : 0;
+    long retryAfter =
+        outcome == JobOutcome.REFUSED
+            ? retryAfterMillis(job.description(), job.requestClass(), now)
+            : 0;
     for (Run run : jobs.end(job, outcome, reason, retryAfter, now, out)) {
       runs.stop(run, out);
     }
@@ -354,9 +373,12 @@
   }
 
   /** Returns when a refused caller may come back: once the work before it is done, spread out. */
-  private long retryAfterMillis(JobId id) {
+  private long retryAfterMillis(JobDescription job, RequestClass requestClass, long now) {
+    if (returns != null) {
+      return returns.retryAfterMillis(job.id(), order.cpuMicros(job, requestClass), now);
+    }
     long wait = RETRY_AFTER_MILLIS + (long) (backlog.totalMicros() / MICROS_PER_MILLI);
-    return wait + Math.floorMod(id.hashCode(), wait);
+    return wait + Math.floorMod(job.id().hashCode(), wait);
   }
 
   private static JobStatus statusOf(JobOutcome outcome) {
@@ -372,6 +394,20 @@
     return jobs.waitingByClass();
   }
 
+  /**
+   * Returns what hosts are told about when refused callers may come back.
+   *
+   * @param intake the share of their new jobs that they send on
+   */
+  public ReturnForecast returnForecast(double intake, long now) {
+    return returns == null ? ReturnForecast.NONE : returns.forecast(intake, now);
+  }
+
+  /** Returns the served shares of groups of callers; none unless shares are fair. */
+  public Map<ServedShares.Group, Double> servedShares(long now) {
+    return weights.shares(now);
+  }
+
   /** Returns what is known now, in figures. */
   public DispatchSnapshot snapshot(long now) {
     Census census = new Census(workers.all(), now);
@@ -390,6 +426,9 @@
     @Override
     public void jobStarted(Job job, long now) {
       weights.started(job, now);
+      if (returns != null) {
+        returns.started(order.cpuMicros(job.description(), job.requestClass()));
+      }
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/HeardForecast.java
@@ -0,0 +1,40 @@
+package org.marjoramhoist.dispatch;
+
+import org.marjoramhoist.job.JobId;
+
+/**
+ * The forecast that a host last heard of its leader, for the jobs that it refuses itself.
+ *
+ * <p>Confined to one thread.
+ */
+public final class HeardForecast {
+
+  /** After this time without a leader, what waited for it says little about the next one. */
+  private static final long VALID_MICROS = 2_000_000;
+
+  private static final long MICROS_PER_MILLI = 1_000;
+
+  private ReturnForecast forecast = ReturnForecast.NONE;
+  private long heardAt;
+
+  /** Takes in a forecast. */
+  public void heard(ReturnForecast next, long now) {
+    forecast = next;
+    heardAt = now;
+  }
+
+  /**
+   * Returns when the caller of a refused job may come back, in milliseconds.
+   *
+   * @param fallback what it is told if there is no forecast that is still valid
+   */
+  public long retryAfterMillis(JobId id, long fallback, long now) {
+    long age = now - heardAt;
+    if (!forecast.isKnown() || age >= VALID_MICROS) {
+      return fallback;
+    }
+    long room = forecast.roomMillis() - age / MICROS_PER_MILLI;
+    long spread = Math.max(1, forecast.spreadMillis());
+    return Math.max(ReturnTimes.LEAST_MILLIS, room) + Math.floorMod(id.hashCode(), spread);
+  }
+}
--- a/src/main/java/org/marjoramhoist/dispatch/ServedShares.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ServedShares.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /**
  * What groups of callers lately asked for, and what of it was served.
@@ -12,11 +13,22 @@
  * microseconds, as estimated by callers. All sums age exponentially, and the group that was used
  * least recently goes when there are too many. Confined to one thread.
  */
-final class ServedShares {
+public final class ServedShares {
 
-  /** Callers of one failure domain with jobs of one class. */
-  record Group(String origin, String requestClass) {}
+  /**
+   * Callers of one failure domain with jobs of one class.
+   *
+   * @param origin the failure domain of the hosts that they call; empty if it is not known
+   * @param requestClass the name of the class
+   */
+  public record Group(String origin, String requestClass) {
+    @Override
+    public String toString() {
+      return origin + "/" + requestClass;
+    }
+  }
 
+  private static final double PERCENT = 100;
   private static final int MOST_GROUPS = 256;
 
   /** Long against a job's stay, so that waiting jobs hardly count as unserved; short of a wave. */
@@ -124,6 +136,14 @@
     return agingMicros * -Math.expm1(-knownMicros / agingMicros);
   }
 
+  /** Returns shares as a text for logs, the least first. */
+  public static String describe(Map<Group, Double> shares) {
+    return shares.entrySet().stream()
+        .sorted(Map.Entry.comparingByValue())
+        .map(each -> each.getKey() + "=" + Math.round(each.getValue() * PERCENT) + "%")
+        .collect(Collectors.joining(" "));
+  }
+
   /** Returns the shares of all groups that lately asked for anything. */
   Map<Group, Double> shares(long now) {
     Map<Group, Double> shares = new HashMap<>();
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/ValueIntake.java
@@ -0,0 +1,121 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Lets through the share of new jobs that a leader can start, those of the greatest value per start
+ * first.
+ *
+ * <p>The share is that of starts, as these are what a job costs the leader. Each class of request
+ * counts as spread around its mean value per start; what lies above a threshold goes through, so
+ * classes of equal value go through evenly and small differences in value change little. Confined
+ * to one thread.
+ */
+public final class ValueIntake {
+
+  private static final int MOST_CLASSES = 64;
+
+  /** Enough jobs at a single host, few enough to follow a change of load. */
+  private static final double AGING_MICROS = 10_000_000;
+
+  /** What is let through evenly, as a part of the share, so that no class is shut out. */
+  private static final double EVEN_PART = 0.1;
+
+  /** The ratio between the greatest and the least value of a class, as a logarithm. */
+  private static final double SPREAD = Math.log(2);
+
+  /** Halvings of an interval for the threshold; more change the share by less than a thousandth. */
+  private static final int HALVINGS = 20;
+
+  private static final class Tally {
+    private double jobs;
+    private double starts;
+    private double logValue;
+    private long agedAt;
+    private double credit;
+
+    private void add(double value, int tasks, long now) {
+      age(now);
+      jobs++;
+      starts += Math.max(1, tasks);
+      logValue = Math.log(Math.max(Double.MIN_NORMAL, value) * jobs / starts);
+    }
+
+    private void age(long now) {
+      double left = Math.exp((agedAt - now) / AGING_MICROS);
+      jobs *= left;
+      starts *= left;
+      agedAt = now;
+    }
+
+    /** Returns what part of the class lies above a threshold. */
+    private double above(double threshold) {
+      return Math.max(0, Math.min(1, (logValue - threshold) / SPREAD + 0.5));
+    }
+  }
+
+  private final Map<String, Tally> classes = new LinkedHashMap<>(16, 0.75f, true);
+
+  /**
+   * Takes in a new job and tells whether it may go through.
+   *
+   * @param value what a job of its class is worth
+   * @param tasks how many tasks it has
+   * @param share the share of all starts that may go through, from 0 to 1
+   */
+  public boolean admits(String requestClass, double value, int tasks, double share, long now) {
+    Tally tally = classes.computeIfAbsent(requestClass, name -> new Tally());
+    tally.add(value, tasks, now);
+    if (classes.size() > MOST_CLASSES) {
+      classes.remove(classes.keySet().iterator().next());
+    }
+    if (share >= 1) {
+      tally.credit = 0;
+      return true;
+    }
+    tally.credit += admitted(tally, share, now);
+    if (tally.credit < 1) {
+      return false;
+    }
+    tally.credit -= 1;
+    return true;
+  }
+
+  /** Returns the share of the jobs of a class that may go through. */
+  private double admitted(Tally tally, double share, long now) {
+    double even = EVEN_PART * share;
+    double chosen = (share - even) / (1 - even);
+    return even + (1 - even) * tally.above(threshold(chosen, now));
+  }
+
+  /** Returns the value per start, as a logarithm, above which the share of all starts lies. */
+  private double threshold(double share, long now) {
+    double low = Double.POSITIVE_INFINITY;
+    double high = Double.NEGATIVE_INFINITY;
+    for (Tally each : classes.values()) {
+      each.age(now);
+      low = Math.min(low, each.logValue - SPREAD / 2);
+      high = Math.max(high, each.logValue + SPREAD / 2);
+    }
+    for (int i = 0; i < HALVINGS; i++) {
+      double middle = (low + high) / 2;
+      if (shareAbove(middle) > share) {
+        low = middle;
+      } else {
+        high = middle;
+      }
+    }
+    return (low + high) / 2;
+  }
+
+  private double shareAbove(double threshold) {
+    double above = 0;
+    double all = 0;
+    for (Tally each : classes.values()) {
+      above += each.starts * each.above(threshold);
+      all += each.starts;
+    }
+    return above / all;
+  }
+}
--- a/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
@@ -4,6 +4,9 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.job.StepSpec;
 
 /**
  * The order in which waiting jobs get room: those that can still meet their objective with some
@@ -109,6 +112,16 @@
     return sum;
   }
 
+  /** Returns the processor time that all tasks of a job need, times their cores. */
+  double cpuMicros(JobDescription job, RequestClass requestClass) {
+    double sum = 0;
+    for (StepSpec step : job.steps()) {
+      double micros = durations.predictMicros(requestClass.name(), step.estimateMillis());
+      sum += micros * step.count() * step.need().cpuMillis();
+    }
+    return sum;
+  }
+
   /** Returns how long a job takes that finds room at once. */
   double chainMicros(Job job) {
     return chainMicros(job, job.remainingChainMillis());
--- a/src/main/java/org/marjoramhoist/entry/Duty.java
+++ b/src/main/java/org/marjoramhoist/entry/Duty.java
@@ -8,6 +8,7 @@
 import org.marjoramhoist.dispatch.DispatchAction;
 import org.marjoramhoist.dispatch.DispatchEvent;
 import org.marjoramhoist.dispatch.Dispatcher;
+import org.marjoramhoist.dispatch.ReturnForecast;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.Finished;
@@ -98,6 +99,11 @@
     return dispatcher.waitingByClass();
   }
 
+  /** Returns what hosts that send on a share of their new jobs are told for the others. */
+  final ReturnForecast returnForecast(double intake) {
+    return dispatcher.returnForecast(intake, Loop.now());
+  }
+
   /** Takes in a message of an entry host, which may be this one. */
   void fromEntry(String host, HostMessage message) {
     long now = Loop.now();
--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -65,7 +65,7 @@
   private final FrameNetwork network;
   private final Undertow http;
   private final LeaderReach reach = new LeaderReach();
-  private final OpenJobs jobs = new OpenJobs(reach);
+  private final OpenJobs jobs;
   private final JobCalls calls;
   private final ConfigWatch config = new ConfigWatch();
   private final NodeMetrics metrics = new NodeMetrics();
@@ -76,6 +76,7 @@
 
   private EntryNode(NodeSettings settings) throws IOException {
     this.settings = settings;
+    this.jobs = new OpenJobs(reach, settings.scheduling());
     this.worker = createWorker();
     this.loop = new Loop(worker.getIoThread());
     HttpCaller caller = new HttpCaller(worker);
--- a/src/main/java/org/marjoramhoist/entry/FrontApi.java
+++ b/src/main/java/org/marjoramhoist/entry/FrontApi.java
@@ -231,6 +231,7 @@
     if (retryAfterMillis > 0 && !exchange.isResponseStarted()) {
       long seconds = TimeUnit.MILLISECONDS.toSeconds(retryAfterMillis + 999);
       exchange.getResponseHeaders().put(Headers.RETRY_AFTER, seconds);
+      metrics.retryTold(seconds);
     }
     reply(exchange, UNAVAILABLE, JobBodies.ended(JobOutcome.REFUSED));
   }
--- a/src/main/java/org/marjoramhoist/entry/IntakeGate.java
+++ b/src/main/java/org/marjoramhoist/entry/IntakeGate.java
@@ -1,22 +1,42 @@
 package org.marjoramhoist.entry;
 
+import org.marjoramhoist.dispatch.SchedulingPolicy;
+import org.marjoramhoist.dispatch.ValueIntake;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.RequestClass;
+
 /**
- * Lets through the share of the new jobs that the leader can take, spread evenly.
+ * Lets through the share of the new jobs that the leader can take: spread evenly, or if jobs are
+ * shed, those of the greatest value per start first.
  *
  * <p>Confined to the loop's thread.
  */
 final class IntakeGate {
 
+  private final SchedulingPolicy scheduling;
+  private final ValueIntake byValue = new ValueIntake();
   private double share = 1;
   private double credit;
 
+  IntakeGate(SchedulingPolicy scheduling) {
+    this.scheduling = scheduling;
+  }
+
   /** Takes in the share, from 0 to 1. */
   void setShare(double next) {
     share = next;
   }
 
   /** Tells whether one more job may go through. */
-  boolean admits() {
+  boolean admits(JobDescription job, RequestClass requestClass, long now) {
+    if (scheduling.overload() == SchedulingPolicy.Overload.SHED) {
+      double value = scheduling.jobValue(requestClass.priority());
+      return byValue.admits(requestClass.name(), value, job.taskCount(), share, now);
+    }
+    return admitsEvenly();
+  }
+
+  private boolean admitsEvenly() {
     if (share >= 1) {
       credit = 0;
       return true;
--- a/src/main/java/org/marjoramhoist/entry/JobCalls.java
+++ b/src/main/java/org/marjoramhoist/entry/JobCalls.java
@@ -40,10 +40,14 @@
     }
 
     /** Returns the answer to a caller that is kept waiting no longer. */
-    private JobCallReply givenUp() {
+    private JobCallReply givenUp(LeaderReach reach) {
       return sent
           ? new JobCallReply(call.call(), CallResult.UNKNOWN, null, 0)
-          : new JobCallReply(call.call(), CallResult.REFUSED, null, LeaderReach.RETRY_MILLIS);
+          : new JobCallReply(
+              call.call(),
+              CallResult.REFUSED,
+              null,
+              reach.retryAfterMillis(call.id(), LeaderReach.RETRY_MILLIS));
     }
   }
 
@@ -88,7 +92,7 @@
 
   private void add(OpenCall entry) {
     if (!reach.mayReachPartition()) {
-      entry.caller.accept(entry.givenUp());
+      entry.caller.accept(entry.givenUp(reach));
       return;
     }
     open.put(entry.call.call(), entry);
@@ -125,7 +129,7 @@
 
   private void giveUp(OpenCall entry) {
     open.remove(entry.call.call());
-    entry.caller.accept(entry.givenUp());
+    entry.caller.accept(entry.givenUp(reach));
   }
 
   /** Gives up all open calls, as the host stops. */
--- a/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
@@ -1,6 +1,7 @@
 package org.marjoramhoist.entry;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -10,6 +11,7 @@
 import org.marjoramhoist.dispatch.DispatchEvent;
 import org.marjoramhoist.dispatch.DispatchPolicy;
 import org.marjoramhoist.dispatch.Dispatcher;
+import org.marjoramhoist.dispatch.ServedShares;
 import org.marjoramhoist.dispatch.StoredJob;
 import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.log.EventLog;
@@ -112,9 +114,18 @@
         new LeaderStatus(dispatcher.snapshot(Loop.now()), mayOrder, queued(), load.take());
     metrics.leads(status);
     EventLog.info(LogEvent.LEADER_STATUS, "term={} {}", term(), status);
+    tellShares();
     loop.after(STATUS_MILLIS, this::tellStatus);
   }
 
+  private void tellShares() {
+    Map<ServedShares.Group, Double> shares = dispatcher.servedShares(Loop.now());
+    metrics.servedShares(shares);
+    if (!shares.isEmpty()) {
+      EventLog.info(LogEvent.SERVED_SHARES, "term={} {}", term(), ServedShares.describe(shares));
+    }
+  }
+
   /** Reads the stored jobs, once. */
   private void loadJobs() {
     if (!loading && !isClosed()) {
@@ -193,6 +204,7 @@
   public void close() {
     super.close();
     metrics.leads(LeaderStatus.NONE);
+    metrics.servedShares(Map.of());
     jobStore.close();
     rosterStore.close();
   }
--- a/src/main/java/org/marjoramhoist/entry/LeaderReach.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderReach.java
@@ -2,6 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.marjoramhoist.dispatch.HeardForecast;
+import org.marjoramhoist.dispatch.ReturnForecast;
+import org.marjoramhoist.job.JobId;
 
 /**
  * The leaders that this host can send to, and for how long there has been none: that of the
@@ -11,7 +14,7 @@
  */
 final class LeaderReach {
 
-  /** When callers that no leader was found for may come back. */
+  /** When refused callers may come back if the leader tells nothing. */
   static final long RETRY_MILLIS = 2_000;
 
   /** How long callers are kept waiting for a leader to be found. */
@@ -23,6 +26,7 @@
   private LeaderPort domainLeader;
   private long lostAt = Loop.now();
   private boolean hadLeader;
+  private final HeardForecast forecast = new HeardForecast();
 
   /** Runs a task each time that a leader is found, in the order of these calls. */
   void onFound(Runnable task) {
@@ -66,6 +70,20 @@
     }
   }
 
+  /** Takes in what the partition's leader tells about when refused callers may come back. */
+  void heard(ReturnForecast told) {
+    forecast.heard(told, Loop.now());
+  }
+
+  /**
+   * Returns when the caller of a job that this host refuses may come back, in milliseconds.
+   *
+   * @param fallback what it is told without a forecast of late
+   */
+  long retryAfterMillis(JobId id, long fallback) {
+    return forecast.retryAfterMillis(id, fallback, Loop.now());
+  }
+
   /** Returns the partition's leader; null if there is none. */
   LeaderPort leader() {
     return leader;
--- a/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
+++ b/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
@@ -1,16 +1,22 @@
 package org.marjoramhoist.entry;
 
+import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MultiGauge;
 import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.marjoramhoist.dispatch.DispatchSnapshot;
+import org.marjoramhoist.dispatch.ServedShares;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.log.LogEvent;
 
@@ -35,9 +41,13 @@
     Duration.ofSeconds(5)
   };
 
+  private static final double[] RETRY_BOUNDS = {1, 2, 3, 5, 10, 20};
+
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Set<String> classes = new HashSet<>();
+  private final MultiGauge servedShares =
+      MultiGauge.builder("marjoramhoist.leader.served.share").register(registry);
   private volatile LeaderStatus status = LeaderStatus.NONE;
 
   NodeMetrics() {
@@ -92,6 +102,25 @@
         .record(micros, TimeUnit.MICROSECONDS);
   }
 
+  /** Takes in the served shares of groups of callers, which replace those told before. */
+  void servedShares(Map<ServedShares.Group, Double> shares) {
+    List<MultiGauge.Row<?>> rows = new ArrayList<>();
+    shares.forEach(
+        (group, share) -> {
+          Tags tags = Tags.of("domain", group.origin(), "class", group.requestClass());
+          rows.add(MultiGauge.Row.of(tags, share));
+        });
+    servedShares.register(rows, true);
+  }
+
+  /** Takes in when a refused caller was told to come back. */
+  void retryTold(long seconds) {
+    DistributionSummary.builder("marjoramhoist.retry.after.seconds")
+        .serviceLevelObjectives(RETRY_BOUNDS)
+        .register(registry)
+        .record(seconds);
+  }
+
   private String bounded(String requestClass) {
     if (classes.size() >= MAX_CLASSES && !classes.contains(requestClass)) {
       return OTHER;
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.marjoramhoist.dispatch.SchedulingPolicy;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
@@ -50,11 +51,17 @@
   private final Map<JobId, OpenJob> open = new LinkedHashMap<>();
   private final RecentEnds recent = new RecentEnds();
   private final LeaderReach reach;
-  private final IntakeGate intake = new IntakeGate();
+  private final IntakeGate intake;
 
-  /** Creates an empty set, whose jobs are sent to each leader that is found. */
+  /** Creates an empty set with the default scheduling. */
   OpenJobs(LeaderReach reach) {
+    this(reach, SchedulingPolicy.DEFAULT);
+  }
+
+  /** Creates an empty set, whose jobs are sent to each leader that is found. */
+  OpenJobs(LeaderReach reach, SchedulingPolicy scheduling) {
     this.reach = reach;
+    this.intake = new IntakeGate(scheduling);
     reach.onFound(() -> List.copyOf(open.values()).forEach(this::send));
     reach.onDomainLeaderChange(this::domainLeaderChanged);
   }
@@ -96,7 +103,7 @@
       answer(entry, notSent(job.id()));
       return;
     }
-    if (reach.leader() != null && !intake.admits()) {
+    if (reach.leader() != null && !intake.admits(job, requestClass, Loop.now())) {
       answer(entry, notAdmitted(job.id()));
       return;
     }
@@ -104,12 +111,14 @@
     send(entry);
   }
 
-  private static Finished notSent(JobId id) {
-    return new Finished(id, JobOutcome.REFUSED, "no leader is reached", LeaderReach.RETRY_MILLIS);
+  private Finished notSent(JobId id) {
+    long retry = reach.retryAfterMillis(id, LeaderReach.RETRY_MILLIS);
+    return new Finished(id, JobOutcome.REFUSED, "no leader is reached", retry);
   }
 
-  private static Finished notAdmitted(JobId id) {
-    long retry = LeaderReach.RETRY_MILLIS + Math.floorMod(id.hashCode(), LeaderReach.RETRY_MILLIS);
+  private Finished notAdmitted(JobId id) {
+    long spread = Math.floorMod(id.hashCode(), LeaderReach.RETRY_MILLIS);
+    long retry = reach.retryAfterMillis(id, LeaderReach.RETRY_MILLIS + spread);
     return new Finished(id, JobOutcome.REFUSED, "the leader is overloaded", retry);
   }
 
--- a/src/main/java/org/marjoramhoist/entry/Partition.java
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.marjoramhoist.dispatch.ReturnForecast;
 import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.lead.Election;
 import org.marjoramhoist.lead.ElectionAction;
@@ -280,9 +281,17 @@
     }
     double share = intake.next(duty.meanDelayMicros());
     jobs.setIntake(share);
+    ReturnForecast returns = duty.returnForecast(share);
+    reach.heard(returns);
     followers.beat(
         new Heartbeat(
-            duty.term(), self, config.current().version(), duty.waiting(), share, Loop.now()));
+            duty.term(),
+            self,
+            config.current().version(),
+            duty.waiting(),
+            share,
+            Loop.now(),
+            returns));
     handOverIfDue();
   }
 
@@ -385,6 +394,7 @@
       domain.partitionLeaderHeard();
       waiting = heartbeat.waiting();
       jobs.setIntake(heartbeat.intake());
+      reach.heard(heartbeat.returns());
       if (!isLeaderLink(link)) {
         EventLog.info(
             LogEvent.LEADER_CHANGED, "leader={} term={}", heartbeat.host(), heartbeat.term());
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -62,6 +62,8 @@
   DOMAIN_LEADER_STEPPED_DOWN(3109),
   /** Another host leads this host's failure domain, which is cut off. */
   DOMAIN_LEADER_FOUND(3110),
+  /** What share of their entitlement groups of callers lately got, about once a second. */
+  SERVED_SHARES(3120),
   /** A submission was accepted. */
   JOB_ACCEPTED(4001),
   /** A submission was refused. */
--- a/src/main/java/org/marjoramhoist/message/HostMessage.java
+++ b/src/main/java/org/marjoramhoist/message/HostMessage.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.marjoramhoist.dispatch.CallKind;
 import org.marjoramhoist.dispatch.CallResult;
+import org.marjoramhoist.dispatch.ReturnForecast;
 import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
@@ -48,6 +49,7 @@
    * @param waiting jobs without a started task, by the name of their class
    * @param intake the share of the new jobs that hosts are to send on, from 0 to 1
    * @param sentAt when it was sent, on the leader's steady clock in microseconds
+   * @param returns when callers that hosts refuse may come back
    */
   record Heartbeat(
       long term,
@@ -55,8 +57,15 @@
       long configVersion,
       Map<String, Integer> waiting,
       double intake,
-      long sentAt)
-      implements HostMessage {}
+      long sentAt,
+      ReturnForecast returns)
+      implements HostMessage {
+
+    /** Creates a heartbeat; one of an earlier version has no forecast. */
+    public Heartbeat {
+      returns = returns == null ? ReturnForecast.NONE : returns;
+    }
+  }
 
   /**
    * Answers a heartbeat.
--- a/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.marjoramhoist.dispatch.ReturnForecast;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobFeature;
 import org.marjoramhoist.job.JobId;
@@ -134,4 +135,20 @@
     assertThat(told).hasSize(75);
     assertThat(Set.copyOf(told)).containsExactly(JobOutcome.REFUSED);
   }
+
+  /** Without a forecast of the leader the times are fixed. */
+  @Test
+  void refusedCallersComeBackWhenTheLeaderExpectsRoom() {
+    List<Long> times = new ArrayList<>();
+    LeaderPort partition = port("partition", 7);
+    reach.found(partition);
+    jobs.setIntake(0);
+    long now = Loop.now();
+    JobDescription job = new JobDescription(ID, "p", List.of(), Set.<JobFeature>of());
+    jobs.submit(job, CLASS, now, now, end -> times.add(end.retryAfterMillis()));
+    reach.heard(new ReturnForecast(60_000, 1));
+    jobs.submit(job, CLASS, now, now, end -> times.add(end.retryAfterMillis()));
+    assertThat(times.get(0)).isAtMost(4_000);
+    assertThat(times.get(1)).isGreaterThan(50_000L);
+  }
 }
