--- a/src/main/java/org/marjoramhoist/dispatch/GroupWeights.java
+++ b/src/main/java/org/marjoramhoist/dispatch/GroupWeights.java
@@ -54,9 +54,15 @@
    * @param inTime whether it was done within its objective
    */
   void ended(Job job, boolean inTime, long now) {
+    if (!counts(job)) {
+      return;
+    }
     Long since = servedAt.remove(job);
     if (since != null && !inTime) {
       shares.takenBack(groupOf(job), job.estimatedWork(), since, now);
+    } else if (since == null && inTime) {
+      // An earlier leader started it.
+      shares.served(groupOf(job), job.estimatedWork(), now);
     }
   }
 
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -15,6 +15,7 @@
 import org.marjoramhoist.dispatch.Dispatcher;
 import org.marjoramhoist.dispatch.JournalBatch;
 import org.marjoramhoist.dispatch.RosterChange;
+import org.marjoramhoist.dispatch.SchedulingPolicy;
 import org.marjoramhoist.dispatch.StartReply;
 import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.dispatch.WorkerReport;
@@ -55,6 +56,7 @@
   private static final long RESENT_AFTER = 1_300_000;
 
   private static final String ENTRY = "entry";
+  private static final int ORIGINS = 3;
   private static final DispatchPolicy POLICY = new DispatchPolicy(980, 1.5, 250, 120_000);
 
   /**
@@ -93,7 +95,7 @@
     private Term(long token, Set<String> led) {
       this.token = token;
       this.led = led;
-      this.dispatcher = new Dispatcher(POLICY.forDomain(), time.now(), time.now(), 0);
+      this.dispatcher = new Dispatcher(policy.forDomain(), time.now(), time.now(), 0);
       take(new DispatchEvent.RosterLoaded(listedWorkers()));
       take(new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
     }
@@ -102,7 +104,7 @@
       this.led = Set.of();
       this.token = token;
       final int ordinal = jobStore.claim(token);
-      this.dispatcher = new Dispatcher(POLICY, time.now(), time.now() + EARLIER_RUNS, 0);
+      this.dispatcher = new Dispatcher(policy, time.now(), time.now() + EARLIER_RUNS, 0);
       time.after(STORE_ANSWER, () -> load(ordinal));
       time.after(STORE_ANSWER, this::loadRoster);
     }
@@ -204,11 +206,17 @@
   private Term term;
   private Term local;
   private Set<String> cut = Set.of();
+  private final DispatchPolicy policy;
   private Set<String> domain = Set.of();
   private long tokens;
 
   DispatchFleet(long seed) {
+    this(seed, SchedulingPolicy.DEFAULT);
+  }
+
+  DispatchFleet(long seed, SchedulingPolicy scheduling) {
     network = new VirtualNetwork(time, seed);
+    policy = POLICY.withScheduling(scheduling);
   }
 
   LeasedWorker addWorker(WorkerInfo info, double slowness) {
@@ -422,7 +430,8 @@
             ENTRY,
             job.arrivedAt(),
             job.deadline(),
-            generations.getOrDefault(job.job().id(), 0)));
+            generations.getOrDefault(job.job().id(), 0),
+            "d-" + Math.floorMod(job.job().id().hashCode(), ORIGINS)));
   }
 
   VirtualTime time() {
--- a/src/test/java/org/marjoramhoist/experiment/Fleets.java
+++ b/src/test/java/org/marjoramhoist/experiment/Fleets.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.marjoramhoist.decision.HostCore;
 import org.marjoramhoist.decision.Policy;
+import org.marjoramhoist.dispatch.SchedulingPolicy;
 import org.marjoramhoist.model.ClassId;
 import org.marjoramhoist.model.JobAnswer;
 import org.marjoramhoist.model.JobSpec;
@@ -48,7 +49,11 @@
 
   /** A fleet with the workers of {@link DispatchLoad} and a leader that knows them. */
   static DispatchFleet dispatching(long seed) {
-    DispatchFleet fleet = new DispatchFleet(seed);
+    return dispatching(seed, SchedulingPolicy.DEFAULT);
+  }
+
+  static DispatchFleet dispatching(long seed, SchedulingPolicy scheduling) {
+    DispatchFleet fleet = new DispatchFleet(seed, scheduling);
     DispatchLoad.addWorkers(fleet);
     fleet.elect();
     fleet.runFor(SECOND);
