--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -325,6 +325,9 @@
           .reasonToGiveUp(workers.all(), now)
           .ifPresent(reason -> out.add(new DispatchAction.StepDown(reason)));
     }
+    if (returns != null) {
+      returns.dropped(workOverdue(now));
+    }
     for (Job job : List.copyOf(jobs.all())) {
       expire(job, now, out);
     }
@@ -339,6 +342,14 @@
     mayPlace = true;
   }
 
+  /** Returns the work of the waiting jobs whose end is of no use any more. */
+  private double workOverdue(long now) {
+    return jobs.waiting().stream()
+        .filter(job -> !job.started && !job.isDurable() && now > order.lateLimit(job))
+        .mapToDouble(order::waitingCpuMicros)
+        .sum();
+  }
+
   private void termEnded(String reason, long now, List<DispatchAction> out) {
     for (Job job : List.copyOf(jobs.all())) {
       JobOutcome outcome = job.started ? JobOutcome.ABANDONED : JobOutcome.REFUSED;
--- a/src/main/java/org/marjoramhoist/dispatch/ReturnTimes.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ReturnTimes.java
@@ -64,6 +64,11 @@
     measuredAt = now;
   }
 
+  /** Takes in that work waits no longer though it was not started, since it was measured. */
+  void dropped(double work) {
+    waiting = Math.max(0, waiting - work);
+  }
+
   /** Returns when a refused caller may come back, in milliseconds, and books its return. */
   long retryAfterMillis(JobId id, double work, long now) {
     int spread = id.hashCode();
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/dispatch/RefusedReturnsTest.java
@@ -0,0 +1,67 @@
+package org.marjoramhoist.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.dispatch.SchedulingPolicy.Overload;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobFeature;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.JobOutcome;
+
+/** What a leader tells the callers of jobs that it refuses. */
+class RefusedReturnsTest extends DispatcherFixture {
+
+  private static final int JOBS = 20;
+
+  private List<Long> retryTimes(Overload overload) {
+    SchedulingPolicy scheduling =
+        new SchedulingPolicy(
+            SchedulingPolicy.Placement.FASTEST,
+            overload,
+            false,
+            Map.of(),
+            SchedulingPolicy.DEFAULT_LATE_VALUE,
+            SchedulingPolicy.WorkerHealth.STREAK);
+    dispatcher = new Dispatcher(POLICY.withScheduling(scheduling), now, now, 0);
+    step(0, new DispatchEvent.RosterLoaded(List.of()));
+    listWorkers(worker("w", 1_000, false));
+    report("w", List.of());
+    for (int i = 0; i < JOBS; i++) {
+      JobId id = new JobId(String.format("%016x", i * 0x9e3779b97f4a7c15L));
+      JobDescription job =
+          new JobDescription(id, "p", List.of(tasks(10, List.of())), Set.<JobFeature>of());
+      step(0, new DispatchEvent.JobSubmitted(job, CLASS, "e", now, now + 1_500 * MILLI, 0));
+    }
+    step(20, new DispatchEvent.Tick());
+    step(500, new DispatchEvent.Tick());
+    return taken(DispatchAction.Finish.class).stream()
+        .filter(end -> end.outcome() == JobOutcome.REFUSED)
+        .map(DispatchAction.Finish::retryAfterMillis)
+        .toList();
+  }
+
+  /** Half a second of work a job: callers that all came back at once would be refused again. */
+  @Test
+  void refusedCallersReturnAtTheRateOfTheWorkers() {
+    List<Long> times = retryTimes(Overload.SHED);
+    assertThat(times.size()).isAtLeast(JOBS / 2);
+    for (long from = 1_000; from < 16_000; from += 1_000) {
+      long begin = from;
+      long returning = times.stream().filter(t -> t >= begin && t < begin + 1_000).count();
+      assertThat(returning).isAtMost(3);
+    }
+    // Jobs refused at the same time don't wait before each other.
+    assertThat(times.get(0)).isAtMost(2_000);
+    assertThat(dispatcher.returnForecast(1, now).roomMillis()).isAtLeast(8_000);
+  }
+
+  @Test
+  void hostsAreToldNothingUnlessJobsAreShed() {
+    assertThat(retryTimes(Overload.QUEUE)).isNotEmpty();
+    assertThat(dispatcher.returnForecast(1, now)).isEqualTo(ReturnForecast.NONE);
+  }
+}
