--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -64,6 +64,7 @@
   private static final long RESENT_AFTER = 1_300_000;
 
   private static final String ENTRY = "entry";
+  private static final int ORIGINS = 3;
 
   /** The policy of the leaders of a fleet that is given none. */
   static final DispatchPolicy POLICY = new DispatchPolicy(980, 1.5, 250, 120_000);
@@ -467,7 +468,8 @@
             ENTRY,
             job.arrivedAt(),
             job.deadline(),
-            generations.getOrDefault(job.job().id(), 0)));
+            generations.getOrDefault(job.job().id(), 0),
+            "d-" + Math.floorMod(job.job().id().hashCode(), ORIGINS)));
   }
 
   VirtualTime time() {
