One round to find a failure domain cut off, with the store asked at the same time

Cause: a host took its domain for cut off only after two rounds of asking the other hosts, and asked them only after the delay of its rank in the partition. The domain had no leader for 1.77 s.

Change: DomainCutCheck asks up to three hosts of each other failure domain and the store as soon as the leader is missed (silence of 450 ms or a broken link), and 50 ms later the hosts of its own domain. If no other domain answers, no host hears a leader and the store is silent, also since the leader fell silent, the domain is cut off. The two rounds stay for partial evidence and for deployments of one domain. Nothing is asked while a leader is heard.

--- a/src/main/java/org/marjoramhoist/entry/HostSurvey.java
+++ b/src/main/java/org/marjoramhoist/entry/HostSurvey.java
@@ -18,7 +18,8 @@
  */
 final class HostSurvey implements FrameLink.Listener {
 
-  private static final long TIMEOUT_MILLIS = 150;
+  /** How long a survey takes at most. */
+  static final long TIMEOUT_MILLIS = 150;
 
   private final String self;
   private final String leader;
--- a/src/main/java/org/marjoramhoist/entry/Partition.java
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -53,6 +53,7 @@
   private final Function<ElectionAction.Lead, LeaderDuty> duties;
   private final IsolatedDomain domain;
   private final IsolationDetector isolation;
+  private final DomainCutCheck cutCheck;
   private final DomainLists domainLists = new DomainLists();
   private Intake intake = new Intake();
   private FrameNetwork network;
@@ -111,13 +112,16 @@
     this.calls = calls;
     this.domain = domain;
     this.isolation = new IsolationDetector(health::hasAnsweredSince);
+    this.cutCheck = new DomainCutCheck(self, loop, election, store, isolation, domain::isolated);
     this.duties = duties;
   }
 
   void start(FrameNetwork peers) {
     network = peers;
     domain.start(peers);
+    cutCheck.start(peers);
     loop.every(TICK_MILLIS, () -> take(new ElectionEvent.Tick()));
+    loop.every(TICK_MILLIS, cutCheck::tick);
     loop.every(HEARTBEAT_MILLIS, this::beat);
   }
 
--- a/src/main/java/org/marjoramhoist/lead/Election.java
+++ b/src/main/java/org/marjoramhoist/lead/Election.java
@@ -16,6 +16,7 @@
 import org.marjoramhoist.lead.ElectionEvent.RecordTaken;
 import org.marjoramhoist.lead.ElectionEvent.Retired;
 import org.marjoramhoist.lead.ElectionEvent.TakeFailed;
+import org.marjoramhoist.lead.ElectionEvent.TermLearned;
 import org.marjoramhoist.lead.ElectionEvent.Tick;
 
 /**
@@ -110,6 +111,16 @@
     return mayOrder(now) && (followed || named);
   }
 
+  /** Tells whether this host follows a leader that it has not heard for too long, or lost. */
+  public boolean missesLeader(long now) {
+    return recordKnown && term != 0 && !reachesLeader(now);
+  }
+
+  /** Returns when the leader was last heard, or this host last stepped down. */
+  public long leaderHeardAt() {
+    return heardAt;
+  }
+
   /** Returns the other hosts whose majority counts. */
   public Set<String> otherHosts(long now) {
     return electorate.others(now);
@@ -149,6 +160,8 @@
       return recordSeen(now, seen);
     } else if (event instanceof LeaderHeard heard) {
       leaderHeard(now, heard);
+    } else if (event instanceof TermLearned learned) {
+      termLearned(learned.term(), learned.host());
     } else if (event instanceof LeaderLinkLost lost) {
       if (lost.term() >= term && leadingTerm == 0 && suspectedAt == 0) {
         suspectedAt = now;
@@ -213,15 +226,26 @@
       return;
     }
     if (heard.term() > term || record == null) {
-      earlierGone = false;
-      term = heard.term();
-      seenRevision = Math.max(seenRevision, term);
-      record = new LeaderRecord(heard.host(), 0);
-      recordKnown = true;
+      named(heard.term(), heard.host());
     }
     trust(now);
   }
 
+  /** A host that has started behind a cut learns what it would have read in the store. */
+  private void termLearned(long learned, String host) {
+    if (!recordKnown && learned > term) {
+      named(learned, host);
+    }
+  }
+
+  private void named(long itsTerm, String host) {
+    earlierGone = false;
+    term = itsTerm;
+    seenRevision = Math.max(seenRevision, term);
+    record = new LeaderRecord(host, 0);
+    recordKnown = true;
+  }
+
   private void trust(long now) {
     heardAt = now;
     suspectedAt = 0;
--- a/src/main/java/org/marjoramhoist/lead/ElectionEvent.java
+++ b/src/main/java/org/marjoramhoist/lead/ElectionEvent.java
@@ -20,6 +20,9 @@
   /** A leader was heard. */
   record LeaderHeard(long term, String host) implements ElectionEvent {}
 
+  /** Another host tells of the highest term that it knows of and its leader. */
+  record TermLearned(long term, String host) implements ElectionEvent {}
+
   /** The connection to the leader of a term broke. */
   record LeaderLinkLost(long term) implements ElectionEvent {}
 
--- a/src/test/java/org/marjoramhoist/lead/IsolationDetectorTest.java
+++ b/src/test/java/org/marjoramhoist/lead/IsolationDetectorTest.java
@@ -51,4 +51,25 @@
     detector.hostsAsked(1_000, 0, 0, false);
     assertThat(detector.hostsAsked(2_000, 0, 0, false)).isFalse();
   }
+
+  @Test
+  void domainWithoutStoreAndOtherDomainsIsCutOffInOneRound() {
+    storeAnsweredAt = 550_000;
+    assertThat(detector.domainsAsked(500_000, 950_000, 0, false)).isTrue();
+  }
+
+  @Test
+  void anyAnswerFromOutsideKeepsDomainFromBeingCutOff() {
+    assertThat(detector.domainsAsked(500_000, 950_000, 1, false)).isFalse();
+    assertThat(detector.domainsAsked(500_000, 950_000, 0, true)).isFalse();
+    storeAnsweredAt = 700_000;
+    assertThat(detector.domainsAsked(500_000, 950_000, 0, false)).isFalse();
+  }
+
+  /** A link that breaks is noticed before the next heartbeat is due. */
+  @Test
+  void storeThatAnswersWhatItWasAskedIsNotSilent() {
+    storeAnsweredAt = 530_000;
+    assertThat(detector.domainsAsked(500_000, 520_000, 0, false)).isFalse();
+  }
 }
