Restarts and stops behind a cut, and jobs held for the election

Cause: a host that started behind the cut knew no host and accepted no candidate, so a domain without a majority of hosts that had not restarted was not served. A domain's leader that got SIGTERM did not hand over. While the domain elected, jobs were refused or held without regard to whether they could be of use.

Change: a host that has reached neither the store nor a leader since it started accepts a candidate of its own domain, not before the time for which it may have accepted another one is over. Its reply asks for the domain's state (hosts, workers, highest term, configuration), sent on request only; with it the host can lead as well. A domain's leader that stops names the largest host that follows and is not stopping; that one stands at once and the others accept it. Jobs not begun go to the successor, jobs at work end with the old leader, for up to 1 s. Once the domain is found cut off, jobs that can be of use are held for 1.5 s at most, the others refused at once.

DomainCutTest.hostsThatRestartBehindTheCutServeTheirCallersAgain failed before (not served within 20 s).

Ruled out: the state in each heartbeat, which would grow every frame for a rare case.

--- a/src/main/java/org/marjoramhoist/entry/DomainDuty.java
+++ b/src/main/java/org/marjoramhoist/entry/DomainDuty.java
@@ -1,12 +1,14 @@
 package org.marjoramhoist.entry;
 
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.marjoramhoist.dispatch.DispatchAction;
 import org.marjoramhoist.dispatch.DispatchEvent;
 import org.marjoramhoist.dispatch.DispatchPolicy;
 import org.marjoramhoist.dispatch.Dispatcher;
 import org.marjoramhoist.dispatch.WorkerInfo;
+import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.platform.WorkerCalls;
 
 /**
@@ -26,6 +28,7 @@
    * Creates a term.
    *
    * @param term the highest term of the partition that is known, the fencing token of all orders
+   * @param policy the bounds of a leader of a failure domain
    * @param workers the domain's workers
    * @param onStale is told why this host must not lead any more
    */
@@ -41,7 +44,7 @@
       Consumer<String> onStale) {
     super(
         term,
-        new Dispatcher(policy.forDomain(), Loop.now(), Loop.now(), 0),
+        new Dispatcher(policy, Loop.now(), Loop.now(), 0),
         loop,
         calls,
         metrics,
@@ -51,7 +54,13 @@
     this.workers = workers;
   }
 
-  void start() {
+  /**
+   * Begins.
+   *
+   * @param kept the jobs that a leader before, which has handed over, may still have runs of
+   */
+  void start(Set<JobId> kept) {
+    take(new DispatchEvent.HandedOver(kept));
     take(new DispatchEvent.RosterLoaded(workers));
     take(new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
     list();
@@ -65,6 +74,21 @@
     }
   }
 
+  /** Starts nothing from now on; what has not begun is refused, the rest looked after. */
+  void handOver(String reason) {
+    takeLast(new DispatchEvent.HandingOver(reason));
+  }
+
+  /** Tells whether the workers were found free of other leaders' runs. */
+  boolean usesWorkers() {
+    return dispatcher.usesWorkers();
+  }
+
+  /** Returns the jobs that may have runs at work. */
+  Set<JobId> jobsAtWork() {
+    return dispatcher.jobsAtWork();
+  }
+
   /** Gives up all jobs, told to the hosts that wait for them, and ends the term. */
   void end(String reason) {
     takeLast(new DispatchEvent.TermEnded(reason));
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/DomainKnowledge.java
@@ -0,0 +1,57 @@
+package org.marjoramhoist.entry;
+
+import java.util.List;
+import org.marjoramhoist.dispatch.WorkerInfo;
+import org.marjoramhoist.lead.Election;
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.LogEvent;
+import org.marjoramhoist.message.HostMessage.DomainState;
+
+/**
+ * What a host tells another one of its failure domain that has started behind a cut, and takes over
+ * from another one if it has itself.
+ *
+ * <p>Invariant: nothing is taken over by a host that the store has answered since it started.
+ * Confined to the loop's thread.
+ */
+final class DomainKnowledge {
+
+  private final Election election;
+  private final StoreLink store;
+  private final ConfigWatch config;
+
+  DomainKnowledge(Election election, StoreLink store, ConfigWatch config) {
+    this.election = election;
+    this.store = store;
+    this.config = config;
+  }
+
+  /** Tells whether this host must be told, as it knows no host. */
+  boolean isLacking() {
+    return !store.hasAnswered() && store.knowsNoHost();
+  }
+
+  /** Returns what this host knows, with the workers of its failure domain. */
+  DomainState state(List<WorkerInfo> workers) {
+    return new DomainState(
+        election.knownTerm(), election.knownLeader(), store.knownHosts(), workers, config.text());
+  }
+
+  /** Takes over what another host knows; tells whether it did. */
+  boolean adopt(DomainState state) {
+    if (!isLacking()) {
+      return false;
+    }
+    EventLog.info(
+        LogEvent.DOMAIN_STATE_LEARNED,
+        "term={} hosts={} workers={}",
+        state.term(),
+        state.hosts().size(),
+        state.workers().size());
+    store.adopt(state);
+    if (!state.config().isEmpty()) {
+      config.offer(state.config(), "host of the failure domain");
+    }
+    return true;
+  }
+}
--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -112,15 +112,16 @@
         new IsolatedDomain(
             settings.host(),
             loop,
-            new DomainElection(settings.host(), times),
+            new DomainElection(settings.host(), times, Loop.now()),
+            new DomainKnowledge(election, storeLink, config),
             storeLink,
             reach,
             jobs,
             new SuspensionDetector(),
-            () ->
+            handedOver ->
                 new DomainDuty(
                     election.knownTerm(),
-                    policy,
+                    handedOver ? policy.forDomainSuccessor() : policy.forDomain(),
                     madeDomain[0].workers(),
                     loop,
                     workerCalls,
--- a/src/main/java/org/marjoramhoist/entry/LeaderReach.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderReach.java
@@ -14,6 +14,9 @@
   /** When callers that no leader was found for may come back. */
   static final long RETRY_MILLIS = 2_000;
 
+  /** How long a failure domain that was found to be cut off may take to elect its leader. */
+  private static final long DOMAIN_ELECTION_MICROS = 1_500_000;
+
   /** How long callers are kept waiting for a leader to be found. */
   private static final long LEADERLESS_MICROS = 1_200_000;
 
@@ -21,6 +24,8 @@
   private final List<Runnable> onDomainLeaderChange = new ArrayList<>();
   private LeaderPort leader;
   private LeaderPort domainLeader;
+  private LeaderPort released;
+  private long domainElectionUntil;
   private long lostAt = Loop.now();
   private boolean hadLeader;
 
@@ -42,10 +47,44 @@
     if (port == null) {
       lostAt = Loop.now();
     }
+    hadLeader |= port != null;
     domainLeader = port;
     onDomainLeaderChange.forEach(Runnable::run);
   }
 
+  /**
+   * Takes in that the leader of the failure domain has handed over: it takes on no job, and tells
+   * the ends of those that it has.
+   */
+  void releaseDomainLeader() {
+    released = domainLeader;
+    domainLeader = null;
+    lostAt = Loop.now();
+  }
+
+  /** Takes in that a leader that has handed over tells no more ends. */
+  void forgetReleased() {
+    if (released != null) {
+      released = null;
+      onDomainLeaderChange.forEach(Runnable::run);
+    }
+  }
+
+  /** Tells whether a leader of the failure domain has handed over and still has jobs. */
+  boolean isReleased(LeaderPort port) {
+    return port == released;
+  }
+
+  /** Takes in that the failure domain was found to be cut off and elects a leader. */
+  void domainElectionBegins() {
+    domainElectionUntil = Loop.now() + DOMAIN_ELECTION_MICROS;
+  }
+
+  /** Tells whether jobs wait for the failure domain to elect a leader. */
+  boolean awaitsDomainLeader() {
+    return leader == null && domainLeader == null && Loop.now() < domainElectionUntil;
+  }
+
   /** Returns the leader of the failure domain while that is cut off; null if there is none. */
   LeaderPort domainLeader() {
     return domainLeader;
@@ -78,7 +117,7 @@
 
   /** Tells whether some leader can be reached, or may be soon. */
   boolean mayReach() {
-    return domainLeader != null || mayReachPartition();
+    return domainLeader != null || mayReachPartition() || awaitsDomainLeader();
   }
 
   /** Tells whether a leader is reached, or was until a short time ago. */
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.marjoramhoist.dispatch.TimeLimits;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
@@ -92,7 +93,7 @@
     }
     OpenJob entry = new OpenJob(job, requestClass, arrivedAt, deadline);
     entry.callers.add(caller);
-    if (!reach.mayReach()) {
+    if (!reach.mayReach() || isHopeless(entry)) {
       answer(entry, notSent(job.id()));
       return;
     }
@@ -104,6 +105,17 @@
     send(entry);
   }
 
+  private static boolean isUnsent(OpenJob entry) {
+    return entry.sentTerm == 0 && entry.domainLeader == null;
+  }
+
+  /** Tells whether a job would be of no use even if the failure domain had its leader now. */
+  private boolean isHopeless(OpenJob entry) {
+    return reach.awaitsDomainLeader()
+        && !TimeLimits.canStillEnd(
+            entry.job, entry.requestClass, entry.arrivedAt, entry.deadline, Loop.now());
+  }
+
   private static Finished notSent(JobId id) {
     return new Finished(id, JobOutcome.REFUSED, "no leader is reached", LeaderReach.RETRY_MILLIS);
   }
@@ -153,7 +165,9 @@
     LeaderPort present = reach.domainLeader();
     for (OpenJob entry : List.copyOf(open.values())) {
       boolean elsewhere =
-          entry.domainLeader != null ? entry.domainLeader != present : entry.sentTerm != 0;
+          entry.domainLeader != null
+              ? entry.domainLeader != present && !reach.isReleased(entry.domainLeader)
+              : entry.sentTerm != 0;
       if (elsewhere && (present != null || entry.domainLeader != null)) {
         giveUp(entry, "its leader is cut off");
       } else {
@@ -210,6 +224,15 @@
     }
   }
 
+  /** Takes in that a leader of the failure domain which hands over has not begun a job. */
+  void returnedByDomainLeader(JobId id) {
+    OpenJob entry = open.get(id);
+    if (entry != null && entry.domainLeader != null) {
+      entry.domainLeader = null;
+      send(entry);
+    }
+  }
+
   private void answer(OpenJob entry, Finished end) {
     open.remove(entry.job.id());
     Finished told = recent.honest(end, Loop.now());
@@ -232,7 +255,7 @@
         JobOutcome outcome = outcomeUnheard(entry);
         withdraw(entry);
         answer(entry, new Finished(entry.job.id(), outcome, "deadline passed", 0));
-      } else if (entry.sentTerm == 0 && entry.domainLeader == null && !reach.mayReach()) {
+      } else if (isUnsent(entry) && (!reach.mayReach() || isHopeless(entry))) {
         answer(entry, notSent(entry.job.id()));
       }
     }
--- a/src/main/java/org/marjoramhoist/entry/StoreHealth.java
+++ b/src/main/java/org/marjoramhoist/entry/StoreHealth.java
@@ -36,6 +36,11 @@
     return up && reachedAt != 0 && Loop.now() - reachedAt < FRESH_MICROS;
   }
 
+  /** Tells whether the store has ever answered this process. */
+  boolean hasAnswered() {
+    return reachedAt != 0;
+  }
+
   /** Tells whether the store has answered since a time. */
   boolean hasAnsweredSince(long time) {
     return reachedAt >= time;
--- a/src/main/java/org/marjoramhoist/entry/StoreLink.java
+++ b/src/main/java/org/marjoramhoist/entry/StoreLink.java
@@ -13,6 +13,8 @@
 import org.marjoramhoist.lead.LeaderRecord;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
+import org.marjoramhoist.message.HostMessage.DomainState;
+import org.marjoramhoist.message.HostMessage.KnownHost;
 import org.marjoramhoist.platform.KeyValueClient;
 import org.marjoramhoist.platform.KeyValueClient.Change;
 import org.marjoramhoist.platform.KeyValueClient.Condition;
@@ -112,6 +114,38 @@
     return found;
   }
 
+  /** Tells whether no host is known, as neither the store nor another host has told of any. */
+  boolean knowsNoHost() {
+    return hosts.addresses().isEmpty();
+  }
+
+  /** Tells whether the store has ever answered this process. */
+  boolean hasAnswered() {
+    return health.hasAnswered();
+  }
+
+  /** Returns the registered hosts, for one that has started behind a cut. */
+  List<KnownHost> knownHosts() {
+    return hosts.addresses().entrySet().stream()
+        .map(each -> knownHost(each.getKey(), each.getValue()))
+        .toList();
+  }
+
+  private KnownHost knownHost(String name, String address) {
+    HostCapacity carries = hosts.capacities().getOrDefault(name, HostCapacity.UNKNOWN);
+    return new KnownHost(name, address, domainOf(name), carries.startsPerSecond());
+  }
+
+  /** Takes over what another host knows, until the store tells it. */
+  void adopt(DomainState state) {
+    for (KnownHost each : state.hosts()) {
+      HostCapacity carries = new HostCapacity(each.startsPerSecond());
+      hosts.registered(each.name(), each.address(), each.failureDomain(), carries);
+    }
+    tellHosts();
+    election.accept(new ElectionEvent.TermLearned(state.term(), state.leader()));
+  }
+
   private void register() {
     store
         .grantLease(LEASE_MILLIS)
--- a/src/main/java/org/marjoramhoist/lead/DomainAction.java
+++ b/src/main/java/org/marjoramhoist/lead/DomainAction.java
@@ -9,6 +9,9 @@
   /** Begin to lead the failure domain. */
   record Lead() implements DomainAction {}
 
+  /** Refuse what has not begun, tell the hosts of the domain, and start nothing more. */
+  record HandOver(String successor) implements DomainAction {}
+
   /** Stop leading or standing, and send no more heartbeats. */
   record StepDown(String reason) implements DomainAction {}
 }
--- a/src/main/java/org/marjoramhoist/lead/DomainElection.java
+++ b/src/main/java/org/marjoramhoist/lead/DomainElection.java
@@ -13,8 +13,8 @@
  * <p>A candidate sends heartbeats to the hosts of its domain; it leads once more than half of them
  * accept it, and as long as they do. Nothing is stored. Invariants: a host accepts one candidate at
  * a time, and another only once it has not heard the first for longer than that one may go on
- * without it; none stands, leads or is accepted while the partition's leader is heard. Confined to
- * one thread.
+ * without it, or was released by it; none stands, leads or is accepted while the partition's leader
+ * is heard. A leader that hands over starts nothing from then on. Confined to one thread.
  */
 public final class DomainElection {
 
@@ -30,21 +30,29 @@
   /** What a host that accepts a candidate waits for it beyond the candidate's contact time. */
   private static final long ACCEPT_MARGIN_MICROS = 150_000;
 
+  /** How long a leader that has handed over looks after the runs that it had at work. */
+  private static final long RELEASE_MICROS = 1_000_000;
+
   /** A time before all others, to which time-outs can be added. */
   private static final long NEVER_MICROS = Long.MIN_VALUE / 2;
 
   private final String self;
   private final ElectionPolicy policy;
+  private final long startedAt;
   private final Map<String, Long> confirmedAt = new HashMap<>();
   private Map<String, HostCapacity> members = Map.of();
   private long isolatedSince;
   private long isolatedAt;
   private boolean retired;
+  private boolean storeReached;
+  private long partitionHeardAt = NEVER_MICROS;
   private String accepted = "";
   private long acceptedAt;
   private boolean standing;
   private long stoodAt;
   private boolean leading;
+  private boolean releasing;
+  private long releaseUntil;
   private long notBefore;
 
   /**
@@ -52,10 +60,12 @@
    *
    * @param self the host
    * @param policy the time-outs
+   * @param startedAt when the host's process started
    */
-  public DomainElection(String self, ElectionPolicy policy) {
+  public DomainElection(String self, ElectionPolicy policy, long startedAt) {
     this.self = self;
     this.policy = policy;
+    this.startedAt = startedAt;
   }
 
   /** Takes in the hosts of the failure domain, this one among them, and what each could carry. */
@@ -70,12 +80,18 @@
         .collect(Collectors.toUnmodifiableSet());
   }
 
-  /** Takes in that this host reaches neither most hosts nor the store. */
-  public void isolated(long now) {
-    if (now - isolatedAt > ISOLATION_MICROS) {
+  /**
+   * Takes in that this host's failure domain seems to be cut off.
+   *
+   * @return whether it did not seem so before
+   */
+  public boolean isolated(long now) {
+    boolean begins = !isIsolated(now);
+    if (begins) {
       isolatedSince = now;
     }
     isolatedAt = now;
+    return begins;
   }
 
   /** Takes in that this host stops: it doesn't stand any more. */
@@ -83,8 +99,14 @@
     retired = true;
   }
 
+  /** Takes in that the store has answered this host since its process started. */
+  public void storeReached() {
+    storeReached = true;
+  }
+
   /** Takes in that the partition's leader was heard, or that this host leads the partition. */
-  public List<DomainAction> partitionLeaderHeard() {
+  public List<DomainAction> partitionLeaderHeard(long now) {
+    partitionHeardAt = now;
     isolatedAt = 0;
     accepted = "";
     return stepDown("the partition's leader is heard");
@@ -101,9 +123,15 @@
     return leading;
   }
 
-  /** Tells whether this host leads its domain and may order runs. */
+  /** Tells whether this host has handed over and still looks after its runs. */
+  public boolean isReleasing() {
+    return releasing;
+  }
+
+  /** Tells whether this host leads its domain, or did until it handed over, and may order runs. */
   public boolean mayOrder(long now) {
-    return leading && now <= mostConfirmedAt(now) + policy.contactMicros();
+    boolean inContact = leading && now <= mostConfirmedAt(now) + policy.contactMicros();
+    return inContact || releasing && now <= releaseUntil;
   }
 
   /** Tells whether this host leads its domain and may start new runs. */
@@ -111,13 +139,44 @@
     return leading && now <= mostConfirmedAt(now) + policy.startMicros();
   }
 
+  /**
+   * Hands over to a host that accepts this one: starts nothing from now on, and looks after the
+   * runs at work for a bounded time.
+   */
+  public List<DomainAction> handOver(long now, String successor) {
+    if (!leading) {
+      return List.of();
+    }
+    leading = false;
+    releasing = true;
+    releaseUntil = now + RELEASE_MICROS;
+    accepted = successor;
+    acceptedAt = now;
+    return List.of(new DomainAction.HandOver(successor));
+  }
+
+  /**
+   * Takes in that a leader hands over; a host that accepts it is free to accept the successor. The
+   * successor stands at once, whatever its rank.
+   */
+  public List<DomainAction> released(long now, String from, String successor) {
+    if (!from.equals(accepted) || leading || standing) {
+      return List.of();
+    }
+    accepted = successor;
+    acceptedAt = now;
+    boolean stands = successor.equals(self) && !retired && isIsolated(now);
+    return stands ? stand(now) : List.of();
+  }
+
   /**
    * Takes in a candidate's heartbeat.
    *
    * @return whether this host accepts the candidate
    */
   public boolean accepts(long now, String candidate) {
-    if (!isIsolated(now) || leading || standing && !ranksBefore(candidate)) {
+    boolean cutOff = isIsolated(now) || startedBehindCut(now);
+    if (!cutOff || leading || standing && !ranksBefore(candidate)) {
       return false;
     }
     boolean free = now - acceptedAt > policy.contactMicros() + ACCEPT_MARGIN_MICROS;
@@ -137,6 +196,9 @@
 
   /** Returns what must be done as time has passed. */
   public List<DomainAction> tick(long now) {
+    if (releasing) {
+      return now > releaseUntil ? stepDown("handed over") : List.of();
+    }
     if (leading) {
       boolean lost = now > mostConfirmedAt(now) + policy.contactMicros();
       return lost ? stepDown("most hosts of the domain were not heard") : List.of();
@@ -151,6 +213,16 @@
     return isolatedAt != 0 && now - isolatedAt <= ISOLATION_MICROS;
   }
 
+  /**
+   * Tells whether this host has reached neither the store nor the partition's leader. It may have
+   * accepted a candidate before it started again, which must not count for two of them.
+   */
+  private boolean startedBehindCut(long now) {
+    boolean unheard = now - partitionHeardAt > policy.suspectMicros();
+    boolean settled = now - startedAt > policy.contactMicros() + ACCEPT_MARGIN_MICROS;
+    return !storeReached && unheard && settled;
+  }
+
   private boolean mayStand(long now) {
     boolean unled = accepted.isEmpty() || now - acceptedAt > policy.suspectMicros();
     return !retired
@@ -192,11 +264,12 @@
   }
 
   private List<DomainAction> stepDown(String reason) {
-    if (!standing && !leading) {
+    if (!standing && !leading && !releasing) {
       return List.of();
     }
     standing = false;
     leading = false;
+    releasing = false;
     return List.of(new DomainAction.StepDown(reason));
   }
 
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -62,6 +62,12 @@
   DOMAIN_LEADER_STEPPED_DOWN(3109),
   /** Another host leads this host's failure domain, which is cut off. */
   DOMAIN_LEADER_FOUND(3110),
+  /** This host has started behind a cut and was told the hosts and workers of its domain. */
+  DOMAIN_STATE_LEARNED(3114),
+  /** This host led its failure domain and stops; another host is to lead it. */
+  DOMAIN_LEADER_HANDS_OVER(3115),
+  /** This host found its failure domain cut off from the other hosts and the store. */
+  DOMAIN_CUT_OFF(3116),
   /** A submission was accepted. */
   JOB_ACCEPTED(4001),
   /** A submission was refused. */
--- a/src/main/java/org/marjoramhoist/message/HostMessage.java
+++ b/src/main/java/org/marjoramhoist/message/HostMessage.java
@@ -35,7 +35,9 @@
   @JsonSubTypes.Type(value = HostMessage.ConfigCopy.class, name = "d"),
   @JsonSubTypes.Type(value = HostMessage.DomainWorkers.class, name = "u"),
   @JsonSubTypes.Type(value = HostMessage.DomainHeartbeat.class, name = "l"),
-  @JsonSubTypes.Type(value = HostMessage.DomainHeartbeatReply.class, name = "m")
+  @JsonSubTypes.Type(value = HostMessage.DomainHeartbeatReply.class, name = "m"),
+  @JsonSubTypes.Type(value = HostMessage.DomainState.class, name = "n"),
+  @JsonSubTypes.Type(value = HostMessage.DomainHandOver.class, name = "g")
 })
 public sealed interface HostMessage {
 
@@ -168,16 +170,56 @@
    * Says that a host stands as leader of its failure domain, or leads it.
    *
    * @param host the candidate
+   * @param failureDomain its failure domain
    * @param leads whether it leads already
    * @param sentAt when it was sent, on the candidate's steady clock in microseconds
    */
-  record DomainHeartbeat(String host, boolean leads, long sentAt) implements HostMessage {}
+  record DomainHeartbeat(String host, String failureDomain, boolean leads, long sentAt)
+      implements HostMessage {}
 
   /**
    * Answers a candidate's heartbeat.
    *
    * @param accepts whether the sender accepts the candidate
+   * @param mayLead whether the sender could take over from the candidate: it is not stopping
+   * @param lacksState whether the sender knows no host, as it has started behind the cut
    * @param heartbeatSentAt the time that the heartbeat carried
    */
-  record DomainHeartbeatReply(boolean accepts, long heartbeatSentAt) implements HostMessage {}
+  record DomainHeartbeatReply(
+      boolean accepts, boolean mayLead, boolean lacksState, long heartbeatSentAt)
+      implements HostMessage {}
+
+  /**
+   * Tells a host that has started behind a cut what the other hosts of its failure domain know.
+   *
+   * @param term the highest term that the sender knows of
+   * @param leader the partition's leader of that term
+   * @param hosts the hosts that the sender knows, those of other failure domains included
+   * @param workers the workers of the failure domain
+   * @param config the text of the configuration as the operator wrote it; empty if none is known
+   */
+  record DomainState(
+      long term, String leader, List<KnownHost> hosts, List<WorkerInfo> workers, String config)
+      implements HostMessage {}
+
+  /**
+   * A host as another one knows it.
+   *
+   * @param name its name
+   * @param address its peer address
+   * @param failureDomain its failure domain
+   * @param startsPerSecond what it could carry as leader
+   */
+  record KnownHost(String name, String address, String failureDomain, long startsPerSecond) {}
+
+  /**
+   * Says that the leader of a failure domain stops and starts nothing more; its hosts are free to
+   * accept its successor.
+   *
+   * @param successor the host that is to lead
+   * @param usesWorkers whether the workers were found free of other leaders' runs
+   * @param kept the jobs that the sender still has runs of; told to the successor only
+   */
+  record DomainHandOver(String successor, boolean usesWorkers, List<JobId> kept)
+      implements HostMessage {}
 }
--- a/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
+++ b/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
@@ -200,6 +200,16 @@
     hosts.set(host, EntryNode.start(settings.get(host)));
   }
 
+  /** Ends a host at once and starts it again under its name and address. */
+  public void restart(int host) {
+    kill(host);
+    try {
+      hosts.set(host, EntryNode.start(settings.get(host)));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /** Starts all hosts again, under the names and addresses that they had. */
   public void restartHosts() throws IOException {
     for (int i = 0; i < hosts.size(); i++) {
--- a/src/test/java/org/marjoramhoist/entry/IsolatedDomainTest.java
+++ b/src/test/java/org/marjoramhoist/entry/IsolatedDomainTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.dispatch.DispatchPolicy;
 import org.marjoramhoist.lead.DomainElection;
+import org.marjoramhoist.lead.Election;
 import org.marjoramhoist.lead.ElectionPolicy;
 import org.marjoramhoist.lead.HostCapacity;
 
@@ -33,15 +34,16 @@
     return new IsolatedDomain(
         "a",
         loop,
-        new DomainElection("a", TIMES),
+        new DomainElection("a", TIMES, 0),
+        new DomainKnowledge(new Election("a", 7, TIMES, 0), link, new ConfigWatch()),
         link,
         reach,
         new OpenJobs(reach),
         new SuspensionDetector(wallMillis::get, () -> 0),
-        () ->
+        handedOver ->
             new DomainDuty(
                 5,
-                new DispatchPolicy(980, 1.5, 250, 120_000),
+                new DispatchPolicy(980, 1.5, 250, 120_000).forDomain(),
                 List.of(),
                 loop,
                 null,
--- a/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
@@ -11,6 +11,8 @@
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.job.Resources;
+import org.marjoramhoist.job.StepSpec;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.Finished;
 import org.marjoramhoist.message.HostMessage.Submit;
@@ -134,4 +136,70 @@
     assertThat(told).hasSize(75);
     assertThat(Set.copyOf(told)).containsExactly(JobOutcome.REFUSED);
   }
+
+  @Test
+  void jobThatLeaderWhichHandsOverHasNotBegunGoesToItsSuccessor() {
+    reach.setDomainLeader(port("first", 0));
+    submit(ID);
+    reach.releaseDomainLeader();
+    jobs.returnedByDomainLeader(ID);
+    assertThat(sent).containsExactly("first " + ID);
+    reach.setDomainLeader(port("second", 0));
+    assertThat(sent).containsExactly("first " + ID, "second " + ID).inOrder();
+    assertThat(told).isEmpty();
+  }
+
+  @Test
+  void jobAtWorkStaysWithLeaderThatHandsOver() {
+    reach.setDomainLeader(port("first", 0));
+    submit(ID);
+    reach.releaseDomainLeader();
+    reach.setDomainLeader(port("second", 0));
+    assertThat(told).isEmpty();
+    jobs.finishedByDomainLeader(end(JobOutcome.SUCCEEDED));
+    assertThat(told).containsExactly(JobOutcome.SUCCEEDED);
+    assertThat(sent).containsExactly("first " + ID);
+  }
+
+  @Test
+  void jobAtWorkIsGivenUpWhenTheLeaderThatHandedOverIsGone() {
+    reach.setDomainLeader(port("first", 0));
+    submit(ID);
+    reach.releaseDomainLeader();
+    reach.setDomainLeader(port("second", 0));
+    reach.forgetReleased();
+    assertThat(told).containsExactly(JobOutcome.ABANDONED);
+    assertThat(sent).containsExactly("first " + ID);
+  }
+
+  /** Only what can still be of use is held while the failure domain elects a leader. */
+  @Test
+  void jobThatCannotEndInTimeIsRefusedWhileTheDomainElects() {
+    StepSpec step = new StepSpec(1, new Resources(1, 1, 0), 800, List.of(), "", "", 0);
+    JobDescription job = new JobDescription(ID, "p", List.of(step), Set.<JobFeature>of());
+    long now = Loop.now();
+    jobs.submit(job, CLASS, now, now + 500_000, end -> told.add(end.outcome()));
+    assertThat(told).isEmpty();
+    reach.domainElectionBegins();
+    jobs.tick();
+    assertThat(told).containsExactly(JobOutcome.REFUSED);
+    jobs.submit(job, CLASS, now, now + 500_000, end -> told.add(end.outcome()));
+    assertThat(told).hasSize(2);
+    jobs.submit(job, CLASS, now, now + 5_000_000, end -> told.add(end.outcome()));
+    jobs.tick();
+    assertThat(told).hasSize(2);
+  }
+
+  @Test
+  void jobIsHeldForAnElectionOnlyAsLongAsThatMayTake() throws InterruptedException {
+    Thread.sleep(1_250);
+    submit(ID);
+    assertThat(told).containsExactly(JobOutcome.REFUSED);
+    reach.domainElectionBegins();
+    submit(ID);
+    assertThat(told).hasSize(1);
+    Thread.sleep(1_550);
+    jobs.tick();
+    assertThat(told).containsExactly(JobOutcome.REFUSED, JobOutcome.REFUSED);
+  }
 }
--- a/src/test/java/org/marjoramhoist/lead/DomainElectionTest.java
+++ b/src/test/java/org/marjoramhoist/lead/DomainElectionTest.java
@@ -18,7 +18,8 @@
   private long now = 50_000 * MILLI;
 
   private DomainElection host(String name, Map<String, HostCapacity> members) {
-    DomainElection election = new DomainElection(name, POLICY);
+    DomainElection election = new DomainElection(name, POLICY, now - 10_000 * MILLI);
+    election.storeReached();
     election.membersSeen(members);
     return election;
   }
@@ -109,7 +110,7 @@
   @Test
   void leaderStepsDownWhenThePartitionsLeaderIsHeard() {
     DomainElection election = leaderOfThree();
-    assertThat(election.partitionLeaderHeard()).hasSize(1);
+    assertThat(election.partitionLeaderHeard(now)).hasSize(1);
     assertThat(election.mayOrder(now)).isFalse();
     assertThat(election.tick(now)).isEmpty();
   }
@@ -133,4 +134,79 @@
     election.isolated(now);
     assertThat(election.tick(now)).isEmpty();
   }
+
+  @Test
+  void hostThatStartedBehindTheCutAcceptsCandidate() {
+    DomainElection election = new DomainElection("b", POLICY, now);
+    // Before it started again it may have accepted another candidate, which may still lead.
+    assertThat(election.accepts(now + 700 * MILLI, "a")).isFalse();
+    assertThat(election.accepts(now + 800 * MILLI, "a")).isTrue();
+    assertThat(election.accepts(now + 900 * MILLI, "c")).isFalse();
+  }
+
+  @Test
+  void hostThatReachesTheStoreOrHearsTheLeaderAcceptsNoCandidate() {
+    now += 10_000 * MILLI;
+    DomainElection served = new DomainElection("b", POLICY, 0);
+    served.storeReached();
+    assertThat(served.accepts(now, "a")).isFalse();
+    DomainElection led = new DomainElection("b", POLICY, 0);
+    led.partitionLeaderHeard(now);
+    assertThat(led.accepts(now + 449 * MILLI, "a")).isFalse();
+    assertThat(led.accepts(now + 451 * MILLI, "a")).isTrue();
+  }
+
+  @Test
+  void leaderThatHandsOverStartsNothingAndLooksAfterItsRunsForBoundedTime() {
+    DomainElection election = leaderOfThree();
+    assertThat(election.handOver(now, "b")).containsExactly(new DomainAction.HandOver("b"));
+    assertThat(election.isLeading()).isFalse();
+    assertThat(election.mayStart(now)).isFalse();
+    now += 900 * MILLI;
+    assertThat(election.mayOrder(now)).isTrue();
+    assertThat(election.tick(now)).isEmpty();
+    now += 101 * MILLI;
+    assertThat(election.mayOrder(now)).isFalse();
+    assertThat(election.tick(now)).containsExactly(new DomainAction.StepDown("handed over"));
+  }
+
+  @Test
+  void leaderThatHandedOverAcceptsItsSuccessorOnly() {
+    DomainElection election = leaderOfThree();
+    election.handOver(now, "b");
+    assertThat(election.accepts(now, "c")).isFalse();
+    assertThat(election.accepts(now, "b")).isTrue();
+  }
+
+  @Test
+  void successorStandsAtOnceAndOthersAcceptIt() {
+    DomainElection successor = host("c", THREE);
+    successor.isolated(now);
+    assertThat(successor.accepts(now, "a")).isTrue();
+    assertThat(successor.released(now, "a", "c")).containsExactly(new DomainAction.Stand());
+    assertThat(successor.confirmed(now, "b", now)).containsExactly(new DomainAction.Lead());
+    DomainElection other = host("b", THREE);
+    other.isolated(now);
+    other.accepts(now, "a");
+    assertThat(other.accepts(now, "c")).isFalse();
+    assertThat(other.released(now, "a", "c")).isEmpty();
+    assertThat(other.accepts(now, "c")).isTrue();
+  }
+
+  @Test
+  void handOverByAnotherThanTheAcceptedLeaderReleasesNothing() {
+    DomainElection election = host("c", THREE);
+    election.isolated(now);
+    election.accepts(now, "a");
+    assertThat(election.released(now, "b", "c")).isEmpty();
+    assertThat(election.accepts(now, "b")).isFalse();
+  }
+
+  @Test
+  void leaderThatHandedOverEndsAtOnceWhenThePartitionsLeaderIsHeard() {
+    DomainElection election = leaderOfThree();
+    election.handOver(now, "b");
+    assertThat(election.partitionLeaderHeard(now)).hasSize(1);
+    assertThat(election.mayOrder(now)).isFalse();
+  }
 }
--- a/src/test/java/org/marjoramhoist/trial/DomainCutTest.java
+++ b/src/test/java/org/marjoramhoist/trial/DomainCutTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
@@ -20,6 +21,13 @@
 
   private static final long READY_MILLIS = 20_000;
   private static final long RETRY_MILLIS = 100;
+
+  /** When every host of a domain that is cut off misses the leader. */
+  private static final long MISSED_MILLIS = 550;
+
+  /** Two rounds of asking other hosts take longer than this. */
+  private static final long SERVED_MILLIS = 1_300;
+
   private static final PlatformCluster.Host NORTH =
       new PlatformCluster.Host("north", new NodeSettings.Limits(1, 1_000));
   private static final PlatformCluster.Host SOUTH =
@@ -147,4 +155,65 @@
     int status = cluster.send(0, "POST", id, PlatformCluster.durableJob(1, 30)).join().status();
     assertThat(status).isEqualTo(503);
   }
+
+  /** A host that starts behind the cut knows nothing and must learn it from its domain. */
+  @Test
+  void hostsThatRestartBehindTheCutServeTheirCallersAgain() throws Exception {
+    cutNorthOff();
+    awaitServed(0);
+    cluster.restart(1);
+    cluster.restart(2);
+    awaitServed(1);
+    awaitServed(2);
+    // The first of the restarted hosts must be able to lead the second and the third.
+    cluster.restart(0);
+    for (int host : List.of(0, 1, 2)) {
+      awaitServed(host);
+      assertThat(send(host, 2, 40).join().status()).isEqualTo(200);
+    }
+  }
+
+  /** Jobs at work end with the leader that stops, the others go on with its successor. */
+  @Test
+  void leaderOfTheDomainThatStopsHandsOver() throws Exception {
+    cutNorthOff();
+    awaitServed(0);
+    awaitServed(1);
+    awaitServed(2);
+    CompletableFuture<HttpReply> atWork = send(1, 4, 600);
+    Thread.sleep(150);
+    final CompletableFuture<Void> stopped =
+        CompletableFuture.runAsync(() -> cluster.hosts().get(0).drain());
+    List<CompletableFuture<HttpReply>> later = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      Thread.sleep(100);
+      later.add(send(1 + i % 2, 1, 30));
+    }
+    assertThat(atWork.join().status()).isEqualTo(200);
+    for (CompletableFuture<HttpReply> reply : later) {
+      assertThat(reply.join().status()).isEqualTo(200);
+    }
+    stopped.join();
+    cluster.kill(0);
+    assertThat(send(1, 2, 40).join().status()).isEqualTo(200);
+    assertThat(send(2, 2, 40).join().status()).isEqualTo(200);
+  }
+
+  /** Callers are kept waiting no longer than the domain takes to find that it is cut off. */
+  @Test
+  void domainThatIsCutOffServesWithinSecondIfNothingRan() throws Exception {
+    assertThat(send(0, 1, 10).join().status()).isEqualTo(200);
+    cutNorthOff();
+    final long cutAt = System.nanoTime();
+    Thread.sleep(MISSED_MILLIS);
+    List<CompletableFuture<HttpReply>> held = new ArrayList<>();
+    for (int host : List.of(0, 1, 2)) {
+      held.add(send(host, 1, 10));
+    }
+    for (CompletableFuture<HttpReply> reply : held) {
+      assertThat(reply.join().status()).isEqualTo(200);
+    }
+    long millis = (System.nanoTime() - cutAt) / 1_000_000;
+    assertThat(millis).isLessThan(SERVED_MILLIS);
+  }
 }
