--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -374,6 +374,22 @@
 
   private void endLocal(Term ending) {
     ending.take(new DispatchEvent.TermEnded("the cut is healed"));
+    localLost(ending);
+  }
+
+  /** Kills the leader of the cut workers and the one that hands over to it, and elects another. */
+  void restartLocal() {
+    if (!hasLocalLeader()) {
+      return;
+    }
+    if (releasing != null) {
+      releasing.over = true;
+    }
+    localLost(local);
+    electLocal();
+  }
+
+  private void localLost(Term ending) {
     ending.over = true;
     if (local == ending) {
       local = null;
--- a/src/test/java/org/marjoramhoist/experiment/DomainCutHistoryTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/DomainCutHistoryTest.java
@@ -129,12 +129,13 @@
 
   private static void step(DispatchFleet fleet, SplittableRandom random) {
     int workers = fleet.workers().size();
-    switch (random.nextInt(9)) {
+    switch (random.nextInt(10)) {
       case 0 -> fleet.cutOff(firstWorkers(fleet, random.nextInt(1, workers)));
       case 1, 2 -> fleet.electLocal();
       case 3 -> fleet.heal(random.nextLong(600_000));
       case 4 -> fleet.cutHostsOff(firstWorkers(fleet, random.nextInt(1, workers)));
       case 5 -> fleet.handOverLocal();
+      case 7 -> fleet.restartLocal();
       case 6 -> {
         // The cut recurs as soon as it has healed.
         fleet.heal(random.nextLong(200_000));
--- a/src/test/java/org/marjoramhoist/trial/DomainCutTest.java
+++ b/src/test/java/org/marjoramhoist/trial/DomainCutTest.java
@@ -25,6 +25,9 @@
   /** When every host of a domain that is cut off misses the leader. */
   private static final long MISSED_MILLIS = 550;
 
+  /** An election after the loss of a domain's leader takes longer than this. */
+  private static final long ELECTION_MILLIS = 450;
+
   /** Two rounds of asking other hosts take longer than this. */
   private static final long SERVED_MILLIS = 1_300;
 
@@ -195,8 +198,11 @@
     }
     stopped.join();
     cluster.kill(0);
+    final long killedAt = System.nanoTime();
     assertThat(send(1, 2, 40).join().status()).isEqualTo(200);
     assertThat(send(2, 2, 40).join().status()).isEqualTo(200);
+    long millis = (System.nanoTime() - killedAt) / 1_000_000;
+    assertThat(millis).isLessThan(ELECTION_MILLIS);
   }
 
   /** Callers are kept waiting no longer than the domain takes to find that it is cut off. */
