--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -114,16 +114,17 @@
         new IsolatedDomain(
             settings.host(),
             loop,
-            new DomainElection(settings.host(), times),
+            new DomainElection(settings.host(), times, Loop.now()),
+            new DomainKnowledge(election, storeLink, config),
             storeLink,
             reach,
             jobs,
             drained,
             new SuspensionDetector(),
-            () ->
+            handedOver ->
                 new DomainDuty(
                     election.knownTerm(),
-                    policy,
+                    handedOver ? policy.forDomainSuccessor() : policy.forDomain(),
                     madeDomain[0].workers(),
                     drained,
                     loop,
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -57,6 +58,9 @@
   /** From this long after a drain began nothing may start in its failure domain. */
   private static final long DRAIN_BOUND = 5_000 * MILLI;
 
+  /** How long a local leader that has handed over looks after its runs. */
+  private static final long RELEASE = 1_000_000;
+
   /** When a leader takes an entry host for lost that it does not hear any more. */
   private static final long LOST_AFTER = 1_000_000;
 
@@ -102,10 +106,10 @@
     private final Set<String> led;
 
     /** Begins a term of leading a failure domain that is cut off. */
-    private Term(long token, Set<String> led) {
+    private Term(long token, Set<String> led, DispatchPolicy policy) {
       this.token = token;
       this.led = led;
-      this.dispatcher = new Dispatcher(policy.forDomain(), time.now(), time.now(), 0);
+      this.dispatcher = new Dispatcher(policy, time.now(), time.now(), 0);
       tellDrains();
       take(new DispatchEvent.RosterLoaded(listedWorkers()));
       take(new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
@@ -229,6 +233,8 @@
   /** The failure domains that hosts know to be drained. */
   private Set<String> drained = Set.of();
 
+  private Term releasing;
+  private final Set<JobId> returned = new LinkedHashSet<>();
   private Set<String> cut = Set.of();
   private Set<String> domain = Set.of();
   private long tokens;
@@ -357,11 +363,42 @@
     if (domain.isEmpty() || hasLocalLeader()) {
       return;
     }
-    local = new Term(term.token, domain);
+    beginLocal(POLICY.forDomain(), Set.of());
+  }
+
+  private void beginLocal(DispatchPolicy policy, Set<JobId> kept) {
+    local = new Term(term.token, domain, policy);
+    local.take(new DispatchEvent.HandedOver(kept));
     local.list();
     local.tick();
   }
 
+  /**
+   * Lets the leader of the cut workers hand over to another one, which has what it has not begun;
+   * it looks after the rest for a time.
+   */
+  void handOverLocal() {
+    if (domain.isEmpty() || !hasLocalLeader() || releasing != null && !releasing.over) {
+      return;
+    }
+    Term ending = local;
+    releasing = ending;
+    boolean uses = ending.dispatcher.usesWorkers();
+    ending.take(new DispatchEvent.HandingOver("handed over"));
+    Set<JobId> kept = ending.dispatcher.jobsAtWork();
+    beginLocal(uses ? POLICY.forDomainSuccessor() : POLICY.forDomain(), kept);
+    returned.forEach(id -> hand(offered.get(id)));
+    returned.clear();
+    time.after(RELEASE, () -> endReleasing(ending));
+  }
+
+  private void endReleasing(Term ending) {
+    if (!ending.over) {
+      ending.take(new DispatchEvent.TermEnded("handed over"));
+      ending.over = true;
+    }
+  }
+
   /** Tells whether workers that are cut off have a leader of their own. */
   boolean hasLocalLeader() {
     return local != null && !local.over;
@@ -375,10 +412,30 @@
     if (ending != null) {
       time.after(micros, () -> endLocal(ending));
     }
+    Term handedOver = releasing;
+    if (handedOver != null) {
+      time.after(micros, () -> endReleasing(handedOver));
+    }
   }
 
   private void endLocal(Term ending) {
     ending.take(new DispatchEvent.TermEnded("the cut is healed"));
+    localLost(ending);
+  }
+
+  /** Kills the leader of the cut workers and the one that hands over to it, and elects another. */
+  void restartLocal() {
+    if (!hasLocalLeader()) {
+      return;
+    }
+    if (releasing != null) {
+      releasing.over = true;
+    }
+    localLost(local);
+    electLocal();
+  }
+
+  private void localLost(Term ending) {
     ending.over = true;
     if (local == ending) {
       local = null;
@@ -502,8 +559,8 @@
       stop(from, stop);
     } else if (action instanceof DispatchAction.Renew renew) {
       renew(from, renew);
-    } else if (action instanceof DispatchAction.Finish finish && from == local) {
-      finishedLocally(finish);
+    } else if (action instanceof DispatchAction.Finish finish && from.isLocal()) {
+      finishedLocally(from, finish);
     } else if (action instanceof DispatchAction.Finish finish && from == term) {
       finished(finish);
     } else if (action instanceof DispatchAction.Store changes) {
@@ -520,8 +577,12 @@
   }
 
   /** What a domain's leader gives up is handed in again later, and what it refused at once. */
-  private void finishedLocally(DispatchAction.Finish finish) {
+  private void finishedLocally(Term from, DispatchAction.Finish finish) {
     JobId id = finish.job();
+    if (from == releasing && finish.outcome() == JobOutcome.REFUSED) {
+      returned.add(id);
+      return;
+    }
     localJobs.remove(id);
     finished(finish);
     boolean refused = finish.outcome() == JobOutcome.REFUSED;
