Exchange of drained domains tested over real links; idle domains only once all workers are known

At the start of a term no worker is known, so a drained domain would have been logged as idle. A domain's leader was told how long workers warm up, which is out of date when it is used: it is left out of that list.

The new test has a peer that knows of a later drain than the store tells, as host that follows, as leader and as leader of the domain.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -328,7 +328,7 @@
       runs.tick(worker, now, out);
     }
     workers.logSettled(now, out);
-    workers.drains().logIdle(workers.all(), out);
+    workers.logIdleDomains(out);
     if (guard != null) {
       guard
           .reasonToGiveUp(workers.all(), now)
--- a/src/main/java/org/marjoramhoist/dispatch/Drains.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Drains.java
@@ -1,6 +1,5 @@
 package org.marjoramhoist.dispatch;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -42,20 +41,28 @@
     return domains.contains(worker.failureDomain());
   }
 
-  /** Logs, once for each drain, that no task is known to be at work in a drained domain. */
+  /**
+   * Logs, once for each drain, that no task is at work in a drained domain.
+   *
+   * @param workers all that may be at work
+   */
   void logIdle(Collection<Worker> workers, List<DispatchAction> out) {
     if (idle.size() == domains.size()) {
       return;
     }
     for (String domain : new TreeSet<>(domains)) {
-      List<Worker> own = new ArrayList<>(workers);
-      own.removeIf(worker -> !worker.info().failureDomain().equals(domain));
-      if (own.stream().allMatch(Drains::isIdle) && idle.add(domain)) {
-        out.add(new Log(LogEvent.DOMAIN_IDLE, "domain=" + domain + " workers=" + own.size()));
+      if (areIdle(workers, domain) && idle.add(domain)) {
+        out.add(new Log(LogEvent.DOMAIN_IDLE, "domain=" + domain));
       }
     }
   }
 
+  private static boolean areIdle(Collection<Worker> workers, String domain) {
+    return workers.stream()
+        .filter(worker -> worker.info().failureDomain().equals(domain))
+        .allMatch(Drains::isIdle);
+  }
+
   private static boolean isIdle(Worker worker) {
     return worker.synced && worker.runs.isEmpty() && worker.foreignRuns.isEmpty();
   }
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
@@ -66,6 +66,12 @@
         0);
   }
 
+  /** Returns the same info of a worker that does not warm up. */
+  public WorkerInfo withoutWarmUp() {
+    return new WorkerInfo(
+        id, upstream, address, failureDomain, capacity, kind, rack, labels, draining, bornMillis);
+  }
+
   // Written out: linking the generated methods takes milliseconds of a process's start.
 
   @Override
--- a/src/main/java/org/marjoramhoist/dispatch/Workers.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Workers.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.RequestClass;
@@ -129,6 +130,13 @@
     return drains;
   }
 
+  /** Logs, once for each drain, that no task is at work in a drained failure domain. */
+  void logIdleDomains(List<DispatchAction> out) {
+    if (areAllKnown()) {
+      drains.logIdle(known.values(), out);
+    }
+  }
+
   private boolean mustStayKnown(Worker worker, long now) {
     return now <= earlierRunsOverAt || worker.mustStayKnown(now);
   }
@@ -192,41 +200,41 @@
 
   /** Tells whether no worker, listed or lapsed, could run some step of a job if it were empty. */
   boolean canNeverRun(JobDescription job, RequestClass requestClass) {
-    return cannotRunOn(known.values(), job, requestClass);
+    return cannotRunOn(worker -> true, job, requestClass);
   }
 
   /** Tells whether only workers of drained failure domains could run some step of a job. */
   boolean mustAwaitDrained(JobDescription job, RequestClass requestClass) {
-    if (drains.isEmpty()) {
-      return false;
-    }
-    List<Worker> others = new ArrayList<>(known.values());
-    others.removeIf(Worker::isDrained);
-    return cannotRunOn(others, job, requestClass);
+    return !drains.isEmpty() && cannotRunOn(worker -> !worker.isDrained(), job, requestClass);
   }
 
   private boolean cannotRunOn(
-      Collection<Worker> workers, JobDescription job, RequestClass requestClass) {
-    if (!wasListed || !roster.isLoaded()) {
+      Predicate<Worker> which, JobDescription job, RequestClass requestClass) {
+    if (!areAllKnown()) {
       return false;
     }
     for (StepSpec step : job.steps()) {
-      if (workers.stream().noneMatch(w -> Placement.canEverRun(requestClass, step, w))) {
+      boolean anyCan =
+          known.values().stream()
+              .anyMatch(w -> which.test(w) && Placement.canEverRun(requestClass, step, w));
+      if (!anyCan) {
         return true;
       }
     }
     return false;
   }
 
+  private boolean areAllKnown() {
+    return wasListed && roster.isLoaded();
+  }
+
   /** Tells whether no run of an earlier leader can be at work out of sight. */
   boolean isSettled(long now) {
     return now > earlierRunsOverAt || haveAllReported();
   }
 
   private boolean haveAllReported() {
-    return wasListed
-        && roster.isLoaded()
-        && known.values().stream().allMatch(worker -> worker.synced);
+    return areAllKnown() && known.values().stream().allMatch(worker -> worker.synced);
   }
 
   /** Logs, once, that no run of an earlier leader can be at work out of sight. */
--- a/src/main/java/org/marjoramhoist/entry/DomainLists.java
+++ b/src/main/java/org/marjoramhoist/entry/DomainLists.java
@@ -10,7 +10,8 @@
 
 /**
  * What a partition's leader tells each host of the workers in the host's failure domain, so that
- * the domain can go on by itself while it is cut off. Only changes are told.
+ * the domain can go on by itself while it is cut off. Only changes are told, without the time that
+ * a worker needs to warm up: that would be out of date when the list is used.
  *
  * <p>Confined to the loop's thread.
  */
@@ -23,7 +24,8 @@
   void update(List<WorkerInfo> workers) {
     Map<String, List<WorkerInfo>> next = new HashMap<>();
     for (WorkerInfo worker : workers) {
-      next.computeIfAbsent(worker.failureDomain(), domain -> new ArrayList<>()).add(worker);
+      next.computeIfAbsent(worker.failureDomain(), domain -> new ArrayList<>())
+          .add(worker.withoutWarmUp());
     }
     byDomain.keySet().retainAll(next.keySet());
     // A list that did not change stays the same object.
--- a/src/test/java/org/marjoramhoist/dispatch/DomainDrainTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DomainDrainTest.java
@@ -228,6 +228,22 @@
     assertThat(logged()).doesNotContain(LogEvent.DOMAIN_IDLE);
   }
 
+  /** At the start of a term no worker is known, which must not be taken for a domain at rest. */
+  @Test
+  void domainIsNotIdleBeforeItsWorkersAreKnown() {
+    dispatcher = new Dispatcher(POLICY, now, now, 0);
+    drain("north");
+    tick(20);
+    listWorkers(NORTH);
+    tick(20);
+    step(1, new DispatchEvent.RosterLoaded(List.of(NORTH)));
+    tick(20);
+    assertThat(logged()).doesNotContain(LogEvent.DOMAIN_IDLE);
+    report("n", List.of());
+    tick(20);
+    assertThat(logged()).contains(LogEvent.DOMAIN_IDLE);
+  }
+
   @Test
   void workerThatWarmsUpGetsMoreWorkStepByStep() {
     begin(POLICY, worker("n", "north", 64_000, 4_000));
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/entry/DrainExchangeTest.java
@@ -0,0 +1,150 @@
+package org.marjoramhoist.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.config.NodeSettings;
+import org.marjoramhoist.http.HostPort;
+import org.marjoramhoist.http.LoopbackServer;
+import org.marjoramhoist.json.JsonText;
+import org.marjoramhoist.message.HostMessage;
+import org.marjoramhoist.message.HostMessage.DomainHeartbeat;
+import org.marjoramhoist.message.HostMessage.DomainHeartbeatReply;
+import org.marjoramhoist.message.HostMessage.DrainCopy;
+import org.marjoramhoist.message.HostMessage.DrainQuery;
+import org.marjoramhoist.message.HostMessage.Heartbeat;
+import org.marjoramhoist.message.HostMessage.HeartbeatReply;
+import org.marjoramhoist.peer.FrameLink;
+import org.marjoramhoist.peer.FrameNetwork;
+
+/**
+ * A host and a peer that knows of a later drain: the host must learn it from the peer, as its own
+ * way to the store may be cut.
+ */
+class DrainExchangeTest extends StoreFixture {
+
+  private static final String LOOPBACK = "127.0.0.1:";
+  private static final long PATIENCE_SECONDS = 10;
+  private static final long REPEAT_MILLIS = 50;
+  private static final long LATER = 1_000_000;
+  private static final long LATER_TERM = 2_000_000;
+
+  private final BlockingQueue<HostMessage> heard = new LinkedBlockingQueue<>();
+  private final FrameLink.Listener peer =
+      new FrameLink.Listener() {
+        @Override
+        public void received(FrameLink link, HostMessage message) {
+          heard.add(message);
+          answer(link, message);
+        }
+
+        @Override
+        public void closed(FrameLink link) {
+          // The host tries again.
+        }
+      };
+  private FrameNetwork network;
+  private String hostAddress;
+  private EntryNode host;
+
+  /** The revision that the peer's answers to heartbeats name. */
+  private volatile long answered;
+
+  private void answer(FrameLink link, HostMessage message) {
+    if (message instanceof Heartbeat beat) {
+      link.send(new HeartbeatReply(beat.term(), "peer", 0, answered, true, beat.sentAt()));
+    } else if (message instanceof DrainQuery) {
+      link.send(new DrainCopy(LATER, Set.of("north")));
+    }
+  }
+
+  @BeforeEach
+  void startHost() throws Exception {
+    List<Integer> ports = LoopbackServer.freePorts(4);
+    hostAddress = LOOPBACK + ports.get(2);
+    String peerAddress = LOOPBACK + ports.get(3);
+    network = new FrameNetwork(worker, HostPort.parse(peerAddress), peer);
+    store.put(
+        "marjoramhoist/hosts/peer",
+        JsonText.of(Map.of("address", peerAddress, "incarnation", 1, "failureDomain", "south")));
+    Map<String, Object> listen =
+        Map.of(
+            "callers", LOOPBACK + ports.get(0),
+            "ready", LOOPBACK + ports.get(1),
+            "peers", hostAddress);
+    Map<String, Object> settings =
+        Map.of(
+            "host",
+            "host",
+            "failureDomain",
+            "north",
+            "listen",
+            listen,
+            "store",
+            store.address(),
+            "limits",
+            Map.of("processorShare", 1, "linkMbps", 1_000));
+    host = EntryNode.start(NodeSettings.parse("host", JsonText.of(settings)));
+  }
+
+  @AfterEach
+  void stopHost() {
+    host.close();
+    network.close();
+  }
+
+  private void await(Predicate<HostMessage> wanted) throws InterruptedException {
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+    HostMessage next;
+    do {
+      next = heard.poll(deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
+      assertThat(next).isNotNull();
+    } while (!wanted.test(next));
+  }
+
+  /** Sends a message over a link of its own again and again, as heartbeats are. */
+  private void sendToHost(HostMessage message) {
+    loop.execute(
+        () ->
+            network.open(
+                hostAddress,
+                TimeUnit.SECONDS.toMillis(PATIENCE_SECONDS),
+                peer,
+                link -> loop.every(REPEAT_MILLIS, () -> link.send(message)),
+                refused -> {}));
+  }
+
+  @Test
+  void leaderLearnsFromHostThatFollowsIt() throws InterruptedException {
+    answered = LATER;
+    await(message -> message instanceof Heartbeat beat && beat.drainRevision() == LATER);
+  }
+
+  @Test
+  void hostLearnsFromItsLeaderAndPassesItOn() throws InterruptedException {
+    await(message -> message instanceof Heartbeat);
+    sendToHost(new Heartbeat(LATER_TERM, "peer", 0, LATER, Map.of(), 1, 1));
+    await(message -> message instanceof DrainQuery);
+    await(message -> message instanceof HeartbeatReply reply && reply.drainRevision() == LATER);
+    sendToHost(new DrainQuery(0));
+    await(new DrainCopy(LATER, Set.of("north"))::equals);
+  }
+
+  @Test
+  void hostLearnsFromLeaderOfItsDomain() throws InterruptedException {
+    await(message -> message instanceof Heartbeat);
+    sendToHost(new DomainHeartbeat("peer", true, LATER, 1));
+    await(message -> message instanceof DrainQuery);
+    await(
+        message -> message instanceof DomainHeartbeatReply reply && reply.drainRevision() == LATER);
+  }
+}
--- a/src/test/java/org/marjoramhoist/entry/StoreFixture.java
+++ b/src/test/java/org/marjoramhoist/entry/StoreFixture.java
@@ -19,7 +19,7 @@
   PlatformStoreStandIn store;
   KeyValueClient client;
   Loop loop;
-  private XnioWorker worker;
+  XnioWorker worker;
 
   @BeforeEach
   final void openStore() throws IOException {
