--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -53,8 +53,8 @@
 
   private final DurationModel durations = new DurationModel();
   private final Placement placement;
-  private final WaitingOrder order = new WaitingOrder(durations);
-  private final Backlog backlog = new Backlog(order);
+  private final WaitingOrder order;
+  private final Backlog backlog;
   private final Workers workers;
   private final Allocator allocator;
   private final Jobs jobs = new Jobs();
@@ -77,6 +77,8 @@
     this.since = policy.isForDomain() ? now - CLAIM_MICROS : now;
     this.guard = policy.isForDomain() ? new DomainGuard(now) : null;
     this.durable = new DurableJobs(policy.keepMillis(), epochMillis);
+    this.order = new WaitingOrder(durations, policy.isBySlack());
+    this.backlog = new Backlog(order);
     this.workers = new Workers(now, earlierRunsOverAt);
     this.placement = new Placement(policy, durations, placementRule(policy));
     this.runs = new RunControl(policy, new Ends());
--- a/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
@@ -23,6 +23,13 @@
   /** The margin of a job that counts as in time, as a share of what it has still to run. */
   private static final double MARGIN_SHARE = 0.5;
 
+  /**
+   * The same where workers are chosen by slack, which gives jobs short of time the fast workers. It
+   * is what {@link Slack} keeps for the usual error of predictions, so that a job that can be
+   * placed in time is not put behind those that can't.
+   */
+  private static final double SLACK_MARGIN_SHARE = 0.2;
+
   private static final double MARGIN_MICROS = 10_000;
 
   /** What storing the start and the end of a durable job takes, in microseconds. */
@@ -32,9 +39,16 @@
   private static final double ORDER_SHARE = 0.5;
 
   private final DurationModel durations;
+  private final double marginShare;
 
-  WaitingOrder(DurationModel durations) {
+  /**
+   * Creates an order.
+   *
+   * @param bySlack whether workers are chosen by the time that jobs have
+   */
+  WaitingOrder(DurationModel durations, boolean bySlack) {
     this.durations = durations;
+    this.marginShare = bySlack ? SLACK_MARGIN_SHARE : MARGIN_SHARE;
   }
 
   /**
@@ -78,7 +92,7 @@
   Place place(Job job, long now) {
     double left = chainMicros(job, job.remainingChainMillis());
     double latest = job.arrivedAt + objectiveMicros(job) - left;
-    double margin = MARGIN_SHARE * left + MARGIN_MICROS + (job.isDurable() ? STORE_MICROS : 0);
+    double margin = marginShare * left + MARGIN_MICROS + (job.isDurable() ? STORE_MICROS : 0);
     return new Place(job, latest - margin < now, latest + ORDER_SHARE * left);
   }
 
--- a/src/test/java/org/marjoramhoist/dispatch/SlackPlacementTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/SlackPlacementTest.java
@@ -25,7 +25,7 @@
 
   private final DispatchPolicy policy = new DispatchPolicy(980, FAR_FACTOR, 250, 120_000);
   private final DurationModel durations = new DurationModel();
-  private final WaitingOrder order = new WaitingOrder(durations);
+  private final WaitingOrder order = new WaitingOrder(durations, true);
   private final Workers workers = new Workers(NOW, NOW);
   private final Placement placement =
       new Placement(policy, durations, new SlackPlacement(durations, new Slack(order), workers));
