--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -101,7 +101,7 @@
     boolean handedOver = policy.scope() == DispatchPolicy.Scope.DOMAIN_SUCCESSOR;
     this.guard = policy.isForDomain() ? new DomainGuard(now, handedOver) : null;
     this.weights = new GroupWeights(policy.scheduling().fairShares(), now);
-    this.order = new WaitingOrder(durations, weights);
+    this.order = new WaitingOrder(durations, weights, policy.isBySlack());
     this.backlog = new Backlog(order);
     this.returns =
         policy.scheduling().overload() == SchedulingPolicy.Overload.SHED ? new ReturnTimes() : null;
--- a/src/test/java/org/marjoramhoist/entry/DrainExchangeTest.java
+++ b/src/test/java/org/marjoramhoist/entry/DrainExchangeTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.config.NodeSettings;
+import org.marjoramhoist.dispatch.ReturnForecast;
 import org.marjoramhoist.http.HostPort;
 import org.marjoramhoist.http.LoopbackServer;
 import org.marjoramhoist.json.JsonText;
@@ -132,7 +133,7 @@
   @Test
   void hostLearnsFromItsLeaderAndPassesItOn() throws InterruptedException {
     await(message -> message instanceof Heartbeat);
-    sendToHost(new Heartbeat(LATER_TERM, "peer", 0, LATER, Map.of(), 1, 1));
+    sendToHost(new Heartbeat(LATER_TERM, "peer", 0, LATER, Map.of(), 1, 1, ReturnForecast.NONE));
     await(message -> message instanceof DrainQuery);
     await(message -> message instanceof HeartbeatReply reply && reply.drainRevision() == LATER);
     sendToHost(new DrainQuery(0));
@@ -142,7 +143,7 @@
   @Test
   void hostLearnsFromLeaderOfItsDomain() throws InterruptedException {
     await(message -> message instanceof Heartbeat);
-    sendToHost(new DomainHeartbeat("peer", true, LATER, 1));
+    sendToHost(new DomainHeartbeat("peer", "south", true, LATER, 1));
     await(message -> message instanceof DrainQuery);
     await(
         message -> message instanceof DomainHeartbeatReply reply && reply.drainRevision() == LATER);
