Tests hold placement by slack to the offline bound and to capacity in use

Cause: FluidBound and CapacityUse were measured with but held nothing. Change: the replays check that their loads could all be in time, and that at 0.9 of the capacity at least 0.85 is in use while jobs wait.

--- a/src/main/java/org/marjoramhoist/experiment/CapacityUse.java
+++ b/src/main/java/org/marjoramhoist/experiment/CapacityUse.java
@@ -21,11 +21,6 @@
     }
   }
 
-  /** Returns at how many moments jobs waited. */
-  int moments() {
-    return moments;
-  }
-
   /** Returns the mean share in use while jobs waited; 1 if none ever did. */
   double whileWaiting() {
     return moments == 0 ? 1 : used / moments;
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -14,7 +14,6 @@
 import org.marjoramhoist.dispatch.DispatchAction;
 import org.marjoramhoist.dispatch.DispatchEvent;
 import org.marjoramhoist.dispatch.DispatchPolicy;
-import org.marjoramhoist.dispatch.DispatchSnapshot;
 import org.marjoramhoist.dispatch.Dispatcher;
 import org.marjoramhoist.dispatch.JournalBatch;
 import org.marjoramhoist.dispatch.RosterChange;
@@ -608,11 +607,6 @@
     return usage;
   }
 
-  /** Returns what the leader's decisions know now. */
-  DispatchSnapshot snapshot() {
-    return term.dispatcher.snapshot(time.now());
-  }
-
   /** Returns the jobs that were handed in. */
   Collection<Offered> offered() {
     return Collections.unmodifiableCollection(offered.values());
--- a/src/test/java/org/marjoramhoist/experiment/DemandingLoadTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/DemandingLoadTest.java
@@ -12,6 +12,9 @@
   /** Callers see a fault when more than 3 in 100 jobs are late while capacity is free. */
   private static final double LEAST_IN_TIME = 0.97;
 
+  /** Less in use while jobs wait means that they wait for something else than room. */
+  private static final double LEAST_USE = 0.85;
+
   private static final long OFFERED = 8 * SECOND;
   private static final long LONGEST_PATIENCE = 20 * SECOND;
 
@@ -27,6 +30,8 @@
     DispatchFleet fleet = serve(site, share, 1);
     assertThat(fleet.breaches()).isEmpty();
     assertThat(fleet.openJobs()).isEmpty();
+    FluidBound bound = new FluidBound(site.capacityCores());
+    assertThat(bound.shareInTime(fleet.offered())).isEqualTo(1.0);
     assertThat(fleet.shareInTime()).isAtLeast(LEAST_IN_TIME);
   }
 
@@ -41,4 +46,12 @@
   void claimsAreInTimeAtEightTenthsOfTheCapacity() {
     assertServedInTime(DemandingSite.CLAIMS, 0.8);
   }
+
+  /** A rule that lets jobs wait for better workers must not leave the room of others idle. */
+  @Test
+  void capacityIsInUseWhileJobsWait() {
+    assertThat(serve(DemandingSite.SIMULATIONS, 0.9, 1).usage().whileWaiting())
+        .isAtLeast(LEAST_USE);
+    assertThat(serve(DemandingSite.CLAIMS, 0.9, 1).usage().whileWaiting()).isAtLeast(LEAST_USE);
+  }
 }
