Emulator: loads and workers of the two customers with demanding load

Cause: shedding must be measured on their load, and a fleet's policy was fixed. Ruled out: a second emulator.

--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -55,7 +56,9 @@
   private static final long RESENT_AFTER = 1_300_000;
 
   private static final String ENTRY = "entry";
-  private static final DispatchPolicy POLICY = new DispatchPolicy(980, 1.5, 250, 120_000);
+
+  /** The policy of a fleet that is given no other. */
+  static final DispatchPolicy POLICY = new DispatchPolicy(980, 1.5, 250, 120_000);
 
   /**
    * A job that was handed in.
@@ -73,7 +76,13 @@
       double taskMicros,
       long objectiveMicros,
       long arrivedAt,
-      long deadline) {}
+      long deadline) {
+    /** Returns the work of the job at speed 1. */
+    double coreSeconds() {
+      StepSpec step = job.steps().get(0);
+      return step.count() * step.need().cpuMillis() * taskMicros / 1e9;
+    }
+  }
 
   /** How a job ended, and when. */
   record Ended(JobOutcome outcome, long at, String reason) {}
@@ -93,7 +102,7 @@
     private Term(long token, Set<String> led) {
       this.token = token;
       this.led = led;
-      this.dispatcher = new Dispatcher(POLICY.forDomain(), time.now(), time.now(), 0);
+      this.dispatcher = new Dispatcher(policy.forDomain(), time.now(), time.now(), 0);
       take(new DispatchEvent.RosterLoaded(listedWorkers()));
       take(new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
     }
@@ -102,7 +111,7 @@
       this.led = Set.of();
       this.token = token;
       final int ordinal = jobStore.claim(token);
-      this.dispatcher = new Dispatcher(POLICY, time.now(), time.now() + EARLIER_RUNS, 0);
+      this.dispatcher = new Dispatcher(policy, time.now(), time.now() + EARLIER_RUNS, 0);
       time.after(STORE_ANSWER, () -> load(ordinal));
       time.after(STORE_ANSWER, this::loadRoster);
     }
@@ -185,6 +194,7 @@
     }
   }
 
+  private final DispatchPolicy policy;
   private final VirtualTime time = new VirtualTime(START);
   private final VirtualNetwork network;
   private final Map<String, LeasedWorker> workers = new LinkedHashMap<>();
@@ -208,6 +218,12 @@
   private long tokens;
 
   DispatchFleet(long seed) {
+    this(seed, POLICY);
+  }
+
+  /** Creates a fleet whose leaders follow a policy. */
+  DispatchFleet(long seed, DispatchPolicy policy) {
+    this.policy = policy;
     network = new VirtualNetwork(time, seed);
   }
 
@@ -441,6 +457,11 @@
     return ends;
   }
 
+  /** Returns the jobs that were handed in. */
+  Collection<Offered> offered() {
+    return offered.values();
+  }
+
   List<String> breaches() {
     return breaches;
   }
@@ -519,7 +540,7 @@
     StepSpec step = job.job().steps().get(task.step());
     boolean far =
         !step.preferredRack().isEmpty() && !step.preferredRack().equals(worker.info().rack());
-    double micros = job.taskMicros() * (far ? POLICY.farFactor() : 1);
+    double micros = job.taskMicros() * (far ? policy.farFactor() : 1);
     return worker.start(start.run(), step.need(), micros, start.leaseUntilMillis(), token);
   }
 
@@ -592,11 +613,15 @@
 
   /** Returns the share of the jobs that ended with success within their objective. */
   double shareInTime() {
-    long inTime =
-        offered.values().stream().filter(job -> isInTime(job, ends.get(job.job().id()))).count();
+    long inTime = offered.values().stream().filter(this::isInTime).count();
     return (double) inTime / offered.size();
   }
 
+  /** Tells whether a job ended with success within its objective. */
+  boolean isInTime(Offered job) {
+    return isInTime(job, ends.get(job.job().id()));
+  }
+
   private static boolean isInTime(Offered job, Ended end) {
     return end != null
         && end.outcome() == JobOutcome.SUCCEEDED
--- a/src/test/java/org/marjoramhoist/experiment/Fleets.java
+++ b/src/test/java/org/marjoramhoist/experiment/Fleets.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import org.marjoramhoist.decision.HostCore;
 import org.marjoramhoist.decision.Policy;
+import org.marjoramhoist.dispatch.DispatchPolicy;
+import org.marjoramhoist.dispatch.SchedulingPolicy;
 import org.marjoramhoist.model.ClassId;
 import org.marjoramhoist.model.JobAnswer;
 import org.marjoramhoist.model.JobSpec;
@@ -55,6 +57,18 @@
     return fleet;
   }
 
+  /** A fleet with the workers of a customer and a leader that knows them. */
+  static DispatchFleet dispatching(
+      DispatchLoad.Customer customer, SchedulingPolicy scheduling, long seed) {
+    DispatchPolicy policy =
+        new DispatchPolicy(980, customer.farFactor(), 250, 120_000).withScheduling(scheduling);
+    DispatchFleet fleet = new DispatchFleet(seed, policy);
+    customer.addWorkers().accept(fleet);
+    fleet.elect();
+    fleet.runFor(SECOND);
+    return fleet;
+  }
+
   /** Returns the answer to a request; null if there is none yet. */
   static JobAnswer answer(VirtualFleet fleet, long request) {
     return fleet.history().answers().stream()
