Shedding of waiting jobs by their value per work

Change: with scheduling.overload = shed, LoadShedder goes through the waiting jobs by their last start in time and displaces those worth least per work; what can't be served in time nor late is refused in the step in which it comes.

Ruled out: earliest deadline, shortest first and priority alone; half the margin; a plan at each end of a run.

--- a/src/main/java/org/marjoramhoist/dispatch/Allocator.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Allocator.java
@@ -1,5 +1,6 @@
 package org.marjoramhoist.dispatch;
 
+import java.util.Collection;
 import java.util.Iterator;
 import java.util.List;
 import org.marjoramhoist.job.Resources;
@@ -43,11 +44,31 @@
 
   /** Puts the waiting jobs in their order as of now, and returns their places. */
   List<WaitingOrder.Place> orderWaiting(long now) {
+    List<WaitingOrder.Place> places = order.places(takeWaiting(), now);
+    line.set(places);
+    return places;
+  }
+
+  /** Returns the jobs that wait; the line must then be set. */
+  Collection<Job> takeWaiting() {
     jobs.waiting().removeIf(job -> !job.hasWaitingTask());
     jobs.takeJoined();
-    List<WaitingOrder.Place> places = order.places(jobs.waiting(), now);
+    return jobs.waiting();
+  }
+
+  /** Tells whether jobs wait for room, as far as room was given out to them before. */
+  boolean hasWaiting() {
+    return !line.isEmpty();
+  }
+
+  /** Replaces the line by jobs whose places were found in order. */
+  void setLine(List<WaitingOrder.Place> places) {
     line.set(places);
-    return places;
+  }
+
+  /** Returns the first of the jobs that wait; there must be one. */
+  Job firstWaiting() {
+    return line.iterator().next();
   }
 
   /** Starts what can be started now. */
--- a/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
@@ -1,5 +1,7 @@
 package org.marjoramhoist.dispatch;
 
+import java.util.Map;
+
 /**
  * What a leader's decisions know at one moment, in figures for logs and metrics.
  *
@@ -11,6 +13,8 @@
  * @param settled whether no run of an earlier leader can be at work out of sight
  * @param waitingJobs how many jobs have tasks that may start now
  * @param waitingMicros how long all workers together need for what waits
+ * @param displacedJobs how many waiting jobs make way for others that can be in time
+ * @param shed what was refused since its room was worth more to others, by the name of the class
  */
 public record DispatchSnapshot(
     Workers workers,
@@ -18,12 +22,39 @@
     boolean startsAllowed,
     boolean settled,
     int waitingJobs,
-    long waitingMicros) {
+    long waitingMicros,
+    int displacedJobs,
+    Map<String, Shed> shed) {
 
   /** The figures of a host that does not lead. */
   public static final DispatchSnapshot NONE =
       new DispatchSnapshot(
-          new Workers(0, 0, 0, 0, 0, 0), new Runs(0, 0, 0, 0, 0, 0, 0), false, false, 0, 0);
+          new Workers(0, 0, 0, 0, 0, 0),
+          new Runs(0, 0, 0, 0, 0, 0, 0),
+          false,
+          false,
+          0,
+          0,
+          0,
+          Map.of());
+
+  /** Creates a snapshot with a copy of the map. */
+  public DispatchSnapshot {
+    shed = Map.copyOf(shed);
+  }
+
+  /**
+   * Jobs of a class that were refused in this term since their room was worth more to others.
+   *
+   * @param jobs how many
+   * @param value what they would have been worth in time
+   */
+  public record Shed(long jobs, double value) {
+    /** Returns the sum of both. */
+    public Shed plus(Shed other) {
+      return new Shed(jobs + other.jobs, value + other.value);
+    }
+  }
 
   /**
    * What is known of the workers.
@@ -98,6 +129,10 @@
         + " waitingJobs="
         + waitingJobs
         + " waitingMicros="
-        + waitingMicros;
+        + waitingMicros
+        + " displacedJobs="
+        + displacedJobs
+        + " shedJobs="
+        + shed.values().stream().mapToLong(Shed::jobs).sum();
   }
 }
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
 import org.marjoramhoist.dispatch.DispatchEvent.BatchStored;
@@ -53,11 +54,15 @@
 
   private final DurationModel durations = new DurationModel();
   private final Placement placement;
-  private final WaitingOrder order = new WaitingOrder(durations);
-  private final Backlog backlog = new Backlog(order);
+  private final WaitingOrder order;
+  private final Backlog backlog;
   private final Workers workers;
   private final Allocator allocator;
   private final Jobs jobs = new Jobs();
+
+  /** Null unless jobs make way when not all can be in time. */
+  private final Shedding shedding;
+
   private final RunControl runs;
   private final DurableJobs durable;
   private boolean mayPlace;
@@ -80,7 +85,11 @@
     this.workers = new Workers(now, earlierRunsOverAt);
     this.placement = new Placement(policy, durations);
     this.runs = new RunControl(policy, new Ends());
+    boolean sheds = policy.scheduling().overload() == SchedulingPolicy.Overload.SHED;
+    this.order = new WaitingOrder(durations, sheds);
+    this.backlog = new Backlog(order);
     this.allocator = new Allocator(since, jobs, workers, runs, placement, order);
+    this.shedding = sheds ? new Shedding(policy.scheduling(), durations, order) : null;
   }
 
   /**
@@ -103,12 +112,46 @@
     events.forEach(event -> take(now, event, out));
     if (mayPlace && startsAllowed && mayUseWorkers()) {
       mayPlace = false;
-      allocator.placeWaiting(now, out);
+      place(now, out);
     }
     durable.flush(now, out);
     return out;
   }
 
+  /**
+   * Gives out room. Jobs that came while none waited are given room before anything is shed, so
+   * that shedding costs nothing while there is enough room.
+   */
+  private void place(long now, List<DispatchAction> out) {
+    boolean isDue = shedding != null && shedding.takeDue();
+    boolean waitedBefore = allocator.hasWaiting();
+    if (isDue && waitedBefore) {
+      shed(now, out);
+    }
+    allocator.placeWaiting(now, out);
+    if (isDue && !waitedBefore && allocator.hasWaiting()) {
+      shed(now, out);
+    }
+    if (shedding != null && allocator.hasWaiting() && runs.window().isOpen()) {
+      shedding.roomGivenOut(workers.all(), allocator.firstWaiting(), now);
+    }
+  }
+
+  private void shed(long now, List<DispatchAction> out) {
+    LoadShedder.Plan plan = shedding.plan(allocator.takeWaiting(), workers.all(), now);
+    allocator.setLine(plan.line());
+    for (LoadShedder.Refusal refusal : plan.refused()) {
+      shedding.refused(refusal);
+      String reason =
+          String.format(
+              Locale.ROOT,
+              "too much waits before it value=%.3g aheadMicros=%d",
+              refusal.value(),
+              refusal.aheadMicros());
+      end(refusal.job(), JobOutcome.REFUSED, reason, now, out);
+    }
+  }
+
   private boolean mayUseWorkers() {
     return guard == null || guard.mayStart(workers.all());
   }
@@ -193,6 +236,9 @@
       return;
     }
     runs.claimEarlier(job, workers.all(), now, out);
+    if (shedding != null) {
+      shedding.submitted(job, now);
+    }
     if (job.isComplete()) {
       end(job, JobOutcome.SUCCEEDED, "done before", now, out);
     } else if (!job.started && workers.canNeverRun(job.description(), job.requestClass())) {
@@ -316,6 +362,9 @@
       end(job, JobOutcome.REFUSED, "too much waits before it", now, out);
     }
     mayPlace = true;
+    if (shedding != null) {
+      shedding.ticked();
+    }
   }
 
   private void termEnded(String reason, long now, List<DispatchAction> out) {
@@ -375,7 +424,9 @@
         startsAllowed,
         workers.isSettled(now),
         jobs.waiting().size(),
-        (long) backlog.totalMicros());
+        (long) backlog.totalMicros(),
+        shedding == null ? 0 : shedding.displaced(),
+        shedding == null ? Map.of() : shedding.shedByClass());
   }
 
   /** What the ends of runs mean for their jobs. */
@@ -384,6 +435,9 @@
     @Override
     public void runDone(Run run, long now, List<DispatchAction> out) {
       run.worker.succeeded();
+      if (shedding != null) {
+        shedding.runDone(run, workers.all(), now);
+      }
       placement.learn(run, now);
       mayPlace = true;
       taskDone(run.task, now, out);
--- a/src/main/java/org/marjoramhoist/dispatch/DurationModel.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DurationModel.java
@@ -28,6 +28,7 @@
     }
   }
 
+  private final Map<String, EstimateTrust> trusts = new HashMap<>();
   private final Map<String, Term> classes = new HashMap<>();
   private final Map<String, Term> kinds = new HashMap<>();
 
@@ -42,6 +43,17 @@
     return base * factor(classes, requestClass);
   }
 
+  /**
+   * Returns the expected run time in microseconds on an average worker, where an estimate far from
+   * the others of its class is trusted only as far as such estimates came true.
+   */
+  double likelyMicros(String requestClass, long estimateMillis) {
+    EstimateTrust trust = trusts.get(requestClass);
+    double factor =
+        trust == null ? 1 : trust.factor(Math.max(LEAST_ESTIMATE_MILLIS, estimateMillis));
+    return predictMicros(requestClass, estimateMillis) * factor;
+  }
+
   /** Returns how many times as long as on an average worker a task runs on a worker. */
   double factorOf(Worker worker) {
     return factor(kinds, worker.info().kind()) * worker.duration.factor;
@@ -61,6 +73,9 @@
     double seen = Math.log(Math.max(1.0, micros));
     double error = seen - Math.log(predictMicros(requestClass, worker, estimateMillis));
     double step = Math.max(-LARGEST_STEP, Math.min(LARGEST_STEP, error));
+    trusts
+        .computeIfAbsent(requestClass, name -> new EstimateTrust())
+        .learn(Math.max(LEAST_ESTIMATE_MILLIS, estimateMillis), step);
     classes.computeIfAbsent(requestClass, name -> new Term()).add(CLASS_RATE * step);
     kinds.computeIfAbsent(worker.info().kind(), name -> new Term()).add(KIND_RATE * step);
     worker.duration.add(WORKER_RATE * step);
--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -27,6 +27,7 @@
   private final int[] openTasks;
   private final long leastCpuMillis;
   private final long longestChainMillis;
+  private final double estimatedWork;
   private long remainingChainMillis;
   private final StoredJob record;
   private final List<EndMark> unstoredEnds = new ArrayList<>();
@@ -91,6 +92,7 @@
     }
     this.leastCpuMillis =
         description.steps().stream().mapToLong(step -> step.need().cpuMillis()).min().orElse(0);
+    this.estimatedWork = description.steps().stream().mapToDouble(Job::estimatedWork).sum();
     this.longestChainMillis = longestChain();
     this.remainingChainMillis = longestChainMillis;
   }
@@ -279,6 +281,15 @@
     return leastCpuMillis;
   }
 
+  private static double estimatedWork(StepSpec step) {
+    return (double) step.count() * step.need().cpuMillis() * Math.max(1, step.estimateMillis());
+  }
+
+  /** Returns the work of all its tasks by its caller's estimate, in thousandths of core-millis. */
+  double estimatedWork() {
+    return estimatedWork;
+  }
+
   /** Returns the tasks that may start now, in their order. */
   List<Task> waitingTasks() {
     List<Task> waiting = new ArrayList<>();
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/LoadShedder.java
@@ -0,0 +1,189 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+
+/**
+ * Decides which waiting jobs make way when not all of them can be in time.
+ *
+ * <p>The jobs are gone through by their last start in time, as in the algorithm of Moore and
+ * Hodgson for weighted jobs: where one would start later than that, the jobs up to there that are
+ * worth least for their work are displaced. Displaced jobs wait behind the others by their value
+ * per work, of which a late end earns each the same share, and are refused if they can't end in
+ * time for that either.
+ *
+ * <p>Invariant: no started and no durable job is displaced or refused. Holds no state; confined to
+ * one thread.
+ */
+final class LoadShedder {
+
+  /**
+   * The most jobs that are displaced for one. It bounds the cost; a wide job takes the room of some
+   * ten narrow ones.
+   */
+  private static final int MOST_DISPLACED_FOR_ONE = 32;
+
+  private static final Comparator<Candidate> LEAST_FIRST =
+      Comparator.comparingDouble(Candidate::perWork);
+
+  private final WaitingOrder order;
+  private final JobValues values;
+
+  LoadShedder(WaitingOrder order, JobValues values) {
+    this.order = order;
+    this.values = values;
+  }
+
+  /**
+   * A job that is refused.
+   *
+   * @param value what it would have been worth in time
+   * @param aheadMicros how long the jobs before it were expected to keep it waiting
+   */
+  record Refusal(Job job, double value, long aheadMicros) {}
+
+  /**
+   * What becomes of the waiting jobs.
+   *
+   * @param line those that wait on, unordered
+   * @param displaced how many of those make way for others
+   * @param refused those that are refused
+   */
+  record Plan(List<WaitingOrder.Place> line, int displaced, List<Refusal> refused) {}
+
+  /**
+   * A waiting job with what decides on it.
+   *
+   * @param lastStart the last start at which it counts as in time
+   * @param cpu its cores, in thousandths
+   * @param heldMicros how long it is expected to hold them
+   * @param value what it is worth in time
+   * @param perWork that by its work, with the weight of its callers
+   */
+  private record Candidate(
+      Job job, double lastStart, double cpu, double heldMicros, double value, double perWork) {
+
+    private boolean mustStay() {
+      return job.started || job.isDurable();
+    }
+  }
+
+  /** A candidate that is expected to hold cores until a time. */
+  private record Planned(Candidate candidate, double until) {}
+
+  /**
+   * Decides on the jobs of an upstream.
+   *
+   * @param jobs the waiting jobs
+   * @param room the cores that become free for them; used up
+   * @param speed how much predicted time passes while a run holds its cores for a time of 1
+   * @param spare the share of the cores that jobs still to come are expected to leave
+   */
+  Plan plan(Collection<Job> jobs, RoomForecast room, double speed, double spare, long now) {
+    List<Candidate> inTime = new ArrayList<>();
+    List<Candidate> late = new ArrayList<>();
+    for (Job job : jobs) {
+      Candidate next = candidate(job, speed);
+      (next.lastStart() < now ? late : inTime).add(next);
+    }
+    inTime.sort(Comparator.comparingDouble(Candidate::lastStart));
+    List<WaitingOrder.Place> line = new ArrayList<>();
+    keepInTime(inTime, late, room, line);
+    return planLate(late, room, spare, line, now);
+  }
+
+  private Candidate candidate(Job job, double speed) {
+    double chain = order.chainMicros(job);
+    double whole = order.wholeWorkMicros(job);
+    double work = Math.max(1, job.started ? order.waitingCpuMicros(job) : whole);
+    double value = values.value(job, whole);
+    double perWork = value * values.weight(job) / work;
+    return new Candidate(
+        job, order.lastStart(job, chain), work / chain, chain / speed, value, perWork);
+  }
+
+  /**
+   * Adds the jobs that are expected in time to the line, and the displaced ones to the late. Once
+   * any job has to make way, room goes by value per work, so that what predictions miss is lost
+   * where it costs least.
+   */
+  private static void keepInTime(
+      List<Candidate> inTime,
+      List<Candidate> late,
+      RoomForecast room,
+      List<WaitingOrder.Place> line) {
+    PriorityQueue<Planned> kept =
+        new PriorityQueue<>(Comparator.comparing(Planned::candidate, LEAST_FIRST));
+    for (Candidate next : inTime) {
+      if (makeRoom(next, kept, late, room) || next.mustStay()) {
+        double until = room.time() + next.heldMicros();
+        room.take(next.cpu(), until);
+        kept.add(new Planned(next, until));
+      } else {
+        late.add(next);
+      }
+    }
+    List<Candidate> all = new ArrayList<>();
+    kept.forEach(planned -> all.add(planned.candidate()));
+    boolean allInTime = late.isEmpty();
+    for (Candidate each : all) {
+      double rank = allInTime ? each.lastStart() : -each.perWork();
+      line.add(new WaitingOrder.Place(each.job(), false, 0, rank));
+    }
+  }
+
+  /** Displaces what is worth less than a job until it can start in time; tells whether it can. */
+  private static boolean makeRoom(
+      Candidate next, PriorityQueue<Planned> kept, List<Candidate> late, RoomForecast room) {
+    List<Planned> displaced = new ArrayList<>();
+    List<Planned> passedBy = new ArrayList<>();
+    boolean fits = room.awaitFree(next.cpu(), next.lastStart());
+    while (!fits && displaced.size() + passedBy.size() < MOST_DISPLACED_FOR_ONE) {
+      Planned least = kept.peek();
+      if (least == null || least.candidate().perWork() >= next.perWork()) {
+        break;
+      }
+      kept.poll();
+      boolean frees =
+          !least.candidate().mustStay() && room.giveBack(least.candidate().cpu(), least.until());
+      (frees ? displaced : passedBy).add(least);
+      fits = room.free() >= next.cpu();
+    }
+    kept.addAll(passedBy);
+    if (fits) {
+      displaced.forEach(planned -> late.add(planned.candidate()));
+    } else {
+      displaced.forEach(planned -> room.take(planned.candidate().cpu(), planned.until()));
+      kept.addAll(displaced);
+    }
+    return fits;
+  }
+
+  private Plan planLate(
+      List<Candidate> late,
+      RoomForecast room,
+      double spare,
+      List<WaitingOrder.Place> line,
+      long now) {
+    late.sort(LEAST_FIRST.reversed());
+    List<Refusal> refused = new ArrayList<>();
+    int displaced = 0;
+    for (Candidate next : late) {
+      double latest = order.lateLimit(next.job()) - next.heldMicros();
+      boolean fits =
+          values.lateIsOfUse() && room.awaitFree(next.cpu(), now + (latest - now) * spare);
+      if (fits || next.mustStay()) {
+        room.take(next.cpu(), room.time() + next.heldMicros());
+        line.add(new WaitingOrder.Place(next.job(), true, 0, -next.perWork()));
+        displaced++;
+      } else {
+        long ahead = (long) room.time() - now;
+        refused.add(new Refusal(next.job(), next.value(), ahead));
+      }
+    }
+    return new Plan(line, displaced, refused);
+  }
+}
--- a/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
@@ -25,6 +25,9 @@
 
   private static final double MARGIN_MICROS = 10_000;
 
+  /** How much of its run time a job must have left before its deadline when it starts. */
+  private static final double DEADLINE_SHARE = 1.2;
+
   /** What storing the start and the end of a durable job takes, in microseconds. */
   private static final double STORE_MICROS = 20_000;
 
@@ -33,29 +36,41 @@
 
   private final DurationModel durations;
 
+  /** Whether estimates are trusted only as far as such estimates came true. */
+  private final boolean weighsEstimates;
+
+  /** Creates the order of jobs whose estimates are taken as they are. */
   WaitingOrder(DurationModel durations) {
+    this(durations, false);
+  }
+
+  /**
+   * Creates an order.
+   *
+   * @param weighsEstimates whether estimates are trusted only as far as such estimates came true
+   */
+  WaitingOrder(DurationModel durations, boolean weighsEstimates) {
     this.durations = durations;
+    this.weighsEstimates = weighsEstimates;
   }
 
   /**
    * A job's place.
    *
-   * @param late whether it can't be in time any more
-   * @param rank its place among those that are late, or among those that are not; the least first
+   * @param late whether it can't be in time any more, or makes way for jobs that can
+   * @param tier its place among those that are late; the least first
+   * @param rank its place among those of its tier, or among those that are not late; the least
+   *     first
    */
-  record Place(Job job, boolean late, double rank) implements Comparable<Place> {
+  record Place(Job job, boolean late, int tier, double rank) implements Comparable<Place> {
 
     @Override
     public int compareTo(Place other) {
       if (late != other.late) {
         return late ? 1 : -1;
       }
-      int byPriority = late ? Integer.compare(priority(), other.priority()) : 0;
-      return byPriority != 0 ? byPriority : Double.compare(rank, other.rank);
-    }
-
-    private int priority() {
-      return job.requestClass().priority();
+      int byTier = Integer.compare(tier, other.tier);
+      return byTier != 0 ? byTier : Double.compare(rank, other.rank);
     }
   }
 
@@ -78,8 +93,23 @@
   Place place(Job job, long now) {
     double left = chainMicros(job, job.remainingChainMillis());
     double latest = job.arrivedAt + objectiveMicros(job) - left;
-    double margin = MARGIN_SHARE * left + MARGIN_MICROS + (job.isDurable() ? STORE_MICROS : 0);
-    return new Place(job, latest - margin < now, latest + ORDER_SHARE * left);
+    boolean late = latest - margin(job, left) < now;
+    int tier = late ? job.requestClass().priority() : 0;
+    return new Place(job, late, tier, latest + ORDER_SHARE * left);
+  }
+
+  private static double margin(Job job, double left) {
+    return MARGIN_SHARE * left + MARGIN_MICROS + (job.isDurable() ? STORE_MICROS : 0);
+  }
+
+  /**
+   * Returns the last start at which a job counts as in time.
+   *
+   * @param left how long the rest of it takes
+   */
+  double lastStart(Job job, double left) {
+    double inTime = job.arrivedAt + objectiveMicros(job) - left - margin(job, left);
+    return Math.min(inTime, job.deadline - DEADLINE_SHARE * left);
   }
 
   /** Returns how long a job may take within its objective. */
@@ -88,6 +118,12 @@
         + job.requestClass().objectiveMillis() * MICROS_PER_MILLI;
   }
 
+  /** Returns the predicted processor time that a whole job needs, times its cores. */
+  double wholeWorkMicros(Job job) {
+    long longest = job.longestChainMillis();
+    return job.estimatedWork() * chainMicros(job, longest) / Math.max(1, longest);
+  }
+
   /** Returns the processor time that the tasks need that may start now, times their cores. */
   double waitingCpuMicros(Job job) {
     double sum = 0;
@@ -103,7 +139,11 @@
   }
 
   private double chainMicros(Job job, long estimateMillis) {
-    double mean = durations.predictMicros(job.requestClass().name(), estimateMillis);
+    String name = job.requestClass().name();
+    double mean =
+        weighsEstimates
+            ? durations.likelyMicros(name, estimateMillis)
+            : durations.predictMicros(name, estimateMillis);
     return mean * job.biasFactor();
   }
 
--- a/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
+++ b/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
@@ -59,6 +59,7 @@
     gauge("marjoramhoist.leader.settled", () -> flag(status.decisions().settled()));
     gauge("marjoramhoist.leader.jobs.waiting", () -> status.decisions().waitingJobs());
     gauge("marjoramhoist.leader.waiting.micros", () -> status.decisions().waitingMicros());
+    gauge("marjoramhoist.leader.jobs.displaced", () -> status.decisions().displacedJobs());
     gauge("marjoramhoist.leader.events.queued", () -> status.queuedEvents());
     gauge("marjoramhoist.leader.steps.micros", () -> status.load().stepMicros());
     gauge("marjoramhoist.leader.step.longest.micros", () -> status.load().longestStepMicros());
@@ -80,6 +81,21 @@
   /** Takes in how this host fares as leader; {@link LeaderStatus#NONE} if it does not lead. */
   void leads(LeaderStatus next) {
     status = next;
+    next.decisions().shed().keySet().forEach(this::showShed);
+  }
+
+  private void showShed(String requestClass) {
+    Tags tags = Tags.of("class", bounded(requestClass));
+    shedGauge("marjoramhoist.leader.shed.jobs", tags, () -> shed(requestClass).jobs());
+    shedGauge("marjoramhoist.leader.shed.value", tags, () -> shed(requestClass).value());
+  }
+
+  private void shedGauge(String name, Tags tags, Supplier<Number> value) {
+    Gauge.builder(name, value).tags(tags).strongReference(true).register(registry);
+  }
+
+  private DispatchSnapshot.Shed shed(String requestClass) {
+    return status.decisions().shed().getOrDefault(requestClass, new DispatchSnapshot.Shed(0, 0));
   }
 
   /** Takes in the end of a job whose caller waited at this host. */
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherFixture.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherFixture.java
@@ -23,6 +23,7 @@
   static final DispatchPolicy POLICY = new DispatchPolicy(980, 1.5, 250, 120_000);
 
   final List<DispatchAction> actions = new ArrayList<>();
+  DispatchPolicy policy = POLICY;
   long now = 10_000 * MILLI;
   Dispatcher dispatcher;
 
@@ -36,7 +37,7 @@
   }
 
   final void beginTerm(long earlierRunsOverAt, List<WorkerInfo> roster) {
-    dispatcher = new Dispatcher(POLICY, now, earlierRunsOverAt, 0);
+    dispatcher = new Dispatcher(policy, now, earlierRunsOverAt, 0);
     step(0, new DispatchEvent.RosterLoaded(roster));
   }
 
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/experiment/SheddingTest.java
@@ -0,0 +1,253 @@
+package org.marjoramhoist.experiment;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.marjoramhoist.experiment.Fleets.SECOND;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.marjoramhoist.dispatch.SchedulingPolicy;
+import org.marjoramhoist.dispatch.SchedulingPolicy.Overload;
+import org.marjoramhoist.job.JobOutcome;
+
+/** What jobs are worth to their callers when more come than there is room for. */
+class SheddingTest {
+
+  private static final int SEED = 1;
+  private static final long OFFER = 4 * SECOND;
+  private static final long REST = 4 * SECOND;
+  private static final double[] OVERLOADS = {1.2, 1.5, 2, 3};
+
+  private static final SchedulingPolicy SHED = policy(Overload.SHED);
+  private static final SchedulingPolicy QUEUE = policy(Overload.QUEUE);
+
+  private static final Map<DispatchLoad.Customer, Double> CAPACITIES = new HashMap<>();
+
+  private static SchedulingPolicy policy(Overload overload) {
+    return new SchedulingPolicy(
+        SchedulingPolicy.Placement.FASTEST,
+        overload,
+        false,
+        DispatchLoad.JOB_VALUES,
+        SchedulingPolicy.DEFAULT_LATE_VALUE,
+        SchedulingPolicy.WorkerHealth.STREAK);
+  }
+
+  /** Returns the work that a customer's workers do a second while more waits than they can do. */
+  private static double capacity(DispatchLoad.Customer customer) {
+    return CAPACITIES.computeIfAbsent(customer, SheddingTest::measureCapacity);
+  }
+
+  private static double measureCapacity(DispatchLoad.Customer customer) {
+    DispatchFleet fleet = Fleets.dispatching(customer, QUEUE, SEED);
+    long begin = fleet.time().now();
+    List<DispatchLoad.Kind> patient =
+        customer.kinds(3).stream().map(DispatchLoad.Kind::patient).toList();
+    new DispatchLoad(fleet, patient, customer.rackNames(), SEED).offerUntil(begin + 6 * SECOND);
+    fleet.runUntil(begin + 6 * SECOND);
+    double work = 0;
+    for (DispatchFleet.Offered job : fleet.offered()) {
+      DispatchFleet.Ended end = fleet.ends().get(job.job().id());
+      if (end != null && end.outcome() == JobOutcome.SUCCEEDED && end.at() > begin + 2 * SECOND) {
+        work += job.coreSeconds();
+      }
+    }
+    return work / 4;
+  }
+
+  /** Returns the work that a customer's callers hand in a second at its mean load. */
+  private static double meanLoad(DispatchLoad.Customer customer) {
+    DispatchFleet fleet = new DispatchFleet(SEED);
+    fleet.elect();
+    long begin = fleet.time().now();
+    new DispatchLoad(fleet, customer.kinds(1), customer.rackNames(), SEED)
+        .offerUntil(begin + 20 * SECOND);
+    fleet.runUntil(begin + 20 * SECOND);
+    return fleet.offered().stream().mapToDouble(DispatchFleet.Offered::coreSeconds).sum() / 20;
+  }
+
+  private static DispatchFleet overloaded(
+      DispatchLoad.Customer customer, SchedulingPolicy scheduling, double load) {
+    DispatchFleet fleet = Fleets.dispatching(customer, scheduling, SEED);
+    offer(fleet, customer, load, OFFER, SEED);
+    fleet.runFor(OFFER + REST);
+    assertThat(fleet.breaches()).isEmpty();
+    assertThat(fleet.openJobs()).isEmpty();
+    return fleet;
+  }
+
+  /** Offers jobs at a share of the capacity. */
+  private static void offer(
+      DispatchFleet fleet, DispatchLoad.Customer customer, double load, long micros, long seed) {
+    double factor = load * capacity(customer) / meanLoad(customer);
+    new DispatchLoad(fleet, customer.kinds(factor), customer.rackNames(), seed)
+        .offerUntil(fleet.time().now() + micros);
+  }
+
+  private static double workInTime(DispatchFleet fleet) {
+    return workInTime(fleet, 0, Long.MAX_VALUE);
+  }
+
+  private static double workInTime(DispatchFleet fleet, long from, long to) {
+    return fleet.offered().stream()
+        .filter(fleet::isInTime)
+        .filter(job -> job.arrivedAt() >= from && job.arrivedAt() < to)
+        .mapToDouble(DispatchFleet.Offered::coreSeconds)
+        .sum();
+  }
+
+  private static double shareRefusedLate(DispatchFleet fleet) {
+    long refused = 0;
+    long refusedLate = 0;
+    for (DispatchFleet.Offered job : fleet.offered()) {
+      DispatchFleet.Ended end = fleet.ends().get(job.job().id());
+      if (end.outcome() == JobOutcome.REFUSED) {
+        refused++;
+        refusedLate += end.at() - job.arrivedAt() > job.objectiveMicros() / 4 ? 1 : 0;
+      }
+    }
+    return refused == 0 ? 0 : (double) refusedLate / refused;
+  }
+
+  private static void assertWorkInTime(DispatchLoad.Customer customer) {
+    double capacity = capacity(customer) * OFFER / SECOND;
+    for (double load : OVERLOADS) {
+      double share = workInTime(overloaded(customer, SHED, load)) / capacity;
+      assertWithMessage("load %s", load).that(share).isAtLeast(0.9);
+    }
+  }
+
+  private static void assertLostValue(DispatchLoad.Customer customer) {
+    double capacity = capacity(customer) * OFFER / SECOND;
+    for (double load : OVERLOADS) {
+      JobWorth worth = new JobWorth(overloaded(customer, SHED, load));
+      double least = worth.offered() - worth.bestOf(capacity);
+      double lost = worth.offered() - worth.earned();
+      assertWithMessage("load %s", load).that(lost).isAtMost(1.1 * least);
+    }
+  }
+
+  /** Jobs that start at the last moment, or on a worker that is too slow, waste their work. */
+  @Example
+  void workOfPreviewsInTimeStaysNearCapacity() {
+    assertWorkInTime(DispatchLoad.PREVIEWS);
+  }
+
+  @Example
+  void workOfBoundariesInTimeStaysNearCapacity() {
+    assertWorkInTime(DispatchLoad.BOUNDARIES);
+  }
+
+  /** Room that goes to jobs worth little is missing for those worth much. */
+  @Example
+  void lostValueOfPreviewsIsNearTheLeast() {
+    assertLostValue(DispatchLoad.PREVIEWS);
+  }
+
+  @Example
+  void lostValueOfBoundariesIsNearTheLeast() {
+    assertLostValue(DispatchLoad.BOUNDARIES);
+  }
+
+  /** Waiting in vain costs callers time; without shedding nine in ten refusals came that late. */
+  @Example
+  void fewRefusalsComeLate() {
+    assertThat(shareRefusedLate(overloaded(DispatchLoad.PREVIEWS, SHED, 1.5))).isAtMost(0.2);
+  }
+
+  /** Shedding that picks the wrong jobs would be no better than waiting in line. */
+  @Example
+  void sheddingEarnsMoreThanQueueing() {
+    double shed = new JobWorth(overloaded(DispatchLoad.PREVIEWS, SHED, 2)).earned();
+    double queued = new JobWorth(overloaded(DispatchLoad.PREVIEWS, QUEUE, 2)).earned();
+    assertThat(shed).isAtLeast(1.1 * queued);
+  }
+
+  /** What was learned in a burst must not make a leader refuse jobs after it. */
+  @Example
+  void nothingIsShedAfterTheBurst() {
+    DispatchLoad.Customer customer = DispatchLoad.PREVIEWS;
+    DispatchFleet fleet = Fleets.dispatching(customer, SHED, SEED);
+    offer(fleet, customer, 0.7, 8 * SECOND, SEED);
+    fleet.runFor(SECOND);
+    long burstEnd = fleet.time().now() + 4 * SECOND;
+    double factor = 0.8 * capacity(customer) / meanLoad(customer);
+    new DispatchLoad(fleet, customer.kinds(factor), customer.rackNames(), 2)
+        .startingAt(1_000_000)
+        .offerUntil(burstEnd);
+    fleet.runFor(10 * SECOND);
+    assertThat(fleet.breaches()).isEmpty();
+    long refusedLater =
+        fleet.offered().stream()
+            .filter(job -> job.arrivedAt() > burstEnd + SECOND)
+            .filter(job -> outcome(fleet, job) == JobOutcome.REFUSED)
+            .count();
+    assertThat(refusedLater).isEqualTo(0);
+  }
+
+  private static JobOutcome outcome(DispatchFleet fleet, DispatchFleet.Offered job) {
+    return fleet.ends().get(job.job().id()).outcome();
+  }
+
+  private static double earnedAfterLoss(SchedulingPolicy scheduling) {
+    DispatchLoad.Customer customer = DispatchLoad.PREVIEWS;
+    DispatchFleet fleet = Fleets.dispatching(customer, scheduling, SEED);
+    offer(fleet, customer, 0.85, 6 * SECOND, SEED);
+    fleet.runFor(2 * SECOND);
+    List<LeasedWorker> workers = fleet.workers();
+    workers.subList(0, workers.size() / 3).forEach(worker -> worker.cutOff = true);
+    fleet.runFor(10 * SECOND);
+    assertThat(fleet.breaches()).isEmpty();
+    assertThat(fleet.openJobs()).isEmpty();
+    return new JobWorth(fleet).earned();
+  }
+
+  /** The capacity that remains is a third less than what was learned. */
+  @Example
+  void lossOfWorkersCostsNoMoreThanWithQueueing() {
+    assertThat(earnedAfterLoss(SHED)).isAtLeast(earnedAfterLoss(QUEUE));
+  }
+
+  /** A new leader knows no run times, and has jobs that it must not refuse. */
+  @Example
+  void newLeaderInOverloadSoonServesAsMuch() {
+    DispatchLoad.Customer customer = DispatchLoad.PREVIEWS;
+    DispatchFleet fleet = Fleets.dispatching(customer, SHED, SEED);
+    offer(fleet, customer, 1.5, 7 * SECOND, SEED);
+    fleet.runFor(3 * SECOND);
+    final long electedAt = fleet.time().now();
+    fleet.elect();
+    fleet.runFor(10 * SECOND);
+    assertThat(fleet.breaches()).isEmpty();
+    assertThat(fleet.openJobs()).isEmpty();
+    double before = workInTime(fleet, electedAt - 2 * SECOND, electedAt);
+    double after = workInTime(fleet, electedAt + 2 * SECOND, electedAt + 4 * SECOND);
+    assertThat(after).isAtLeast(0.9 * before);
+  }
+
+  /** Shedding ends jobs at other moments; no task may run twice nor a started job be refused. */
+  @Property(tries = 20, shrinking = ShrinkingMode.OFF, seed = "20261204")
+  void noTaskRunsTwiceWhileJobsAreShed(@ForAll long seed) {
+    DispatchFleet fleet = new DispatchFleet(seed, DispatchFleet.POLICY.withScheduling(SHED));
+    DispatchLoad.addWorkers(fleet);
+    fleet.elect();
+    fleet.runFor(SECOND);
+    long end = fleet.time().now() + 8 * SECOND;
+    new DispatchLoad(fleet, DispatchLoad.reviews(1.5), List.of(), seed).offerUntil(end);
+    SplittableRandom random = new SplittableRandom(seed);
+    while (fleet.time().now() < end) {
+      fleet.runFor(random.nextLong(50_000, 700_000));
+      Disturbances.disturb(fleet, random);
+    }
+    Disturbances.end(fleet);
+    fleet.runFor(60 * SECOND);
+    assertWithMessage("seed %s", seed).that(fleet.breaches()).isEmpty();
+    assertWithMessage("seed %s", seed).that(fleet.openJobs()).isEmpty();
+  }
+}
