--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
@@ -76,6 +77,10 @@
   private final Workers workers;
   private final Allocator allocator;
   private final Jobs jobs = new Jobs();
+
+  /** Null unless jobs make way when not all can be in time. */
+  private final Shedding shedding;
+
   private final RunControl runs;
   private final DurableJobs durable;
   private Set<JobId> keptBefore = Set.of();
@@ -101,15 +106,16 @@
     boolean handedOver = policy.scope() == DispatchPolicy.Scope.DOMAIN_SUCCESSOR;
     this.guard = policy.isForDomain() ? new DomainGuard(now, handedOver) : null;
     this.weights = new GroupWeights(policy.scheduling().fairShares(), now);
-    this.order = new WaitingOrder(durations, weights, policy.isBySlack());
+    boolean sheds = policy.scheduling().overload() == SchedulingPolicy.Overload.SHED;
+    this.order = new WaitingOrder(durations, weights, policy.scheduling());
     this.backlog = new Backlog(order);
-    this.returns =
-        policy.scheduling().overload() == SchedulingPolicy.Overload.SHED ? new ReturnTimes() : null;
+    this.returns = sheds ? new ReturnTimes() : null;
     this.durable = new DurableJobs(policy.keepMillis(), epochMillis);
     this.workers = new Workers(now, earlierRunsOverAt);
     this.placement = new Placement(policy, durations, placementRule(policy));
     this.runs = new RunControl(policy, new Ends());
     this.allocator = new Allocator(since, jobs, workers, runs, placement, order);
+    this.shedding = sheds ? new Shedding(policy.scheduling(), durations, order, weights) : null;
   }
 
   private PlacementRule placementRule(DispatchPolicy policy) {
@@ -138,12 +144,46 @@
     events.forEach(event -> take(now, event, out));
     if (mayPlace && startsAllowed && handingOver == null && mayUseWorkers()) {
       mayPlace = false;
-      allocator.placeWaiting(now, out);
+      place(now, out);
     }
     durable.flush(now, out);
     return out;
   }
 
+  /**
+   * Gives out room. Jobs that came while none waited are given room before anything is shed, so
+   * that shedding costs nothing while there is enough room.
+   */
+  private void place(long now, List<DispatchAction> out) {
+    boolean isDue = shedding != null && shedding.takeDue();
+    boolean waitedBefore = allocator.hasWaiting();
+    if (isDue && waitedBefore) {
+      shed(now, out);
+    }
+    allocator.placeWaiting(now, out);
+    if (isDue && !waitedBefore && allocator.hasWaiting()) {
+      shed(now, out);
+    }
+    if (shedding != null && allocator.hasWaiting() && runs.window().isOpen()) {
+      shedding.roomGivenOut(workers.all(), allocator.firstWaiting(), now);
+    }
+  }
+
+  private void shed(long now, List<DispatchAction> out) {
+    LoadShedder.Plan plan = shedding.plan(allocator.takeWaiting(), workers.all(), now);
+    allocator.setLine(plan.line());
+    for (LoadShedder.Refusal refusal : plan.refused()) {
+      shedding.refused(refusal);
+      String reason =
+          String.format(
+              Locale.ROOT,
+              "too much waits before it value=%.3g aheadMicros=%d",
+              refusal.value(),
+              refusal.aheadMicros());
+      end(refusal.job(), JobOutcome.REFUSED, reason, now, out);
+    }
+  }
+
   private boolean mayUseWorkers() {
     return workers.drains().isKnown() && (guard == null || guard.mayStart(workers.all()));
   }
@@ -258,6 +298,9 @@
       return;
     }
     runs.claimEarlier(job, workers.all(), now, out);
+    if (shedding != null) {
+      shedding.submitted(job, now);
+    }
     if (job.isComplete()) {
       end(job, JobOutcome.SUCCEEDED, "done before", now, out);
     } else if (!job.started && workers.canNeverRun(job.description(), job.requestClass())) {
@@ -411,6 +454,9 @@
       end(job, JobOutcome.REFUSED, "too much waits before it", now, out);
     }
     mayPlace = true;
+    if (shedding != null) {
+      shedding.ticked();
+    }
   }
 
   /** Returns the work of the waiting jobs whose end is of no use any more. */
@@ -512,7 +558,9 @@
         startsAllowed,
         workers.isSettled(now),
         jobs.waiting().size(),
-        (long) backlog.totalMicros());
+        (long) backlog.totalMicros(),
+        shedding == null ? 0 : shedding.displaced(),
+        shedding == null ? Map.of() : shedding.shedByClass());
   }
 
   /** What the ends of runs mean for their jobs. */
@@ -529,6 +577,9 @@
     @Override
     public void runDone(Run run, long now, List<DispatchAction> out) {
       run.worker.succeeded();
+      if (shedding != null) {
+        shedding.runDone(run, workers.all(), now);
+      }
       placement.learn(run, now);
       mayPlace = true;
       taskDone(run.task, now, out);
--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -20,7 +20,6 @@
 
   private static final int RUNS_PER_GENERATION = 32;
   private static final int RUNS_PER_TERM = 64;
-  private static final double MICROS_PER_MILLI = 1_000.0;
 
   private final JobDescription description;
   private final RequestClass requestClass;
@@ -28,6 +27,7 @@
   private final int[] openTasks;
   private final long leastCpuMillis;
   private final long longestChainMillis;
+  private final double estimatedWork;
   private long remainingChainMillis;
   private final StoredJob record;
   private final List<EndMark> unstoredEnds = new ArrayList<>();
@@ -98,6 +98,7 @@
     }
     this.leastCpuMillis =
         description.steps().stream().mapToLong(step -> step.need().cpuMillis()).min().orElse(0);
+    this.estimatedWork = description.steps().stream().mapToDouble(Job::estimatedWork).sum();
     this.longestChainMillis = longestChain();
     this.remainingChainMillis = longestChainMillis;
   }
@@ -291,6 +292,15 @@
     return leastCpuMillis;
   }
 
+  private static double estimatedWork(StepSpec step) {
+    return (double) step.count() * step.need().cpuMillis() * Math.max(1, step.estimateMillis());
+  }
+
+  /** Returns the work of all its tasks by its caller's estimate, in thousandths of core-millis. */
+  double estimatedWork() {
+    return estimatedWork;
+  }
+
   /** Returns the tasks that may start now, in their order. */
   List<Task> waitingTasks() {
     List<Task> waiting = new ArrayList<>();
@@ -338,15 +348,6 @@
     }
   }
 
-  /** Returns the work of all its tasks as estimated, in thousandths of a core times micros. */
-  double estimatedWork() {
-    double sum = 0;
-    for (StepSpec step : description.steps()) {
-      sum += MICROS_PER_MILLI * step.estimateMillis() * step.count() * step.need().cpuMillis();
-    }
-    return Math.max(1, sum);
-  }
-
   /** Returns the longest chain of the estimates, in milliseconds. */
   long longestChainMillis() {
     return longestChainMillis;
--- a/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
@@ -36,6 +36,9 @@
 
   private static final double MARGIN_MICROS = 10_000;
 
+  /** How much of its run time a job must have left before its deadline when it starts. */
+  private static final double DEADLINE_SHARE = 1.2;
+
   /** What storing the start and the end of a durable job takes, in microseconds. */
   private static final double STORE_MICROS = 20_000;
 
@@ -48,21 +51,28 @@
   private final GroupWeights weights;
   private final double marginShare;
 
+  /** Whether estimates are trusted only as far as such estimates came true. */
+  private final boolean weighsEstimates;
+
   /**
    * Creates an order.
    *
-   * @param bySlack whether workers are chosen by the time that jobs have
+   * @param weights by how much groups of callers are preferred among late jobs
+   * @param scheduling says what margin jobs need, and whether estimates are trusted only as far as
+   *     such estimates came true
    */
-  WaitingOrder(DurationModel durations, GroupWeights weights, boolean bySlack) {
+  WaitingOrder(DurationModel durations, GroupWeights weights, SchedulingPolicy scheduling) {
+    boolean bySlack = scheduling.placement() == SchedulingPolicy.Placement.SLACK;
     this.durations = durations;
     this.weights = weights;
     this.marginShare = bySlack ? SLACK_MARGIN_SHARE : MARGIN_SHARE;
+    this.weighsEstimates = scheduling.overload() == SchedulingPolicy.Overload.SHED;
   }
 
   /**
    * A job's place.
    *
-   * @param late whether it can't be in time any more
+   * @param late whether it can't be in time any more, or makes way for jobs that can
    * @param level its priority among those that are late, less what the weight of its group adds
    * @param rank its place among those of its level, or among those in time; the least first
    */
@@ -97,8 +107,7 @@
   Place place(Job job, long now) {
     double left = chainMicros(job, job.remainingChainMillis());
     double latest = job.arrivedAt + objectiveMicros(job) - left;
-    double margin = marginShare * left + MARGIN_MICROS + (job.isDurable() ? STORE_MICROS : 0);
-    boolean late = latest - margin < now;
+    boolean late = latest - margin(job, left) < now;
     return new Place(job, late, late ? level(job, now) : 0, latest + ORDER_SHARE * left);
   }
 
@@ -106,6 +115,20 @@
     return job.requestClass().priority() - Math.log(weights.weight(job, now)) / LN_2;
   }
 
+  private double margin(Job job, double left) {
+    return marginShare * left + MARGIN_MICROS + (job.isDurable() ? STORE_MICROS : 0);
+  }
+
+  /**
+   * Returns the last start at which a job counts as in time.
+   *
+   * @param left how long the rest of it takes
+   */
+  double lastStart(Job job, double left) {
+    double inTime = job.arrivedAt + objectiveMicros(job) - left - margin(job, left);
+    return Math.min(inTime, job.deadline - DEADLINE_SHARE * left);
+  }
+
   /** Returns how long a job may take within its objective. */
   double objectiveMicros(Job job) {
     return stretchMicros(job) + job.requestClass().objectiveMillis() * MICROS_PER_MILLI;
@@ -121,6 +144,12 @@
     return at <= job.arrivedAt + objectiveMicros(job);
   }
 
+  /** Returns the predicted processor time that a whole job needs, times its cores. */
+  double wholeWorkMicros(Job job) {
+    long longest = job.longestChainMillis();
+    return job.estimatedWork() * chainMicros(job, longest) / Math.max(1, longest);
+  }
+
   /** Returns the processor time that the tasks need that may start now, times their cores. */
   double waitingCpuMicros(Job job) {
     double sum = 0;
@@ -146,7 +175,11 @@
   }
 
   private double chainMicros(Job job, long estimateMillis) {
-    double mean = durations.predictMicros(job.requestClass().name(), estimateMillis);
+    String name = job.requestClass().name();
+    double mean =
+        weighsEstimates
+            ? durations.likelyMicros(name, estimateMillis)
+            : durations.predictMicros(name, estimateMillis);
     return mean * job.biasFactor();
   }
 
--- a/src/main/java/org/marjoramhoist/experiment/DemandingSite.java
+++ b/src/main/java/org/marjoramhoist/experiment/DemandingSite.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.marjoramhoist.dispatch.DispatchPolicy;
 import org.marjoramhoist.dispatch.SchedulingPolicy;
 
@@ -67,6 +68,9 @@
               kind("check", 2, 26.3, 4, 900, 32, 0),
               kind("redraw", 1, 420, 2, 200, 32, 0)));
 
+  /** What a job of average size is worth to the customers' callers, by priority. */
+  static final Map<Integer, Double> JOB_VALUES = Map.of(0, 4.85, 1, 1.67, 2, 26.7);
+
   private static DispatchLoad.Kind kind(
       String name,
       int priority,
@@ -86,14 +90,14 @@
   }
 
   /** Returns a fleet of its workers with a leader that knows them. */
-  DispatchFleet fleet(SchedulingPolicy.Placement placement, long seed) {
+  DispatchFleet fleet(SchedulingPolicy scheduling, long seed) {
     DispatchPolicy policy =
         new DispatchPolicy(
                 DispatchFleet.POLICY.leaseMillis(),
                 farFactor,
                 DispatchFleet.POLICY.renewWaitMillis(),
                 DispatchFleet.POLICY.keepMillis())
-            .withScheduling(SchedulingPolicy.DEFAULT.withPlacement(placement));
+            .withScheduling(scheduling);
     DispatchFleet fleet = new DispatchFleet(seed, policy);
     for (int i = 0; i < workers; i++) {
       fleet.addWorker(
@@ -106,11 +110,23 @@
 
   /** Returns its load on a fleet at a share of the capacity. */
   DispatchLoad load(DispatchFleet fleet, double share, long seed) {
+    return load(fleet, kindsAt(share), seed);
+  }
+
+  /** Returns the same load with callers who wait for any time. */
+  DispatchLoad patientLoad(DispatchFleet fleet, double share, long seed) {
+    return load(fleet, kindsAt(share).stream().map(DispatchLoad.Kind::patient).toList(), seed);
+  }
+
+  private DispatchLoad load(DispatchFleet fleet, List<DispatchLoad.Kind> scaled, long seed) {
+    return new DispatchLoad(fleet, scaled, racks(), seed).withLongShare(longShare);
+  }
+
+  private List<DispatchLoad.Kind> kindsAt(double share) {
     double usual = kinds.stream().mapToDouble(DispatchLoad.Kind::meanCores).sum();
     double mean = longShare > 0 ? usual * LONG_MEAN : usual;
     double factor = share * capacityCores() / mean;
-    List<DispatchLoad.Kind> scaled = kinds.stream().map(kind -> kind.times(factor)).toList();
-    return new DispatchLoad(fleet, scaled, racks(), seed).withLongShare(longShare);
+    return kinds.stream().map(kind -> kind.times(factor)).toList();
   }
 
   /** Returns the cores of all workers, each times its speed. */
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -88,7 +88,13 @@
       double taskMicros,
       long objectiveMicros,
       long arrivedAt,
-      long deadline) {}
+      long deadline) {
+    /** Returns the work of the job at speed 1. */
+    double coreSeconds() {
+      StepSpec step = job.steps().get(0);
+      return step.count() * step.need().cpuMillis() * taskMicros / 1e9;
+    }
+  }
 
   /** How a job ended, and when. */
   record Ended(JobOutcome outcome, long at, String reason) {}
--- a/src/main/java/org/marjoramhoist/experiment/DispatchLoad.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchLoad.java
@@ -34,6 +34,7 @@
   private static final long MEMORY_MIB = 64;
   private static final long PATIENCE_BASE_MICROS = 1_500_000;
   private static final int PATIENCE_OBJECTIVES = 3;
+  private static final long PATIENT_MILLIS = 3_600_000;
 
   /**
    * A kind of job.
@@ -61,6 +62,22 @@
           requestClass, perSecond * factor, tasks, taskMillis, cpuMillis, mostCpuMillis, nearShare);
     }
 
+    /** Returns the same kind with callers who wait for any time and are all alike. */
+    Kind patient() {
+      RequestClass patient =
+          new RequestClass(
+              requestClass.name(),
+              requestClass.authority(),
+              requestClass.pathPrefix(),
+              UPSTREAM,
+              0,
+              requestClass.attempts(),
+              requestClass.stretch(),
+              PATIENT_MILLIS,
+              false);
+      return new Kind(patient, perSecond, tasks, taskMillis, cpuMillis, mostCpuMillis, nearShare);
+    }
+
     /** Returns the mean work that its jobs bring, in cores of speed 1. */
     double meanCores() {
       double meanFactor = Math.exp(SIZE_SPREAD * SIZE_SPREAD + CPU_SPREAD * CPU_SPREAD / 2);
@@ -100,6 +117,12 @@
     return this;
   }
 
+  /** Gives the jobs other numbers than those of another load of the same fleet. */
+  DispatchLoad startingAt(long number) {
+    made = number;
+    return this;
+  }
+
   /** Returns a class of request of the upstream. */
   static RequestClass requestClass(String name, int priority, int attempts) {
     return new RequestClass(
--- a/src/test/java/org/marjoramhoist/dispatch/SlackPlacementTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/SlackPlacementTest.java
@@ -23,10 +23,13 @@
   private static final int RUNS_LEARNED = 300;
   private static final double FAR_FACTOR = 3;
 
+  private static final SchedulingPolicy SCHEDULING =
+      SchedulingPolicy.DEFAULT.withPlacement(SchedulingPolicy.Placement.SLACK);
+
   private final DispatchPolicy policy = new DispatchPolicy(980, FAR_FACTOR, 250, 120_000);
   private final DurationModel durations = new DurationModel();
   private final WaitingOrder order =
-      new WaitingOrder(durations, new GroupWeights(false, NOW), true);
+      new WaitingOrder(durations, new GroupWeights(false, NOW), SCHEDULING);
   private final Workers workers = new Workers(NOW, NOW);
   private final Placement placement =
       new Placement(policy, durations, new SlackPlacement(durations, new Slack(order), workers));
--- a/src/test/java/org/marjoramhoist/dispatch/WaitingOrderTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/WaitingOrderTest.java
@@ -15,7 +15,7 @@
   private static final long MILLI = 1_000;
 
   private final WaitingOrder order =
-      new WaitingOrder(new DurationModel(), new GroupWeights(false, 0), false);
+      new WaitingOrder(new DurationModel(), new GroupWeights(false, 0), SchedulingPolicy.DEFAULT);
 
   private static Job job(int number, long arrivedAt) {
     JobDescription description =
--- a/src/test/java/org/marjoramhoist/experiment/DemandingLoadTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/DemandingLoadTest.java
@@ -4,6 +4,7 @@
 import static org.marjoramhoist.experiment.Fleets.SECOND;
 
 import org.junit.jupiter.api.Test;
+import org.marjoramhoist.dispatch.SchedulingPolicy;
 import org.marjoramhoist.dispatch.SchedulingPolicy.Placement;
 
 /** The loads of two customers on their workers, below the capacity. */
@@ -19,7 +20,7 @@
   private static final long LONGEST_PATIENCE = 20 * SECOND;
 
   private static DispatchFleet serve(DemandingSite site, double share, long seed) {
-    DispatchFleet fleet = site.fleet(Placement.SLACK, seed);
+    DispatchFleet fleet = site.fleet(SchedulingPolicy.DEFAULT.withPlacement(Placement.SLACK), seed);
     fleet.runFor(SECOND);
     site.load(fleet, share, seed).offerUntil(fleet.time().now() + OFFERED);
     fleet.runFor(OFFERED + LONGEST_PATIENCE);
