--- a/src/main/java/org/marjoramhoist/dispatch/Placement.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Placement.java
@@ -43,7 +43,9 @@
   Choice choose(Task task, Collection<Worker> workers, long now) {
     PlacementRule.Selection selection = rule.begin(task, predict(task), now);
     for (Worker worker : workers) {
-      if (worker.free.covers(task.spec().need()) && mayRun(task, worker)) {
+      if (worker.free.covers(task.spec().need())
+          && selection.considers(worker)
+          && mayRun(task, worker)) {
         selection.offer(worker, factorOf(task, worker));
       }
     }
--- a/src/main/java/org/marjoramhoist/dispatch/PlacementRule.java
+++ b/src/main/java/org/marjoramhoist/dispatch/PlacementRule.java
@@ -14,6 +14,11 @@
   /** A choice under way. Confined to one thread. */
   interface Selection {
 
+    /** Tells whether a worker may be chosen at all; cheap, as it is asked first. */
+    default boolean considers(Worker worker) {
+      return true;
+    }
+
     /**
      * Takes in a worker that may run the task now.
      *
--- a/src/main/java/org/marjoramhoist/dispatch/SlackPlacement.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SlackPlacement.java
@@ -68,6 +68,11 @@
       this.likely = slack.likelyFactor(task, micros, now);
     }
 
+    @Override
+    public boolean considers(Worker worker) {
+      return now >= task.job.waitsNearUntil || !Placement.isFar(task.spec(), worker);
+    }
+
     @Override
     public void offer(Worker worker, double factor) {
       boolean inTime = factor <= longest;
