--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -112,7 +112,7 @@
   }
 
   private boolean mayUseWorkers() {
-    return workers.drains().isKnown() && (guard == null || guard.mayStart(workers.all()));
+    return (guard == null || guard.mayStart(workers.all())) && workers.drains().isKnown();
   }
 
   private void take(long now, DispatchEvent event, List<DispatchAction> out) {
--- a/src/test/java/org/marjoramhoist/dispatch/DomainDrainTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DomainDrainTest.java
@@ -196,6 +196,16 @@
         .containsExactly(JobOutcome.REFUSED, JobOutcome.REFUSED);
   }
 
+  /** Its workers are free: it must not give up as if another leader used them. */
+  @Test
+  void leaderOfDomainWaitsForTheDrainedDomains() {
+    begin(POLICY.forDomain(), NORTH);
+    submit(1);
+    tick(2_000);
+    assertThat(startedOn()).isEmpty();
+    assertThat(taken(DispatchAction.StepDown.class)).isEmpty();
+  }
+
   @Test
   void drainedWorkersDontCountAsCapacity() {
     drain("south");
