--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -185,7 +185,7 @@
   }
 
   private boolean mayUseWorkers() {
-    return workers.drains().isKnown() && (guard == null || guard.mayStart(workers.all()));
+    return (guard == null || guard.mayStart(workers.all())) && workers.drains().isKnown();
   }
 
   /** Tells whether the leader of a failure domain has found its workers free of others' runs. */
