--- a/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
@@ -107,7 +107,7 @@
   Place place(Job job, long now) {
     double left = chainMicros(job, job.remainingChainMillis());
     double latest = job.arrivedAt + objectiveMicros(job) - left;
-    boolean late = latest - margin(job, left) < now;
+    boolean late = latest - margin(job, left, marginShare) < now;
     return new Place(job, late, late ? level(job, now) : 0, latest + ORDER_SHARE * left);
   }
 
@@ -115,17 +115,18 @@
     return job.requestClass().priority() - Math.log(weights.weight(job, now)) / LN_2;
   }
 
-  private double margin(Job job, double left) {
-    return marginShare * left + MARGIN_MICROS + (job.isDurable() ? STORE_MICROS : 0);
+  private static double margin(Job job, double left, double share) {
+    return share * left + MARGIN_MICROS + (job.isDurable() ? STORE_MICROS : 0);
   }
 
   /**
-   * Returns the last start at which a job counts as in time.
+   * Returns the last start at which a job is planned to be in time. It has the full margin however
+   * workers are chosen: with less, jobs are displaced later, after a longer wait in vain.
    *
    * @param left how long the rest of it takes
    */
   double lastStart(Job job, double left) {
-    double inTime = job.arrivedAt + objectiveMicros(job) - left - margin(job, left);
+    double inTime = job.arrivedAt + objectiveMicros(job) - left - margin(job, left, MARGIN_SHARE);
     return Math.min(inTime, job.deadline - DEADLINE_SHARE * left);
   }
 
--- a/src/test/java/org/marjoramhoist/dispatch/DomainDispatchTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DomainDispatchTest.java
@@ -125,6 +125,7 @@
   private void succeed() {
     List<WorkerInfo> workers = List.of(worker("w", 4_000, false), worker("x", 4_000, false));
     dispatcher = new Dispatcher(POLICY.forDomainSuccessor(), now, now, 0);
+    step(0, new DispatchEvent.DomainsDrained(Set.of()));
     step(0, new DispatchEvent.RosterLoaded(workers));
     step(0, new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
     step(0, new DispatchEvent.WorkersListed(workers));
--- a/src/test/java/org/marjoramhoist/dispatch/GroupWeightsTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/GroupWeightsTest.java
@@ -82,6 +82,7 @@
 
   private List<JobId> startedOfLateJobs(SchedulingPolicy scheduling) {
     dispatcher = new Dispatcher(POLICY.withScheduling(scheduling), now, now, 0);
+    step(0, new DispatchEvent.DomainsDrained(Set.of()));
     step(0, new DispatchEvent.RosterLoaded(List.of()));
     listWorkers(worker("w", 1_000, false));
     // Both groups ask for the same; the one job of "a" that is started first is all that is served.
--- a/src/test/java/org/marjoramhoist/dispatch/RefusedReturnsTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/RefusedReturnsTest.java
@@ -27,6 +27,7 @@
             SchedulingPolicy.DEFAULT_LATE_VALUE,
             SchedulingPolicy.WorkerHealth.STREAK);
     dispatcher = new Dispatcher(POLICY.withScheduling(scheduling), now, now, 0);
+    step(0, new DispatchEvent.DomainsDrained(Set.of()));
     step(0, new DispatchEvent.RosterLoaded(List.of()));
     listWorkers(worker("w", 1_000, false));
     report("w", List.of());
