--- a/src/main/java/org/marjoramhoist/config/SchedulingSettings.java
+++ b/src/main/java/org/marjoramhoist/config/SchedulingSettings.java
@@ -8,7 +8,6 @@
 import org.marjoramhoist.dispatch.SchedulingPolicy;
 import org.marjoramhoist.dispatch.SchedulingPolicy.Overload;
 import org.marjoramhoist.dispatch.SchedulingPolicy.Placement;
-import org.marjoramhoist.dispatch.SchedulingPolicy.WorkerHealth;
 import org.marjoramhoist.json.StrictObject;
 
 /**
@@ -32,8 +31,7 @@
           choice(scheduling, "overload", Overload.class, fallback.overload()),
           scheduling.flag("fairShares", fallback.fairShares()),
           readValues(scheduling),
-          scheduling.decimal("lateValue", 0, 1, fallback.lateValue()),
-          choice(scheduling, "workerHealth", WorkerHealth.class, fallback.workerHealth()));
+          scheduling.decimal("lateValue", 0, 1, fallback.lateValue()));
     }
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/SchedulingPolicy.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SchedulingPolicy.java
@@ -12,15 +12,13 @@
  * @param fairShares whether groups of callers that lately got less are preferred when jobs are shed
  * @param jobValues what a job of average size is worth to its caller, by the priority of its class
  * @param lateValue what a job that ends late is worth, as a share of what it is worth in time
- * @param workerHealth how workers that do badly are found
  */
 public record SchedulingPolicy(
     Placement placement,
     Overload overload,
     boolean fairShares,
     Map<Integer, Double> jobValues,
-    double lateValue,
-    WorkerHealth workerHealth) {
+    double lateValue) {
 
   /** What a job is worth whose priority has no value of its own. */
   private static final double DEFAULT_VALUE = 1;
@@ -46,24 +44,9 @@
     SHED
   }
 
-  /** How workers that do badly are found. */
-  public enum WorkerHealth {
-    /** By failures in a row. */
-    STREAK,
-
-    /** By the outcomes of their runs and orders, compared with those of other workers. */
-    OUTCOMES
-  }
-
   /** The policy where the settings ask for nothing else. */
   public static final SchedulingPolicy DEFAULT =
-      new SchedulingPolicy(
-          Placement.FASTEST,
-          Overload.QUEUE,
-          false,
-          Map.of(),
-          DEFAULT_LATE_VALUE,
-          WorkerHealth.STREAK);
+      new SchedulingPolicy(Placement.FASTEST, Overload.QUEUE, false, Map.of(), DEFAULT_LATE_VALUE);
 
   /** Creates a policy with a copy of the values. */
   public SchedulingPolicy {
@@ -72,7 +55,7 @@
 
   /** Returns the same policy with another choice of workers. */
   public SchedulingPolicy withPlacement(Placement next) {
-    return new SchedulingPolicy(next, overload, fairShares, jobValues, lateValue, workerHealth);
+    return new SchedulingPolicy(next, overload, fairShares, jobValues, lateValue);
   }
 
   /** Returns what a job of average size is worth to its caller. */
