--- a/src/main/java/org/marjoramhoist/dispatch/EstimateTrust.java
+++ b/src/main/java/org/marjoramhoist/dispatch/EstimateTrust.java
@@ -9,12 +9,13 @@
  */
 final class EstimateTrust {
 
-  /** The least share of a new run; 1 of n for the first ones. */
+  /** The least weight of a new run; the n-th run has at least 1/n. */
   private static final double LEAST_SHARE = 0.005;
 
-  /** So many runs count as if their estimates had come true, as a few runs tell little. */
+  /** How many runs the assumption that all estimates come true counts for. */
   private static final double PRIOR_RUNS = 20;
 
+  /** The variance of the logarithm of the estimates that is assumed for those runs. */
   private static final double PRIOR_VARIANCE = 0.1;
 
   private long count;
--- a/src/main/java/org/marjoramhoist/dispatch/GroupWeights.java
+++ b/src/main/java/org/marjoramhoist/dispatch/GroupWeights.java
@@ -12,8 +12,8 @@
  */
 final class GroupWeights {
 
-  /** Bounds what fairness may cost in value. */
-  private static final double MOST = 4;
+  /** The greatest weight, and the inverse of the least: bounds the value lost to fairness. */
+  private static final double GREATEST_WEIGHT = 4;
 
   private final ServedShares shares;
   private final Map<Job, Long> servedAt = new HashMap<>();
@@ -75,14 +75,14 @@
   }
 
   /**
-   * Returns the weight of a group that got so many times what it is entitled to.
+   * Returns the weight of a group by the ratio of its served work to its entitlement.
    *
    * <p>The square lies between proportional fairness, the inverse, and max-min fairness. With the
    * inverse, the spread of values among jobs of one class outweighs what a group lacks for too
    * long.
    */
   static double weightOf(double level) {
-    return Math.max(1 / MOST, Math.min(MOST, 1 / (level * level)));
+    return Math.max(1 / GREATEST_WEIGHT, Math.min(GREATEST_WEIGHT, 1 / (level * level)));
   }
 
   /** Returns the served shares of the groups that lately asked for anything. */
--- a/src/main/java/org/marjoramhoist/dispatch/HeardForecast.java
+++ b/src/main/java/org/marjoramhoist/dispatch/HeardForecast.java
@@ -9,7 +9,7 @@
  */
 public final class HeardForecast {
 
-  /** After this time without a leader, what waited for it says little about the next one. */
+  /** How long a forecast counts: the backlog of a lost leader says little about the next one. */
   private static final long VALID_MICROS = 2_000_000;
 
   private static final long MICROS_PER_MILLI = 1_000;
--- a/src/main/java/org/marjoramhoist/dispatch/JobValues.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobValues.java
@@ -12,17 +12,20 @@
  */
 final class JobValues {
 
+  /** The part of the value of a job of average size that does not grow with its work. */
   private static final double FIXED_SHARE = 0.3;
+
+  /** Bounds the value of a job far larger than the others of its class. */
   private static final double LARGEST_FACTOR = 4;
 
   /**
-   * How many times the value of the next priority one has where the settings name no values. It
-   * exceeds what the work of jobs commonly differs by, so that also the value per work of the
-   * earlier priority is the higher one.
+   * The ratio of the values of successive priorities where the settings name none. It exceeds the
+   * usual ratio of the work of jobs, so that the higher priority also has the higher value per
+   * work.
    */
   private static final double PRIORITY_RATIO = 1_000;
 
-  /** The least share of a newcomer in the mean work of its class; 1 of n for the first ones. */
+  /** The least weight of a new job in the mean work of its class; the n-th job has at least 1/n. */
   private static final double LEAST_SHARE = 0.02;
 
   private final SchedulingPolicy policy;
@@ -62,7 +65,11 @@
     return value(job, work.applyAsDouble(job));
   }
 
-  /** Returns what a job is worth if it ends in time, whose predicted work is at hand. */
+  /**
+   * Returns what a job is worth if it ends in time.
+   *
+   * @param wholeWork the predicted work of all its tasks, if the caller has it already
+   */
   double value(Job job, double wholeWork) {
     MeanWork known = means.get(job.requestClass().name());
     double relative = known == null ? 1 : wholeWork / known.mean;
--- a/src/main/java/org/marjoramhoist/dispatch/LoadShedder.java
+++ b/src/main/java/org/marjoramhoist/dispatch/LoadShedder.java
@@ -21,8 +21,8 @@
 final class LoadShedder {
 
   /**
-   * The most jobs that are displaced for one. It bounds the cost; a wide job takes the room of some
-   * ten narrow ones.
+   * The most jobs that are displaced, or looked at in vain, for one. It bounds the cost of a plan
+   * and exceeds the number of narrow jobs in the room of a wide one.
    */
   private static final int MOST_DISPLACED_FOR_ONE = 32;
 
@@ -63,7 +63,7 @@
    * @param cpu its cores, in thousandths
    * @param heldMicros how long it is expected to hold them
    * @param value what it is worth in time
-   * @param perWork that by its work, with the weight of its callers
+   * @param perWork the value divided by the work, times the weight of its callers
    */
   private record Candidate(
       Job job, double lastStart, double cpu, double heldMicros, double value, double perWork) {
@@ -77,7 +77,7 @@
   private record Planned(Candidate candidate, double until) {}
 
   /**
-   * Decides on the jobs of an upstream.
+   * Decides on the waiting jobs of one upstream.
    *
    * @param jobs the waiting jobs
    * @param room the cores that become free for them; used up
@@ -109,8 +109,8 @@
 
   /**
    * Adds the jobs that are expected in time to the line, and the displaced ones to the late. Once
-   * any job has to make way, room goes by value per work, so that what predictions miss is lost
-   * where it costs least.
+   * any job has to make way, the line is ordered by value per work, so that wrong predictions delay
+   * the jobs of least value.
    */
   private static void keepInTime(
       List<Candidate> inTime,
--- a/src/main/java/org/marjoramhoist/dispatch/OfferedWork.java
+++ b/src/main/java/org/marjoramhoist/dispatch/OfferedWork.java
@@ -7,6 +7,7 @@
  */
 final class OfferedWork {
 
+  /** The time constant of the aging. */
   private static final double MEMORY_MICROS = 500_000;
 
   private double sum;
@@ -18,7 +19,7 @@
     sum += work;
   }
 
-  /** Returns the work that came in by time, in thousandths of cores. */
+  /** Returns the mean rate at which work lately came in, in thousandths of cores. */
   double rate(long now) {
     age(now);
     return sum / MEMORY_MICROS;
--- a/src/main/java/org/marjoramhoist/dispatch/ReturnForecast.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ReturnForecast.java
@@ -1,7 +1,7 @@
 package org.marjoramhoist.dispatch;
 
 /**
- * What a leader tells its hosts about when refused callers may come back.
+ * A leader's forecast of when callers refused by its hosts may come back.
  *
  * <p>Immutable and safe for use by several threads.
  *
--- a/src/main/java/org/marjoramhoist/dispatch/ReturnTimes.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ReturnTimes.java
@@ -12,10 +12,15 @@
  */
 final class ReturnTimes {
 
+  /** The least time that a refused caller is told. */
   static final long LEAST_MILLIS = 1_000;
+
+  /** The greatest time that a refused caller is told. */
   static final long GREATEST_MILLIS = 20_000;
 
+  /** The least time over which the returns of callers refused by hosts are spread. */
   private static final long LEAST_SPREAD_MILLIS = 2_000;
+
   private static final long MICROS_PER_MILLI = 1_000;
   private static final int SLOT_MILLIS = 250;
   private static final long SLOT_MICROS = SLOT_MILLIS * MICROS_PER_MILLI;
@@ -64,7 +69,7 @@
     measuredAt = now;
   }
 
-  /** Takes in that work waits no longer though it was not started, since it was measured. */
+  /** Takes in that some of the work measured last no longer waits though it was not started. */
   void dropped(double work) {
     waiting = Math.max(0, waiting - work);
   }
@@ -87,7 +92,11 @@
     return Math.max(LEAST_MILLIS, at - now / MICROS_PER_MILLI);
   }
 
-  /** Returns what hosts are told of which each sends on a share of its new jobs. */
+  /**
+   * Returns the forecast for the jobs that hosts refuse themselves.
+   *
+   * @param intake the share of their new jobs that they send on
+   */
   ReturnForecast forecast(double intake, long now) {
     if (rate == 0) {
       return ReturnForecast.NONE;
--- a/src/main/java/org/marjoramhoist/dispatch/RoomForecast.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RoomForecast.java
@@ -3,10 +3,11 @@
 import java.util.Collection;
 
 /**
- * The cores that become free for waiting jobs over the next time, as far as is known.
+ * The cores that are expected to become free for waiting jobs in the next two seconds.
  *
  * <p>Time is divided into intervals of equal length; what lies beyond the last one is counted
- * there. Confined to one thread.
+ * there. The forecast advances from interval to interval and never goes back. Confined to one
+ * thread.
  */
 final class RoomForecast {
 
@@ -25,7 +26,6 @@
   private double free;
   private int interval;
 
-  /** Creates a forecast without any room. */
   private RoomForecast(long now) {
     this.now = now;
   }
@@ -94,14 +94,14 @@
     return free >= cpu;
   }
 
-  /** Takes free cores until a time. */
+  /** Reserves free cores until a time. */
   void take(double cpu, double until) {
     free -= cpu;
     release(until, cpu);
   }
 
   /**
-   * Takes back that cores are taken until a time.
+   * Cancels a reservation of cores.
    *
    * @return whether they were still taken at the time that the forecast has come to
    */
--- a/src/main/java/org/marjoramhoist/dispatch/ServedShares.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ServedShares.java
@@ -8,10 +8,10 @@
 /**
  * What groups of callers lately asked for, and what of it was served.
  *
- * <p>A group is entitled to what it asks for, but to no more than it usually asks for: a wave of
- * one group then doesn't count as unmet need of that group. Work is in thousandths of a core times
- * microseconds, as estimated by callers. All sums age exponentially, and the group that was used
- * least recently goes when there are too many. Confined to one thread.
+ * <p>A group is entitled to what it asks for, but to no more than it usually asks for, so that a
+ * burst of one group does not count as unmet need of that group. Work is in thousandths of a core
+ * times microseconds, as estimated by callers. All sums age exponentially; when there are too many
+ * groups, the least recently used one is evicted. Confined to one thread.
  */
 public final class ServedShares {
 
@@ -31,13 +31,13 @@
   private static final double PERCENT = 100;
   private static final int MOST_GROUPS = 256;
 
-  /** Long against a job's stay, so that waiting jobs hardly count as unserved; short of a wave. */
+  /** Longer than jobs usually wait, so that waiting jobs hardly count as unserved. */
   private static final double RECENT_MICROS = 1_500_000;
 
   /** Several times the period in which the load of a failure domain varies. */
   private static final double USUAL_MICROS = 60_000_000;
 
-  /** A group is taken for served as if so many mean jobs of it had been, until more is known. */
+  /** How many mean jobs of a group are assumed to be served while little is known of it. */
   private static final double PRIOR_JOBS = 4;
 
   /** Recent jobs, as an aged number, under which nothing is known of a group. */
@@ -93,7 +93,7 @@
     }
   }
 
-  /** Takes back that work of a group was served, as it was of no use. */
+  /** Takes back that work of a group was served, as its job was not done in time. */
   void takenBack(Group group, double work, long servedAt, long now) {
     Tally tally = tallies.get(group);
     if (tally != null) {
--- a/src/main/java/org/marjoramhoist/dispatch/ServiceRate.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ServiceRate.java
@@ -14,9 +14,10 @@
   /** The held core time after which an earlier figure counts for 1/e, per core. */
   private static final double MEMORY_MICROS = 1_000_000;
 
+  /** The weight of a new observation in the learned packing. */
   private static final double PACKING_RATE = 0.05;
 
-  /** Below this the cores are idle for another reason than the size of tasks. */
+  /** A lower share has other causes than the size of tasks. */
   private static final double LEAST_PACKING = 0.6;
 
   private double predicted = 1;
--- a/src/main/java/org/marjoramhoist/dispatch/Shedding.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Shedding.java
@@ -9,7 +9,8 @@
 import java.util.TreeMap;
 
 /**
- * What a leader has learned for shedding load, and when it looks at the waiting jobs.
+ * The state that a leader keeps for load shedding: what it has learned of values, offered work and
+ * service rates, whether the waiting jobs are due to be planned again, and what was shed.
  *
  * <p>Confined to one thread.
  */
--- a/src/main/java/org/marjoramhoist/dispatch/Slack.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Slack.java
@@ -3,16 +3,15 @@
 /**
  * How much time a job has until it can't be in time any more.
  *
- * <p>The objective of a job grows with its true work, which differs from the prediction by an
- * unknown factor. So times are told in factors of the predicted work, for the worst within the
- * usual error: less work than predicted leaves less time to wait where a worker is faster than the
- * objective allows, and more work makes a worker that is slower than that end later.
+ * <p>The objective of a job grows with its true work, which is not known. Each result is the worst
+ * case while the true work is within {@link #WORK_ERROR} of the prediction in either direction:
+ * with less work the objective ends earlier, with more work a slow worker takes longer.
  *
  * <p>Confined to one thread.
  */
 final class Slack {
 
-  /** How far the work usually differs from its prediction at most, as a factor. */
+  /** The usual bound of the ratio between the true work and its prediction, either way. */
   private static final double WORK_ERROR = 1.5;
 
   /** What orders, answers and reports take, in microseconds. */
@@ -39,15 +38,17 @@
     return (order.stretchMicros(job) - laterMicros(job, micros) + scaled) / micros;
   }
 
-  /** Returns the same for a job that is just as long as predicted. */
+  /** Returns the same as {@link #longestFactor} for a job whose prediction is exact. */
   double likelyFactor(Task task, double micros, long now) {
     Job job = task.job;
     return (order.stretchMicros(job) - laterMicros(job, micros) + spareMicros(job, now)) / micros;
   }
 
   /**
-   * Returns when a task must start for its job to be in time, on a worker on which it runs a factor
-   * of its expected run time.
+   * Returns when a task must start for its job to be in time.
+   *
+   * @param micros its expected run time on an average worker
+   * @param factor how many times as long as that it runs on the worker
    */
   double lastStart(Task task, double micros, double factor, long now) {
     Job job = task.job;
--- a/src/main/java/org/marjoramhoist/dispatch/SlackPlacement.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SlackPlacement.java
@@ -8,13 +8,13 @@
 
 /**
  * Chooses, of the workers on which a job is still in time, one near its data and of the slowest
- * kind, so that fast ones stay free for jobs that are short of time; among equals the one whose
- * room left over is nearest to a multiple of the task's need, as little of that is lost to tasks
- * alike. If the job is in time on none, it chooses the one on which the task ends first.
+ * kind, so that fast ones stay free for jobs that are short of time. Among equals it chooses the
+ * worker that is left with the least room beyond a multiple of the task's need, so that similar
+ * tasks fill it. If the job is in time on none, it chooses the one on which the task ends first.
  *
- * <p>A task waits for a worker near its data while so many are expected to have room in time as
- * tasks of its step wait, or while it would be late if it went far; never past the last start near
- * the data.
+ * <p>A task waits for a worker near its data if all waiting tasks of its step are expected to find
+ * room there in time, or if it would be late away from its data; never past the last start near the
+ * data.
  *
  * <p>Confined to one thread.
  */
@@ -23,10 +23,10 @@
   /** Kinds whose speeds differ by less than this share are taken for equal. */
   private static final double TIE_SHARE = 0.05;
 
-  /** How long a task waits for room near its data before the expected wait is looked at again. */
+  /** How long a job waits for room near its data before the expected wait is computed again. */
   private static final long LOOK_MICROS = 2_000;
 
-  /** What a run that takes longer than predicted still takes, as a share of its age. */
+  /** The expected rest of a run that takes longer than predicted, as a share of its age. */
   private static final double OVERDUE_SHARE = 0.25;
 
   private final DurationModel durations;
--- a/src/main/java/org/marjoramhoist/dispatch/ValueIntake.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ValueIntake.java
@@ -14,9 +14,10 @@
  */
 public final class ValueIntake {
 
+  /** Bounds the memory; the least recently used class is evicted. */
   private static final int MOST_CLASSES = 64;
 
-  /** Enough jobs at a single host, few enough to follow a change of load. */
+  /** Long enough to see several jobs of each class at one host, short enough to follow the load. */
   private static final double AGING_MICROS = 10_000_000;
 
   /** What is let through evenly, as a part of the share, so that no class is shut out. */
--- a/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
@@ -21,7 +21,9 @@
  */
 final class WaitingOrder {
 
+  /** After this multiple of its objective the end of a job is of no use to its caller. */
   static final int LATE_FACTOR = 3;
+
   private static final double MICROS_PER_MILLI = 1_000.0;
 
   /** The margin of a job that counts as in time, as a share of what it has still to run. */
--- a/src/main/java/org/marjoramhoist/entry/DomainCutCheck.java
+++ b/src/main/java/org/marjoramhoist/entry/DomainCutCheck.java
@@ -9,18 +9,18 @@
 import org.marjoramhoist.peer.FrameNetwork;
 
 /**
- * Finds out whether this host's failure domain is cut off as soon as the leader is missed, by
- * asking hosts of every failure domain and the store at the same time.
+ * Finds out whether this host's failure domain is cut off once the leader's heartbeats are missed,
+ * by asking hosts of every failure domain and the store at the same time.
  *
- * <p>Does nothing while a leader is heard, nor if no other failure domain is known. Confined to the
+ * <p>Does nothing while a leader is heard, or if no other failure domain is known. Confined to the
  * loop's thread.
  */
 final class DomainCutCheck {
 
-  /** The hosts asked in each other failure domain, so that one host that is down says nothing. */
+  /** How many hosts are asked in each other failure domain; one that is down proves nothing. */
   private static final int ASKED_PER_DOMAIN = 3;
 
-  /** How much later it asks again while the leader is still missed. */
+  /** The pause between two rounds while the leader is still missed. */
   private static final long PAUSE_MICROS = 200_000;
 
   /**
@@ -29,7 +29,7 @@
    */
   private static final long OWN_DOMAIN_DELAY_MILLIS = 50;
 
-  /** What is heard of one time of asking; null until it is complete. */
+  /** The results of one round of questions; each is null until its survey has ended. */
   private static final class Round {
     private final long askedAt;
     private HostSurvey.Result elsewhere;
--- a/src/main/java/org/marjoramhoist/entry/DomainKnowledge.java
+++ b/src/main/java/org/marjoramhoist/entry/DomainKnowledge.java
@@ -8,8 +8,8 @@
 import org.marjoramhoist.message.HostMessage.DomainState;
 
 /**
- * What a host tells another one of its failure domain that has started behind a cut, and takes over
- * from another one if it has itself.
+ * The state that hosts of a failure domain pass to one that was started while the domain was cut
+ * off and so could not read the store.
  *
  * <p>Invariant: nothing is taken over by a host that the store has answered since it started.
  * Confined to the loop's thread.
--- a/src/main/java/org/marjoramhoist/entry/IsolatedDomain.java
+++ b/src/main/java/org/marjoramhoist/entry/IsolatedDomain.java
@@ -38,16 +38,16 @@
   private static final long TICK_MILLIS = 25;
   private static final long HEARTBEAT_MILLIS = 100;
 
-  /** Why a leader that hands over refuses what has not begun: its successor is to have it. */
+  /** The reason of refusals by a leader that hands over; hosts send such jobs to its successor. */
   private static final String HANDED_OVER = "handed over";
 
   /** How long a domain's leader may be silent before jobs are no longer with it. */
   private static final long SILENCE_MICROS = 600_000;
 
-  /** How long a hand-over to this host counts, if it is not elected before. */
+  /** How long a hand-over to this host is valid while it is not elected. */
   private static final long HANDED_OVER_MICROS = 1_000_000;
 
-  /** How long a leader that has handed over may take to tell the ends of its jobs. */
+  /** How long this host waits for a leader that has handed over to tell the ends of its jobs. */
   private static final long FORMER_MICROS = 1_600_000;
 
   /** How long a follower that does not answer counts as one that may take over. */
--- a/src/main/java/org/marjoramhoist/entry/LeaderReach.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderReach.java
@@ -117,7 +117,7 @@
   /**
    * Returns when the caller of a job that this host refuses may come back, in milliseconds.
    *
-   * @param fallback what it is told without a forecast of late
+   * @param fallback what it is told if there is no valid forecast
    */
   long retryAfterMillis(JobId id, long fallback) {
     return forecast.retryAfterMillis(id, fallback, Loop.now());
--- a/src/main/java/org/marjoramhoist/experiment/FluidBound.java
+++ b/src/main/java/org/marjoramhoist/experiment/FluidBound.java
@@ -7,8 +7,8 @@
 import org.marjoramhoist.job.StepSpec;
 
 /**
- * How many jobs could be in time if all workers were one divisible pool near all data, if true run
- * times were known, and if the job whose objective ends first were always served first.
+ * An upper bound of the jobs in time: all workers are one divisible pool near all data, and the job
+ * whose objective ends first is served first, by its true run time.
  *
  * <p>No placement is in time with more while the pool is in time with all. Immutable and safe for
  * use by several threads.
--- a/src/main/java/org/marjoramhoist/experiment/JobWorth.java
+++ b/src/main/java/org/marjoramhoist/experiment/JobWorth.java
@@ -15,6 +15,7 @@
  */
 final class JobWorth {
 
+  // Not shared with JobValues and WaitingOrder, so that an error there shows in the tests.
   private static final double FIXED_SHARE = 0.3;
   private static final double LARGEST_FACTOR = 4;
   private static final int LATE_FACTOR = 3;
