Calls of durable jobs handled in a class of their own

Change: JobCallHandler has them, word for word; the reason for refusals in drained domains is with Drains. No change of behaviour.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -54,11 +54,7 @@
 
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
-  /** The most work that durable jobs may add to, as all are run in the end. */
-  private static final double MAX_BACKLOG_MICROS = 5_000_000;
-
   private static final double MICROS_PER_MILLI = 1_000.0;
-  private static final String ONLY_DRAINED = "only drained failure domains could run it";
 
   private final long since;
 
@@ -83,6 +79,7 @@
 
   private final RunControl runs;
   private final DurableJobs durable;
+  private final JobCallHandler calls;
   private Set<JobId> keptBefore = Set.of();
   private long keptUntil;
   private boolean mayPlace;
@@ -115,6 +112,7 @@
     this.placement = new Placement(policy, durations, placementRule(policy));
     this.runs = new RunControl(policy, new Ends());
     this.allocator = new Allocator(since, jobs, workers, runs, placement, order);
+    this.calls = new JobCallHandler(jobs, durable, workers, backlog, runs, new Answers());
     this.shedding = sheds ? new Shedding(policy.scheduling(), durations, order, weights) : null;
   }
 
@@ -210,9 +208,10 @@
     } else if (event instanceof WorkersListed list) {
       workersListed(list.workers(), now, out);
     } else if (event instanceof JobCalled call) {
-      called(call, now, out);
+      calls.called(call, now, out);
     } else if (event instanceof JobsLoaded stored) {
-      jobsLoaded(stored, now, out);
+      calls.jobsLoaded(stored, now, out);
+      mayPlace = true;
     } else if (event instanceof BatchStored batch) {
       durable.batchStored(batch.number(), out).forEach(jobs::markWaiting);
       mayPlace = true;
@@ -314,7 +313,7 @@
   private boolean refuseIfUnservable(Job job, long now, List<DispatchAction> out) {
     boolean mayRefuse = !job.started && !job.isDurable();
     if (mayRefuse && workers.mustAwaitDrained(job.description(), job.requestClass())) {
-      end(job, JobOutcome.REFUSED, ONLY_DRAINED, now, out);
+      end(job, JobOutcome.REFUSED, Drains.NO_OTHER_DOMAIN, now, out);
       return true;
     }
     return false;
@@ -324,98 +323,6 @@
     List.copyOf(jobs.all()).forEach(job -> refuseIfUnservable(job, now, out));
   }
 
-  private void called(JobCalled call, long now, List<DispatchAction> out) {
-    if (!durable.isLoaded()) {
-      durable.defer(call);
-      return;
-    }
-    if (durable.isHalted(call.job())) {
-      durable.answerHalted(call, now, out);
-      return;
-    }
-    Job job = jobs.find(call.job());
-    if (job == null && (call.kind() != CallKind.SUBMIT || durable.hasEnded(call.job()))) {
-      durable.answerEnded(call, now, out);
-      return;
-    }
-    switch (call.kind()) {
-      case SUBMIT -> submitDurable(call, job, now, out);
-      case STATUS -> durable.answerStatus(call, job, now, out);
-      default -> cancel(call, job, now, out);
-    }
-  }
-
-  private void submitDurable(JobCalled call, Job known, long now, List<DispatchAction> out) {
-    if (known != null) {
-      durable.submittedAgain(call, known, out);
-      return;
-    }
-    String refusal = refusalOf(call.record(), now);
-    if (refusal == null) {
-      jobs.add(durable.accept(call));
-      return;
-    }
-    out.add(new Log(LogEvent.JOB_REFUSED, "job=" + call.job() + " reason=" + refusal));
-    out.add(
-        new DispatchAction.Reply(
-            call.entry(),
-            call.call(),
-            CallResult.REFUSED,
-            null,
-            retryAfterMillis(call.record().job(), call.record().requestClass(), now)));
-  }
-
-  /** Returns why a durable job can't be taken on now; null if it can. */
-  private String refusalOf(StoredJob record, long now) {
-    if (durable.isStalled(now)) {
-      return "the store takes nothing";
-    }
-    if (workers.canNeverRun(record.job(), record.requestClass())) {
-      return "no worker can run it";
-    }
-    if (workers.mustAwaitDrained(record.job(), record.requestClass())) {
-      return ONLY_DRAINED;
-    }
-    return backlog.totalMicros() > MAX_BACKLOG_MICROS ? "too much waits" : null;
-  }
-
-  private void cancel(JobCalled call, Job job, long now, List<DispatchAction> out) {
-    if (job.isDurable()) {
-      durable.awaitStored(call, job);
-    } else {
-      out.add(
-          new DispatchAction.Reply(
-              call.entry(), call.call(), CallResult.DONE, JobStatus.CANCELLED, 0));
-    }
-    end(job, JobOutcome.CANCELLED, "cancelled by its caller", now, out);
-  }
-
-  private void jobsLoaded(JobsLoaded event, long now, List<DispatchAction> out) {
-    List<Job> open = durable.load(event);
-    out.add(
-        new Log(
-            LogEvent.JOBS_LOADED,
-            "ordinal="
-                + event.ordinal()
-                + " open="
-                + open.size()
-                + " ended="
-                + event.ended().size()));
-    open.forEach(jobs::add);
-    runs.jobsLoaded(workers.all(), now, out);
-    for (Job job : open) {
-      if (jobs.find(job.id()) != job) {
-        continue;
-      }
-      runs.claimEarlier(job, workers.all(), now, out);
-      if (job.isComplete()) {
-        end(job, JobOutcome.SUCCEEDED, "done before", now, out);
-      }
-    }
-    durable.takeEarlyCalls().forEach(call -> called(call, now, out));
-    mayPlace = true;
-  }
-
   private void withdrawn(Job job, String entry, long now, List<DispatchAction> out) {
     if (job != null && job.entries.remove(entry) && job.entries.isEmpty()) {
       end(job, JobOutcome.CANCELLED, "withdrawn", now, out);
@@ -563,6 +470,21 @@
         shedding == null ? Map.of() : shedding.shedByClass());
   }
 
+  /** Ends jobs for the handler of callers' calls. */
+  private final class Answers implements JobCallHandler.Answers {
+
+    @Override
+    public void end(
+        Job job, JobOutcome outcome, String reason, long now, List<DispatchAction> out) {
+      Dispatcher.this.end(job, outcome, reason, now, out);
+    }
+
+    @Override
+    public long retryAfterMillis(StoredJob record, long now) {
+      return Dispatcher.this.retryAfterMillis(record.job(), record.requestClass(), now);
+    }
+  }
+
   /** What the ends of runs mean for their jobs. */
   private final class Ends implements RunListener {
 
--- a/src/main/java/org/marjoramhoist/dispatch/Drains.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Drains.java
@@ -16,6 +16,9 @@
  */
 final class Drains {
 
+  /** Why a job is refused that no worker outside the drained domains could run. */
+  static final String NO_OTHER_DOMAIN = "only drained failure domains could run it";
+
   private Set<String> domains = Set.of();
   private boolean known;
 
