Capacity of workers and aging of sums computed in one place each

Change: Capacity and Aging serve them. The sums are of whole numbers and the formula is the same, so all results stay equal.

--- a/src/main/java/org/marjoramhoist/dispatch/Backlog.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Backlog.java
@@ -27,10 +27,7 @@
    *     even if no other job came
    */
   List<Job> measure(List<WaitingOrder.Place> waiting, Collection<Worker> workers, long now) {
-    double capacity = 0;
-    for (Worker worker : workers) {
-      capacity += worker.mayTakeWork() ? worker.info().capacity().cpuMillis() : 0;
-    }
+    double capacity = Capacity.of(workers, Worker::mayTakeWork).totalCpuMillis();
     cpuMillis = capacity;
     totalMicros = 0;
     List<Job> hopeless = new ArrayList<>();
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/Capacity.java
@@ -0,0 +1,33 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.Collection;
+import java.util.function.Predicate;
+
+/**
+ * The cores of some workers, in thousandths.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param totalCpuMillis all cores
+ * @param freeCpuMillis the cores that no run holds
+ */
+record Capacity(double totalCpuMillis, double freeCpuMillis) {
+
+  /** Returns the cores of the workers that meet a condition. */
+  static Capacity of(Collection<Worker> workers, Predicate<Worker> condition) {
+    long total = 0;
+    long free = 0;
+    for (Worker worker : workers) {
+      if (condition.test(worker)) {
+        total += worker.info().capacity().cpuMillis();
+        free += worker.free.cpuMillis();
+      }
+    }
+    return new Capacity(total, free);
+  }
+
+  /** Returns the share of the cores that runs hold; there must be any cores. */
+  double usedShare() {
+    return 1 - freeCpuMillis / totalCpuMillis;
+  }
+}
--- a/src/main/java/org/marjoramhoist/dispatch/OfferedWork.java
+++ b/src/main/java/org/marjoramhoist/dispatch/OfferedWork.java
@@ -26,7 +26,7 @@
   }
 
   private void age(long now) {
-    sum *= Math.exp((at - now) / MEMORY_MICROS);
+    sum *= Aging.left(at, now, MEMORY_MICROS);
     at = now;
   }
 }
--- a/src/main/java/org/marjoramhoist/dispatch/ServedShares.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ServedShares.java
@@ -56,11 +56,11 @@
 
     private Tally aged(long now) {
       if (now > agedAt) {
-        double recent = Math.exp((agedAt - now) / RECENT_MICROS);
+        double recent = Aging.left(agedAt, now, RECENT_MICROS);
         asked *= recent;
         served *= recent;
         jobs *= recent;
-        usual *= Math.exp((agedAt - now) / USUAL_MICROS);
+        usual *= Aging.left(agedAt, now, USUAL_MICROS);
         agedAt = now;
       }
       return this;
@@ -97,7 +97,7 @@
   void takenBack(Group group, double work, long servedAt, long now) {
     Tally tally = tallies.get(group);
     if (tally != null) {
-      double left = work * Math.exp((servedAt - now) / RECENT_MICROS);
+      double left = work * Aging.left(servedAt, now, RECENT_MICROS);
       tally.aged(now).served = Math.max(0, tally.served - left);
     }
   }
--- a/src/main/java/org/marjoramhoist/dispatch/Shedding.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Shedding.java
@@ -65,10 +65,7 @@
     Job job = run.task.job;
     double predicted =
         durations.predictMicros(job.requestClass().name(), run.task.spec().estimateMillis());
-    double total = 0;
-    for (Worker worker : workers) {
-      total += worker.info().capacity().cpuMillis();
-    }
+    double total = Capacity.of(workers, worker -> true).totalCpuMillis();
     pool(job).rate.runDone(predicted, now - run.orderedAt, run.need.cpuMillis(), total);
   }
 
@@ -115,16 +112,11 @@
   /** Takes in that a job waits though all room was given out. */
   void roomGivenOut(Collection<Worker> workers, Job waiting, long now) {
     String upstream = waiting.requestClass().upstream();
-    double total = 0;
-    double free = 0;
-    for (Worker worker : workers) {
-      if (worker.isUsable(now) && worker.info().upstream().equals(upstream)) {
-        total += worker.info().capacity().cpuMillis();
-        free += worker.free.cpuMillis();
-      }
-    }
-    if (total > 0) {
-      pool(upstream).rate.observePacking(1 - free / total);
+    Capacity usable =
+        Capacity.of(
+            workers, worker -> worker.isUsable(now) && worker.info().upstream().equals(upstream));
+    if (usable.totalCpuMillis() > 0) {
+      pool(upstream).rate.observePacking(usable.usedShare());
     }
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/ValueIntake.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ValueIntake.java
@@ -44,7 +44,7 @@
     }
 
     private void age(long now) {
-      double left = Math.exp((agedAt - now) / AGING_MICROS);
+      double left = Aging.left(agedAt, now, AGING_MICROS);
       jobs *= left;
       starts *= left;
       agedAt = now;
