Tests of scheduling and drains say which failure they guard against

Cause: several tests of shares, return times, warm-up, intake and drains gave no reason. Change: comments only; no check, bound or seed is touched.

--- a/src/test/java/org/marjoramhoist/dispatch/DomainDrainTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DomainDrainTest.java
@@ -114,6 +114,7 @@
     assertThat(startedOn()).containsExactly("s", "s");
   }
 
+  /** A drain must not abort tasks, and the room that they leave must stay unused. */
   @Test
   void workAtRunEndsNormallyAndNothingFollowsIt() {
     drain("south");
@@ -132,6 +133,7 @@
     assertThat(startedOn()).isEmpty();
   }
 
+  /** A second drain must not be taken for the one that was lifted. */
   @Test
   void drainThatComesGoesAndComesAgainHoldsEachTime() {
     for (int round = 0; round < 2; round++) {
@@ -146,6 +148,7 @@
     }
   }
 
+  /** Only the workers known at the time of the drain would be marked. */
   @Test
   void workerThatJoinsDrainedDomainGetsNoWork() {
     drain("north");
@@ -155,6 +158,7 @@
     assertThat(startedOn()).isEmpty();
   }
 
+  /** Failed is final, but the drain will end. */
   @Test
   void jobThatOnlyDrainedWorkersCouldRunIsRefusedAndNotFailed() {
     drain("north");
@@ -166,6 +170,7 @@
     assertThat(taken(DispatchAction.Finish.class).get(0).outcome()).isEqualTo(JobOutcome.FAILED);
   }
 
+  /** It would wait in vain until its deadline. */
   @Test
   void waitingJobIsRefusedWhenItsOnlyWorkersAreDrained() {
     submit(taskOn("n"));
@@ -174,6 +179,7 @@
     assertThat(taken(DispatchAction.Finish.class).get(0).outcome()).isEqualTo(JobOutcome.REFUSED);
   }
 
+  /** A refusal says that nothing ran, so that the caller would run it twice. */
   @Test
   void jobThatHasStartedIsNotCalledNotRun() {
     drain();
@@ -206,6 +212,7 @@
     assertThat(taken(DispatchAction.StepDown.class)).isEmpty();
   }
 
+  /** The backlog would look short, and hopeless jobs would wait. */
   @Test
   void drainedWorkersDontCountAsCapacity() {
     drain("south");
@@ -222,6 +229,7 @@
     assertThat(taken(DispatchAction.Finish.class)).isNotEmpty();
   }
 
+  /** The operator waits for this event, and a repetition at each tick would flood the log. */
   @Test
   void tellsOnceThatDrainedDomainIsIdle() {
     drain("south");
@@ -254,6 +262,7 @@
     assertThat(logged()).contains(LogEvent.DOMAIN_IDLE);
   }
 
+  /** A cold worker that is filled at once makes all its tasks late. */
   @Test
   void workerThatWarmsUpGetsMoreWorkStepByStep() {
     begin(POLICY, worker("n", "north", 64_000, 4_000));
@@ -268,6 +277,7 @@
     assertThat(startedOn()).hasSize(16);
   }
 
+  /** Workers that stood idle in a drain are cold again. */
   @Test
   void workerWarmsUpAfterTheDrainOfItsDomain() {
     begin(POLICY, worker("n", "north", 64_000, 4_000));
--- a/src/test/java/org/marjoramhoist/dispatch/GroupWeightsTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/GroupWeightsTest.java
@@ -43,6 +43,7 @@
     return jobs;
   }
 
+  /** With equal weights a group that goes short would stay short. */
   @Test
   void groupThatGotLessHasTheGreaterWeight() {
     arrive("a", 40).forEach(each -> weights.started(each, 0));
@@ -63,6 +64,7 @@
     assertThat(weights.weight(job("a", 0), 0)).isGreaterThan(2.0);
   }
 
+  /** A group whose jobs are all started too late would be taken for served. */
   @Test
   void startedJobsThatEndLateWereNotServed() {
     List<Job> jobs = arrive("a", 40);
@@ -71,6 +73,7 @@
     assertThat(weights.weight(job("a", 0), 0)).isEqualTo(4);
   }
 
+  /** Groups must make no difference with the default settings. */
   @Test
   void allWeightsAreOneWithoutFairShares() {
     GroupWeights none = new GroupWeights(false, 0);
@@ -117,6 +120,7 @@
             job, CLASS, "e", now + number, now + 10_000 * MILLI, 0, origin));
   }
 
+  /** Weights that the order ignores would be without effect among late jobs. */
   @Test
   void lateJobsOfTheGroupThatGotLessComeFirst() {
     assertThat(startedOfLateJobs(SchedulingPolicy.DEFAULT)).containsExactly(id(0), id(1));
--- a/src/test/java/org/marjoramhoist/dispatch/LoadShedderTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/LoadShedderTest.java
@@ -69,6 +69,7 @@
         .toList();
   }
 
+  /** Jobs that find room at once must not be refused by a forecast. */
   @Test
   void nothingIsRefusedWhileThereIsRoom() {
     assertThat(submit(LOW, 4)).isEmpty();
@@ -95,6 +96,7 @@
     assertThat(taken(DispatchAction.Start.class).get(0).run().task().job()).isEqualTo(valuable);
   }
 
+  /** A started job that is told to come back would run its tasks twice. */
   @Test
   void startedJobsAreNotRefused() {
     List<DispatchEvent> handedOn = new ArrayList<>();
--- a/src/test/java/org/marjoramhoist/dispatch/ReturnTimesTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/ReturnTimesTest.java
@@ -75,6 +75,7 @@
     assertThat(most(countBy(refuseAll(), 1_000, false))).isAtMost(75);
   }
 
+  /** A caller that returns earlier is refused again. */
   @Test
   void nobodyReturnsBeforeWhatWaitsHasRoom() {
     drain(4 * SECOND, 2, 500);
@@ -83,6 +84,7 @@
     assertThat(first).isAtMost(5_700);
   }
 
+  /** Under lasting overload times must not grow without bound or pile up in one slot. */
   @Test
   void timesAreBoundedAndEvenOnceAllSlotsAreBooked() {
     drain(4 * SECOND, 2, 50);
@@ -95,6 +97,7 @@
     assertThat(most(countBy(times, 1_000, false))).isAtMost(10 * CALLERS * 3 / 2 / 19);
   }
 
+  /** Slots of the ring that keep old bookings would delay returns for no reason. */
   @Test
   void bookedSlotsAreFreeAgainOnceTheyHavePassed() {
     drain(4 * SECOND, 2, 50);
@@ -120,6 +123,7 @@
     assertThat(second - first).isAtLeast(1_500);
   }
 
+  /** Without workers the rate is 0, and the expected wait would be infinite. */
   @Test
   void timesWithoutAnyWorkerAreThoseOfHostsWithoutLeader() {
     long retry = returns.retryAfterMillis(id(1), JOB, now);
@@ -128,6 +132,7 @@
     assertThat(returns.forecast(1, now)).isEqualTo(ReturnForecast.NONE);
   }
 
+  /** Callers that hosts refuse are not booked, and would return all at once. */
   @Test
   void theLessIsSentOnTheLongerTheSpread() {
     drain(SECOND, 2, 0);
@@ -136,6 +141,7 @@
     assertThat(returns.forecast(0, now).spreadMillis()).isEqualTo(20_000);
   }
 
+  /** A forecast that never ages would delay callers long after a new leader is there. */
   @Test
   void forecastOfLostLeaderAgesOut() {
     HeardForecast heard = new HeardForecast();
--- a/src/test/java/org/marjoramhoist/dispatch/ServedSharesTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/ServedSharesTest.java
@@ -96,6 +96,7 @@
     assertThat(afterWaveOfA(false).servedShare(B)).isLessThan(0.8);
   }
 
+  /** Strict shares would leave capacity unused. */
   @Test
   void whatOthersLeaveIsPassedOn() {
     Queue queue = afterWaveOfA(true);
@@ -125,6 +126,7 @@
     assertThat(queue.servedShare(A)).isWithin(0.05).of(queue.servedShare(C));
   }
 
+  /** The first jobs of a group would get the greatest weight. */
   @Test
   void littleKnownCountsAsServed() {
     ServedShares shares = new ServedShares(0);
@@ -133,6 +135,7 @@
     assertThat(shares.share(A, 0)).isAtLeast(0.8);
   }
 
+  /** Groups that are gone would be told as short for ever. */
   @Test
   void groupsAgeOut() {
     ServedShares shares = new ServedShares(0);
@@ -161,6 +164,7 @@
     assertThat(known).doesNotContainKey(A);
   }
 
+  /** A group whose jobs end late would be taken for served. */
   @Test
   void workThatWasOfNoUseIsTakenBack() {
     ServedShares shares = new ServedShares(0);
--- a/src/test/java/org/marjoramhoist/dispatch/SlackPlacementTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/SlackPlacementTest.java
@@ -72,6 +72,7 @@
     assertThat(chosen(task(NOW, ""), fast, slow)).isEqualTo("slow");
   }
 
+  /** On a slow worker it would be late. */
   @Test
   void jobShortOfTimeGetsTheFastWorker() {
     Worker slow = worker("slow", "slow", "r-0", 1_000);
@@ -108,6 +109,7 @@
     assertThat(chosen(task(NOW, ""), awkward, even)).isEqualTo("even");
   }
 
+  /** A wait past the last start would make the job late on any worker. */
   @Test
   void farTaskWaitsForItsRackOnlyUntilItsLastStart() {
     Worker near = worker("near", "slow", "r-1", 1_000);
--- a/src/test/java/org/marjoramhoist/dispatch/ValueIntakeTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/ValueIntakeTest.java
@@ -61,6 +61,7 @@
     assertThat(admitted.get("plain")).isGreaterThan(admitted.get("short"));
   }
 
+  /** More starts than that would overload the leader again; fewer would waste its capacity. */
   @Test
   void shareOfStartsIsThatWhichTheLeaderTakes() {
     for (double share : new double[] {0.1, 0.3, 0.5, 0.8, 0.95}) {
@@ -68,6 +69,7 @@
     }
   }
 
+  /** A threshold alone would refuse all jobs of the least valuable class. */
   @Test
   void noClassIsShutOut() {
     for (Offer offer : MIXED) {
@@ -75,6 +77,7 @@
     }
   }
 
+  /** A tie must not be decided by the name of the class. */
   @Test
   void equalValuesGoThroughEvenly() {
     List<Offer> equal = List.of(new Offer("a", 7, 2, 4), new Offer("b", 3, 2, 4));
@@ -91,6 +94,7 @@
     assertThat(admitted.get("a") - admitted.get("b")).isAtMost(0.1);
   }
 
+  /** Nothing may be refused by value without overload. */
   @Test
   void allGoThroughWhileTheLeaderTakesAll() {
     Map<String, Double> admitted = admitted(MIXED, 1);
--- a/src/test/java/org/marjoramhoist/dispatch/WarmUpTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/WarmUpTest.java
@@ -15,6 +15,7 @@
     return warmUp.mostTasks(NOW + millis * MILLI);
   }
 
+  /** Workers without a warm-up time must not be slowed down. */
   @Test
   void limitsNothingForWorkersThatNameNoTime() {
     assertThat(mostAfter(0)).isEqualTo(Integer.MAX_VALUE);
@@ -22,6 +23,7 @@
     assertThat(mostAfter(0)).isEqualTo(Integer.MAX_VALUE);
   }
 
+  /** A cold worker that is filled at once makes all its tasks late. */
   @Test
   void allowsTwiceAsMuchInEachQuarter() {
     warmUp.told(1, 8_000, NOW);
@@ -40,6 +42,7 @@
     assertThat(mostAfter(7_000)).isEqualTo(8);
   }
 
+  /** A new entry within the same warm-up must not limit the worker to one task again. */
   @Test
   void laterEntryCorrectsTheEndOnly() {
     warmUp.told(1, 8_000, NOW);
@@ -51,6 +54,7 @@
     assertThat(mostAfter(6_200)).isEqualTo(8);
   }
 
+  /** A restarted worker is cold again, and the limit before its restart must not hold. */
   @Test
   void nextLifeOrLaterWarmUpBeginsAnew() {
     warmUp.told(1, 8_000, NOW);
@@ -61,6 +65,7 @@
     assertThat(mostAfter(30_000)).isEqualTo(1);
   }
 
+  /** After a drain the warm-up must not be skipped, as its first end has passed. */
   @Test
   void beginsAnewWithTheTimeToldLast() {
     warmUp.told(1, 8_000, NOW);
