Rounds of allocation with shedding moved out of Dispatcher

Cause: when to shed around giving out room is a decision of its own, and the handler of calls had to know a private class of Dispatcher. Change: AllocationRound has it, unchanged; JobEnder is the common way to end a job. No change of behaviour.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
@@ -80,6 +79,7 @@
   private final RunControl runs;
   private final DurableJobs durable;
   private final JobCallHandler calls;
+  private final AllocationRound allocation;
   private Set<JobId> keptBefore = Set.of();
   private long keptUntil;
   private boolean mayPlace;
@@ -112,8 +112,11 @@
     this.placement = new Placement(policy, durations, placementRule(policy));
     this.runs = new RunControl(policy, new Ends());
     this.allocator = new Allocator(since, jobs, workers, runs, placement, order);
-    this.calls = new JobCallHandler(jobs, durable, workers, backlog, runs, new Answers());
+    this.calls =
+        new JobCallHandler(
+            jobs, durable, workers, backlog, runs, this::end, this::retryAfterMillis);
     this.shedding = sheds ? new Shedding(policy.scheduling(), durations, order, weights) : null;
+    this.allocation = new AllocationRound(allocator, shedding, workers, runs, this::end);
   }
 
   private PlacementRule placementRule(DispatchPolicy policy) {
@@ -142,46 +145,12 @@
     events.forEach(event -> take(now, event, out));
     if (mayPlace && startsAllowed && handingOver == null && mayUseWorkers()) {
       mayPlace = false;
-      place(now, out);
+      allocation.run(now, out);
     }
     durable.flush(now, out);
     return out;
   }
 
-  /**
-   * Gives out room. Jobs that came while none waited are given room before anything is shed, so
-   * that shedding costs nothing while there is enough room.
-   */
-  private void place(long now, List<DispatchAction> out) {
-    boolean isDue = shedding != null && shedding.takeDue();
-    boolean waitedBefore = allocator.hasWaiting();
-    if (isDue && waitedBefore) {
-      shed(now, out);
-    }
-    allocator.placeWaiting(now, out);
-    if (isDue && !waitedBefore && allocator.hasWaiting()) {
-      shed(now, out);
-    }
-    if (shedding != null && allocator.hasWaiting() && runs.window().isOpen()) {
-      shedding.roomGivenOut(workers.all(), allocator.firstWaiting(), now);
-    }
-  }
-
-  private void shed(long now, List<DispatchAction> out) {
-    LoadShedder.Plan plan = shedding.plan(allocator.takeWaiting(), workers.all(), now);
-    allocator.setLine(plan.line());
-    for (LoadShedder.Refusal refusal : plan.refused()) {
-      shedding.refused(refusal);
-      String reason =
-          String.format(
-              Locale.ROOT,
-              "too much waits before it value=%.3g aheadMicros=%d",
-              refusal.value(),
-              refusal.aheadMicros());
-      end(refusal.job(), JobOutcome.REFUSED, reason, now, out);
-    }
-  }
-
   private boolean mayUseWorkers() {
     return (guard == null || guard.mayStart(workers.all())) && workers.drains().isKnown();
   }
@@ -418,6 +387,10 @@
     }
   }
 
+  private long retryAfterMillis(StoredJob record, long now) {
+    return retryAfterMillis(record.job(), record.requestClass(), now);
+  }
+
   /** Returns when a refused caller may come back: once the work before it is done, spread out. */
   private long retryAfterMillis(JobDescription job, RequestClass requestClass, long now) {
     if (returns != null) {
@@ -470,21 +443,6 @@
         shedding == null ? Map.of() : shedding.shedByClass());
   }
 
-  /** Ends jobs for the handler of callers' calls. */
-  private final class Answers implements JobCallHandler.Answers {
-
-    @Override
-    public void end(
-        Job job, JobOutcome outcome, String reason, long now, List<DispatchAction> out) {
-      Dispatcher.this.end(job, outcome, reason, now, out);
-    }
-
-    @Override
-    public long retryAfterMillis(StoredJob record, long now) {
-      return Dispatcher.this.retryAfterMillis(record.job(), record.requestClass(), now);
-    }
-  }
-
   /** What the ends of runs mean for their jobs. */
   private final class Ends implements RunListener {
 
--- a/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
@@ -23,15 +23,14 @@
   private final Workers workers;
   private final Backlog backlog;
   private final RunControl runs;
-  private final Answers answers;
+  private final JobEnder ender;
+  private final RetryTimes retryTimes;
 
-  /** Ends jobs and forecasts return times. Called from one thread only. */
-  interface Answers {
+  /** Tells when callers of refused jobs may come back. Called from one thread only. */
+  @FunctionalInterface
+  interface RetryTimes {
 
-    /** Ends a job. */
-    void end(Job job, JobOutcome outcome, String reason, long now, List<DispatchAction> out);
-
-    /** Returns when the caller of a refused job may come back. */
+    /** Returns after how many milliseconds the caller of a refused job may come back. */
     long retryAfterMillis(StoredJob record, long now);
   }
 
@@ -41,13 +40,15 @@
       Workers workers,
       Backlog backlog,
       RunControl runs,
-      Answers answers) {
+      JobEnder ender,
+      RetryTimes retryTimes) {
     this.jobs = jobs;
     this.durable = durable;
     this.workers = workers;
     this.backlog = backlog;
     this.runs = runs;
-    this.answers = answers;
+    this.ender = ender;
+    this.retryTimes = retryTimes;
   }
 
   /** Takes in a call; one that comes before the stored jobs are loaded is answered after that. */
@@ -89,7 +90,7 @@
             call.call(),
             CallResult.REFUSED,
             null,
-            answers.retryAfterMillis(call.record(), now)));
+            retryTimes.retryAfterMillis(call.record(), now)));
   }
 
   /** Returns why a durable job can't be taken on now; null if it can. */
@@ -114,7 +115,7 @@
           new DispatchAction.Reply(
               call.entry(), call.call(), CallResult.DONE, JobStatus.CANCELLED, 0));
     }
-    answers.end(job, JobOutcome.CANCELLED, "cancelled by its caller", now, out);
+    ender.end(job, JobOutcome.CANCELLED, "cancelled by its caller", now, out);
   }
 
   /** Takes in the stored jobs, and then the calls that came before them. */
@@ -137,7 +138,7 @@
       }
       runs.claimEarlier(job, workers.all(), now, out);
       if (job.isComplete()) {
-        answers.end(job, JobOutcome.SUCCEEDED, "done before", now, out);
+        ender.end(job, JobOutcome.SUCCEEDED, "done before", now, out);
       }
     }
     durable.takeEarlyCalls().forEach(call -> called(call, now, out));
