--- a/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
@@ -79,7 +79,22 @@
       int usable,
       long totalCpuMillis,
       long freeCpuMillis,
-      long usableFreeCpuMillis) {}
+      long usableFreeCpuMillis) {
+    private String describe() {
+      return "listed="
+          + listed
+          + " synced="
+          + synced
+          + " usable="
+          + usable
+          + " cpuMillis="
+          + totalCpuMillis
+          + " free="
+          + freeCpuMillis
+          + " usableFree="
+          + usableFreeCpuMillis;
+    }
+  }
 
   /**
    * What is known of the runs.
@@ -99,7 +114,24 @@
       int stopped,
       int foreign,
       int unansweredStarts,
-      int silentStarts) {}
+      int silentStarts) {
+    private String describe() {
+      return " starting="
+          + starting
+          + " running="
+          + running
+          + " stopping="
+          + stopping
+          + " stopped="
+          + stopped
+          + " foreign="
+          + foreign
+          + " unanswered="
+          + unansweredStarts
+          + " silent="
+          + silentStarts;
+    }
+  }
 
   /**
    * What is known of drained failure domains.
@@ -114,6 +146,15 @@
     public Drain {
       domains = List.copyOf(domains);
     }
+
+    private String describe() {
+      return " drained="
+          + (known ? domains : "unknown")
+          + " drainedWorkers="
+          + workers
+          + " drainedRuns="
+          + runs;
+    }
   }
 
   /**
@@ -124,50 +165,18 @@
    * @param far how many of those away from the data of their task
    * @param window how many orders may be under way that were not overtaken
    */
-  public record Starts(long ordered, long fast, long far, int window) {}
+  public record Starts(long ordered, long fast, long far, int window) {
+    private String describe() {
+      return " ordered=" + ordered + " fast=" + fast + " far=" + far + " window=" + window;
+    }
+  }
 
   @Override
   public String toString() {
-    return "listed="
-        + workers.listed
-        + " synced="
-        + workers.synced
-        + " usable="
-        + workers.usable
-        + " cpuMillis="
-        + workers.totalCpuMillis
-        + " free="
-        + workers.freeCpuMillis
-        + " usableFree="
-        + workers.usableFreeCpuMillis
-        + " starting="
-        + runs.starting
-        + " running="
-        + runs.running
-        + " stopping="
-        + runs.stopping
-        + " stopped="
-        + runs.stopped
-        + " foreign="
-        + runs.foreign
-        + " unanswered="
-        + runs.unansweredStarts
-        + " silent="
-        + runs.silentStarts
-        + " drained="
-        + (drain.known ? drain.domains : "unknown")
-        + " drainedWorkers="
-        + drain.workers
-        + " drainedRuns="
-        + drain.runs
-        + " ordered="
-        + starts.ordered
-        + " fast="
-        + starts.fast
-        + " far="
-        + starts.far
-        + " window="
-        + starts.window
+    return workers.describe()
+        + runs.describe()
+        + drain.describe()
+        + starts.describe()
         + " startsAllowed="
         + startsAllowed
         + " settled="
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -89,10 +89,16 @@
       long objectiveMicros,
       long arrivedAt,
       long deadline) {
+
+    private static final double MILLI_CORE_MICROS_PER_CORE_SECOND = 1e9;
+
     /** Returns the work of the job at speed 1. */
     double coreSeconds() {
       StepSpec step = job.steps().get(0);
-      return step.count() * step.need().cpuMillis() * taskMicros / 1e9;
+      return step.count()
+          * step.need().cpuMillis()
+          * taskMicros
+          / MILLI_CORE_MICROS_PER_CORE_SECOND;
     }
   }
 
--- a/src/test/java/org/marjoramhoist/entry/DrainExchangeTest.java
+++ b/src/test/java/org/marjoramhoist/entry/DrainExchangeTest.java
@@ -34,7 +34,7 @@
 class DrainExchangeTest extends StoreFixture {
 
   private static final String LOOPBACK = "127.0.0.1:";
-  private static final long PATIENCE_SECONDS = 10;
+  private static final long TIMEOUT_SECONDS = 10;
   private static final long REPEAT_MILLIS = 50;
   private static final long LATER = 1_000_000;
   private static final long LATER_TERM = 2_000_000;
@@ -104,7 +104,7 @@
   }
 
   private void await(Predicate<HostMessage> wanted) throws InterruptedException {
-    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
     HostMessage next;
     do {
       next = heard.poll(deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
@@ -118,7 +118,7 @@
         () ->
             network.open(
                 hostAddress,
-                TimeUnit.SECONDS.toMillis(PATIENCE_SECONDS),
+                TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS),
                 peer,
                 link -> loop.every(REPEAT_MILLIS, () -> link.send(message)),
                 refused -> {}));
