--- a/src/test/java/org/marjoramhoist/entry/DrainExchangeTest.java
+++ b/src/test/java/org/marjoramhoist/entry/DrainExchangeTest.java
@@ -124,12 +124,14 @@
                 refused -> {}));
   }
 
+  /** The revision in a reply to a heartbeat must make the leader ask. */
   @Test
   void leaderLearnsFromHostThatFollowsIt() throws InterruptedException {
     answered = LATER;
     await(message -> message instanceof Heartbeat beat && beat.drainRevision() == LATER);
   }
 
+  /** The revision in a heartbeat must make the host ask, and it may lead next. */
   @Test
   void hostLearnsFromItsLeaderAndPassesItOn() throws InterruptedException {
     await(message -> message instanceof Heartbeat);
@@ -140,6 +142,7 @@
     await(new DrainCopy(LATER, Set.of("north"))::equals);
   }
 
+  /** Behind a cut only the hosts of the own domain can tell of a drain. */
   @Test
   void hostLearnsFromLeaderOfItsDomain() throws InterruptedException {
     await(message -> message instanceof Heartbeat);
--- a/src/test/java/org/marjoramhoist/entry/DrainedDomainsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/DrainedDomainsTest.java
@@ -39,6 +39,7 @@
     return drained.current().orElseThrow();
   }
 
+  /** An empty set that is taken for known would let tasks start in a drained domain. */
   @Test
   void isUnknownUntilTheStoreWasReadOrAnotherHostTold() {
     assertThat(drained.current()).isEmpty();
@@ -46,6 +47,7 @@
     assertThat(current()).isEmpty();
   }
 
+  /** A change of a key that is missed leaves a domain in use or idle. */
   @Test
   void followsTheKeysOfTheStore() {
     drained.replaced(List.of(new Item(PREFIX + "a", "{}", 3), new Item("op/config", "{}", 4)), 10);
@@ -86,6 +88,7 @@
     assertThat(current()).isEmpty();
   }
 
+  /** A host that is cut off from the store would never learn of a drain. */
   @Test
   void asksForNewerSetAndPassesOnItsOwn() {
     DrainedDomains other = new DrainedDomains();
@@ -102,6 +105,7 @@
     assertThat(sent).isEmpty();
   }
 
+  /** A leader that is told too little uses a drained domain. */
   @Test
   void tellsFollowersTheSetAndItsChangesOnly() {
     List<Set<String>> heard = new ArrayList<>();
@@ -132,6 +136,7 @@
     } while (!next.equals(Set.of(domains)));
   }
 
+  /** Changes during an outage of the store are in no later reply of the watch. */
   @Test
   void readsAgainAfterOutageAndLostHistory() throws Exception {
     BlockingQueue<Set<String>> heard = new LinkedBlockingQueue<>();
--- a/src/test/java/org/marjoramhoist/entry/IntakeGateTest.java
+++ b/src/test/java/org/marjoramhoist/entry/IntakeGateTest.java
@@ -60,7 +60,7 @@
     assertThat(admitted.get(1)).isAtLeast(0.9);
   }
 
-  /** With the default settings values have no say. */
+  /** With the default settings values must make no difference. */
   @Test
   void halfOfAllJobsGoesThroughOtherwise() {
     List<Double> admitted = admitted(Overload.QUEUE);
--- a/src/test/java/org/marjoramhoist/experiment/FairSharesHistoryTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/FairSharesHistoryTest.java
@@ -25,6 +25,7 @@
           SchedulingPolicy.DEFAULT_LATE_VALUE,
           SchedulingPolicy.WorkerHealth.STREAK);
 
+  /** Jobs that are refused and sent again must not run beside their first runs. */
   @Property(tries = 20, shrinking = ShrinkingMode.OFF, seed = "20261204")
   void noTaskRunsTwiceAtTheSameTime(@ForAll long seed) {
     DispatchFleet fleet = Fleets.dispatching(seed, DispatchFleet.POLICY.withScheduling(FAIR));
--- a/src/test/java/org/marjoramhoist/experiment/SheddingTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/SheddingTest.java
@@ -148,7 +148,7 @@
     assertLostValue(DemandingSite.CLAIMS);
   }
 
-  /** Waiting in vain costs callers time; without shedding nine in ten refusals came that late. */
+  /** Waiting in vain costs callers time; without shedding most refusals come that late. */
   @Example
   void fewRefusalsComeLate() {
     assertThat(shareRefusedLate(overloaded(DemandingSite.SIMULATIONS, SHED, 1.5))).isAtMost(0.2);
--- a/src/test/java/org/marjoramhoist/trial/DomainDrainClusterTest.java
+++ b/src/test/java/org/marjoramhoist/trial/DomainDrainClusterTest.java
@@ -68,6 +68,7 @@
     throw new AssertionError("nobody leads");
   }
 
+  /** The leader must hear of the key in time, whichever host leads. */
   @Test
   void drainedDomainIsLeftAloneUntilTheDrainEnds() throws InterruptedException {
     assertServedBy(0, "north", "south");
@@ -81,6 +82,7 @@
     assertServedBy(1, "north", "south");
   }
 
+  /** A drain must not abort tasks at work. */
   @Test
   void workAtRunInDrainedDomainEnds() throws InterruptedException {
     CompletableFuture<HttpReply> reply = send(0, 24, 1_000);
@@ -106,6 +108,7 @@
     cluster.store().setDown(false);
   }
 
+  /** A host that leads before it has read the keys would use the domain. */
   @Test
   void hostsThatStartUnderDrainStartNothingThere() throws IOException, InterruptedException {
     cluster.store().put(DRAIN_NORTH, "{}");
