--- a/src/main/java/org/marjoramhoist/dispatch/ValueIntake.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ValueIntake.java
@@ -14,9 +14,10 @@
  */
 public final class ValueIntake {
 
+  /** Bounds the memory; the least recently used class is evicted. */
   private static final int MOST_CLASSES = 64;
 
-  /** Enough jobs at a single host, few enough to follow a change of load. */
+  /** Long enough to see several jobs of each class at one host, short enough to follow the load. */
   private static final double AGING_MICROS = 10_000_000;
 
   /** What is let through evenly, as a part of the share, so that no class is shut out. */
@@ -43,7 +44,7 @@
     }
 
     private void age(long now) {
-      double left = Math.exp((agedAt - now) / AGING_MICROS);
+      double left = Aging.left(agedAt, now, AGING_MICROS);
       jobs *= left;
       starts *= left;
       agedAt = now;
--- a/src/test/java/org/marjoramhoist/experiment/FairSharesHistoryTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/FairSharesHistoryTest.java
@@ -24,6 +24,7 @@
           Map.of(),
           SchedulingPolicy.DEFAULT_LATE_VALUE);
 
+  /** Jobs that are refused and sent again must not run beside their first runs. */
   @Property(tries = 20, shrinking = ShrinkingMode.OFF, seed = "20261204")
   void noTaskRunsTwiceAtTheSameTime(@ForAll long seed) {
     DispatchFleet fleet = Fleets.dispatching(seed, DispatchFleet.POLICY.withScheduling(FAIR));
