--- a/src/main/java/org/marjoramhoist/entry/IsolatedDomain.java
+++ b/src/main/java/org/marjoramhoist/entry/IsolatedDomain.java
@@ -1,10 +1,6 @@
 package org.marjoramhoist.entry;
 
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
 import org.marjoramhoist.dispatch.WorkerInfo;
@@ -12,7 +8,7 @@
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.lead.DomainAction;
 import org.marjoramhoist.lead.DomainElection;
-import org.marjoramhoist.lead.HostCapacity;
+import org.marjoramhoist.lead.SuccessorChoice;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.message.HostMessage;
@@ -50,9 +46,6 @@
   /** How long this host waits for a leader that has handed over to tell the ends of its jobs. */
   private static final long FORMER_MICROS = 1_600_000;
 
-  /** How long a follower that does not answer counts as one that may take over. */
-  private static final long FOLLOWS_MICROS = 300_000;
-
   /** How long links stay open after the last answers were sent on them. */
   private static final long LINGER_MILLIS = 50;
 
@@ -70,7 +63,7 @@
   private List<WorkerInfo> workers = List.of();
   private FollowerLinks followers;
   private DomainDuty duty;
-  private final Map<String, Long> mayTakeOver = new HashMap<>();
+  private final SuccessorChoice successors = new SuccessorChoice();
   private FrameLink leaderLink;
   private String leaderName = "";
   private long leaderHeardAt;
@@ -152,20 +145,9 @@
     if (!retiring || !election.isLeading()) {
       return;
     }
-    successor().ifPresent(host -> election.handOver(Loop.now(), host).forEach(this::run));
-  }
-
-  /** Returns the host that could carry most of those that follow and are not stopping. */
-  private Optional<String> successor() {
-    long now = Loop.now();
-    Map<String, HostCapacity> members = store.domainMembers();
-    return mayTakeOver.entrySet().stream()
-        .filter(each -> now - each.getValue() < FOLLOWS_MICROS)
-        .map(Map.Entry::getKey)
-        .filter(members::containsKey)
-        .max(
-            Comparator.<String, HostCapacity>comparing(members::get)
-                .thenComparing(Comparator.reverseOrder()));
+    successors
+        .choose(store.domainMembers(), Loop.now())
+        .ifPresent(host -> election.handOver(Loop.now(), host).forEach(this::run));
   }
 
   private void handOver(String successor) {
@@ -236,7 +218,7 @@
     }
     EventLog.info(LogEvent.DOMAIN_LEADER_ELECTED, "workers={}", workers.size());
     leaderLink = null;
-    mayTakeOver.clear();
+    successors.clear();
     boolean succeeds = isHandedOver() && handedOver.usesWorkers();
     duty = duties.apply(succeeds);
     duty.start(isHandedOver() ? Set.copyOf(handedOver.kept()) : Set.of());
@@ -302,11 +284,7 @@
       if (reply.lacksState()) {
         followers.send(host, knowledge.state(workers));
       }
-      if (reply.accepts() && reply.mayLead()) {
-        mayTakeOver.put(host, Loop.now());
-      } else {
-        mayTakeOver.remove(host);
-      }
+      successors.replied(host, reply.accepts() && reply.mayLead(), Loop.now());
       if (reply.accepts()) {
         election.confirmed(Loop.now(), host, reply.heartbeatSentAt()).forEach(this::run);
       }
