--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -2,11 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
 import org.marjoramhoist.dispatch.DispatchEvent.BatchStored;
+import org.marjoramhoist.dispatch.DispatchEvent.DomainsDrained;
 import org.marjoramhoist.dispatch.DispatchEvent.EntryLost;
 import org.marjoramhoist.dispatch.DispatchEvent.FromWorker;
+import org.marjoramhoist.dispatch.DispatchEvent.HandedOver;
+import org.marjoramhoist.dispatch.DispatchEvent.HandingOver;
 import org.marjoramhoist.dispatch.DispatchEvent.JobCalled;
 import org.marjoramhoist.dispatch.DispatchEvent.JobSubmitted;
 import org.marjoramhoist.dispatch.DispatchEvent.JobWithdrawn;
@@ -22,9 +27,11 @@
 import org.marjoramhoist.dispatch.DispatchEvent.TermEnded;
 import org.marjoramhoist.dispatch.DispatchEvent.Tick;
 import org.marjoramhoist.dispatch.DispatchEvent.WorkersListed;
+import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.JobStatus;
+import org.marjoramhoist.job.RequestClass;
 import org.marjoramhoist.job.RunRef;
 import org.marjoramhoist.log.LogEvent;
 
@@ -39,12 +46,19 @@
   /** How long after the start of a term entry hosts may hand on the jobs of an earlier leader. */
   static final long CLAIM_MICROS = 1_000_000;
 
+  /**
+   * How long a leader of a failure domain may have runs at work after it has handed over: the time
+   * in which it renews them, a lease of 1 s, and 0.3 s for clocks and late orders.
+   */
+  private static final long KEPT_MICROS = 2_300_000;
+
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
   /** The most work that durable jobs may add to, as all are run in the end. */
   private static final double MAX_BACKLOG_MICROS = 5_000_000;
 
   private static final double MICROS_PER_MILLI = 1_000.0;
+  private static final String ONLY_DRAINED = "only drained failure domains could run it";
 
   private final long since;
 
@@ -53,16 +67,30 @@
 
   private final DurationModel durations = new DurationModel();
   private final Placement placement;
-  private final WaitingOrder order = new WaitingOrder(durations);
-  private final Backlog backlog = new Backlog(order);
+  private final GroupWeights weights;
+  private final WaitingOrder order;
+  private final Backlog backlog;
+
+  /** Null unless what can't be in time is shed. */
+  private final ReturnTimes returns;
+
   private final Workers workers;
   private final Allocator allocator;
   private final Jobs jobs = new Jobs();
+
+  /** Null unless jobs make way when not all can be in time. */
+  private final Shedding shedding;
+
   private final RunControl runs;
   private final DurableJobs durable;
+  private Set<JobId> keptBefore = Set.of();
+  private long keptUntil;
   private boolean mayPlace;
   private boolean startsAllowed = true;
 
+  /** Why this leader hands over, for the answers; null if it does not. */
+  private String handingOver;
+
   /**
    * Creates the decisions of a term.
    *
@@ -75,12 +103,25 @@
   public Dispatcher(DispatchPolicy policy, long now, long earlierRunsOverAt, long epochMillis) {
     // No host hands jobs on to the leader of a domain that is cut off.
     this.since = policy.isForDomain() ? now - CLAIM_MICROS : now;
-    this.guard = policy.isForDomain() ? new DomainGuard(now) : null;
+    boolean handedOver = policy.scope() == DispatchPolicy.Scope.DOMAIN_SUCCESSOR;
+    this.guard = policy.isForDomain() ? new DomainGuard(now, handedOver) : null;
+    this.weights = new GroupWeights(policy.scheduling().fairShares(), now);
+    boolean sheds = policy.scheduling().overload() == SchedulingPolicy.Overload.SHED;
+    this.order = new WaitingOrder(durations, weights, policy.scheduling());
+    this.backlog = new Backlog(order);
+    this.returns = sheds ? new ReturnTimes() : null;
     this.durable = new DurableJobs(policy.keepMillis(), epochMillis);
     this.workers = new Workers(now, earlierRunsOverAt);
-    this.placement = new Placement(policy, durations);
+    this.placement = new Placement(policy, durations, placementRule(policy));
     this.runs = new RunControl(policy, new Ends());
     this.allocator = new Allocator(since, jobs, workers, runs, placement, order);
+    this.shedding = sheds ? new Shedding(policy.scheduling(), durations, order, weights) : null;
+  }
+
+  private PlacementRule placementRule(DispatchPolicy policy) {
+    return policy.isBySlack()
+        ? new SlackPlacement(durations, new Slack(order), workers)
+        : new FastestPlacement();
   }
 
   /**
@@ -101,16 +142,60 @@
   public List<DispatchAction> step(long now, List<DispatchEvent> events) {
     List<DispatchAction> out = new ArrayList<>();
     events.forEach(event -> take(now, event, out));
-    if (mayPlace && startsAllowed && mayUseWorkers()) {
+    if (mayPlace && startsAllowed && handingOver == null && mayUseWorkers()) {
       mayPlace = false;
-      allocator.placeWaiting(now, out);
+      place(now, out);
     }
     durable.flush(now, out);
     return out;
   }
 
+  /**
+   * Gives out room. Jobs that came while none waited are given room before anything is shed, so
+   * that shedding costs nothing while there is enough room.
+   */
+  private void place(long now, List<DispatchAction> out) {
+    boolean isDue = shedding != null && shedding.takeDue();
+    boolean waitedBefore = allocator.hasWaiting();
+    if (isDue && waitedBefore) {
+      shed(now, out);
+    }
+    allocator.placeWaiting(now, out);
+    if (isDue && !waitedBefore && allocator.hasWaiting()) {
+      shed(now, out);
+    }
+    if (shedding != null && allocator.hasWaiting() && runs.window().isOpen()) {
+      shedding.roomGivenOut(workers.all(), allocator.firstWaiting(), now);
+    }
+  }
+
+  private void shed(long now, List<DispatchAction> out) {
+    LoadShedder.Plan plan = shedding.plan(allocator.takeWaiting(), workers.all(), now);
+    allocator.setLine(plan.line());
+    for (LoadShedder.Refusal refusal : plan.refused()) {
+      shedding.refused(refusal);
+      String reason =
+          String.format(
+              Locale.ROOT,
+              "too much waits before it value=%.3g aheadMicros=%d",
+              refusal.value(),
+              refusal.aheadMicros());
+      end(refusal.job(), JobOutcome.REFUSED, reason, now, out);
+    }
+  }
+
   private boolean mayUseWorkers() {
-    return guard == null || guard.mayStart(workers.all());
+    return (guard == null || guard.mayStart(workers.all())) && workers.drains().isKnown();
+  }
+
+  /** Tells whether the leader of a failure domain has found its workers free of others' runs. */
+  public boolean usesWorkers() {
+    return guard != null && guard.isSettled();
+  }
+
+  /** Returns the jobs that may have runs at work. */
+  public Set<JobId> jobsAtWork() {
+    return jobs.mayBeAtWork();
   }
 
   private void take(long now, DispatchEvent event, List<DispatchAction> out) {
@@ -134,14 +219,24 @@
     } else if (event instanceof StartsAllowed allowed) {
       startsAllowed = allowed.allowed();
       mayPlace = true;
+    } else if (event instanceof DomainsDrained drained) {
+      workers.drain(drained.domains(), now);
+      refuseUnservable(now, out);
+      tick(now, out);
     } else if (event instanceof RosterLoaded roster) {
       workers.rosterLoaded(roster.workers(), now, out);
+      refuseUnservable(now, out);
       tick(now, out);
     } else if (event instanceof RosterStored roster) {
       workers.rosterStored(roster.number(), out);
       mayPlace = true;
     } else if (event instanceof TermEnded ended) {
       termEnded(ended.reason(), now, out);
+    } else if (event instanceof HandingOver handing) {
+      handOver(handing.reason(), now, out);
+    } else if (event instanceof HandedOver handed) {
+      keptBefore = handed.kept();
+      keptUntil = now + KEPT_MICROS;
     } else if (event instanceof Tick) {
       tick(now, out);
     } else if (event instanceof FromWorker heard) {
@@ -150,7 +245,7 @@
   }
 
   private void fromWorker(long now, FromWorker event, List<DispatchAction> out) {
-    noteStart(event);
+    noteStart(event, now);
     Worker worker = workers.find(event.worker());
     if (worker == null) {
       return;
@@ -177,10 +272,10 @@
     runs.renewed(worker, event.sentAt(), event.report().get(), now, out);
   }
 
-  private void noteStart(FromWorker event) {
+  private void noteStart(FromWorker event, long now) {
     boolean wasOpen = runs.window().isOpen();
     if (event instanceof StartAnswered answered) {
-      runs.window().answered(answered.run());
+      runs.window().answered(answered.run(), now);
     } else if (event instanceof StartUnanswered unanswered) {
       runs.window().unanswered(unanswered.run());
     }
@@ -192,16 +287,43 @@
     if (job == null) {
       return;
     }
+    weights.arrived(job, now);
+    if (handingOver != null) {
+      JobOutcome outcome = job.started ? JobOutcome.ABANDONED : JobOutcome.REFUSED;
+      end(job, outcome, handingOver, now, out);
+      return;
+    }
+    if (keptBefore.contains(job.id()) && now <= keptUntil) {
+      end(job, JobOutcome.ABANDONED, "the leader before may run it", now, out);
+      return;
+    }
     runs.claimEarlier(job, workers.all(), now, out);
+    if (shedding != null) {
+      shedding.submitted(job, now);
+    }
     if (job.isComplete()) {
       end(job, JobOutcome.SUCCEEDED, "done before", now, out);
     } else if (!job.started && workers.canNeverRun(job.description(), job.requestClass())) {
       end(job, JobOutcome.FAILED, "no worker can run it", now, out);
-    } else {
+    } else if (!refuseIfUnservable(job, now, out)) {
       mayPlace = true;
     }
   }
 
+  /** Refuses a job that has not started and that only drained failure domains could run. */
+  private boolean refuseIfUnservable(Job job, long now, List<DispatchAction> out) {
+    boolean mayRefuse = !job.started && !job.isDurable();
+    if (mayRefuse && workers.mustAwaitDrained(job.description(), job.requestClass())) {
+      end(job, JobOutcome.REFUSED, ONLY_DRAINED, now, out);
+      return true;
+    }
+    return false;
+  }
+
+  private void refuseUnservable(long now, List<DispatchAction> out) {
+    List.copyOf(jobs.all()).forEach(job -> refuseIfUnservable(job, now, out));
+  }
+
   private void called(JobCalled call, long now, List<DispatchAction> out) {
     if (!durable.isLoaded()) {
       durable.defer(call);
@@ -236,7 +358,11 @@
     out.add(new Log(LogEvent.JOB_REFUSED, "job=" + call.job() + " reason=" + refusal));
     out.add(
         new DispatchAction.Reply(
-            call.entry(), call.call(), CallResult.REFUSED, null, retryAfterMillis(call.job())));
+            call.entry(),
+            call.call(),
+            CallResult.REFUSED,
+            null,
+            retryAfterMillis(call.record().job(), call.record().requestClass(), now)));
   }
 
   /** Returns why a durable job can't be taken on now; null if it can. */
@@ -247,6 +373,9 @@
     if (workers.canNeverRun(record.job(), record.requestClass())) {
       return "no worker can run it";
     }
+    if (workers.mustAwaitDrained(record.job(), record.requestClass())) {
+      return ONLY_DRAINED;
+    }
     return backlog.totalMicros() > MAX_BACKLOG_MICROS ? "too much waits" : null;
   }
 
@@ -295,6 +424,7 @@
 
   private void workersListed(List<WorkerInfo> list, long now, List<DispatchAction> out) {
     workers.listRead(list, now, out);
+    refuseUnservable(now, out);
     tick(now, out);
   }
 
@@ -303,19 +433,38 @@
       runs.tick(worker, now, out);
     }
     workers.logSettled(now, out);
+    workers.logIdleDomains(out);
     if (guard != null) {
       guard
           .reasonToGiveUp(workers.all(), now)
           .ifPresent(reason -> out.add(new DispatchAction.StepDown(reason)));
     }
+    if (returns != null) {
+      returns.dropped(workOverdue(now));
+    }
     for (Job job : List.copyOf(jobs.all())) {
       expire(job, now, out);
     }
     jobs.prune(now);
-    for (Job job : backlog.measure(allocator.orderWaiting(now), workers.all(), now)) {
+    List<Job> hopeless = backlog.measure(allocator.orderWaiting(now), workers.all(), now);
+    if (returns != null) {
+      returns.measured(backlog.totalMicros() * backlog.cpuMillis(), backlog.cpuMillis(), now);
+    }
+    for (Job job : hopeless) {
       end(job, JobOutcome.REFUSED, "too much waits before it", now, out);
     }
     mayPlace = true;
+    if (shedding != null) {
+      shedding.ticked();
+    }
+  }
+
+  /** Returns the work of the waiting jobs whose end is of no use any more. */
+  private double workOverdue(long now) {
+    return jobs.waiting().stream()
+        .filter(job -> !job.started && !job.isDurable() && now > order.lateLimit(job))
+        .mapToDouble(order::waitingCpuMicros)
+        .sum();
   }
 
   private void termEnded(String reason, long now, List<DispatchAction> out) {
@@ -325,6 +474,17 @@
     }
   }
 
+  private void handOver(String reason, long now, List<DispatchAction> out) {
+    handingOver = reason;
+    for (Job job : List.copyOf(jobs.all())) {
+      if (!job.started) {
+        end(job, JobOutcome.REFUSED, reason, now, out);
+      } else if (job.hasTaskToStart()) {
+        end(job, JobOutcome.ABANDONED, reason, now, out);
+      }
+    }
+  }
+
   private void expire(Job job, long now, List<DispatchAction> out) {
     if (job.isDurable()) {
       return;
@@ -338,7 +498,11 @@
   }
 
   private void end(Job job, JobOutcome outcome, String reason, long now, List<DispatchAction> out) {
-    long retryAfter = outcome == JobOutcome.REFUSED ? retryAfterMillis(job.id()) : 0;
+    weights.ended(job, outcome == JobOutcome.SUCCEEDED && order.isInTime(job, now), now);
+    long retryAfter =
+        outcome == JobOutcome.REFUSED
+            ? retryAfterMillis(job.description(), job.requestClass(), now)
+            : 0;
     for (Run run : jobs.end(job, outcome, reason, retryAfter, now, out)) {
       runs.stop(run, out);
     }
@@ -348,9 +512,12 @@
   }
 
   /** Returns when a refused caller may come back: once the work before it is done, spread out. */
-  private long retryAfterMillis(JobId id) {
+  private long retryAfterMillis(JobDescription job, RequestClass requestClass, long now) {
+    if (returns != null) {
+      return returns.retryAfterMillis(job.id(), order.cpuMicros(job, requestClass), now);
+    }
     long wait = RETRY_AFTER_MILLIS + (long) (backlog.totalMicros() / MICROS_PER_MILLI);
-    return wait + Math.floorMod(id.hashCode(), wait);
+    return wait + Math.floorMod(job.id().hashCode(), wait);
   }
 
   private static JobStatus statusOf(JobOutcome outcome) {
@@ -366,24 +533,53 @@
     return jobs.waitingByClass();
   }
 
+  /**
+   * Returns what hosts are told about when refused callers may come back.
+   *
+   * @param intake the share of their new jobs that they send on
+   */
+  public ReturnForecast returnForecast(double intake, long now) {
+    return returns == null ? ReturnForecast.NONE : returns.forecast(intake, now);
+  }
+
+  /** Returns the served shares of groups of callers; none unless shares are fair. */
+  public Map<ServedShares.Group, Double> servedShares(long now) {
+    return weights.shares(now);
+  }
+
   /** Returns what is known now, in figures. */
   public DispatchSnapshot snapshot(long now) {
     Census census = new Census(workers.all(), now);
     return new DispatchSnapshot(
         census.workers(),
         census.runs(runs.window()),
+        workers.drains().snapshot(workers.all()),
+        placement.figures(runs.window()),
         startsAllowed,
         workers.isSettled(now),
         jobs.waiting().size(),
-        (long) backlog.totalMicros());
+        (long) backlog.totalMicros(),
+        shedding == null ? 0 : shedding.displaced(),
+        shedding == null ? Map.of() : shedding.shedByClass());
   }
 
   /** What the ends of runs mean for their jobs. */
   private final class Ends implements RunListener {
 
+    @Override
+    public void jobStarted(Job job, long now) {
+      weights.started(job, now);
+      if (returns != null) {
+        returns.started(order.cpuMicros(job.description(), job.requestClass()));
+      }
+    }
+
     @Override
     public void runDone(Run run, long now, List<DispatchAction> out) {
       run.worker.succeeded();
+      if (shedding != null) {
+        shedding.runDone(run, workers.all(), now);
+      }
       placement.learn(run, now);
       mayPlace = true;
       taskDone(run.task, now, out);
--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -27,6 +27,7 @@
   private final int[] openTasks;
   private final long leastCpuMillis;
   private final long longestChainMillis;
+  private final double estimatedWork;
   private long remainingChainMillis;
   private final StoredJob record;
   private final List<EndMark> unstoredEnds = new ArrayList<>();
@@ -40,6 +41,12 @@
   final long arrivedAt;
   long deadline;
 
+  /** Until when its tasks wait for room near their data rather than go far from it. */
+  long waitsNearUntil;
+
+  /** The failure domain of the host that it came in at; empty if it is not known. */
+  String origin = "";
+
   /** Whether a run of it was ever ordered, by this leader or an earlier one. */
   boolean started;
 
@@ -91,6 +98,7 @@
     }
     this.leastCpuMillis =
         description.steps().stream().mapToLong(step -> step.need().cpuMillis()).min().orElse(0);
+    this.estimatedWork = description.steps().stream().mapToDouble(Job::estimatedWork).sum();
     this.longestChainMillis = longestChain();
     this.remainingChainMillis = longestChainMillis;
   }
@@ -255,6 +263,11 @@
     return steps.stream().flatMap(List::stream).anyMatch(task -> task.failures() > 0);
   }
 
+  /** Tells whether any task is left to start, now or once the steps before it are done. */
+  boolean hasTaskToStart() {
+    return steps.stream().anyMatch(Job::hasWaitingTask);
+  }
+
   /** Tells whether any task may start now. */
   boolean hasWaitingTask() {
     for (int step = 0; step < openTasks.length; step++) {
@@ -279,6 +292,15 @@
     return leastCpuMillis;
   }
 
+  private static double estimatedWork(StepSpec step) {
+    return (double) step.count() * step.need().cpuMillis() * Math.max(1, step.estimateMillis());
+  }
+
+  /** Returns the work of all its tasks by its caller's estimate, in thousandths of core-millis. */
+  double estimatedWork() {
+    return estimatedWork;
+  }
+
   /** Returns the tasks that may start now, in their order. */
   List<Task> waitingTasks() {
     List<Task> waiting = new ArrayList<>();
@@ -337,17 +359,6 @@
   }
 
   private long longestChain() {
-    long[] ends = new long[openTasks.length];
-    long longest = 0;
-    for (int step = 0; step < ends.length; step++) {
-      StepSpec spec = description.steps().get(step);
-      long begin = 0;
-      for (int before : spec.after()) {
-        begin = Math.max(begin, ends[before]);
-      }
-      ends[step] = begin + (openTasks[step] == 0 ? 0 : spec.estimateMillis());
-      longest = Math.max(longest, ends[step]);
-    }
-    return longest;
+    return description.longestChainMillis(step -> openTasks[step] > 0);
   }
 }
--- a/src/main/java/org/marjoramhoist/dispatch/Jobs.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Jobs.java
@@ -42,6 +42,13 @@
     return open.values();
   }
 
+  /** Returns the jobs that are open, and those that have ended with runs that may be at work. */
+  Set<JobId> mayBeAtWork() {
+    Set<JobId> ids = new LinkedHashSet<>(open.keySet());
+    ids.addAll(closing.keySet());
+    return ids;
+  }
+
   /** Returns the jobs that may have tasks to start. */
   Set<Job> waiting() {
     return waiting;
@@ -95,6 +102,7 @@
             event.deadline(),
             event.generation());
     job.entries.add(event.entry());
+    job.origin = event.origin();
     if (before != null) {
       job.raiseRunNumbers(before.lastRun());
       job.started |= before.started();
--- a/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WaitingOrder.java
@@ -4,11 +4,15 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.job.StepSpec;
 
 /**
  * The order in which waiting jobs get room: those that can still meet their objective with some
  * margin first, by a time between the latest start and the end of the objective; then the others,
- * by priority and that time.
+ * by priority and that time. A late job whose group of callers lately got half of its share counts
+ * as one priority higher.
  *
  * <p>Without the margin, under overload each job would get its room at the last moment and miss its
  * objective by what run times differ from their predictions.
@@ -17,45 +21,70 @@
  */
 final class WaitingOrder {
 
-  private static final int LATE_FACTOR = 3;
+  static final int LATE_FACTOR = 3;
   private static final double MICROS_PER_MILLI = 1_000.0;
 
   /** The margin of a job that counts as in time, as a share of what it has still to run. */
   private static final double MARGIN_SHARE = 0.5;
 
+  /**
+   * The same where workers are chosen by slack, which gives jobs short of time the fast workers. It
+   * is what {@link Slack} keeps for the usual error of predictions, so that a job that can be
+   * placed in time is not put behind those that can't.
+   */
+  private static final double SLACK_MARGIN_SHARE = 0.2;
+
   private static final double MARGIN_MICROS = 10_000;
 
+  /** How much of its run time a job must have left before its deadline when it starts. */
+  private static final double DEADLINE_SHARE = 1.2;
+
   /** What storing the start and the end of a durable job takes, in microseconds. */
   private static final double STORE_MICROS = 20_000;
 
   /** How far the order lies between the latest start and the end of the objective. */
   private static final double ORDER_SHARE = 0.5;
 
+  private static final double LN_2 = Math.log(2);
+
   private final DurationModel durations;
+  private final GroupWeights weights;
+  private final double marginShare;
+
+  /** Whether estimates are trusted only as far as such estimates came true. */
+  private final boolean weighsEstimates;
 
-  WaitingOrder(DurationModel durations) {
+  /**
+   * Creates an order.
+   *
+   * @param weights by how much groups of callers are preferred among late jobs
+   * @param scheduling says what margin jobs need, and whether estimates are trusted only as far as
+   *     such estimates came true
+   */
+  WaitingOrder(DurationModel durations, GroupWeights weights, SchedulingPolicy scheduling) {
+    boolean bySlack = scheduling.placement() == SchedulingPolicy.Placement.SLACK;
     this.durations = durations;
+    this.weights = weights;
+    this.marginShare = bySlack ? SLACK_MARGIN_SHARE : MARGIN_SHARE;
+    this.weighsEstimates = scheduling.overload() == SchedulingPolicy.Overload.SHED;
   }
 
   /**
    * A job's place.
    *
-   * @param late whether it can't be in time any more
-   * @param rank its place among those that are late, or among those that are not; the least first
+   * @param late whether it can't be in time any more, or makes way for jobs that can
+   * @param level its priority among those that are late, less what the weight of its group adds
+   * @param rank its place among those of its level, or among those in time; the least first
    */
-  record Place(Job job, boolean late, double rank) implements Comparable<Place> {
+  record Place(Job job, boolean late, double level, double rank) implements Comparable<Place> {
 
     @Override
     public int compareTo(Place other) {
       if (late != other.late) {
         return late ? 1 : -1;
       }
-      int byPriority = late ? Integer.compare(priority(), other.priority()) : 0;
-      return byPriority != 0 ? byPriority : Double.compare(rank, other.rank);
-    }
-
-    private int priority() {
-      return job.requestClass().priority();
+      int byLevel = late ? Double.compare(level, other.level) : 0;
+      return byLevel != 0 ? byLevel : Double.compare(rank, other.rank);
     }
   }
 
@@ -78,14 +107,48 @@
   Place place(Job job, long now) {
     double left = chainMicros(job, job.remainingChainMillis());
     double latest = job.arrivedAt + objectiveMicros(job) - left;
-    double margin = MARGIN_SHARE * left + MARGIN_MICROS + (job.isDurable() ? STORE_MICROS : 0);
-    return new Place(job, latest - margin < now, latest + ORDER_SHARE * left);
+    boolean late = latest - margin(job, left, marginShare) < now;
+    return new Place(job, late, late ? level(job, now) : 0, latest + ORDER_SHARE * left);
+  }
+
+  private double level(Job job, long now) {
+    return job.requestClass().priority() - Math.log(weights.weight(job, now)) / LN_2;
+  }
+
+  private static double margin(Job job, double left, double share) {
+    return share * left + MARGIN_MICROS + (job.isDurable() ? STORE_MICROS : 0);
+  }
+
+  /**
+   * Returns the last start at which a job is planned to be in time. It has the full margin however
+   * workers are chosen: with less, jobs are displaced later, after a longer wait in vain.
+   *
+   * @param left how long the rest of it takes
+   */
+  double lastStart(Job job, double left) {
+    double inTime = job.arrivedAt + objectiveMicros(job) - left - margin(job, left, MARGIN_SHARE);
+    return Math.min(inTime, job.deadline - DEADLINE_SHARE * left);
   }
 
   /** Returns how long a job may take within its objective. */
   double objectiveMicros(Job job) {
-    return job.requestClass().stretch() * chainMicros(job, job.longestChainMillis())
-        + job.requestClass().objectiveMillis() * MICROS_PER_MILLI;
+    return stretchMicros(job) + job.requestClass().objectiveMillis() * MICROS_PER_MILLI;
+  }
+
+  /** Returns the part of a job's objective that grows with its work. */
+  double stretchMicros(Job job) {
+    return job.requestClass().stretch() * chainMicros(job, job.longestChainMillis());
+  }
+
+  /** Tells whether a time is within a job's objective. */
+  boolean isInTime(Job job, long at) {
+    return at <= job.arrivedAt + objectiveMicros(job);
+  }
+
+  /** Returns the predicted processor time that a whole job needs, times its cores. */
+  double wholeWorkMicros(Job job) {
+    long longest = job.longestChainMillis();
+    return job.estimatedWork() * chainMicros(job, longest) / Math.max(1, longest);
   }
 
   /** Returns the processor time that the tasks need that may start now, times their cores. */
@@ -97,13 +160,27 @@
     return sum;
   }
 
+  /** Returns the processor time that all tasks of a job need, times their cores. */
+  double cpuMicros(JobDescription job, RequestClass requestClass) {
+    double sum = 0;
+    for (StepSpec step : job.steps()) {
+      double micros = durations.predictMicros(requestClass.name(), step.estimateMillis());
+      sum += micros * step.count() * step.need().cpuMillis();
+    }
+    return sum;
+  }
+
   /** Returns how long a job takes that finds room at once. */
   double chainMicros(Job job) {
     return chainMicros(job, job.remainingChainMillis());
   }
 
   private double chainMicros(Job job, long estimateMillis) {
-    double mean = durations.predictMicros(job.requestClass().name(), estimateMillis);
+    String name = job.requestClass().name();
+    double mean =
+        weighsEstimates
+            ? durations.likelyMicros(name, estimateMillis)
+            : durations.predictMicros(name, estimateMillis);
     return mean * job.biasFactor();
   }
 
--- a/src/main/java/org/marjoramhoist/entry/Duty.java
+++ b/src/main/java/org/marjoramhoist/entry/Duty.java
@@ -8,6 +8,7 @@
 import org.marjoramhoist.dispatch.DispatchAction;
 import org.marjoramhoist.dispatch.DispatchEvent;
 import org.marjoramhoist.dispatch.Dispatcher;
+import org.marjoramhoist.dispatch.ReturnForecast;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.Finished;
@@ -45,21 +46,25 @@
   final Delivery delivery;
   final Consumer<String> onStale;
   final LoopLoad load = new LoopLoad();
+  private final DrainedDomains drained;
   private final long term;
   private final WorkerOrders orders;
   private final List<DispatchEvent> events = new ArrayList<>();
   private boolean due;
   private boolean mayStartTold = true;
   private boolean closed;
+  private Runnable endOfFollowing = () -> {};
 
   /**
    * Creates a term.
    *
+   * @param drained which failure domains are drained, as this host knows
    * @param onStale is told why this host must not lead any more
    */
   Duty(
       long term,
       Dispatcher dispatcher,
+      DrainedDomains drained,
       Loop loop,
       WorkerCalls workers,
       NodeMetrics metrics,
@@ -68,6 +73,7 @@
       Consumer<String> onStale) {
     this.term = term;
     this.dispatcher = dispatcher;
+    this.drained = drained;
     this.loop = loop;
     this.metrics = metrics;
     this.permits = permits;
@@ -98,6 +104,11 @@
     return dispatcher.waitingByClass();
   }
 
+  /** Returns what hosts that send on a share of their new jobs are told for the others. */
+  final ReturnForecast returnForecast(double intake) {
+    return dispatcher.returnForecast(intake, Loop.now());
+  }
+
   /** Takes in a message of an entry host, which may be this one. */
   void fromEntry(String host, HostMessage message) {
     long now = Loop.now();
@@ -128,6 +139,11 @@
     take(new DispatchEvent.EntryLost(host));
   }
 
+  /** Tells the decisions which failure domains are drained, from now on and before all else. */
+  final void followDrains() {
+    endOfFollowing = drained.follow(set -> take(new DispatchEvent.DomainsDrained(set)));
+  }
+
   final void tick() {
     if (!closed) {
       long now = Loop.now();
@@ -215,5 +231,6 @@
   @Override
   public void close() {
     closed = true;
+    endOfFollowing.run();
   }
 }
--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -65,9 +65,10 @@
   private final FrameNetwork network;
   private final Undertow http;
   private final LeaderReach reach = new LeaderReach();
-  private final OpenJobs jobs = new OpenJobs(reach);
+  private final OpenJobs jobs;
   private final JobCalls calls;
   private final ConfigWatch config = new ConfigWatch();
+  private final DrainedDomains drained = new DrainedDomains();
   private final NodeMetrics metrics = new NodeMetrics();
   private final StoreLink storeLink;
   private final Partition partition;
@@ -76,6 +77,7 @@
 
   private EntryNode(NodeSettings settings) throws IOException {
     this.settings = settings;
+    this.jobs = new OpenJobs(reach, settings.scheduling());
     this.worker = createWorker();
     this.loop = new Loop(worker.getIoThread());
     HttpCaller caller = new HttpCaller(worker);
@@ -112,16 +114,19 @@
         new IsolatedDomain(
             settings.host(),
             loop,
-            new DomainElection(settings.host(), times),
+            new DomainElection(settings.host(), times, Loop.now()),
+            new DomainKnowledge(election, storeLink, config),
             storeLink,
             reach,
             jobs,
+            drained,
             new SuspensionDetector(),
-            () ->
+            handedOver ->
                 new DomainDuty(
                     election.knownTerm(),
-                    policy,
+                    handedOver ? policy.forDomainSuccessor() : policy.forDomain(),
                     madeDomain[0].workers(),
+                    drained,
                     loop,
                     workerCalls,
                     metrics,
@@ -137,6 +142,7 @@
             storeLink,
             health,
             config,
+            drained,
             reach,
             jobs,
             this.calls,
@@ -147,6 +153,7 @@
                     policy,
                     earlierRunsOverAt(lead.earlierGone()),
                     Loop.epochMillis(),
+                    drained,
                     loop,
                     store,
                     health,
@@ -161,13 +168,15 @@
     metrics.gauge("marjoramhoist.jobs.open", jobs::count);
     metrics.gauge("marjoramhoist.leader", () -> partition.isLeader() ? 1 : 0);
     metrics.gauge("marjoramhoist.config.version", () -> config.current().version());
+    metrics.gauge("marjoramhoist.drain.revision", drained::revision);
     metrics.gauge("marjoramhoist.store.up", () -> health.isServed() ? 1 : 0);
     this.network = new FrameNetwork(worker, HostPort.parse(settings.listen().peers()), partition);
     this.http = http();
     PrefixWatch operator =
-        new PrefixWatch(store, Declarations.OPERATOR_PREFIX, loop, health, config);
+        new PrefixWatch(store, Declarations.OPERATOR_PREFIX, loop, health, drained, config);
     loop.execute(
         () -> {
+          drained.follow(metrics::drained);
           partition.start(network);
           storeLink.start();
           operator.start();
--- a/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderDuty.java
@@ -1,6 +1,7 @@
 package org.marjoramhoist.entry;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -10,6 +11,7 @@
 import org.marjoramhoist.dispatch.DispatchEvent;
 import org.marjoramhoist.dispatch.DispatchPolicy;
 import org.marjoramhoist.dispatch.Dispatcher;
+import org.marjoramhoist.dispatch.ServedShares;
 import org.marjoramhoist.dispatch.StoredJob;
 import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.log.EventLog;
@@ -55,6 +57,7 @@
    * @param earlierRunsOverAt when no run that an earlier leader ordered can be at work on a worker
    *     that is out of reach
    * @param epochMillis the time since 1970, in milliseconds, at which the steady clock was 0
+   * @param drained which failure domains are drained, as this host knows
    * @param onListed is told the workers each time that their list was read
    * @param domainOf returns the failure domain of a host; empty if it is not known
    * @param onStale is told why this host must not lead any more
@@ -64,6 +67,7 @@
       DispatchPolicy policy,
       long earlierRunsOverAt,
       long epochMillis,
+      DrainedDomains drained,
       Loop loop,
       KeyValueClient store,
       StoreHealth health,
@@ -77,6 +81,7 @@
     super(
         term,
         new Dispatcher(policy, Loop.now(), earlierRunsOverAt, epochMillis),
+        drained,
         loop,
         workers,
         metrics,
@@ -93,6 +98,7 @@
   }
 
   void start() {
+    followDrains();
     loop.after(LOAD_DELAY_MILLIS, this::loadJobs);
     rosterStore.start();
     loop.after(STATUS_MILLIS, this::tellStatus);
@@ -112,9 +118,18 @@
         new LeaderStatus(dispatcher.snapshot(Loop.now()), mayOrder, queued(), load.take());
     metrics.leads(status);
     EventLog.info(LogEvent.LEADER_STATUS, "term={} {}", term(), status);
+    tellShares();
     loop.after(STATUS_MILLIS, this::tellStatus);
   }
 
+  private void tellShares() {
+    Map<ServedShares.Group, Double> shares = dispatcher.servedShares(Loop.now());
+    metrics.servedShares(shares);
+    if (!shares.isEmpty()) {
+      EventLog.info(LogEvent.SERVED_SHARES, "term={} {}", term(), ServedShares.describe(shares));
+    }
+  }
+
   /** Reads the stored jobs, once. */
   private void loadJobs() {
     if (!loading && !isClosed()) {
@@ -193,6 +208,7 @@
   public void close() {
     super.close();
     metrics.leads(LeaderStatus.NONE);
+    metrics.servedShares(Map.of());
     jobStore.close();
     rosterStore.close();
   }
--- a/src/main/java/org/marjoramhoist/entry/LeaderReach.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderReach.java
@@ -2,6 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.marjoramhoist.dispatch.HeardForecast;
+import org.marjoramhoist.dispatch.ReturnForecast;
+import org.marjoramhoist.job.JobId;
 
 /**
  * The leaders that this host can send to, and for how long there has been none: that of the
@@ -11,9 +14,12 @@
  */
 final class LeaderReach {
 
-  /** When callers that no leader was found for may come back. */
+  /** When refused callers may come back if the leader tells nothing. */
   static final long RETRY_MILLIS = 2_000;
 
+  /** How long a failure domain that was found to be cut off may take to elect its leader. */
+  private static final long DOMAIN_ELECTION_MICROS = 1_500_000;
+
   /** How long callers are kept waiting for a leader to be found. */
   private static final long LEADERLESS_MICROS = 1_200_000;
 
@@ -21,8 +27,11 @@
   private final List<Runnable> onDomainLeaderChange = new ArrayList<>();
   private LeaderPort leader;
   private LeaderPort domainLeader;
+  private LeaderPort released;
+  private long domainElectionUntil;
   private long lostAt = Loop.now();
   private boolean hadLeader;
+  private final HeardForecast forecast = new HeardForecast();
 
   /** Runs a task each time that a leader is found, in the order of these calls. */
   void onFound(Runnable task) {
@@ -42,10 +51,44 @@
     if (port == null) {
       lostAt = Loop.now();
     }
+    hadLeader |= port != null;
     domainLeader = port;
     onDomainLeaderChange.forEach(Runnable::run);
   }
 
+  /**
+   * Takes in that the leader of the failure domain has handed over: it takes on no job, and tells
+   * the ends of those that it has.
+   */
+  void releaseDomainLeader() {
+    released = domainLeader;
+    domainLeader = null;
+    lostAt = Loop.now();
+  }
+
+  /** Takes in that a leader that has handed over tells no more ends. */
+  void forgetReleased() {
+    if (released != null) {
+      released = null;
+      onDomainLeaderChange.forEach(Runnable::run);
+    }
+  }
+
+  /** Tells whether a leader of the failure domain has handed over and still has jobs. */
+  boolean isReleased(LeaderPort port) {
+    return port == released;
+  }
+
+  /** Takes in that the failure domain was found to be cut off and elects a leader. */
+  void domainElectionBegins() {
+    domainElectionUntil = Loop.now() + DOMAIN_ELECTION_MICROS;
+  }
+
+  /** Tells whether jobs wait for the failure domain to elect a leader. */
+  boolean awaitsDomainLeader() {
+    return leader == null && domainLeader == null && Loop.now() < domainElectionUntil;
+  }
+
   /** Returns the leader of the failure domain while that is cut off; null if there is none. */
   LeaderPort domainLeader() {
     return domainLeader;
@@ -66,6 +109,20 @@
     }
   }
 
+  /** Takes in what the partition's leader tells about when refused callers may come back. */
+  void heard(ReturnForecast told) {
+    forecast.heard(told, Loop.now());
+  }
+
+  /**
+   * Returns when the caller of a job that this host refuses may come back, in milliseconds.
+   *
+   * @param fallback what it is told without a forecast of late
+   */
+  long retryAfterMillis(JobId id, long fallback) {
+    return forecast.retryAfterMillis(id, fallback, Loop.now());
+  }
+
   /** Returns the partition's leader; null if there is none. */
   LeaderPort leader() {
     return leader;
@@ -78,7 +135,7 @@
 
   /** Tells whether some leader can be reached, or may be soon. */
   boolean mayReach() {
-    return domainLeader != null || mayReachPartition();
+    return domainLeader != null || mayReachPartition() || awaitsDomainLeader();
   }
 
   /** Tells whether a leader is reached, or was until a short time ago. */
--- a/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
+++ b/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
@@ -1,16 +1,22 @@
 package org.marjoramhoist.entry;
 
+import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MultiGauge;
 import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.marjoramhoist.dispatch.DispatchSnapshot;
+import org.marjoramhoist.dispatch.ServedShares;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.log.LogEvent;
 
@@ -35,9 +41,15 @@
     Duration.ofSeconds(5)
   };
 
+  private static final double[] RETRY_BOUNDS = {1, 2, 3, 5, 10, 20};
+
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Set<String> classes = new HashSet<>();
+  private final Set<String> shownDomains = new HashSet<>();
+  private volatile Set<String> drained = Set.of();
+  private final MultiGauge servedShares =
+      MultiGauge.builder("marjoramhoist.leader.served.share").register(registry);
   private volatile LeaderStatus status = LeaderStatus.NONE;
 
   NodeMetrics() {
@@ -54,11 +66,19 @@
     gauge("marjoramhoist.leader.runs.foreign", () -> runs().foreign());
     gauge("marjoramhoist.leader.starts.unanswered", () -> runs().unansweredStarts());
     gauge("marjoramhoist.leader.starts.silent", () -> runs().silentStarts());
+    gauge("marjoramhoist.leader.starts.window", () -> starts().window());
+    gauge("marjoramhoist.leader.starts.ordered", () -> starts().ordered());
+    gauge("marjoramhoist.leader.starts.fast", () -> starts().fast());
+    gauge("marjoramhoist.leader.starts.far", () -> starts().far());
     gauge("marjoramhoist.leader.starts.allowed", () -> flag(status.decisions().startsAllowed()));
     gauge("marjoramhoist.leader.orders.allowed", () -> flag(status.mayOrder()));
+    gauge("marjoramhoist.leader.workers.drained", () -> drain().workers());
+    gauge("marjoramhoist.leader.runs.drained", () -> drain().runs());
+    gauge("marjoramhoist.leader.drains.known", () -> flag(drain().known()));
     gauge("marjoramhoist.leader.settled", () -> flag(status.decisions().settled()));
     gauge("marjoramhoist.leader.jobs.waiting", () -> status.decisions().waitingJobs());
     gauge("marjoramhoist.leader.waiting.micros", () -> status.decisions().waitingMicros());
+    gauge("marjoramhoist.leader.jobs.displaced", () -> status.decisions().displacedJobs());
     gauge("marjoramhoist.leader.events.queued", () -> status.queuedEvents());
     gauge("marjoramhoist.leader.steps.micros", () -> status.load().stepMicros());
     gauge("marjoramhoist.leader.step.longest.micros", () -> status.load().longestStepMicros());
@@ -69,10 +89,18 @@
     return status.decisions().workers();
   }
 
+  private DispatchSnapshot.Starts starts() {
+    return status.decisions().starts();
+  }
+
   private DispatchSnapshot.Runs runs() {
     return status.decisions().runs();
   }
 
+  private DispatchSnapshot.Drain drain() {
+    return status.decisions().drain();
+  }
+
   private static int flag(boolean value) {
     return value ? 1 : 0;
   }
@@ -80,6 +108,21 @@
   /** Takes in how this host fares as leader; {@link LeaderStatus#NONE} if it does not lead. */
   void leads(LeaderStatus next) {
     status = next;
+    next.decisions().shed().keySet().forEach(this::showShed);
+  }
+
+  private void showShed(String requestClass) {
+    Tags tags = Tags.of("class", bounded(requestClass));
+    shedGauge("marjoramhoist.leader.shed.jobs", tags, () -> shed(requestClass).jobs());
+    shedGauge("marjoramhoist.leader.shed.value", tags, () -> shed(requestClass).value());
+  }
+
+  private void shedGauge(String name, Tags tags, Supplier<Number> value) {
+    Gauge.builder(name, value).tags(tags).strongReference(true).register(registry);
+  }
+
+  private DispatchSnapshot.Shed shed(String requestClass) {
+    return status.decisions().shed().getOrDefault(requestClass, new DispatchSnapshot.Shed(0, 0));
   }
 
   /** Takes in the end of a job whose caller waited at this host. */
@@ -92,6 +135,25 @@
         .record(micros, TimeUnit.MICROSECONDS);
   }
 
+  /** Takes in the served shares of groups of callers, which replace those told before. */
+  void servedShares(Map<ServedShares.Group, Double> shares) {
+    List<MultiGauge.Row<?>> rows = new ArrayList<>();
+    shares.forEach(
+        (group, share) -> {
+          Tags tags = Tags.of("domain", group.origin(), "class", group.requestClass());
+          rows.add(MultiGauge.Row.of(tags, share));
+        });
+    servedShares.register(rows, true);
+  }
+
+  /** Takes in when a refused caller was told to come back. */
+  void retryTold(long seconds) {
+    DistributionSummary.builder("marjoramhoist.retry.after.seconds")
+        .serviceLevelObjectives(RETRY_BOUNDS)
+        .register(registry)
+        .record(seconds);
+  }
+
   private String bounded(String requestClass) {
     if (classes.size() >= MAX_CLASSES && !classes.contains(requestClass)) {
       return OTHER;
@@ -110,6 +172,19 @@
     registry.counter("marjoramhoist.orders", "kind", kind, "result", result).increment();
   }
 
+  /** Takes in which failure domains are drained; those that no longer are stay, with 0. */
+  void drained(Set<String> domains) {
+    drained = Set.copyOf(domains);
+    for (String domain : domains) {
+      if (shownDomains.add(domain)) {
+        Gauge.builder("marjoramhoist.domain.drained", () -> flag(drained.contains(domain)))
+            .tags(Tags.of("domain", domain))
+            .strongReference(true)
+            .register(registry);
+      }
+    }
+  }
+
   /** Shows a number that is read when it is asked for. */
   void gauge(String name, Supplier<Number> value) {
     Gauge.builder(name, value).strongReference(true).register(registry);
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.marjoramhoist.dispatch.SchedulingPolicy;
+import org.marjoramhoist.dispatch.TimeLimits;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
@@ -50,11 +52,17 @@
   private final Map<JobId, OpenJob> open = new LinkedHashMap<>();
   private final RecentEnds recent = new RecentEnds();
   private final LeaderReach reach;
-  private final IntakeGate intake = new IntakeGate();
+  private final IntakeGate intake;
 
-  /** Creates an empty set, whose jobs are sent to each leader that is found. */
+  /** Creates an empty set with the default scheduling. */
   OpenJobs(LeaderReach reach) {
+    this(reach, SchedulingPolicy.DEFAULT);
+  }
+
+  /** Creates an empty set, whose jobs are sent to each leader that is found. */
+  OpenJobs(LeaderReach reach, SchedulingPolicy scheduling) {
     this.reach = reach;
+    this.intake = new IntakeGate(scheduling);
     reach.onFound(() -> List.copyOf(open.values()).forEach(this::send));
     reach.onDomainLeaderChange(this::domainLeaderChanged);
   }
@@ -92,11 +100,11 @@
     }
     OpenJob entry = new OpenJob(job, requestClass, arrivedAt, deadline);
     entry.callers.add(caller);
-    if (!reach.mayReach()) {
+    if (!reach.mayReach() || isHopeless(entry)) {
       answer(entry, notSent(job.id()));
       return;
     }
-    if (reach.leader() != null && !intake.admits()) {
+    if (reach.leader() != null && !intake.admits(job, requestClass, Loop.now())) {
       answer(entry, notAdmitted(job.id()));
       return;
     }
@@ -104,12 +112,25 @@
     send(entry);
   }
 
-  private static Finished notSent(JobId id) {
-    return new Finished(id, JobOutcome.REFUSED, "no leader is reached", LeaderReach.RETRY_MILLIS);
+  private static boolean isUnsent(OpenJob entry) {
+    return entry.sentTerm == 0 && entry.domainLeader == null;
+  }
+
+  /** Tells whether a job would be of no use even if the failure domain had its leader now. */
+  private boolean isHopeless(OpenJob entry) {
+    return reach.awaitsDomainLeader()
+        && !TimeLimits.canStillEnd(
+            entry.job, entry.requestClass, entry.arrivedAt, entry.deadline, Loop.now());
+  }
+
+  private Finished notSent(JobId id) {
+    long retry = reach.retryAfterMillis(id, LeaderReach.RETRY_MILLIS);
+    return new Finished(id, JobOutcome.REFUSED, "no leader is reached", retry);
   }
 
-  private static Finished notAdmitted(JobId id) {
-    long retry = LeaderReach.RETRY_MILLIS + Math.floorMod(id.hashCode(), LeaderReach.RETRY_MILLIS);
+  private Finished notAdmitted(JobId id) {
+    long spread = Math.floorMod(id.hashCode(), LeaderReach.RETRY_MILLIS);
+    long retry = reach.retryAfterMillis(id, LeaderReach.RETRY_MILLIS + spread);
     return new Finished(id, JobOutcome.REFUSED, "the leader is overloaded", retry);
   }
 
@@ -153,7 +174,9 @@
     LeaderPort present = reach.domainLeader();
     for (OpenJob entry : List.copyOf(open.values())) {
       boolean elsewhere =
-          entry.domainLeader != null ? entry.domainLeader != present : entry.sentTerm != 0;
+          entry.domainLeader != null
+              ? entry.domainLeader != present && !reach.isReleased(entry.domainLeader)
+              : entry.sentTerm != 0;
       if (elsewhere && (present != null || entry.domainLeader != null)) {
         giveUp(entry, "its leader is cut off");
       } else {
@@ -210,6 +233,15 @@
     }
   }
 
+  /** Takes in that a leader of the failure domain which hands over has not begun a job. */
+  void returnedByDomainLeader(JobId id) {
+    OpenJob entry = open.get(id);
+    if (entry != null && entry.domainLeader != null) {
+      entry.domainLeader = null;
+      send(entry);
+    }
+  }
+
   private void answer(OpenJob entry, Finished end) {
     open.remove(entry.job.id());
     Finished told = recent.honest(end, Loop.now());
@@ -232,7 +264,7 @@
         JobOutcome outcome = outcomeUnheard(entry);
         withdraw(entry);
         answer(entry, new Finished(entry.job.id(), outcome, "deadline passed", 0));
-      } else if (entry.sentTerm == 0 && entry.domainLeader == null && !reach.mayReach()) {
+      } else if (isUnsent(entry) && (!reach.mayReach() || isHopeless(entry))) {
         answer(entry, notSent(entry.job.id()));
       }
     }
--- a/src/main/java/org/marjoramhoist/entry/Partition.java
+++ b/src/main/java/org/marjoramhoist/entry/Partition.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.marjoramhoist.dispatch.ReturnForecast;
 import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.lead.Election;
 import org.marjoramhoist.lead.ElectionAction;
@@ -47,12 +48,14 @@
   private final StoreLink store;
   private final StoreHealth health;
   private final ConfigWatch config;
+  private final DrainedDomains drained;
   private final LeaderReach reach;
   private final OpenJobs jobs;
   private final JobCalls calls;
   private final Function<ElectionAction.Lead, LeaderDuty> duties;
   private final IsolatedDomain domain;
   private final IsolationDetector isolation;
+  private final DomainCutCheck cutCheck;
   private final DomainLists domainLists = new DomainLists();
   private Intake intake = new Intake();
   private FrameNetwork network;
@@ -94,6 +97,7 @@
       StoreLink store,
       StoreHealth health,
       ConfigWatch config,
+      DrainedDomains drained,
       LeaderReach reach,
       OpenJobs jobs,
       JobCalls calls,
@@ -106,18 +110,22 @@
     this.store = store;
     this.health = health;
     this.config = config;
+    this.drained = drained;
     this.reach = reach;
     this.jobs = jobs;
     this.calls = calls;
     this.domain = domain;
     this.isolation = new IsolationDetector(health::hasAnsweredSince);
+    this.cutCheck = new DomainCutCheck(self, loop, election, store, isolation, domain::isolated);
     this.duties = duties;
   }
 
   void start(FrameNetwork peers) {
     network = peers;
     domain.start(peers);
+    cutCheck.start(peers);
     loop.every(TICK_MILLIS, () -> take(new ElectionEvent.Tick()));
+    loop.every(TICK_MILLIS, cutCheck::tick);
     loop.every(HEARTBEAT_MILLIS, this::beat);
   }
 
@@ -280,9 +288,18 @@
     }
     double share = intake.next(duty.meanDelayMicros());
     jobs.setIntake(share);
+    ReturnForecast returns = duty.returnForecast(share);
+    reach.heard(returns);
     followers.beat(
         new Heartbeat(
-            duty.term(), self, config.current().version(), duty.waiting(), share, Loop.now()));
+            duty.term(),
+            self,
+            config.current().version(),
+            drained.revision(),
+            duty.waiting(),
+            share,
+            Loop.now(),
+            returns));
     handOverIfDue();
   }
 
@@ -324,7 +341,7 @@
   }
 
   private void fromFollower(String host, HostMessage message) {
-    if (duty == null) {
+    if (duty == null || drained.received(message, answer -> followers.send(host, answer))) {
       return;
     }
     if (message instanceof HeartbeatReply reply) {
@@ -335,6 +352,7 @@
       succession.follows(host, reply.mayLead(), Loop.now());
       take(new ElectionEvent.HeartbeatConfirmed(host, reply.heartbeatSentAt()));
       askForConfig(reply.configVersion(), answer -> followers.send(host, answer));
+      drained.compare(reply.drainRevision(), query -> followers.send(host, query));
     } else if (message instanceof ConfigCopy copy) {
       config.offer(copy.text(), "host " + host);
     } else if (message instanceof ConfigQuery) {
@@ -352,6 +370,9 @@
 
   @Override
   public void received(FrameLink link, HostMessage message) {
+    if (drained.received(message, link::send)) {
+      return;
+    }
     if (domain.isFor(link, message)) {
       domain.received(link, message);
     } else if (message instanceof Heartbeat heartbeat) {
@@ -385,6 +406,7 @@
       domain.partitionLeaderHeard();
       waiting = heartbeat.waiting();
       jobs.setIntake(heartbeat.intake());
+      reach.heard(heartbeat.returns());
       if (!isLeaderLink(link)) {
         EventLog.info(
             LogEvent.LEADER_CHANGED, "leader={} term={}", heartbeat.host(), heartbeat.term());
@@ -394,11 +416,13 @@
       }
       askForConfig(heartbeat.configVersion(), link::send);
     }
+    drained.compare(heartbeat.drainRevision(), link::send);
     link.send(
         new HeartbeatReply(
             election.knownTerm(),
             self,
             config.current().version(),
+            drained.revision(),
             health.isServed() && !retiring,
             heartbeat.sentAt()));
   }
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -2,10 +2,13 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -48,6 +51,15 @@
   private static final long STORE_ANSWER = 4 * MILLI;
   private static final long STORE_RETRY = 100 * MILLI;
 
+  /** How long leaders take to hear that a drain has begun or ended. */
+  private static final long DRAIN_HEARD = 300 * MILLI;
+
+  /** From this long after a drain began nothing may start in its failure domain. */
+  private static final long DRAIN_BOUND = 5_000 * MILLI;
+
+  /** How long a local leader that has handed over looks after its runs. */
+  private static final long RELEASE = 1_000_000;
+
   /** When a leader takes an entry host for lost that it does not hear any more. */
   private static final long LOST_AFTER = 1_000_000;
 
@@ -55,7 +67,10 @@
   private static final long RESENT_AFTER = 1_300_000;
 
   private static final String ENTRY = "entry";
-  private static final DispatchPolicy POLICY = new DispatchPolicy(980, 1.5, 250, 120_000);
+  private static final int ORIGINS = 3;
+
+  /** The policy of the leaders of a fleet that is given none. */
+  static final DispatchPolicy POLICY = new DispatchPolicy(980, 1.5, 250, 120_000);
 
   /**
    * A job that was handed in.
@@ -73,7 +88,13 @@
       double taskMicros,
       long objectiveMicros,
       long arrivedAt,
-      long deadline) {}
+      long deadline) {
+    /** Returns the work of the job at speed 1. */
+    double coreSeconds() {
+      StepSpec step = job.steps().get(0);
+      return step.count() * step.need().cpuMillis() * taskMicros / 1e9;
+    }
+  }
 
   /** How a job ended, and when. */
   record Ended(JobOutcome outcome, long at, String reason) {}
@@ -90,10 +111,11 @@
     private final Set<String> led;
 
     /** Begins a term of leading a failure domain that is cut off. */
-    private Term(long token, Set<String> led) {
+    private Term(long token, Set<String> led, DispatchPolicy policy) {
       this.token = token;
       this.led = led;
-      this.dispatcher = new Dispatcher(POLICY.forDomain(), time.now(), time.now(), 0);
+      this.dispatcher = new Dispatcher(policy, time.now(), time.now(), 0);
+      tellDrains();
       take(new DispatchEvent.RosterLoaded(listedWorkers()));
       take(new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
     }
@@ -102,11 +124,16 @@
       this.led = Set.of();
       this.token = token;
       final int ordinal = jobStore.claim(token);
-      this.dispatcher = new Dispatcher(POLICY, time.now(), time.now() + EARLIER_RUNS, 0);
+      this.dispatcher = new Dispatcher(policy, time.now(), time.now() + EARLIER_RUNS, 0);
+      tellDrains();
       time.after(STORE_ANSWER, () -> load(ordinal));
       time.after(STORE_ANSWER, this::loadRoster);
     }
 
+    private void tellDrains() {
+      take(new DispatchEvent.DomainsDrained(drained));
+    }
+
     private boolean isLocal() {
       return !led.isEmpty();
     }
@@ -173,6 +200,7 @@
     private void tick() {
       if (!over) {
         take(new DispatchEvent.Tick());
+        usage.note(dispatcher.snapshot(time.now()));
         time.after(TICK, this::tick);
       }
     }
@@ -186,6 +214,7 @@
   }
 
   private final VirtualTime time = new VirtualTime(START);
+  private final DispatchPolicy policy;
   private final VirtualNetwork network;
   private final Map<String, LeasedWorker> workers = new LinkedHashMap<>();
   private final Map<JobId, Offered> offered = new LinkedHashMap<>();
@@ -196,6 +225,7 @@
   private final Map<TaskRef, Set<RunRef>> atWork = new HashMap<>();
   private final Set<JobId> begun = new HashSet<>();
   private final Map<TaskRef, Integer> doneRuns = new HashMap<>();
+  private final CapacityUse usage = new CapacityUse();
   private final List<String> breaches = new ArrayList<>();
   private final Set<JobId> handedAgain = new HashSet<>();
   private final Set<JobId> localJobs = new HashSet<>();
@@ -203,12 +233,24 @@
   private final Map<JobId, Long> handAgainAt = new HashMap<>();
   private Term term;
   private Term local;
+  private final Map<String, Long> drainedSince = new HashMap<>();
+
+  /** The failure domains that hosts know to be drained. */
+  private Set<String> drained = Set.of();
+
+  private Term releasing;
+  private final Set<JobId> returned = new LinkedHashSet<>();
   private Set<String> cut = Set.of();
   private Set<String> domain = Set.of();
   private long tokens;
 
   DispatchFleet(long seed) {
-    network = new VirtualNetwork(time, seed);
+    this(seed, POLICY);
+  }
+
+  DispatchFleet(long seed, DispatchPolicy policy) {
+    this.policy = policy;
+    this.network = new VirtualNetwork(time, seed);
   }
 
   LeasedWorker addWorker(WorkerInfo info, double slowness) {
@@ -221,6 +263,21 @@
     return List.copyOf(workers.values());
   }
 
+  /** Drains a failure domain, or ends that; leaders hear of it after a time. */
+  void setDrained(String failureDomain, boolean on) {
+    if (on) {
+      drainedSince.putIfAbsent(failureDomain, time.now());
+    } else {
+      drainedSince.remove(failureDomain);
+    }
+    time.after(DRAIN_HEARD, this::drainsHeard);
+  }
+
+  private void drainsHeard() {
+    drained = Set.copyOf(drainedSince.keySet());
+    term.tellDrains();
+  }
+
   /** Makes a share of the orders go unanswered and be carried out seconds later. */
   void setLateOrders(double share) {
     network.lateOrders = share;
@@ -311,11 +368,42 @@
     if (domain.isEmpty() || hasLocalLeader()) {
       return;
     }
-    local = new Term(term.token, domain);
+    beginLocal(POLICY.forDomain(), Set.of());
+  }
+
+  private void beginLocal(DispatchPolicy policy, Set<JobId> kept) {
+    local = new Term(term.token, domain, policy);
+    local.take(new DispatchEvent.HandedOver(kept));
     local.list();
     local.tick();
   }
 
+  /**
+   * Lets the leader of the cut workers hand over to another one, which has what it has not begun;
+   * it looks after the rest for a time.
+   */
+  void handOverLocal() {
+    if (domain.isEmpty() || !hasLocalLeader() || releasing != null && !releasing.over) {
+      return;
+    }
+    Term ending = local;
+    releasing = ending;
+    boolean uses = ending.dispatcher.usesWorkers();
+    ending.take(new DispatchEvent.HandingOver("handed over"));
+    Set<JobId> kept = ending.dispatcher.jobsAtWork();
+    beginLocal(uses ? POLICY.forDomainSuccessor() : POLICY.forDomain(), kept);
+    returned.forEach(id -> hand(offered.get(id)));
+    returned.clear();
+    time.after(RELEASE, () -> endReleasing(ending));
+  }
+
+  private void endReleasing(Term ending) {
+    if (!ending.over) {
+      ending.take(new DispatchEvent.TermEnded("handed over"));
+      ending.over = true;
+    }
+  }
+
   /** Tells whether workers that are cut off have a leader of their own. */
   boolean hasLocalLeader() {
     return local != null && !local.over;
@@ -329,10 +417,30 @@
     if (ending != null) {
       time.after(micros, () -> endLocal(ending));
     }
+    Term handedOver = releasing;
+    if (handedOver != null) {
+      time.after(micros, () -> endReleasing(handedOver));
+    }
   }
 
   private void endLocal(Term ending) {
     ending.take(new DispatchEvent.TermEnded("the cut is healed"));
+    localLost(ending);
+  }
+
+  /** Kills the leader of the cut workers and the one that hands over to it, and elects another. */
+  void restartLocal() {
+    if (!hasLocalLeader()) {
+      return;
+    }
+    if (releasing != null) {
+      releasing.over = true;
+    }
+    localLost(local);
+    electLocal();
+  }
+
+  private void localLost(Term ending) {
     ending.over = true;
     if (local == ending) {
       local = null;
@@ -422,7 +530,8 @@
             ENTRY,
             job.arrivedAt(),
             job.deadline(),
-            generations.getOrDefault(job.job().id(), 0)));
+            generations.getOrDefault(job.job().id(), 0),
+            "d-" + Math.floorMod(job.job().id().hashCode(), ORIGINS)));
   }
 
   VirtualTime time() {
@@ -455,8 +564,8 @@
       stop(from, stop);
     } else if (action instanceof DispatchAction.Renew renew) {
       renew(from, renew);
-    } else if (action instanceof DispatchAction.Finish finish && from == local) {
-      finishedLocally(finish);
+    } else if (action instanceof DispatchAction.Finish finish && from.isLocal()) {
+      finishedLocally(from, finish);
     } else if (action instanceof DispatchAction.Finish finish && from == term) {
       finished(finish);
     } else if (action instanceof DispatchAction.Store changes) {
@@ -473,8 +582,12 @@
   }
 
   /** What a domain's leader gives up is handed in again later, and what it refused at once. */
-  private void finishedLocally(DispatchAction.Finish finish) {
+  private void finishedLocally(Term from, DispatchAction.Finish finish) {
     JobId id = finish.job();
+    if (from == releasing && finish.outcome() == JobOutcome.REFUSED) {
+      returned.add(id);
+      return;
+    }
     localJobs.remove(id);
     finished(finish);
     boolean refused = finish.outcome() == JobOutcome.REFUSED;
@@ -519,7 +632,7 @@
     StepSpec step = job.job().steps().get(task.step());
     boolean far =
         !step.preferredRack().isEmpty() && !step.preferredRack().equals(worker.info().rack());
-    double micros = job.taskMicros() * (far ? POLICY.farFactor() : 1);
+    double micros = job.taskMicros() * (far ? policy.farFactor() : 1);
     return worker.start(start.run(), step.need(), micros, start.leaseUntilMillis(), token);
   }
 
@@ -555,6 +668,10 @@
   @Override
   public void began(LeasedWorker worker, RunRef run) {
     begun.add(run.task().job());
+    Long since = drainedSince.get(worker.info().failureDomain());
+    if (since != null && time.now() - since > DRAIN_BOUND) {
+      breaches.add("run " + run + " begins in a drained domain");
+    }
     Set<RunRef> running = atWork.computeIfAbsent(run.task(), key -> new HashSet<>());
     if (!running.isEmpty()) {
       breaches.add("task " + run.task() + " begins as " + run + " while " + running + " run");
@@ -590,14 +707,25 @@
         .toList();
   }
 
+  /** Returns how much of the capacity was in use while jobs waited. */
+  CapacityUse usage() {
+    return usage;
+  }
+
+  /** Returns the jobs that were handed in. */
+  Collection<Offered> offered() {
+    return Collections.unmodifiableCollection(offered.values());
+  }
+
   /** Returns the share of the jobs that ended with success within their objective. */
   double shareInTime() {
-    long inTime =
-        offered.values().stream().filter(job -> isInTime(job, ends.get(job.job().id()))).count();
+    long inTime = offered.values().stream().filter(this::isInTime).count();
     return (double) inTime / offered.size();
   }
 
-  private static boolean isInTime(Offered job, Ended end) {
+  /** Tells whether a job ended with success within its objective. */
+  boolean isInTime(Offered job) {
+    Ended end = ends.get(job.job().id());
     return end != null
         && end.outcome() == JobOutcome.SUCCEEDED
         && end.at() - job.arrivedAt() <= job.objectiveMicros();
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -62,6 +62,14 @@
   DOMAIN_LEADER_STEPPED_DOWN(3109),
   /** Another host leads this host's failure domain, which is cut off. */
   DOMAIN_LEADER_FOUND(3110),
+  /** This host has started behind a cut and was told the hosts and workers of its domain. */
+  DOMAIN_STATE_LEARNED(3114),
+  /** This host led its failure domain and stops; another host is to lead it. */
+  DOMAIN_LEADER_HANDS_OVER(3115),
+  /** This host found its failure domain cut off from the other hosts and the store. */
+  DOMAIN_CUT_OFF(3116),
+  /** What share of their entitlement groups of callers lately got, about once a second. */
+  SERVED_SHARES(3120),
   /** A submission was accepted. */
   JOB_ACCEPTED(4001),
   /** A submission was refused. */
@@ -110,12 +118,18 @@
   WORKER_LEAVING(4204),
   /** Workers joined the list or left it. */
   WORKERS_CHANGED(4205),
+  /** No task is at work on the workers of a drained failure domain, as far as the leader knows. */
+  DOMAIN_IDLE(4206),
   /** A configuration revision is in force at this host. */
   CONFIG_APPLIED(5001),
   /** An older configuration revision was refused. */
   CONFIG_OLDER_REFUSED(5002),
   /** A stored resource can't be read and was left out. */
   CONFIG_RESOURCE_INVALID(5003),
+  /** The operator drains a failure domain; this host knows. */
+  DOMAIN_DRAINED(5004),
+  /** The operator no longer drains a failure domain; this host knows. */
+  DOMAIN_RESTORED(5005),
   /** The store can't be reached. */
   STORE_DOWN(6001),
   /** The store can be reached again. */
--- a/src/main/java/org/marjoramhoist/message/HostMessage.java
+++ b/src/main/java/org/marjoramhoist/message/HostMessage.java
@@ -4,8 +4,10 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.marjoramhoist.dispatch.CallKind;
 import org.marjoramhoist.dispatch.CallResult;
+import org.marjoramhoist.dispatch.ReturnForecast;
 import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
@@ -33,9 +35,13 @@
   @JsonSubTypes.Type(value = HostMessage.LeaderQueryReply.class, name = "p"),
   @JsonSubTypes.Type(value = HostMessage.ConfigQuery.class, name = "c"),
   @JsonSubTypes.Type(value = HostMessage.ConfigCopy.class, name = "d"),
+  @JsonSubTypes.Type(value = HostMessage.DrainQuery.class, name = "x"),
+  @JsonSubTypes.Type(value = HostMessage.DrainCopy.class, name = "y"),
   @JsonSubTypes.Type(value = HostMessage.DomainWorkers.class, name = "u"),
   @JsonSubTypes.Type(value = HostMessage.DomainHeartbeat.class, name = "l"),
-  @JsonSubTypes.Type(value = HostMessage.DomainHeartbeatReply.class, name = "m")
+  @JsonSubTypes.Type(value = HostMessage.DomainHeartbeatReply.class, name = "m"),
+  @JsonSubTypes.Type(value = HostMessage.DomainState.class, name = "n"),
+  @JsonSubTypes.Type(value = HostMessage.DomainHandOver.class, name = "g")
 })
 public sealed interface HostMessage {
 
@@ -45,18 +51,29 @@
    * @param term its term
    * @param host the leader
    * @param configVersion the version of the configuration in force at the leader
+   * @param drainRevision the store revision as of which the leader knows the drained failure
+   *     domains; 0 if it does not
    * @param waiting jobs without a started task, by the name of their class
    * @param intake the share of the new jobs that hosts are to send on, from 0 to 1
    * @param sentAt when it was sent, on the leader's steady clock in microseconds
+   * @param returns when callers that hosts refuse may come back
    */
   record Heartbeat(
       long term,
       String host,
       long configVersion,
+      long drainRevision,
       Map<String, Integer> waiting,
       double intake,
-      long sentAt)
-      implements HostMessage {}
+      long sentAt,
+      ReturnForecast returns)
+      implements HostMessage {
+
+    /** Creates a heartbeat; one of an earlier version has no forecast. */
+    public Heartbeat {
+      returns = returns == null ? ReturnForecast.NONE : returns;
+    }
+  }
 
   /**
    * Answers a heartbeat.
@@ -64,11 +81,18 @@
    * @param term the highest term that the sender knows of
    * @param host the sender
    * @param configVersion the version of the configuration in force at the sender
+   * @param drainRevision the store revision as of which the sender knows the drained failure
+   *     domains; 0 if it does not
    * @param mayLead whether the sender could lead: the store answers it, and it is not stopping
    * @param heartbeatSentAt the time that the heartbeat carried
    */
   record HeartbeatReply(
-      long term, String host, long configVersion, boolean mayLead, long heartbeatSentAt)
+      long term,
+      String host,
+      long configVersion,
+      long drainRevision,
+      boolean mayLead,
+      long heartbeatSentAt)
       implements HostMessage {}
 
   /**
@@ -161,6 +185,17 @@
   /** Passes on the text of a configuration as the operator wrote it. */
   record ConfigCopy(String text) implements HostMessage {}
 
+  /** Asks for the drained failure domains, if the receiver knows them as of a later revision. */
+  record DrainQuery(long newerThan) implements HostMessage {}
+
+  /**
+   * Passes on which failure domains are drained.
+   *
+   * @param revision the store revision as of which they are
+   * @param domains the drained domains
+   */
+  record DrainCopy(long revision, Set<String> domains) implements HostMessage {}
+
   /** Tells a host the workers of its failure domain, in case that is cut off. */
   record DomainWorkers(List<WorkerInfo> workers) implements HostMessage {}
 
@@ -168,16 +203,65 @@
    * Says that a host stands as leader of its failure domain, or leads it.
    *
    * @param host the candidate
+   * @param failureDomain its failure domain
    * @param leads whether it leads already
+   * @param drainRevision the store revision as of which it knows the drained failure domains; 0 if
+   *     it does not
    * @param sentAt when it was sent, on the candidate's steady clock in microseconds
    */
-  record DomainHeartbeat(String host, boolean leads, long sentAt) implements HostMessage {}
+  record DomainHeartbeat(
+      String host, String failureDomain, boolean leads, long drainRevision, long sentAt)
+      implements HostMessage {}
 
   /**
    * Answers a candidate's heartbeat.
    *
    * @param accepts whether the sender accepts the candidate
+   * @param mayLead whether the sender could take over from the candidate: it is not stopping
+   * @param lacksState whether the sender knows no host, as it has started behind the cut
+   * @param drainRevision the store revision as of which the sender knows the drained failure
+   *     domains; 0 if it does not
    * @param heartbeatSentAt the time that the heartbeat carried
    */
-  record DomainHeartbeatReply(boolean accepts, long heartbeatSentAt) implements HostMessage {}
+  record DomainHeartbeatReply(
+      boolean accepts,
+      boolean mayLead,
+      boolean lacksState,
+      long drainRevision,
+      long heartbeatSentAt)
+      implements HostMessage {}
+
+  /**
+   * Tells a host that has started behind a cut what the other hosts of its failure domain know.
+   *
+   * @param term the highest term that the sender knows of
+   * @param leader the partition's leader of that term
+   * @param hosts the hosts that the sender knows, those of other failure domains included
+   * @param workers the workers of the failure domain
+   * @param config the text of the configuration as the operator wrote it; empty if none is known
+   */
+  record DomainState(
+      long term, String leader, List<KnownHost> hosts, List<WorkerInfo> workers, String config)
+      implements HostMessage {}
+
+  /**
+   * A host as another one knows it.
+   *
+   * @param name its name
+   * @param address its peer address
+   * @param failureDomain its failure domain
+   * @param startsPerSecond what it could carry as leader
+   */
+  record KnownHost(String name, String address, String failureDomain, long startsPerSecond) {}
+
+  /**
+   * Says that the leader of a failure domain stops and starts nothing more; its hosts are free to
+   * accept its successor.
+   *
+   * @param successor the host that is to lead
+   * @param usesWorkers whether the workers were found free of other leaders' runs
+   * @param kept the jobs that the sender still has runs of; told to the successor only
+   */
+  record DomainHandOver(String successor, boolean usesWorkers, List<JobId> kept)
+      implements HostMessage {}
 }
--- a/src/test/java/org/marjoramhoist/entry/IsolatedDomainTest.java
+++ b/src/test/java/org/marjoramhoist/entry/IsolatedDomainTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.dispatch.DispatchPolicy;
 import org.marjoramhoist.lead.DomainElection;
+import org.marjoramhoist.lead.Election;
 import org.marjoramhoist.lead.ElectionPolicy;
 import org.marjoramhoist.lead.HostCapacity;
 
@@ -23,6 +24,7 @@
 
   private final AtomicLong wallMillis = new AtomicLong(1_000_000);
   private final LeaderReach reach = new LeaderReach();
+  private final DrainedDomains drained = new DrainedDomains();
   private IsolatedDomain domain;
 
   private IsolatedDomain create() {
@@ -33,16 +35,19 @@
     return new IsolatedDomain(
         "a",
         loop,
-        new DomainElection("a", TIMES),
+        new DomainElection("a", TIMES, 0),
+        new DomainKnowledge(new Election("a", 7, TIMES, 0), link, new ConfigWatch()),
         link,
         reach,
         new OpenJobs(reach),
+        drained,
         new SuspensionDetector(wallMillis::get, () -> 0),
-        () ->
+        handedOver ->
             new DomainDuty(
                 5,
-                new DispatchPolicy(980, 1.5, 250, 120_000),
+                new DispatchPolicy(980, 1.5, 250, 120_000).forDomain(),
                 List.of(),
+                drained,
                 loop,
                 null,
                 new NodeMetrics(),
