A failure domain's leader refuses what its workers could never run

Change: a host that knows no workers of its domain is no candidate and takes no hand-over; the candidate that it accepts tells it the workers. The leader of a domain refuses, and doesn't fail, a job that none of its workers could run.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -291,12 +291,24 @@
     if (job.isComplete()) {
       end(job, JobOutcome.SUCCEEDED, "completed under a previous leader", now, out);
     } else if (!job.started && workerRegistry.canNeverRun(job.description(), job.requestClass())) {
-      end(job, JobOutcome.FAILED, "no worker can run it", now, out);
+      endImpossible(job, now, out);
     } else if (!refuseIfUnservable(job, now, out)) {
       allocationDue = true;
     }
   }
 
+  /**
+   * Ends a job that no known worker could ever run. The leader of a failure domain does not know
+   * the workers of other domains, so it only refuses the job.
+   */
+  private void endImpossible(Job job, long now, List<DispatchAction> out) {
+    if (guard == null) {
+      end(job, JobOutcome.FAILED, "no worker can run it", now, out);
+    } else {
+      end(job, JobOutcome.REFUSED, "no worker of the failure domain can run it", now, out);
+    }
+  }
+
   /** Refuses a job that has not started and that only drained failure domains could run. */
   private boolean refuseIfUnservable(Job job, long now, List<DispatchAction> out) {
     boolean mayRefuse = !job.started && !job.isDurable();
--- a/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
+++ b/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
@@ -103,6 +103,7 @@
     this.drained = drained;
     this.suspension = suspension;
     this.leaderships = leaderships;
+    election.setKnowsWorkers(false);
   }
 
   void start(FrameNetwork peers) {
@@ -119,6 +120,7 @@
   /** Sets the workers of the failure domain. */
   void setWorkers(List<WorkerInfo> list) {
     workers = List.copyOf(list);
+    election.setKnowsWorkers(!workers.isEmpty());
   }
 
   /** Handles the detection that this host's failure domain is isolated. */
@@ -377,8 +379,8 @@
     link.send(
         new DomainHeartbeatReply(
             accepted,
-            !shuttingDown,
-            sameDomain && stateTransfer.needsState(),
+            election.mayLead(),
+            sameDomain && (stateTransfer.needsState() || workers.isEmpty()),
             drained.revision(),
             heartbeat.sentAt()));
     if (link == leaderLink) {
@@ -389,7 +391,7 @@
   }
 
   private void adoptState(DomainState state) {
-    if (stateTransfer.adopt(state)) {
+    if (stateTransfer.adopt(state) || workers.isEmpty()) {
       setWorkers(state.workers());
     }
   }
--- a/src/main/java/org/marjoramhoist/lead/DomainElection.java
+++ b/src/main/java/org/marjoramhoist/lead/DomainElection.java
@@ -16,7 +16,8 @@
  * <p>Invariants: a host accepts one candidate at a time. It accepts another only if the first has
  * handed over, or has sent no heartbeat for longer than it may lead without this host's
  * confirmation. No host is a candidate, leads or is accepted while the partition's leader is in
- * contact. A leader that hands over starts no more runs. Confined to one thread.
+ * contact. A host that knows no workers is no candidate. A leader that hands over starts no more
+ * runs. Confined to one thread.
  */
 public final class DomainElection {
 
@@ -49,6 +50,7 @@
   private long isolatedSince;
   private long lastIsolatedAt;
   private boolean shuttingDown;
+  private boolean knowsWorkers = true;
   private boolean storeReachedSinceStart;
   private long partitionLeaderActiveAt = NEVER_MICROS;
   private String acceptedCandidate = "";
@@ -104,6 +106,11 @@
     shuttingDown = true;
   }
 
+  /** Sets whether this host knows workers of its domain. */
+  public void setKnowsWorkers(boolean knows) {
+    knowsWorkers = knows;
+  }
+
   /** Records that the store has answered this host since its process started. */
   public void markStoreReached() {
     storeReachedSinceStart = true;
@@ -174,7 +181,7 @@
     }
     acceptedCandidate = successor;
     acceptedAt = now;
-    boolean becomesCandidate = successor.equals(self) && !shuttingDown && isIsolated(now);
+    boolean becomesCandidate = successor.equals(self) && mayLead() && isIsolated(now);
     return becomesCandidate ? startCandidacy(now) : List.of();
   }
 
@@ -237,10 +244,15 @@
     return !storeReachedSinceStart && silent && settled;
   }
 
+  /** Returns whether this host could lead its domain if the domain is isolated. */
+  public boolean mayLead() {
+    return !shuttingDown && knowsWorkers;
+  }
+
   private boolean canStartCandidacy(long now) {
     boolean leaderless =
         acceptedCandidate.isEmpty() || now - acceptedAt > timeouts.suspicionTimeoutMicros();
-    return !shuttingDown
+    return mayLead()
         && isIsolated(now)
         && leaderless
         && now >= nextCandidacyAt
--- a/src/test/java/org/marjoramhoist/dispatch/DomainDispatchTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DomainDispatchTest.java
@@ -27,12 +27,7 @@
   @BeforeEach
   void startTerm() {
     List<WorkerInfo> workers = List.of(worker("w", 4_000, false), worker("x", 4_000, false));
-    dispatcher = new Dispatcher(POLICY.forDomain(), now, now, 0);
-    step(0, new DispatchEvent.DomainsDrained(Set.of()));
-    step(0, new DispatchEvent.RosterLoaded(workers));
-    step(0, new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
-    step(0, new DispatchEvent.WorkersListed(workers));
-    actions.clear();
+    beginTermWith(workers);
   }
 
   private JobId submit(int tasks) {
@@ -80,6 +75,32 @@
     }
   }
 
+  private void beginTermWith(List<WorkerInfo> workers) {
+    dispatcher = new Dispatcher(POLICY.forDomain(), now, now, 0);
+    step(0, new DispatchEvent.DomainsDrained(Set.of()));
+    step(0, new DispatchEvent.RosterLoaded(workers));
+    step(0, new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
+    step(0, new DispatchEvent.WorkersListed(workers));
+    actions.clear();
+  }
+
+  @Test
+  void refusesJobsIfItKnowsNoWorkers() {
+    beginTermWith(List.of());
+    submit(1);
+    DispatchAction.Finish finish = takeActions(DispatchAction.Finish.class).get(0);
+    assertThat(finish.outcome()).isEqualTo(JobOutcome.REFUSED);
+    assertThat(finish.retryAfterMillis()).isGreaterThan(0);
+  }
+
+  @Test
+  void refusesJobThatOnlyWorkersOfOtherDomainsMayRun() {
+    beginTermWith(List.of(worker("w", 500, false)));
+    submit(1);
+    assertThat(takeActions(DispatchAction.Finish.class).get(0).outcome())
+        .isEqualTo(JobOutcome.REFUSED);
+  }
+
   @Test
   void stepsDownIfRunsOfOthersContinue() {
     report("w", List.of());
--- a/src/test/java/org/marjoramhoist/entry/IsolatedDomainMemberTest.java
+++ b/src/test/java/org/marjoramhoist/entry/IsolatedDomainMemberTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -10,6 +11,8 @@
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.dispatch.DispatchPolicy;
+import org.marjoramhoist.dispatch.WorkerInfo;
+import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.lead.DomainElection;
 import org.marjoramhoist.lead.Election;
 import org.marjoramhoist.lead.ElectionTimeouts;
@@ -22,6 +25,19 @@
   private static final ElectionTimeouts TIMEOUTS =
       new ElectionTimeouts(450_000, 600_000, 400_000, 200_000, 30_000);
 
+  private static final WorkerInfo WORKER =
+      new WorkerInfo(
+          "w",
+          "reviews",
+          "127.0.0.1:1",
+          "north",
+          new Resources(4_000, 1_000, 0),
+          "a",
+          "r-1",
+          Set.of("a", "r-1"),
+          false,
+          1);
+
   private final AtomicLong wallMillis = new AtomicLong(1_000_000);
   private final LeaderTracker leaders = new LeaderTracker();
   private final DrainedDomains drained = new DrainedDomains();
@@ -71,6 +87,7 @@
   private void lead() throws InterruptedException {
     onLoop(
         () -> {
+          member.setWorkers(List.of(WORKER));
           member.domainIsolated();
           return true;
         });
@@ -90,6 +107,19 @@
     assertThat(onLoop(() -> member.mayOrder())).isTrue();
   }
 
+  @Test
+  void hostThatKnowsNoWorkersDoesNotLead() throws Exception {
+    member = create();
+    member.start(null);
+    onLoop(
+        () -> {
+          member.domainIsolated();
+          return true;
+        });
+    Thread.sleep(200);
+    assertThat(onLoop(() -> leaders.domainLeader() == null)).isTrue();
+  }
+
   @Test
   void hostSuspendedWhileItLeadsStepsDown() throws Exception {
     member = create();
--- a/src/test/java/org/marjoramhoist/lead/DomainElectionTest.java
+++ b/src/test/java/org/marjoramhoist/lead/DomainElectionTest.java
@@ -45,6 +45,17 @@
     assertThat(election.acceptCandidate(now, "b")).isFalse();
   }
 
+  @Test
+  void hostThatKnowsNoWorkersIsNoCandidateAndAcceptsOthers() {
+    DomainElection election = host("a", THREE);
+    election.setKnowsWorkers(false);
+    election.markIsolated(now);
+    assertThat(election.tick(now)).isEmpty();
+    assertThat(election.mayLead()).isFalse();
+    assertThat(election.acceptCandidate(now, "b")).isTrue();
+    assertThat(election.leaderHandedOver(now, "b", "a")).isEmpty();
+  }
+
   @Test
   void leadsOnceMajorityOfTheDomainAccepts() {
     Map<String, HostCapacity> five =
