A leader asks the store again before it hands over for an outage

Cause: when an outage of the store ends, followers may be answered before the leader's own next call is due.

A successor that has followed for 2 s goes before one that has just started.

--- a/src/main/java/org/marjoramhoist/entry/PartitionMember.java
+++ b/src/main/java/org/marjoramhoist/entry/PartitionMember.java
@@ -13,6 +13,7 @@
 import org.marjoramhoist.lead.ElectionAction;
 import org.marjoramhoist.lead.ElectionEvent;
 import org.marjoramhoist.lead.IsolationDetector;
+import org.marjoramhoist.lead.StoreOutageMonitor;
 import org.marjoramhoist.lead.SuccessorSelector;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
@@ -40,9 +41,6 @@
   private static final long TICK_INTERVAL_MILLIS = 25;
   private static final long HEARTBEAT_INTERVAL_MILLIS = 100;
 
-  /** How long the store may be unavailable to a leader before it hands over. */
-  private static final long STORE_OUTAGE_MICROS = 1_500_000;
-
   private final String self;
   private final EventLoop loop;
   private final Election election;
@@ -69,6 +67,7 @@
   private Map<String, Integer> waitingByClass = Map.of();
   private final SuspensionDetector suspension = new SuspensionDetector();
   private final SuccessorSelector successorSelector;
+  private final StoreOutageMonitor storeOutage = new StoreOutageMonitor();
 
   /** The channel to this host as leader. */
   private final class LocalLeaderChannel implements LeaderChannel {
@@ -320,17 +319,22 @@
   }
 
   /**
-   * Hands over if this host is shutting down, if the store is unavailable to it, or if a follower
-   * has much more capacity.
+   * Hands over if this host is shutting down, if the store is unavailable to it alone, or if a
+   * follower has much more capacity.
    */
   private void handOverIfDue() {
     long now = EventLoop.now();
+    Optional<String> successor = successorSelector.selectSuccessor(now);
     if (shuttingDown) {
-      handOver(successorSelector.selectSuccessor(now), "the host is shutting down");
-    } else if (health.outageMicros() > STORE_OUTAGE_MICROS) {
-      handOver(successorSelector.selectSuccessor(now), "the store is unavailable to this host");
-    } else {
-      handOver(successorSelector.selectLargerSuccessor(now), "the successor has more capacity");
+      handOver(successor, "the host is shutting down");
+      return;
+    }
+    switch (storeOutage.step(now, health.outageMicros(), successor.isPresent())) {
+      case PROBE -> registration.readLeaderRecord();
+      case HAND_OVER -> handOver(successor, "the store is unavailable to this host");
+      case NONE ->
+          handOver(successorSelector.selectLargerSuccessor(now), "the successor has more capacity");
+      default -> throw new AssertionError();
     }
   }
 
--- a/src/main/java/org/marjoramhoist/lead/SuccessorSelector.java
+++ b/src/main/java/org/marjoramhoist/lead/SuccessorSelector.java
@@ -6,8 +6,9 @@
 import java.util.Optional;
 
 /**
- * Selects the host to which the partition's leader hands over: the follower with the largest
- * capacity that can take over now; among those of equal capacity, the first by name.
+ * Selects the host to which the partition's leader hands over: among the followers that can take
+ * over now, one that has followed for some time rather than one that has just started, then the one
+ * with the largest capacity, then the first by name.
  *
  * <p>Confined to one thread.
  */
@@ -17,8 +18,8 @@
   private static final long REPLY_VALID_MICROS = 400_000;
 
   /**
-   * How long a larger host must have confirmed without a gap that it can lead before it is asked
-   * to.
+   * How long a host must have confirmed without a gap that it can lead before it is asked to
+   * because it is larger, or is preferred to hosts that followed for less time.
    */
   private static final long STABLE_FOLLOWER_MICROS = 2_000_000;
 
@@ -74,7 +75,14 @@
     return followers.entrySet().stream()
         .filter(entry -> isRecent(entry.getValue(), now))
         .map(Map.Entry::getKey)
-        .min(Comparator.comparing(this::capacityOf).reversed().thenComparing(name -> name));
+        .min(
+            Comparator.comparing((String host) -> !isStable(followers.get(host), now))
+                .thenComparing(Comparator.comparing(this::capacityOf).reversed())
+                .thenComparing(name -> name));
+  }
+
+  private static boolean isStable(Follower follower, long now) {
+    return now - follower.followingSince >= STABLE_FOLLOWER_MICROS;
   }
 
   /**
@@ -88,7 +96,7 @@
     Optional<String> larger =
         selectSuccessor(now)
             .filter(host -> ownCapacity.isMuchSmallerThan(capacityOf(host)))
-            .filter(host -> now - followers.get(host).followingSince >= STABLE_FOLLOWER_MICROS);
+            .filter(host -> isStable(followers.get(host), now));
     if (larger.isPresent()) {
       requestedAt = now;
     }
--- a/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
+++ b/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
@@ -227,9 +227,9 @@
   }
 
   /**
-   * Waits until every host is ready and the leader may start tasks on all workers; returns whether
+   * Waits until every host is ready and a leader may start tasks on all workers; returns whether
    * that was within a time in milliseconds. Readiness of the hosts does not suffice: a host is
-   * ready earlier, and stays without workers if the store becomes unavailable in between.
+   * ready earlier, and for a short time after the loss of a leader.
    */
   public boolean awaitReady(long millis) throws InterruptedException {
     long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
@@ -248,7 +248,8 @@
         return false;
       }
     }
-    return store.keys(ROSTER_PREFIX).size() >= workers.size();
+    return hosts.stream().anyMatch(EntryNode::isLeader)
+        && store.keys(ROSTER_PREFIX).size() >= workers.size();
   }
 
   private int statusOf(String address, String method, String path, String body) {
--- a/src/test/java/org/marjoramhoist/lead/SuccessorSelectorTest.java
+++ b/src/test/java/org/marjoramhoist/lead/SuccessorSelectorTest.java
@@ -38,6 +38,16 @@
     assertThat(selector.selectSuccessor(now)).hasValue("d");
   }
 
+  /** A host that has just started again knows too little to take over at once. */
+  @Test
+  void prefersHostThatHasFollowedLongEnoughToOneThatJustStarted() {
+    follow(2_000, "b", "c");
+    selector.followerReplied("d", true, now);
+    assertThat(selector.selectSuccessor(now)).hasValue("c");
+    follow(2_000, "b", "c", "d");
+    assertThat(selector.selectSuccessor(now)).hasValue("d");
+  }
+
   @Test
   void doesNotSelectHostThatStoppedReplyingOrCannotLead() {
     follow(0, "b", "c", "d");
