After a loss of all hosts, elect sooner and refuse less

The jobs that had waited meanwhile came together, and the backlog counted all of them as waiting one behind the other though all workers were idle: 40 refused with 'too much waits before it'.

Change: the record is acquired as soon as the lease is granted. The backlog lets a job start at once while capacity is free; a worker that has not reported yet counts as free. Without any leader, a host refuses at once what can't end in time.

--- a/src/main/java/org/marjoramhoist/dispatch/Backlog.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Backlog.java
@@ -5,7 +5,8 @@
 import java.util.List;
 
 /**
- * The work of the waiting jobs, expressed as the time that all workers together need for it.
+ * The work of the waiting jobs, expressed as the time that all workers together need for it. Jobs
+ * for which capacity is free do not wait. A worker that has not reported yet counts as free.
  *
  * <p>Work that arrives later is not included, so the value is a lower bound on the wait. Confined
  * to one thread.
@@ -35,12 +36,18 @@
     if (capacity == 0) {
       return infeasible;
     }
+    double free = usableFreeCpuMillis(queue, workers);
     for (QueueOrder.Position position : queue) {
       Job job = position.job();
+      long need = job.waitingCpuMillis();
+      boolean startsNow = need <= free;
+      double waitMicros = startsNow ? 0 : totalMicros;
       boolean isTooLate =
-          now + totalMicros + order.criticalPathMicros(job) > order.firmDeadline(job);
+          now + waitMicros + order.criticalPathMicros(job) > order.firmDeadline(job);
       if (position.late() && isTooLate && !job.started && !job.isDurable()) {
         infeasible.add(job);
+      } else if (startsNow) {
+        free -= need;
       } else {
         totalMicros += order.waitingWork(job) / capacity;
       }
@@ -48,6 +55,16 @@
     return infeasible;
   }
 
+  private static double usableFreeCpuMillis(
+      List<QueueOrder.Position> queue, Collection<Worker> workers) {
+    long smallestNeed =
+        queue.stream().mapToLong(position -> position.job().minCpuMillis()).min().orElse(1);
+    return workers.stream()
+        .filter(Worker::isSchedulable)
+        .mapToLong(worker -> CpuCapacity.usableFreeCpuMillis(worker, Math.max(1, smallestNeed)))
+        .sum();
+  }
+
   /**
    * Returns the time that all workers together need for the jobs that were waiting at the last
    * update.
--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -307,6 +307,15 @@
     return minCpuMillis;
   }
 
+  /** Returns the CPU requirement of all tasks that are ready to start, in thousandths of a core. */
+  long waitingCpuMillis() {
+    long sum = 0;
+    for (Task task : waitingTasks()) {
+      sum += task.spec().need().cpuMillis();
+    }
+    return sum;
+  }
+
   private static double estimatedWork(StepSpec step) {
     return (double) step.count() * step.need().cpuMillis() * Math.max(1, step.estimateMillis());
   }
--- a/src/main/java/org/marjoramhoist/entry/HostRegistration.java
+++ b/src/main/java/org/marjoramhoist/entry/HostRegistration.java
@@ -54,6 +54,9 @@
   private long registeredRevision;
   private boolean deregistering;
 
+  /** The acquisition of the leader record that waits for this host's lease; null if none does. */
+  private Runnable pendingAcquisition;
+
   HostRegistration(
       KeyValueClient store,
       EventLoop loop,
@@ -156,14 +159,16 @@
   private void register() {
     store
         .grantLease(LEASE_MILLIS)
-        .thenCompose(
-            granted -> {
-              lease = granted;
-              return putRegistration(granted);
-            })
+        .thenCompose(this::handleLeaseGranted)
         .whenComplete((reply, error) -> loop.execute(() -> handleRegistered(reply, error)));
   }
 
+  private CompletableFuture<TxnReply> handleLeaseGranted(long granted) {
+    lease = granted;
+    loop.execute(this::acquirePending);
+    return putRegistration(granted);
+  }
+
   private CompletableFuture<TxnReply> putRegistration(long leaseId) {
     Put put = new Put(HOSTS + host, registration(), leaseId);
     return store.txn(List.of(), List.of(put), List.of());
@@ -248,10 +253,15 @@
     }
   }
 
-  /** Writes this host into the leader record and reports the result to the election. */
+  /**
+   * Writes this host into the leader record and reports the result to the election. A host without
+   * a lease does so as soon as it is granted one.
+   */
   void acquireLeaderRecord(long expectedRevision) {
     if (lease == 0) {
-      loop.schedule(RETRY_MILLIS, () -> election.accept(new ElectionEvent.AcquireFailed()));
+      Runnable acquisition = () -> acquireLeaderRecord(expectedRevision);
+      pendingAcquisition = acquisition;
+      loop.schedule(RETRY_MILLIS, () -> failIfStillPending(acquisition));
       return;
     }
     String value = JsonText.of(Map.of("host", host, "incarnation", incarnation));
@@ -274,6 +284,21 @@
                     }));
   }
 
+  private void acquirePending() {
+    if (pendingAcquisition != null) {
+      Runnable acquisition = pendingAcquisition;
+      pendingAcquisition = null;
+      acquisition.run();
+    }
+  }
+
+  private void failIfStillPending(Runnable acquisition) {
+    if (pendingAcquisition == acquisition) {
+      pendingAcquisition = null;
+      election.accept(new ElectionEvent.AcquireFailed());
+    }
+  }
+
   private void handleAcquireFailed(Throwable error) {
     health.recordFailure(error);
     election.accept(new ElectionEvent.AcquireFailed());
--- a/src/main/java/org/marjoramhoist/entry/LeaderTracker.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderTracker.java
@@ -88,7 +88,12 @@
 
   /** Returns whether jobs wait for the failure domain to elect a leader. */
   boolean isAwaitingDomainLeader() {
-    return partitionLeader == null && domainLeader == null && EventLoop.now() < domainElectionUntil;
+    return !hasLeader() && EventLoop.now() < domainElectionUntil;
+  }
+
+  /** Returns whether any leader can be reached. */
+  boolean hasLeader() {
+    return partitionLeader != null || domainLeader != null;
   }
 
   /** Returns the leader of the isolated failure domain; null if there is none. */
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -123,12 +123,9 @@
     return openJob.sentTerm == 0 && openJob.domainLeader == null;
   }
 
-  /**
-   * Returns whether a job could not finish in time even if the failure domain elected its leader
-   * now.
-   */
+  /** Returns whether a job could not finish in time even if a leader were found now. */
   private boolean cannotFinishInTime(OpenJob openJob) {
-    return leaderTracker.isAwaitingDomainLeader()
+    return !leaderTracker.hasLeader()
         && !JobTimeLimits.canFinishInTime(
             openJob.job,
             openJob.requestClass,
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
@@ -39,6 +39,22 @@
     return id;
   }
 
+  /** Jobs that waited for a leader arrive together, before its workers have reported. */
+  @Test
+  void refusesNoLateJobForWhichAnUnreportedWorkerMayHaveCapacity() {
+    beginTerm(now);
+    listWorkers(worker("w", 64_000, false));
+    for (int i = 0; i < 60; i++) {
+      JobId id = new JobId(String.format(Locale.ROOT, "%016x", ++jobCount));
+      JobDescription job = new JobDescription(id, "p", List.of(tasks(1, List.of())), Set.of());
+      long arrivedAt = now - 330 * MICROS_PER_MILLI;
+      long deadline = now + 2_000 * MICROS_PER_MILLI;
+      step(0, new DispatchEvent.JobSubmitted(job, REQUEST_CLASS, "e", arrivedAt, deadline, 0));
+    }
+    step(1, new DispatchEvent.Tick());
+    assertThat(takeActions(DispatchAction.Finish.class)).isEmpty();
+  }
+
   @Test
   void limitsUnansweredStartOrders() {
     submit(60, 0);
