Judge workers by active and recent runs, and wait rather than start on a slow one

Cause: a worker's slowness was judged by the slowest active run alone, forgotten with each run that ended, and measured against predictions that held the slowness already. A slow worker that was free first got tasks of jobs that could still be in time elsewhere: with a quarter of the workers six times as slow, nearly all late jobs had a task there.

Change: SlownessEstimate, the geometric mean over recent ends and active runs that show progress or have exceeded their prediction, with an age; SlowWorkerAvoidance: no start on a slow worker on which the job is late, if it can be in time elsewhere or would be of no use, as long as at most 0.4 of the workers are slow.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -61,6 +61,7 @@
   private final DomainWorkerGuard guard;
 
   private final DurationModel durations;
+  private final SlowWorkerAvoidance slowWorkers;
   private final WorkerSelector workerSelector;
   private final FairShareWeights fairShareWeights;
   private final QueueOrder queueOrder;
@@ -110,7 +111,9 @@
     this.retrySchedule = shedsLoad ? new RetrySchedule() : null;
     this.durableJobs = new DurableJobs(policy.retentionMillis(), epochMillis);
     this.workerRegistry = new WorkerRegistry(now, earlierRunsExpireAt);
-    this.workerSelector = new WorkerSelector(policy, durations, placementStrategy(policy));
+    this.slowWorkers = new SlowWorkerAvoidance(queueOrder);
+    this.workerSelector =
+        new WorkerSelector(policy, durations, placementStrategy(policy), slowWorkers);
     this.runController = new RunController(policy, new RunEventHandler());
     this.allocator =
         new TaskAllocator(
@@ -158,6 +161,7 @@
     events.forEach(event -> handle(now, event, out));
     if (allocationDue && startsAllowed && handOverReason == null && mayUseWorkers()) {
       allocationDue = false;
+      slowWorkers.update(workerRegistry.all());
       allocationRound.run(now, out);
     }
     durableJobs.flush(now, out);
@@ -494,7 +498,7 @@
 
     @Override
     public void runDone(Run run, long now, List<DispatchAction> out) {
-      run.worker.recordSuccess();
+      run.worker.recordSuccess(run, now);
       if (sheddingState != null) {
         sheddingState.runDone(run, workerRegistry.all(), now);
       }
--- a/src/main/java/org/marjoramhoist/dispatch/Run.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Run.java
@@ -30,6 +30,7 @@
   private static final long STALL_TIMEOUT_MICROS = 450_000;
 
   private static final int MIN_PERCENT = 5;
+  private static final double PERCENT = 100.0;
 
   final RunRef ref;
   final Task task;
@@ -39,6 +40,9 @@
   final long startLeaseMillis;
   final double predictedMicros;
 
+  /** The run time predicted for a worker that is not slow; 0 if it is unknown. */
+  private final double usualMicros;
+
   Phase phase = Phase.STARTING;
 
   /**
@@ -64,6 +68,7 @@
     this.orderedAt = orderedAt;
     this.startLeaseMillis = startLeaseMillis;
     this.predictedMicros = predictedMicros;
+    this.usualMicros = predictedMicros / worker.observedSlowness;
     this.progressedAt = orderedAt;
   }
 
@@ -88,14 +93,23 @@
   }
 
   /**
-   * Returns how many times as long as predicted it will take, extrapolated from its progress; 0 if
-   * that is unknown.
+   * Returns how many times as long as on a worker that is not slow it will take: extrapolated from
+   * its progress, or at least its age once it has exceeded the prediction; 0 if that is unknown.
    */
   double slowness(long now) {
-    long elapsed = now - answeredAt;
-    if (progressPercent < MIN_PERCENT || predictedMicros <= 0 || elapsed <= 0) {
+    if (phase != Phase.RUNNING || usualMicros <= 0 || now <= answeredAt) {
       return 0;
     }
-    return elapsed * 100.0 / progressPercent / predictedMicros;
+    double byAge = (now - answeredAt) / usualMicros;
+    double byProgress =
+        progressPercent >= MIN_PERCENT
+            ? (progressedAt - answeredAt) * PERCENT / progressPercent / usualMicros
+            : 0;
+    return byProgress > 0 || byAge > 1 ? Math.max(byProgress, byAge) : 0;
+  }
+
+  /** Returns its run time over that predicted for a worker that is not slow; 0 if unknown. */
+  double runTimeRatio(long now) {
+    return usualMicros > 0 ? (now - orderedAt) / usualMicros : 0;
   }
 }
--- a/src/main/java/org/marjoramhoist/dispatch/RunController.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunController.java
@@ -348,6 +348,7 @@
         stop(run, out);
       }
     }
+    worker.updateSlowness(now);
     renewIfDue(worker, now, out);
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -24,7 +24,6 @@
   private static final long MAX_PAUSE_MICROS = 16_000_000;
   private static final int FAILURES_BEFORE_PAUSE = 3;
   private static final int FAILED_CALLS_BEFORE_UNREACHABLE = 2;
-  private static final double SLOWNESS_THRESHOLD = 2.5;
 
   private WorkerInfo info;
   private int failureStreak;
@@ -94,7 +93,9 @@
   /** Its clock in the latest report. */
   long reportedClockMillis;
 
-  /** How many times as long as predicted its current runs take; 1 if they are as predicted. */
+  private final SlownessEstimate slowness = new SlownessEstimate();
+
+  /** How many times as long as predicted its runs currently take; 1 if they are as predicted. */
   double observedSlowness = 1;
 
   /** Completions of runs of unknown jobs, kept until the durable jobs are loaded. */
@@ -245,8 +246,13 @@
     return failureStreak < FAILURES_BEFORE_PAUSE || runs.isEmpty();
   }
 
-  void recordSuccess() {
-    observedSlowness = 1;
+  /** Records a run that succeeded. */
+  void recordSuccess(Run run, long now) {
+    double ratio = run.runTimeRatio(now);
+    if (ratio > 0) {
+      slowness.runCompleted(ratio, now);
+    }
+    updateSlowness(now);
     failureStreak = 0;
     pauseMicros = MIN_PAUSE_MICROS;
     pausedUntil = 0;
@@ -267,13 +273,9 @@
     return true;
   }
 
-  /** Updates {@link #observedSlowness} from the progress of its runs. */
+  /** Updates {@link #observedSlowness} from its active and its recent runs. */
   void updateSlowness(long now) {
-    double slowest = 0;
-    for (Run run : runs.values()) {
-      slowest = Math.max(slowest, run.slowness(now));
-    }
-    observedSlowness = slowest > SLOWNESS_THRESHOLD ? slowest : 1;
+    observedSlowness = slowness.estimate(runs.values(), now);
   }
 
   /** Assigns no work to it until a time, regardless of failures. */
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerSelector.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerSelector.java
@@ -17,12 +17,18 @@
   private final DispatchPolicy policy;
   private final DurationModel durations;
   private final PlacementStrategy strategy;
+  private final SlowWorkerAvoidance avoidance;
   private long starts;
   private long fastStarts;
   private long farStarts;
 
-  WorkerSelector(DispatchPolicy policy, DurationModel durations, PlacementStrategy strategy) {
+  WorkerSelector(
+      DispatchPolicy policy,
+      DurationModel durations,
+      PlacementStrategy strategy,
+      SlowWorkerAvoidance avoidance) {
     this.policy = policy;
+    this.avoidance = avoidance;
     this.durations = durations;
     this.strategy = strategy;
   }
@@ -42,12 +48,16 @@
    * @return the selection; null if no worker has enough free capacity or if the task should wait
    */
   Choice selectWorker(Task task, Collection<Worker> workers, long now) {
-    PlacementStrategy.Selection selection = strategy.newSelection(task, predict(task), now);
+    double micros = predict(task);
+    PlacementStrategy.Selection selection = strategy.newSelection(task, micros, now);
     for (Worker worker : workers) {
       if (worker.freeResources.covers(task.spec().need())
           && selection.isEligible(worker)
           && canRun(task, worker)) {
-        selection.addCandidate(worker, slowdownOn(task, worker));
+        double slowdown = slowdownOn(task, worker);
+        if (!avoidance.avoids(task, worker, micros * slowdown, now)) {
+          selection.addCandidate(worker, slowdown);
+        }
       }
     }
     Choice choice = selection.best();
--- a/src/main/java/org/marjoramhoist/experiment/DispatchLoad.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchLoad.java
@@ -24,6 +24,7 @@
   /** The failure domains of the workers. */
   static final List<String> FAILURE_DOMAINS = List.of("domain-a", "domain-b");
 
+  private static final String FAST_KIND = "b";
   private static final double MICROS_PER_SECOND = 1_000_000;
   private static final double MICROS_PER_MILLI = 1_000;
   private static final double ESTIMATE_SPREAD = 0.4;
@@ -145,12 +146,17 @@
   /** Adds 32 workers of two speeds and two sizes in racks of six. */
   static void addWorkers(DispatchFleet fleet) {
     for (int i = 0; i < 32; i++) {
-      boolean fast = i % 3 == 2;
+      String kind = i % 3 == 2 ? FAST_KIND : "a";
       long cpu = i % 4 == 3 ? 24_000 : 16_000;
-      fleet.addWorker(worker("w" + i, fast ? "b" : "a", "r-" + i / 6, cpu), fast ? 0.6 : 1.4);
+      fleet.addWorker(worker("w" + i, kind, "r-" + i / 6, cpu), slownessOf(kind));
     }
   }
 
+  /** Returns how many times as long as on a worker of speed 1 tasks run on a kind of worker. */
+  static double slownessOf(String kind) {
+    return kind.equals(FAST_KIND) ? 0.6 : 1.4;
+  }
+
   /** Returns a worker of the upstream. */
   static WorkerInfo worker(String id, String kind, String rack, long cpuMillis) {
     return new WorkerInfo(
--- a/src/test/java/org/marjoramhoist/dispatch/SlackPlacementStrategyTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/SlackPlacementStrategyTest.java
@@ -30,12 +30,14 @@
   private final DurationModel durations = new DurationModel();
   private final QueueOrder order =
       new QueueOrder(durations, new FairShareWeights(false, NOW), SCHEDULING);
+  private final SlowWorkerAvoidance avoidance = new SlowWorkerAvoidance(order);
   private final WorkerRegistry workers = new WorkerRegistry(NOW, NOW);
   private final WorkerSelector selector =
       new WorkerSelector(
           policy,
           durations,
-          new SlackPlacementStrategy(durations, new SlackCalculator(order), workers));
+          new SlackPlacementStrategy(durations, new SlackCalculator(order), workers),
+          avoidance);
   private int lastJobNumber;
 
   /**
@@ -97,6 +99,32 @@
     assertThat(chosenWorker(task(NOW, ""), slow, fast)).isEqualTo("fast");
   }
 
+  /** Waiting for another worker is better than to start where the job is sure to be late. */
+  @Test
+  void taskWaitsRatherThanStartOnSlowedWorker() {
+    Worker slowed = worker("slowed", "slow", "r-0", 1_000);
+    slowed.observedSlowness = 4;
+    assertThat(chosenWorker(task(NOW, ""), slowed)).isEqualTo("none");
+  }
+
+  /** A job that is late anyway is still of use if it ends soon enough. */
+  @Test
+  void lateJobStartsOnSlowedWorkerWhileItsResultIsOfUse() {
+    Worker slowed = worker("slowed", "slow", "r-0", 1_000);
+    slowed.observedSlowness = 2.5;
+    assertThat(chosenWorker(task(NOW - 180 * MICROS_PER_MILLI, ""), slowed)).isEqualTo("slowed");
+    assertThat(chosenWorker(task(NOW - 600 * MICROS_PER_MILLI, ""), slowed)).isEqualTo("none");
+  }
+
+  /** If most workers look slow, the predictions are wrong. */
+  @Test
+  void noTaskWaitsIfMostWorkersLookSlow() {
+    Worker slowed = worker("slowed", "slow", "r-0", 1_000);
+    slowed.observedSlowness = 4;
+    avoidance.update(List.of(slowed));
+    assertThat(chosenWorker(task(NOW, ""), slowed)).isEqualTo("slowed");
+  }
+
   /** A job that has waited must meet its objective even if its true work is twice the estimate. */
   @Test
   void underestimatedJobStillMeetsItsObjective() {
