Count the active runs of one job once when a worker is judged

Change: the active runs of one job count as one, by the least slow of them; the prior counts half a run.

--- a/src/main/java/org/marjoramhoist/dispatch/SlownessEstimate.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SlownessEstimate.java
@@ -1,14 +1,17 @@
 package org.marjoramhoist.dispatch;
 
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
  * Estimates how many times as long as predicted runs currently take on one worker.
  *
  * <p>It is the geometric mean over the runs that the worker completed recently and over those that
- * are active and show progress or have exceeded their prediction. One run with a wrong estimate
- * therefore does not make its worker slow. The weight of a completed run decays with its age, so
- * that a worker found slow is tried again. Confined to one thread.
+ * are active and show progress or have exceeded their prediction, of which those of one job count
+ * as one. A job with a wrong estimate therefore does not make its worker slow. The weight of a
+ * completed run decays with its age, so that a worker found slow is tried again. Confined to one
+ * thread.
  */
 final class SlownessEstimate {
 
@@ -19,7 +22,7 @@
   private static final double MAX_WEIGHT = 1.5;
 
   /** The weight, in runs, of the prior assumption that runs take as long as predicted. */
-  private static final double PRIOR_RUN_COUNT = 0.3;
+  private static final double PRIOR_RUN_COUNT = 0.5;
 
   /** The smallest estimate that is not explained by the usual prediction error. */
   private static final double MIN_SLOWNESS = 2.2;
@@ -46,15 +49,18 @@
   /** Returns the estimate for a worker with the given active runs; 1 if it is not slow. */
   double estimate(Collection<Run> activeRuns, long now) {
     decay(now);
-    double sum = logarithmSum;
-    double count = weight + PRIOR_RUN_COUNT;
+    Map<Job, Double> slownessByJob = new HashMap<>();
     for (Run run : activeRuns) {
       double slowness = run.slowness(now);
       if (slowness > 0) {
-        sum += logarithm(slowness);
-        count++;
+        slownessByJob.merge(run.task.job, slowness, Math::min);
       }
     }
+    double sum = logarithmSum;
+    for (double slowness : slownessByJob.values()) {
+      sum += logarithm(slowness);
+    }
+    double count = weight + slownessByJob.size() + PRIOR_RUN_COUNT;
     double slowness = Math.exp(sum / count);
     return slowness > MIN_SLOWNESS ? slowness : 1;
   }
