--- a/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
@@ -34,7 +34,7 @@
   /** The snapshot of a host that does not lead. */
   public static final DispatchSnapshot NONE =
       new DispatchSnapshot(
-          new Workers(0, 0, 0, 0, 0, 0),
+          new Workers(0, 0, 0, 0, 0, 0, 0),
           new Runs(0, 0, 0, 0, 0, 0, 0),
           new Drain(false, List.of(), 0, 0),
           new Starts(0, 0, 0, 0),
@@ -71,6 +71,7 @@
    * @param synced the number of listed workers that have reported to this leader since their last
    *     restart
    * @param usable the number of listed workers that can be assigned work now
+   * @param slow the number of listed workers whose runs currently take much longer than predicted
    * @param totalCpuMillis the capacity of the listed workers, in thousandths of a core
    * @param freeCpuMillis the part of that capacity that no run holds
    * @param usableFreeCpuMillis the free capacity of the usable workers
@@ -79,6 +80,7 @@
       int listed,
       int synced,
       int usable,
+      int slow,
       long totalCpuMillis,
       long freeCpuMillis,
       long usableFreeCpuMillis) {
@@ -89,6 +91,8 @@
           + synced
           + " usable="
           + usable
+          + " slow="
+          + slow
           + " cpuMillis="
           + totalCpuMillis
           + " free="
--- a/src/main/java/org/marjoramhoist/dispatch/SnapshotCounts.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SnapshotCounts.java
@@ -14,6 +14,7 @@
   private int listed;
   private int synced;
   private int usable;
+  private int slow;
   private long totalCpu;
   private long freeCpu;
   private long usableFreeCpu;
@@ -39,6 +40,7 @@
   private void countCapacity(Worker worker, long now) {
     listed++;
     synced += worker.synced ? 1 : 0;
+    slow += worker.observedSlowness > 1 ? 1 : 0;
     totalCpu += worker.info().capacity().cpuMillis();
     freeCpu += worker.freeResources.cpuMillis();
     if (worker.isUsable(now)) {
@@ -52,7 +54,8 @@
   }
 
   DispatchSnapshot.Workers workers() {
-    return new DispatchSnapshot.Workers(listed, synced, usable, totalCpu, freeCpu, usableFreeCpu);
+    return new DispatchSnapshot.Workers(
+        listed, synced, usable, slow, totalCpu, freeCpu, usableFreeCpu);
   }
 
   DispatchSnapshot.Runs runs(StartWindow window) {
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
@@ -74,7 +74,7 @@
     submit(2, 0);
     DispatchSnapshot snapshot = dispatcher.snapshot(now);
     assertThat(snapshot.workers())
-        .isEqualTo(new DispatchSnapshot.Workers(3, 2, 1, 12_000, 8_000, 0));
+        .isEqualTo(new DispatchSnapshot.Workers(3, 2, 1, 0, 12_000, 8_000, 0));
     assertThat(snapshot.runs()).isEqualTo(new DispatchSnapshot.Runs(3, 1, 0, 0, 0, 3, 0));
     assertThat(snapshot.startsAllowed()).isTrue();
     assertThat(snapshot.settled()).isTrue();
