--- a/src/main/java/org/marjoramhoist/dispatch/SlownessEstimate.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SlownessEstimate.java
@@ -41,7 +41,7 @@
    */
   void runCompleted(double ratio, long now) {
     decay(now);
-    double keep = Math.min(1, (MAX_WEIGHT - 1) / Math.max(1e-9, weight));
+    double keep = Math.min(1, (MAX_WEIGHT - 1) / weight);
     logarithmSum = keep * logarithmSum + logarithm(ratio);
     weight = keep * weight + 1;
   }
