Read once more: count places once, update a worker's slowness once a report

Cause: reading the whole change.

Change: Worker.placesFor, WaitingQueue.minCpuMillis and TaskAllocator.startIfAllFit serve all callers; the rest goes. A parameter that had one value goes from RefusalCapacityTest. Behaviour and assertions stay.

--- a/src/main/java/org/marjoramhoist/dispatch/AllocationRound.java
+++ b/src/main/java/org/marjoramhoist/dispatch/AllocationRound.java
@@ -64,8 +64,7 @@
   private void refuse(List<LoadShedder.Refusal> refused, long now, List<DispatchAction> out) {
     for (LoadShedder.Refusal refusal : refused) {
       Job job = refusal.job();
-      if (taskAllocator.canStartWhole(job, now)) {
-        taskAllocator.startJob(job, now, out);
+      if (taskAllocator.startIfAllFit(job, now, out)) {
         continue;
       }
       sheddingState.recordRefusal(refusal);
--- a/src/main/java/org/marjoramhoist/dispatch/Backlog.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Backlog.java
@@ -39,15 +39,14 @@
     double free = usableFreeCpuMillis(queue, workers);
     for (QueueOrder.Position position : queue) {
       Job job = position.job();
-      long need = job.waitingCpuMillis();
-      boolean startsNow = need <= free;
+      boolean startsNow = job.minCpuMillis() <= free && job.waitingCpuMillis() <= free;
       double waitMicros = startsNow ? 0 : totalMicros;
       boolean isTooLate =
           now + waitMicros + order.criticalPathMicros(job) > order.firmDeadline(job);
       if (position.late() && isTooLate && !job.started && !job.isDurable()) {
         infeasible.add(job);
       } else if (startsNow) {
-        free -= need;
+        free -= job.waitingCpuMillis();
       } else {
         totalMicros += order.waitingWork(job) / capacity;
       }
@@ -55,13 +54,16 @@
     return infeasible;
   }
 
+  /**
+   * Returns the free capacity that tasks can use, in thousandths of a core: what is free on a
+   * worker beyond a multiple of the smallest need is too small for any.
+   */
   private static double usableFreeCpuMillis(
       List<QueueOrder.Position> queue, Collection<Worker> workers) {
-    long smallestNeed =
-        queue.stream().mapToLong(position -> position.job().minCpuMillis()).min().orElse(1);
+    long smallestNeed = Math.max(1, WaitingQueue.minCpuMillis(queue));
     return workers.stream()
         .filter(Worker::isSchedulable)
-        .mapToLong(worker -> CpuCapacity.usableFreeCpuMillis(worker, Math.max(1, smallestNeed)))
+        .mapToLong(worker -> worker.placesFor(smallestNeed) * smallestNeed)
         .sum();
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/CpuCapacity.java
+++ b/src/main/java/org/marjoramhoist/dispatch/CpuCapacity.java
@@ -26,16 +26,6 @@
     return new CpuCapacity(total, free);
   }
 
-  /**
-   * Returns the free capacity of a worker that tasks can use, in thousandths of a core.
-   *
-   * @param smallestNeed the smallest need of a waiting task, in thousandths of a core; what is free
-   *     beyond a multiple of it is too small for any task
-   */
-  static long usableFreeCpuMillis(Worker worker, long smallestNeed) {
-    return worker.freeResources.cpuMillis() / smallestNeed * smallestNeed;
-  }
-
   /** Returns the share of the capacity that runs hold; the total must not be 0. */
   double utilization() {
     return 1 - freeCpuMillis / totalCpuMillis;
--- a/src/main/java/org/marjoramhoist/dispatch/TaskAllocator.java
+++ b/src/main/java/org/marjoramhoist/dispatch/TaskAllocator.java
@@ -82,31 +82,27 @@
   }
 
   /**
-   * Returns whether the free capacity suffices to start all waiting tasks of a job at once, and the
-   * job then ends while its result is still useful.
+   * Starts the waiting tasks of a job, as far as the start limits allow, if the free capacity
+   * suffices for all of them at once and the job then ends while its result is still useful.
+   *
+   * @return whether that is so
    */
-  boolean canStartWhole(Job job, long now) {
+  boolean startIfAllFit(Job job, long now, List<DispatchAction> out) {
     if (now + order.criticalPathMicros(job) > order.firmDeadline(job)
         || !mayStart(job, workers.isSettled(now), now)) {
       return false;
     }
-    long needed = 0;
-    for (Task task : job.waitingTasks()) {
-      needed = Math.max(needed, task.spec().need().cpuMillis());
-    }
-    Resources minimum = new Resources(needed, 0, 0);
-    long places = 0;
-    for (Worker worker : WorkerSelector.withFreeCapacity(workers.all(), minimum, now)) {
-      places += worker.freeResources.cpuMillis() / Math.max(1, needed);
-    }
-    return places >= job.waitingTasks().size();
-  }
-
-  /** Starts as many waiting tasks of a job as free capacity and start limits allow. */
-  void startJob(Job job, long now, List<DispatchAction> out) {
     Resources minimum = new Resources(job.minCpuMillis(), 0, 0);
-    startTasks(
-        job, WorkerSelector.withFreeCapacity(workers.all(), minimum, now), minimum, now, out);
+    List<Worker> candidates = WorkerSelector.withFreeCapacity(workers.all(), minimum, now);
+    List<Task> tasks = job.waitingTasks();
+    long largestNeed =
+        tasks.stream().mapToLong(task -> task.spec().need().cpuMillis()).max().orElse(0);
+    long places = candidates.stream().mapToLong(worker -> worker.placesFor(largestNeed)).sum();
+    if (places < tasks.size()) {
+      return false;
+    }
+    startTasks(job, candidates, minimum, now, out);
+    return true;
   }
 
   /** Starts as many waiting tasks as free capacity, start limits and placement allow. */
--- a/src/main/java/org/marjoramhoist/dispatch/WaitingQueue.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WaitingQueue.java
@@ -51,6 +51,14 @@
    * Returns the smallest CPU requirement of any task of the queued jobs, in thousandths of a core.
    */
   long minCpuMillis() {
+    return minCpuMillis(positions);
+  }
+
+  /**
+   * Returns the smallest CPU requirement of any task of the jobs at the given positions, in
+   * thousandths of a core; the largest number if there are none.
+   */
+  static long minCpuMillis(List<QueueOrder.Position> positions) {
     long min = Long.MAX_VALUE;
     for (QueueOrder.Position position : positions) {
       min = Math.min(min, position.job().minCpuMillis());
--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -246,13 +246,12 @@
     return failureStreak < FAILURES_BEFORE_PAUSE || runs.isEmpty();
   }
 
-  /** Records a run that succeeded. */
+  /** Records a run that succeeded; {@link #updateSlowness} must follow. */
   void recordSuccess(Run run, long now) {
     double ratio = run.runTimeRatio(now);
     if (ratio > 0) {
       slowness.runCompleted(ratio, now);
     }
-    updateSlowness(now);
     failureStreak = 0;
     pauseMicros = MIN_PAUSE_MICROS;
     pausedUntil = 0;
@@ -278,6 +277,11 @@
     observedSlowness = slowness.estimate(runs.values(), now);
   }
 
+  /** Returns how many tasks of the given CPU requirement its free capacity has room for. */
+  long placesFor(long cpuMillis) {
+    return freeResources.cpuMillis() / Math.max(1, cpuMillis);
+  }
+
   /** Assigns no work to it until a time, regardless of failures. */
   void pauseUntil(long time) {
     pausedUntil = Math.max(pausedUntil, time);
--- a/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
+++ b/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
@@ -56,9 +56,9 @@
     gauge("marjoramhoist.leader.workers.listed", () -> workers().listed());
     gauge("marjoramhoist.leader.workers.synced", () -> workers().synced());
     gauge("marjoramhoist.leader.workers.usable", () -> workers().usable());
+    gauge("marjoramhoist.leader.workers.slow", () -> workers().slow());
     gauge("marjoramhoist.leader.cpu.millis", () -> workers().totalCpuMillis());
     gauge("marjoramhoist.leader.cpu.millis.free", () -> workers().freeCpuMillis());
-    gauge("marjoramhoist.leader.workers.slow", () -> workers().slow());
     gauge("marjoramhoist.leader.cpu.millis.usable", () -> workers().usableFreeCpuMillis());
     gauge("marjoramhoist.leader.runs.starting", () -> runs().starting());
     gauge("marjoramhoist.leader.runs.running", () -> runs().running());
--- a/src/test/java/org/marjoramhoist/dispatch/DomainDispatchTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DomainDispatchTest.java
@@ -22,12 +22,23 @@
   private static final RunRef FOREIGN_RUN =
       new RunRef(new TaskRef(new JobId("00000000000000ff"), 0, 0), 3);
 
+  private static final List<WorkerInfo> WORKERS =
+      List.of(worker("w", 4_000, false), worker("x", 4_000, false));
+
   private int jobCount;
 
   @BeforeEach
   void startTerm() {
-    List<WorkerInfo> workers = List.of(worker("w", 4_000, false), worker("x", 4_000, false));
-    beginTermWith(workers);
+    beginTermWith(POLICY.forDomain(), WORKERS);
+  }
+
+  private void beginTermWith(DispatchPolicy domainPolicy, List<WorkerInfo> workers) {
+    dispatcher = new Dispatcher(domainPolicy, now, now, 0);
+    step(0, new DispatchEvent.DomainsDrained(Set.of()));
+    step(0, new DispatchEvent.RosterLoaded(workers));
+    step(0, new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
+    step(0, new DispatchEvent.WorkersListed(workers));
+    actions.clear();
   }
 
   private JobId submit(int tasks) {
@@ -75,18 +86,9 @@
     }
   }
 
-  private void beginTermWith(List<WorkerInfo> workers) {
-    dispatcher = new Dispatcher(POLICY.forDomain(), now, now, 0);
-    step(0, new DispatchEvent.DomainsDrained(Set.of()));
-    step(0, new DispatchEvent.RosterLoaded(workers));
-    step(0, new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
-    step(0, new DispatchEvent.WorkersListed(workers));
-    actions.clear();
-  }
-
   @Test
   void refusesJobsIfItKnowsNoWorkers() {
-    beginTermWith(List.of());
+    beginTermWith(POLICY.forDomain(), List.of());
     submit(1);
     DispatchAction.Finish finish = takeActions(DispatchAction.Finish.class).get(0);
     assertThat(finish.outcome()).isEqualTo(JobOutcome.REFUSED);
@@ -95,7 +97,7 @@
 
   @Test
   void refusesJobThatOnlyWorkersOfOtherDomainsMayRun() {
-    beginTermWith(List.of(worker("w", 500, false)));
+    beginTermWith(POLICY.forDomain(), List.of(worker("w", 500, false)));
     submit(1);
     assertThat(takeActions(DispatchAction.Finish.class).get(0).outcome())
         .isEqualTo(JobOutcome.REFUSED);
@@ -149,13 +151,7 @@
   }
 
   private void startSuccessorTerm() {
-    List<WorkerInfo> workers = List.of(worker("w", 4_000, false), worker("x", 4_000, false));
-    dispatcher = new Dispatcher(POLICY.forDomainSuccessor(), now, now, 0);
-    step(0, new DispatchEvent.DomainsDrained(Set.of()));
-    step(0, new DispatchEvent.RosterLoaded(workers));
-    step(0, new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
-    step(0, new DispatchEvent.WorkersListed(workers));
-    actions.clear();
+    beginTermWith(POLICY.forDomainSuccessor(), WORKERS);
   }
 
   @Test
--- a/src/test/java/org/marjoramhoist/dispatch/RefusalCapacityTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/RefusalCapacityTest.java
@@ -39,12 +39,12 @@
   private SplittableRandom random;
   private int refusals;
 
-  private void beginTerm(SchedulingPolicy.Overload overload) {
+  private void beginTermWithShedding() {
     policy =
         POLICY.withScheduling(
             new SchedulingPolicy(
                 SchedulingPolicy.Placement.SLACK,
-                overload,
+                SchedulingPolicy.Overload.SHED,
                 false,
                 Map.of(0, 3.0, 1, 1.0),
                 SchedulingPolicy.DEFAULT_LATE_VALUE));
@@ -136,7 +136,7 @@
 
   private void play(long seed) {
     random = new SplittableRandom(seed);
-    beginTerm(SchedulingPolicy.Overload.SHED);
+    beginTermWithShedding();
     for (int i = 0; i < 600; i++) {
       now += (1 + random.nextInt(6)) * MICROS_PER_MILLI;
       completeRuns();
--- a/src/test/java/org/marjoramhoist/experiment/SlowWorkersTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/SlowWorkersTest.java
@@ -14,7 +14,7 @@
   private static final int SEEDS = 8;
   private static final double SLOWNESS = 6;
 
-  /** The jobs out of time in these histories with a leader that judged by ended runs alone. */
+  /** The jobs out of time in these histories when the slowest active run alone was judged. */
   private static final int FORMERLY_LATE = 398;
 
   private static final DispatchPolicy POLICY =
