Tell how a worker was lost, what ran there and what took its place

The logs gave one cause, "lease expired", for a crash, a cut and a silence, so the hypotheses on crashing tasks could not be told apart. Failed renewals now carry whether the connection was refused, broke, or nothing was heard; WORKER_UNREACHABLE and WORKER_REPLACED name the runs; RUN_LOST has the last failure, the age of the run and how many workers its task has lost. The causes of a loss are a type. No decision changes.

--- a/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -105,7 +105,13 @@
       implements WorkerEvent {}
 
   /** A renewal was not answered. */
-  record RenewalFailed(String worker) implements WorkerEvent {}
+  record RenewalFailed(String worker, CallFailure failure) implements WorkerEvent {
+
+    /** Creates the event of a renewal after which nothing was heard. */
+    public RenewalFailed(String worker) {
+      this(worker, CallFailure.SILENT);
+    }
+  }
 
   /**
    * A worker answered a start order.
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -241,8 +241,8 @@
     }
     if (event instanceof RenewalAnswered renewed) {
       handleRenewal(worker, renewed, now, out);
-    } else if (event instanceof RenewalFailed) {
-      runController.renewalFailed(worker, false, now, out);
+    } else if (event instanceof RenewalFailed failed) {
+      runController.renewalFailed(worker, failed.failure(), now, out);
     } else if (event instanceof StartAnswered answered) {
       runController.startAnswered(
           worker, answered.run(), answered.sentAt(), answered.reply(), now, out);
@@ -256,7 +256,7 @@
   private void handleRenewal(
       Worker worker, RenewalAnswered event, long now, List<DispatchAction> out) {
     if (event.report().isEmpty()) {
-      runController.renewalFailed(worker, true, now, out);
+      runController.otherProcessAnswered(worker, now, out);
       return;
     }
     allocationDue |= !worker.synced;
@@ -588,12 +588,29 @@
     }
 
     @Override
-    public void runLost(Run run, String reason, long now, List<DispatchAction> out) {
+    public void runLost(Run run, LossCause cause, long now, List<DispatchAction> out) {
       allocationDue = true;
-      out.add(new Log(LogEvent.RUN_LOST, RunController.describe(run) + " why=" + reason));
+      out.add(new Log(LogEvent.RUN_LOST, describeLoss(run, cause, now)));
       jobs.markWaiting(run.task.job);
     }
 
+    private String describeLoss(Run run, LossCause cause, long now) {
+      if (run.isLostWithWorker(cause)) {
+        run.task.workersLost++;
+      }
+      return RunController.describe(run)
+          + " why="
+          + cause
+          + " failure="
+          + run.worker.lastFailure
+          + " replaced="
+          + run.worker.replaced
+          + " ageMicros="
+          + (now - run.orderedAt)
+          + " workersLost="
+          + run.task.workersLost;
+    }
+
     @Override
     public Task findTask(RunRef ref) {
       Job job = jobs.find(ref.task().job());
--- a/src/main/java/org/marjoramhoist/dispatch/Run.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Run.java
@@ -85,6 +85,15 @@
     }
   }
 
+  /** Tells whether it is over because its worker was lost, given why it is over. */
+  boolean isLostWithWorker(LossCause cause) {
+    return switch (cause) {
+      case LEASE_EXPIRED -> !worker.isReachable() || worker.replaced;
+      case NOT_THERE -> orderedAt < worker.restartedAt;
+      default -> false;
+    };
+  }
+
   /** Tells whether reports have shown no progress for longer than the stall timeout. */
   boolean isStalled() {
     boolean running =
--- a/src/main/java/org/marjoramhoist/dispatch/RunController.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunController.java
@@ -138,7 +138,7 @@
     removeRun(run);
     out.add(
         new Log(LogEvent.RUN_REJECTED, describe(run) + " verdict=" + verdict.name().toLowerCase()));
-    listener.runLost(run, "rejected", now, out);
+    listener.runLost(run, LossCause.REJECTED, now, out);
   }
 
   /** Handles a start order that was not answered. */
@@ -154,7 +154,7 @@
       stop(run, out);
     } else {
       removeRun(run);
-      listener.runLost(run, "not sent", now, out);
+      listener.runLost(run, LossCause.NOT_SENT, now, out);
     }
     renewIfDue(worker, now, out);
   }
@@ -182,6 +182,8 @@
       Worker worker, long sentAt, WorkerReport report, long now, List<DispatchAction> out) {
     worker.recordRenewalEnd();
     worker.recordCallSuccess();
+    worker.lastFailure = null;
+    worker.replaced = false;
     if (isOutdated(worker, report)) {
       renewIfDue(worker, now, out);
       return;
@@ -190,6 +192,10 @@
     worker.hasMoreCompletions = !report.hasAllCompletions();
     worker.mayHaveRestarted = false;
     worker.lastReportAt = now;
+    if (worker.isRestartedIn(report)) {
+      worker.restartedAt = now;
+      out.add(new Log(LogEvent.WORKER_REPLACED, "by=report " + describe(worker)));
+    }
     if (report.bornMillis() != worker.reportedBornMillis) {
       worker.restarted(report.bornMillis());
     }
@@ -233,7 +239,7 @@
     switch (completion.outcome()) {
       case DONE -> listener.runDone(run, now, out);
       case FAILED -> listener.runFailed(run, now, out);
-      default -> listener.runLost(run, completion.outcome().name().toLowerCase(), now, out);
+      default -> listener.runLost(run, LossCause.of(completion.outcome()), now, out);
     }
     run.task.job.holdCompletionUntilStored(worker, completion);
   }
@@ -311,20 +317,33 @@
       boolean tooLateToStart = clockMillis > run.startLeaseMillis + LEASE_EXPIRY_MARGIN_MILLIS;
       if (requestedLater || tooLateToStart) {
         removeRun(run);
-        listener.runLost(run, "not there", now, out);
+        listener.runLost(run, LossCause.NOT_THERE, now, out);
       }
     }
   }
 
-  /** Handles a renewal that failed or that another incarnation of the worker answered. */
-  void renewalFailed(Worker worker, boolean otherIncarnation, long now, List<DispatchAction> out) {
+  /** Handles a renewal that failed. */
+  void renewalFailed(Worker worker, CallFailure failure, long now, List<DispatchAction> out) {
+    final boolean wasReachable = worker.isReachable();
     worker.recordRenewalEnd();
     worker.recordCallFailure();
-    if (otherIncarnation) {
-      worker.synced = false;
-      worker.hasMoreCompletions = false;
-    } else if (worker.isReachable()) {
+    worker.lastFailure = failure;
+    if (worker.isReachable()) {
       renewIfDue(worker, now, out);
+    } else if (wasReachable) {
+      out.add(new Log(LogEvent.WORKER_UNREACHABLE, describe(worker)));
+    }
+  }
+
+  /** Handles a renewal that another worker, or another incarnation of the worker, answered. */
+  void otherProcessAnswered(Worker worker, long now, List<DispatchAction> out) {
+    worker.recordRenewalEnd();
+    worker.recordCallFailure();
+    worker.synced = false;
+    worker.hasMoreCompletions = false;
+    if (!worker.replaced) {
+      worker.replaced = true;
+      out.add(new Log(LogEvent.WORKER_REPLACED, "by=reply " + describe(worker)));
     }
   }
 
@@ -343,7 +362,7 @@
       if (unresponsive
           && worker.clock.hasCertainlyPassed(lease + LEASE_EXPIRY_MARGIN_MILLIS, now)) {
         removeRun(run);
-        listener.runLost(run, "lease expired", now, out);
+        listener.runLost(run, LossCause.LEASE_EXPIRED, now, out);
       } else if (run.phase == Run.Phase.RUNNING && run.answeredAt == Long.MAX_VALUE) {
         stop(run, out);
       }
@@ -454,6 +473,22 @@
     return !worker.acknowledgementDeferred && !policy.leadsDomain();
   }
 
+  /** Describes a worker and its runs; the latest of them is the last. */
+  private static String describe(Worker worker) {
+    List<String> tasks =
+        worker.runs.keySet().stream()
+            .map(ref -> ref.task().job() + "/" + ref.task().step() + "/" + ref.task().index())
+            .toList();
+    return "worker="
+        + worker.id()
+        + " failure="
+        + worker.lastFailure
+        + " draining="
+        + worker.info().draining()
+        + " runs="
+        + tasks;
+  }
+
   static String describe(Run run) {
     return "job="
         + run.ref.task().job()
--- a/src/main/java/org/marjoramhoist/dispatch/RunListener.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunListener.java
@@ -20,7 +20,7 @@
   void runStalled(Run run, long now, List<DispatchAction> out);
 
   /** The run is over without a result, or never started; its task may be started again. */
-  void runLost(Run run, String reason, long now, List<DispatchAction> out);
+  void runLost(Run run, LossCause cause, long now, List<DispatchAction> out);
 
   /** Returns the task of a run that a previous leader ordered; null if its job is not known. */
   Task findTask(RunRef ref);
--- a/src/main/java/org/marjoramhoist/dispatch/Task.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Task.java
@@ -28,6 +28,9 @@
   /** The numbers of the failed runs; empty for most tasks. */
   private Set<Integer> failedRuns = Set.of();
 
+  /** How many workers were lost with a run of this task, as far as this leader knows. */
+  int workersLost;
+
   /** The worker of the most recent failed run; null if no run failed. */
   String lastFailedWorker;
 
--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -90,6 +90,15 @@
 
   long reportedBornMillis;
 
+  /** When this leader learned that it had restarted; 0 if it has not. */
+  long restartedAt;
+
+  /** Why the latest renewal was not answered; null if it was. */
+  CallFailure lastFailure;
+
+  /** Whether the process that now has its address is another worker. */
+  boolean replaced;
+
   /** Its clock in the latest report. */
   long reportedClockMillis;
 
@@ -157,6 +166,11 @@
     mayHaveRestarted = true;
   }
 
+  /** Tells whether a report shows a process other than the one that reported before. */
+  boolean isRestartedIn(WorkerReport report) {
+    return reportedBornMillis != 0 && report.bornMillis() != reportedBornMillis;
+  }
+
   /** Resets what is known of its runs and clock after a restart. */
   void restarted(long bornMillis) {
     reportedBornMillis = bornMillis;
--- a/src/main/java/org/marjoramhoist/entry/WorkerOrders.java
+++ b/src/main/java/org/marjoramhoist/entry/WorkerOrders.java
@@ -1,6 +1,7 @@
 package org.marjoramhoist.entry;
 
 import java.util.function.Consumer;
+import org.marjoramhoist.dispatch.CallFailure;
 import org.marjoramhoist.dispatch.DispatchAction;
 import org.marjoramhoist.dispatch.DispatchEvent;
 import org.marjoramhoist.dispatch.WorkerInfo;
@@ -111,11 +112,19 @@
               if (error == null) {
                 events.accept(new DispatchEvent.RenewalAnswered(worker.id(), sentAt, report));
               } else {
-                events.accept(new DispatchEvent.RenewalFailed(worker.id()));
+                events.accept(new DispatchEvent.RenewalFailed(worker.id(), failureOf(error)));
               }
             });
   }
 
+  private static CallFailure failureOf(Throwable error) {
+    return switch (HttpException.kindOf(error)) {
+      case REFUSED -> CallFailure.REFUSED;
+      case BROKEN -> CallFailure.BROKEN;
+      default -> CallFailure.SILENT;
+    };
+  }
+
   /**
    * Records the response time of a successful call, less the time that the worker was asked to
    * wait.
--- a/src/main/java/org/marjoramhoist/explain/Story.java
+++ b/src/main/java/org/marjoramhoist/explain/Story.java
@@ -36,7 +36,9 @@
           "PROCESS_STOPPING",
           "PROCESS_STOPPED",
           "WORKER_EJECTED",
-          "WORKER_LEAVING");
+          "WORKER_LEAVING",
+          "WORKER_UNREACHABLE",
+          "WORKER_REPLACED");
 
   /** Ends of a job as its leader decides them. */
   private static final Set<String> DECIDED = Set.of("JOB_REFUSED", "JOB_FAILED", "JOB_ABANDONED");
--- a/src/main/java/org/marjoramhoist/http/HttpCaller.java
+++ b/src/main/java/org/marjoramhoist/http/HttpCaller.java
@@ -11,6 +11,7 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.StringWriteChannelListener;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -22,6 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import org.marjoramhoist.http.HttpException.Kind;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -44,6 +46,9 @@
   private static final long GRACE_MILLIS = 30;
   private static final int MAX_BODY_BYTES = 64 << 20;
 
+  /** The message of a {@link ConnectException} that is neither a timeout nor a missing route. */
+  private static final String CONNECTION_REFUSED = "Connection refused";
+
   private record Idle(ClientConnection connection, long since) {}
 
   private final XnioWorker worker;
@@ -153,7 +158,7 @@
 
                 @Override
                 public void failed(IOException e) {
-                  pending.fail(false, "can't connect: " + e.getMessage());
+                  pending.fail(false, kindOf(e), "can't connect: " + e.getMessage());
                 }
               },
               uri,
@@ -161,10 +166,15 @@
               buffers,
               OptionMap.create(Options.TCP_NODELAY, true));
     } catch (IllegalArgumentException e) {
-      pending.fail(false, "not an address: " + pending.call.authority());
+      pending.fail(false, Kind.INVALID, "not an address: " + pending.call.authority());
     }
   }
 
+  private static Kind kindOf(IOException e) {
+    boolean refused = e instanceof ConnectException && CONNECTION_REFUSED.equals(e.getMessage());
+    return refused ? Kind.REFUSED : Kind.BROKEN;
+  }
+
   /** One call from its start to its reply; ends exactly once. */
   private final class Pending {
     private final HttpCall call;
@@ -188,11 +198,13 @@
     /** A thread that was busy past the deadline first reads replies that have arrived meanwhile. */
     private void timeUp(XnioIoThread thread) {
       if (System.nanoTime() - call.deadlineNanos() < LATE_NANOS) {
-        fail(sent, "no reply in time");
+        fail(sent, Kind.TIMED_OUT, "no reply in time");
       } else {
         timer =
             thread.executeAfter(
-                () -> fail(sent, "no reply in time"), GRACE_MILLIS, TimeUnit.MILLISECONDS);
+                () -> fail(sent, Kind.TIMED_OUT, "no reply in time"),
+                GRACE_MILLIS,
+                TimeUnit.MILLISECONDS);
       }
     }
 
@@ -205,7 +217,7 @@
       try {
         to.getIoThread().execute(() -> sendNow(to));
       } catch (RejectedExecutionException e) {
-        fail(false, "the process stops");
+        fail(false, Kind.INVALID, "the process stops");
       }
     }
 
@@ -249,11 +261,11 @@
       }
     }
 
-    void fail(boolean wasSent, String message) {
+    void fail(boolean wasSent, Kind kind, String message) {
       if (ended.compareAndSet(false, true)) {
         cancelTimer();
         IoUtils.safeClose(connection);
-        future.completeExceptionally(new HttpException(wasSent, message));
+        future.completeExceptionally(new HttpException(wasSent, kind, message));
       }
     }
 
@@ -284,7 +296,7 @@
 
             @Override
             public void failed(IOException e) {
-              pending.fail(true, "connection lost: " + e.getMessage());
+              pending.fail(true, Kind.BROKEN, "connection lost: " + e.getMessage());
             }
           });
       new StringWriteChannelListener(pending.call.body()).setup(exchange.getRequestChannel());
@@ -300,13 +312,13 @@
               MAX_BODY_BYTES,
               pending.lines,
               body -> pending.complete(status, body, keepAlive),
-              message -> pending.fail(true, message))
+              message -> pending.fail(true, Kind.BROKEN, message))
           .start(exchange.getResponseChannel(), buffers);
     }
 
     @Override
     public void failed(IOException e) {
-      pending.fail(true, "connection lost: " + e.getMessage());
+      pending.fail(true, Kind.BROKEN, "connection lost: " + e.getMessage());
     }
   }
 
--- a/src/main/java/org/marjoramhoist/http/HttpException.java
+++ b/src/main/java/org/marjoramhoist/http/HttpException.java
@@ -11,17 +11,32 @@
 
   private static final long serialVersionUID = 1L;
 
+  /** How a call ended without a reply. */
+  public enum Kind {
+    /** The server's machine refused the connection. */
+    REFUSED,
+    /** The connection ended before the reply. */
+    BROKEN,
+    /** There was no reply in time. */
+    TIMED_OUT,
+    /** The call could not be made, or its reply could not be read. */
+    INVALID
+  }
+
   private final boolean sent;
+  private final Kind kind;
 
   /**
    * Creates the failure.
    *
    * @param sent whether any part of the request may have reached the server
+   * @param kind how the call ended
    * @param message what went wrong
    */
-  public HttpException(boolean sent, String message) {
+  public HttpException(boolean sent, Kind kind, String message) {
     super(message);
     this.sent = sent;
+    this.kind = kind;
   }
 
   /**
@@ -29,9 +44,17 @@
    * failure says that nothing was sent.
    */
   public static boolean mayHaveArrived(Throwable error) {
+    return !(unwrap(error) instanceof HttpException failure) || failure.isSent();
+  }
+
+  /** Returns how a call ended whose future failed. */
+  public static Kind kindOf(Throwable error) {
+    return unwrap(error) instanceof HttpException failure ? failure.kind : Kind.INVALID;
+  }
+
+  private static Throwable unwrap(Throwable error) {
     boolean wrapped = error instanceof CompletionException && error.getCause() != null;
-    Throwable cause = wrapped ? error.getCause() : error;
-    return !(cause instanceof HttpException failure) || failure.isSent();
+    return wrapped ? error.getCause() : error;
   }
 
   /** Tells whether any part of the request may have reached the server. */
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -120,6 +120,10 @@
   WORKERS_CHANGED(4205),
   /** No task is at work on the workers of a drained failure domain, as far as the leader knows. */
   DOMAIN_IDLE(4206),
+  /** Renewals to a worker fail, so that nothing is started on it. */
+  WORKER_UNREACHABLE(4207),
+  /** A worker's process has ended: another one reports for it, or answers at its address. */
+  WORKER_REPLACED(4208),
   /** A configuration revision is in force at this host. */
   CONFIG_APPLIED(5001),
   /** An older configuration revision was refused. */
--- a/src/main/java/org/marjoramhoist/platform/PlatformWorkerClient.java
+++ b/src/main/java/org/marjoramhoist/platform/PlatformWorkerClient.java
@@ -189,13 +189,15 @@
     }
     if (reply.status() != OK) {
       return CompletableFuture.failedFuture(
-          new HttpException(true, "the worker returned status " + reply.status()));
+          new HttpException(
+              true, HttpException.Kind.INVALID, "the worker returned status " + reply.status()));
     }
     try {
       return CompletableFuture.completedFuture(Optional.of(parseReport(reply.body())));
     } catch (IOException e) {
       return CompletableFuture.failedFuture(
-          new HttpException(true, "invalid worker report: " + e.getMessage()));
+          new HttpException(
+              true, HttpException.Kind.INVALID, "invalid worker report: " + e.getMessage()));
     }
   }
 
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/dispatch/WorkerLossTest.java
@@ -0,0 +1,82 @@
+package org.marjoramhoist.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.log.LogEvent;
+
+/** What the log tells of workers that are lost with their runs. */
+class WorkerLossTest extends DispatcherFixture {
+
+  private static final JobId JOB = new JobId("00000000000000aa");
+
+  @BeforeEach
+  void startRun() {
+    listWorkers(worker("w", 64_000, false));
+    report("w", List.of());
+    JobDescription job = new JobDescription(JOB, "p", List.of(tasks(1, List.of())), Set.of());
+    long deadline = now + 60_000 * MICROS_PER_MILLI;
+    step(1, new DispatchEvent.JobSubmitted(job, REQUEST_CLASS, "e", now, deadline, 0));
+    RunRef run = takeActions(DispatchAction.Start.class).get(0).run();
+    confirmStart("w", run);
+    actions.clear();
+  }
+
+  private void failRenewals(CallFailure first, CallFailure second) {
+    step(1, new DispatchEvent.RenewalFailed("w", first));
+    step(1, new DispatchEvent.RenewalFailed("w", second));
+  }
+
+  private String logged(LogEvent event) {
+    return actions.stream()
+        .filter(DispatchAction.Log.class::isInstance)
+        .map(DispatchAction.Log.class::cast)
+        .filter(log -> log.event() == event)
+        .map(DispatchAction.Log::detail)
+        .findFirst()
+        .orElse("");
+  }
+
+  private void passLease() {
+    for (int i = 0; i < 80; i++) {
+      step(20, new DispatchEvent.Tick());
+    }
+  }
+
+  @Test
+  void tellsHowCallsToLostWorkerFailedAndWhatRanOnIt() {
+    failRenewals(CallFailure.BROKEN, CallFailure.REFUSED);
+    assertThat(logged(LogEvent.WORKER_UNREACHABLE))
+        .isEqualTo("worker=w failure=REFUSED draining=false runs=[" + JOB + "/0/0]");
+    passLease();
+    assertThat(logged(LogEvent.RUN_LOST)).contains("why=lease expired failure=REFUSED");
+    assertThat(logged(LogEvent.RUN_LOST)).contains("replaced=false");
+    assertThat(logged(LogEvent.RUN_LOST)).endsWith("workersLost=1");
+  }
+
+  @Test
+  void tellsThatAnotherProcessAnswersAtItsAddress() {
+    failRenewals(CallFailure.BROKEN, CallFailure.REFUSED);
+    step(1, new DispatchEvent.RenewalAnswered("w", now, Optional.empty()));
+    assertThat(logged(LogEvent.WORKER_REPLACED)).startsWith("by=reply worker=w");
+    passLease();
+    assertThat(logged(LogEvent.RUN_LOST)).contains("replaced=true");
+  }
+
+  @Test
+  void tellsThatRestartedWorkerHasLostItsRuns() {
+    step(5, new DispatchEvent.Tick());
+    WorkerReport report = new WorkerReport(now / MICROS_PER_MILLI, 6, List.of(), List.of(), true);
+    step(1, new DispatchEvent.RenewalAnswered("w", now, Optional.of(report)));
+    assertThat(logged(LogEvent.WORKER_REPLACED)).startsWith("by=report worker=w");
+    assertThat(logged(LogEvent.RUN_LOST)).contains("why=not there");
+    assertThat(logged(LogEvent.RUN_LOST)).endsWith("workersLost=1");
+  }
+}
--- a/src/test/java/org/marjoramhoist/http/HttpCallerTest.java
+++ b/src/test/java/org/marjoramhoist/http/HttpCallerTest.java
@@ -2,6 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -46,6 +49,34 @@
     }
   }
 
+  @Test
+  void tellsHowCallsFail() throws Exception {
+    try (LoopbackServer silent =
+            new LoopbackServer("127.0.0.1:0", exchange -> exchange.dispatch(() -> {}));
+        LoopbackServer breaking =
+            new LoopbackServer("127.0.0.1:0", exchange -> exchange.getConnection().close());
+        HttpCaller caller = new HttpCaller("test", 1)) {
+      assertThat(failureAt(caller, freeAddress())).isEqualTo(HttpException.Kind.REFUSED);
+      assertThat(failureAt(caller, silent.address())).isEqualTo(HttpException.Kind.TIMED_OUT);
+      assertThat(failureAt(caller, breaking.address())).isEqualTo(HttpException.Kind.BROKEN);
+    }
+  }
+
+  private static HttpException.Kind failureAt(HttpCaller caller, String address) {
+    long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(300);
+    return caller
+        .call(HttpCall.of(address, "GET", "/", "", deadline))
+        .handle((reply, error) -> HttpException.kindOf(error))
+        .join();
+  }
+
+  /** Returns an address at which nothing listens. */
+  private static String freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return "127.0.0.1:" + socket.getLocalPort();
+    }
+  }
+
   private static void awaitPast(CountDownLatch answered, long deadline) {
     try {
       answered.await();
