--- a/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
@@ -66,6 +66,22 @@
         0);
   }
 
+  /** Returns the same entry with another id. */
+  public WorkerInfo withId(String newId) {
+    return new WorkerInfo(
+        newId,
+        upstream,
+        address,
+        failureDomain,
+        capacity,
+        kind,
+        rack,
+        labels,
+        draining,
+        bornMillis,
+        warmUpMillis);
+  }
+
   /** Returns the same entry without a warm-up time. */
   public WorkerInfo withoutWarmUp() {
     return new WorkerInfo(
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -11,7 +11,9 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import org.marjoramhoist.dispatch.CallFailure;
 import org.marjoramhoist.dispatch.DispatchAction;
 import org.marjoramhoist.dispatch.DispatchEvent;
 import org.marjoramhoist.dispatch.DispatchPolicy;
@@ -66,6 +68,17 @@
   /** How much later callers hand in again what they were not answered. */
   private static final long RESENT_AFTER = 1_300_000;
 
+  /** How long a task runs before it ends its worker's process. */
+  private static final long CRASH_DELAY = 8 * MILLI;
+
+  /** How long a worker's entry stays in the list after the end of its process. */
+  private static final long ENTRY_LAPSE = 3_000 * MILLI;
+
+  /** When another worker is at the address of one whose process has ended. */
+  private static final long REPLACEMENT = 3_200 * MILLI;
+
+  private static final StartReply OTHER_WORKER = new StartReply(StartReply.Verdict.OTHER_WORKER, 0);
+
   private static final String ENTRY = "entry";
   private static final int ORIGINS = 3;
 
@@ -226,6 +239,7 @@
   private final Map<JobId, Offered> offered = new LinkedHashMap<>();
   private final VirtualJobStore jobStore = new VirtualJobStore();
   private final DurableCallers callers = new DurableCallers(jobStore);
+  private final CrashingTasks crashingTasks = new CrashingTasks();
   private final Map<JobId, Ended> ends = new LinkedHashMap<>();
   private final Map<JobId, Integer> generations = new HashMap<>();
   private final Map<TaskRef, Set<RunRef>> atWork = new HashMap<>();
@@ -497,6 +511,11 @@
     jobStore.down = down;
   }
 
+  /** Returns the tasks that end the processes of their workers. */
+  CrashingTasks crashingTasks() {
+    return crashingTasks;
+  }
+
   /** Returns the durable jobs as their callers see them. */
   DurableCallers callers() {
     return callers;
@@ -624,7 +643,12 @@
             from.take(
                 reply.isPresent()
                     ? new DispatchEvent.StartAnswered(id, run, sentAt, reply.get())
-                    : new DispatchEvent.StartUnanswered(id, run, true)));
+                    : new DispatchEvent.StartUnanswered(id, run, true)),
+        process ->
+            from.take(
+                process == LeasedWorker.Process.REPLACED
+                    ? new DispatchEvent.StartAnswered(id, run, sentAt, OTHER_WORKER)
+                    : new DispatchEvent.StartUnanswered(id, run, false)));
   }
 
   /** Returns a worker, or null if a leader does not reach it. */
@@ -648,7 +672,8 @@
         target(from, id),
         STOP_TIMEOUT,
         (worker, answer) -> answer.accept(worker.stop(stop.run(), from.token)),
-        done -> from.take(new DispatchEvent.StopEnded(id, stop.run(), done.orElse(false))));
+        done -> from.take(new DispatchEvent.StopEnded(id, stop.run(), done.orElse(false))),
+        process -> from.take(new DispatchEvent.StopEnded(id, stop.run(), false)));
   }
 
   private void renew(Term from, DispatchAction.Renew renew) {
@@ -668,12 +693,44 @@
             from.take(
                 report.isPresent()
                     ? new DispatchEvent.RenewalAnswered(id, sentAt, report)
-                    : new DispatchEvent.RenewalFailed(id)));
+                    : new DispatchEvent.RenewalFailed(id)),
+        process ->
+            from.take(
+                process == LeasedWorker.Process.REPLACED
+                    ? new DispatchEvent.RenewalAnswered(id, sentAt, Optional.empty())
+                    : new DispatchEvent.RenewalFailed(id, CallFailure.REFUSED)));
+  }
+
+  /** Ends a worker's process; another worker takes its place some seconds later. */
+  void endProcess(LeasedWorker worker) {
+    if (worker.process != LeasedWorker.Process.RUNNING) {
+      return;
+    }
+    worker.terminate();
+    time.after(ENTRY_LAPSE, () -> worker.unlisted = true);
+    time.after(
+        REPLACEMENT,
+        () -> {
+          worker.process = LeasedWorker.Process.REPLACED;
+          addWorker(worker.info().withId(worker.info().id() + "+"), worker.slowness());
+        });
+  }
+
+  private void crashWorker(LeasedWorker worker, TaskRef task, int life) {
+    if (worker.life() == life) {
+      crashingTasks.crashed(task);
+      endProcess(worker);
+    }
   }
 
   @Override
   public void runStarted(LeasedWorker worker, RunRef run) {
     begun.add(run.task().job());
+    if (crashingTasks.contains(run.task())) {
+      crashingTasks.began(run, breaches);
+      int life = worker.life();
+      time.after(CRASH_DELAY, () -> crashWorker(worker, run.task(), life));
+    }
     Long since = drainedSince.get(worker.info().failureDomain());
     if (since != null && time.now() - since > DRAIN_BOUND) {
       breaches.add("run " + run + " begins in a drained domain");
--- a/src/main/java/org/marjoramhoist/experiment/DispatchLoad.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchLoad.java
@@ -10,6 +10,7 @@
 import org.marjoramhoist.job.RequestClass;
 import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.job.StepSpec;
+import org.marjoramhoist.job.TaskRef;
 
 /**
  * Offers jobs of several classes to a {@link DispatchFleet} at random times.
@@ -92,6 +93,7 @@
   private final SplittableRandom random;
   private double durableShare;
   private double longShare;
+  private double crashingShare;
   private long made;
 
   /**
@@ -118,6 +120,14 @@
     return this;
   }
 
+  /**
+   * Makes the first task of a share of the jobs of the first kind end each worker that starts it.
+   */
+  DispatchLoad withCrashingShare(double share) {
+    crashingShare = share;
+    return this;
+  }
+
   /** Gives the jobs other numbers than those of another load of the same fleet. */
   DispatchLoad startingAt(long number) {
     made = number;
@@ -205,6 +215,9 @@
     StepSpec step =
         new StepSpec(count, new Resources(cpu, MEMORY_MIB, 0), estimate, List.of(), "", rack, 0);
     JobId id = new JobId(String.format("%016x", ++made));
+    if (kind == kinds.get(0) && isDrawn(crashingShare)) {
+      fleet.crashingTasks().add(new TaskRef(id, 0, 0));
+    }
     RequestClass requestClass = kind.requestClass();
     double objective =
         (requestClass.stretch() * millis + requestClass.objectiveMillis()) * MICROS_PER_MILLI;
--- a/src/main/java/org/marjoramhoist/experiment/DurableCallers.java
+++ b/src/main/java/org/marjoramhoist/experiment/DurableCallers.java
@@ -119,6 +119,11 @@
         .toList();
   }
 
+  /** Returns the stored status of an accepted job. */
+  JobStatus status(JobId id) {
+    return store.status(id).orElseThrow();
+  }
+
   /** Counts the accepted jobs with a stored status. */
   long count(JobStatus status) {
     return accepted.stream().filter(id -> store.status(id).orElseThrow() == status).count();
--- a/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
+++ b/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
@@ -56,6 +56,16 @@
 
   private record Waiting(Consumer<WorkerReport> reply) {}
 
+  /** What stands behind a worker's id and address. */
+  enum Process {
+    /** The worker itself. */
+    RUNNING,
+    /** Nothing, so that connections are refused. */
+    ENDED,
+    /** Another worker, which takes no calls for this one. */
+    REPLACED
+  }
+
   private final VirtualTime time;
   private final Observer observer;
   private WorkerInfo info;
@@ -72,6 +82,9 @@
   private final TreeMap<Long, WorkerReport.Completion> ended = new TreeMap<>();
   private final Map<TaskRef, Integer> highest = new HashMap<>();
 
+  /** Its process. */
+  Process process = Process.RUNNING;
+
   /** Whether it hears nothing and says nothing. */
   boolean cutOff;
 
@@ -124,6 +137,10 @@
     info = next;
   }
 
+  double slowness() {
+    return slowness;
+  }
+
   void setSlowness(double factor) {
     slowness = factor;
   }
@@ -144,10 +161,23 @@
 
   /** Ends its process at once and starts a new one that knows nothing. */
   public void crash() {
+    if (process == Process.RUNNING) {
+      dropRuns();
+      begin(500_000 + life);
+    }
+  }
+
+  /** Ends its process for good. */
+  void terminate() {
+    dropRuns();
+    begin(0);
+    process = Process.ENDED;
+  }
+
+  private void dropRuns() {
     List.copyOf(running.keySet()).forEach(run -> observer.runEnded(this, run, RunOutcome.BROKEN));
     running.clear();
     waiting = null;
-    begin(500_000 + life);
   }
 
   /**
--- a/src/main/java/org/marjoramhoist/experiment/VirtualNetwork.java
+++ b/src/main/java/org/marjoramhoist/experiment/VirtualNetwork.java
@@ -47,8 +47,18 @@
    * @param target the worker; null if there is none
    * @param timeout how long the answer is waited for, in microseconds
    * @param end takes the answer, or that there was none in time; called once
+   * @param otherwise called instead if there is no such process
    */
-  <T> void call(LeasedWorker target, long timeout, Order<T> order, Consumer<Optional<T>> end) {
+  <T> void call(
+      LeasedWorker target,
+      long timeout,
+      Order<T> order,
+      Consumer<Optional<T>> end,
+      Consumer<LeasedWorker.Process> otherwise) {
+    if (target != null && !target.cutOff && target.process != LeasedWorker.Process.RUNNING) {
+      time.after(way(), () -> otherwise.accept(target.process));
+      return;
+    }
     boolean[] ended = new boolean[1];
     Consumer<Optional<T>> once =
         answer -> {
