Count the leases of a restarted worker on its new clock

Callers of a job saw it run for ever: a task ran on a worker that had started again under its id and then was lost too. From a restart on, what may have been granted is one lease from now, on the new clock. runsOfRestartedWorkerAreLostSoonAfter... failed before.

--- a/src/main/java/org/marjoramhoist/dispatch/RunController.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunController.java
@@ -192,7 +192,8 @@
     worker.hasMoreCompletions = !report.hasAllCompletions();
     worker.mayHaveRestarted = false;
     worker.lastReportAt = now;
-    if (worker.isRestartedIn(report)) {
+    boolean restarted = worker.isRestartedIn(report);
+    if (restarted) {
       worker.restartedAt = now;
       out.add(new Log(LogEvent.WORKER_REPLACED, "by=report " + describe(worker)));
     }
@@ -201,6 +202,10 @@
     }
     worker.reportedClockMillis = report.clockMillis();
     worker.clock.update(report.clockMillis(), sentAt, now);
+    if (restarted) {
+      // What was granted before counts on a clock that is gone; orders may still be on their way.
+      worker.leaseUntilMillis = leaseExpiryMillis(worker, now);
+    }
     for (Completion completion : report.completions()) {
       worker.foreignRuns.remove(completion.run());
       if (worker.recordCompletion(completion.sequence())) {
--- a/src/test/java/org/marjoramhoist/dispatch/WorkerLossTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/WorkerLossTest.java
@@ -70,6 +70,25 @@
     assertThat(logged(LogEvent.RUN_LOST)).contains("replaced=true");
   }
 
+  /** Its runs were held for as long as its new clock was behind the old one. */
+  @Test
+  void runsOfRestartedWorkerAreLostSoonAfterItIsLostToo() {
+    long clock = 5;
+    step(5, new DispatchEvent.Tick());
+    WorkerReport report = new WorkerReport(clock, 6, List.of(), List.of(), true);
+    step(1, new DispatchEvent.RenewalAnswered("w", now, Optional.of(report)));
+    RunRef run = takeActions(DispatchAction.Start.class).get(0).run();
+    step(1, new DispatchEvent.StartAnswered("w", run, now, started(clock + 1)));
+    actions.clear();
+    failRenewals(CallFailure.SILENT, CallFailure.SILENT);
+    passLease();
+    assertThat(logged(LogEvent.RUN_LOST)).contains("why=lease expired");
+  }
+
+  private static StartReply started(long clock) {
+    return new StartReply(StartReply.Verdict.STARTED, clock);
+  }
+
   @Test
   void tellsThatRestartedWorkerHasLostItsRuns() {
     step(5, new DispatchEvent.Tick());
