Run a task that may have crashed its worker alone, and give it up after two

Cause: a run that was lost with its worker counted for nothing, so its task was put back at once, beside other tasks on a healthy worker, every 1.1 s for ever.

A worker that refuses connections now leaves a loss with each of its tasks, stored with the progress of a durable job. When two workers have certainly crashed under it, one of them with nothing else, it is given up and its job fails. Certain is: another process reports or answers in the worker's place, or its entry is gone after refusals. A worker that answers as the same process takes its losses back; silence, a shutdown, and workers of a rack that are lost together leave none.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -73,6 +73,8 @@
   private final WorkerRegistry workerRegistry;
   private final TaskAllocator allocator;
   private final JobRegistry jobs = new JobRegistry();
+  private final SuspectTasks suspects = new SuspectTasks();
+  private final ExclusiveStarts exclusiveStarts;
 
   /** Null unless load shedding is enabled. */
   private final SheddingState sheddingState;
@@ -115,9 +117,17 @@
     this.workerSelector =
         new WorkerSelector(policy, durations, placementStrategy(policy), slowWorkers);
     this.runController = new RunController(policy, new RunEventHandler());
+    this.exclusiveStarts =
+        new ExclusiveStarts(suspects, jobs, workerRegistry, runController, workerSelector);
     this.allocator =
         new TaskAllocator(
-            termStart, jobs, workerRegistry, runController, workerSelector, queueOrder);
+            termStart,
+            jobs,
+            workerRegistry,
+            runController,
+            workerSelector,
+            queueOrder,
+            exclusiveStarts);
     this.jobCalls =
         new JobCallHandler(
             jobs,
@@ -201,6 +211,10 @@
       jobCalls.handle(call, now, out);
     } else if (event instanceof JobsLoaded stored) {
       jobCalls.loadJobs(stored, now, out);
+      for (Job job : List.copyOf(jobs.all())) {
+        suspects.attach(job, job.storedLosses(), now);
+        giveUpIfCrashing(job, now, out);
+      }
       allocationDue = true;
     } else if (event instanceof BatchStored batch) {
       durableJobs.confirmBatch(batch.number(), out).forEach(jobs::markWaiting);
@@ -288,6 +302,7 @@
       end(job, JobOutcome.ABANDONED, "the previous leader may be running it", now, out);
       return;
     }
+    suspects.attach(job, List.of(), now);
     runController.adoptEarlierRuns(job, workerRegistry.all(), now, out);
     if (sheddingState != null) {
       sheddingState.jobSubmitted(job, now);
@@ -297,7 +312,53 @@
     } else if (!job.started && workerRegistry.canNeverRun(job.description(), job.requestClass())) {
       endImpossible(job, now, out);
     } else if (!refuseIfUnservable(job, now, out)) {
+      giveUpIfCrashing(job, now, out);
+      allocationDue = true;
+    }
+  }
+
+  /** Ends a job as failed if a task of it has proved to crash its workers. */
+  private void giveUpIfCrashing(Job job, long now, List<DispatchAction> out) {
+    for (TaskLosses losses : suspects.likelyInnocentFirst()) {
+      boolean isOfJob = losses.task().job().equals(job.id());
+      if (isOfJob && losses.handling(now) == TaskLosses.Handling.GIVEN_UP) {
+        String reason = "task " + losses.task() + " crashed " + losses.crashes() + " workers";
+        end(job, JobOutcome.FAILED, reason, now, out);
+        return;
+      }
+    }
+  }
+
+  /**
+   * Concludes that the process of a worker which refused connections has ended once its entry is
+   * gone too. Losses of workers that are gone without a refusal are not held against any task.
+   */
+  private void explainLosses(long now, List<DispatchAction> out) {
+    for (WorkerLoss loss : suspects.unexplained()) {
+      if (workerRegistry.isGone(loss.worker())) {
+        boolean crashed = loss.evidence() == WorkerLoss.Evidence.REFUSED;
+        explainLosses(loss.worker(), crashed, now, out);
+      }
+    }
+    suspects.prune(id -> jobs.find(id) != null, now);
+  }
+
+  private void explainLosses(String worker, boolean crashed, long now, List<DispatchAction> out) {
+    List<TaskLosses> changed =
+        crashed ? suspects.workerCrashed(worker) : suspects.workerAnswered(worker);
+    for (TaskLosses losses : changed) {
       allocationDue = true;
+      Job job = jobs.find(losses.task().job());
+      if (job != null) {
+        giveUpIfCrashing(job, now, out);
+        recordProgress(job, now);
+      }
+    }
+  }
+
+  private void recordProgress(Job job, long now) {
+    if (job.isDurable()) {
+      durableJobs.recordProgress(job, now);
     }
   }
 
@@ -343,6 +404,7 @@
     for (Worker worker : workerRegistry.all()) {
       runController.tick(worker, now, out);
     }
+    explainLosses(now, out);
     workerRegistry.logSettled(now, out);
     workerRegistry.logIdleDomains(out);
     if (guard != null) {
@@ -513,6 +575,7 @@
         return;
       }
       job.markDone(task);
+      suspects.taskDone(task);
       recordProgress(job, now);
       if (job.isComplete()) {
         end(job, JobOutcome.SUCCEEDED, "done", now, out);
@@ -548,12 +611,6 @@
       }
     }
 
-    private void recordProgress(Job job, long now) {
-      if (job.isDurable()) {
-        durableJobs.recordProgress(job, now);
-      }
-    }
-
     @Override
     public void earlierRunFailed(
         Task task, RunRef run, String worker, long now, List<DispatchAction> out) {
@@ -590,14 +647,63 @@
     @Override
     public void runLost(Run run, LossCause cause, long now, List<DispatchAction> out) {
       allocationDue = true;
+      if (run.isLostWithWorker(cause)) {
+        lostWithWorker(run, now, out);
+      }
       out.add(new Log(LogEvent.RUN_LOST, describeLoss(run, cause, now)));
       jobs.markWaiting(run.task.job);
     }
 
-    private String describeLoss(Run run, LossCause cause, long now) {
-      if (run.isLostWithWorker(cause)) {
-        run.task.workersLost++;
+    /**
+     * The losses of the runs are recorded before their leases have expired, so that the next leader
+     * knows of them even if this one is lost as well.
+     */
+    @Override
+    public void workerRefuses(Worker worker, long now, List<DispatchAction> out) {
+      if (!worker.info().draining()) {
+        List.copyOf(worker.runs.values()).forEach(run -> suspect(run, now, out));
+      }
+    }
+
+    private void lostWithWorker(Run run, long now, List<DispatchAction> out) {
+      Worker worker = run.worker;
+      if (worker.info().draining()) {
+        return;
       }
+      if (workerRegistry.isLostWithOthers(worker)) {
+        explainLosses(worker.id(), false, now, out);
+      } else {
+        suspect(run, now, out);
+      }
+    }
+
+    private void suspect(Run run, long now, List<DispatchAction> out) {
+      TaskLosses before = run.task.losses;
+      if (before != null && before.includes(run.ref.number())) {
+        return;
+      }
+      TaskLosses losses = suspects.runLost(run, run.worker.lossEvidence(run), now);
+      TaskLosses.Handling next = losses.handling(now);
+      if (next == TaskLosses.Handling.SHARED) {
+        return;
+      }
+      Job job = run.task.job;
+      out.add(new Log(LogEvent.TASK_SUSPECTED, RunController.describe(run) + " next=" + next));
+      if (job.isDurable()) {
+        durableJobs.recordLoss(job, now);
+      }
+      if (jobs.find(job.id()) == job) {
+        giveUpIfCrashing(job, now, out);
+      }
+    }
+
+    @Override
+    public void workerExplained(
+        Worker worker, boolean crashed, long now, List<DispatchAction> out) {
+      explainLosses(worker.id(), crashed, now, out);
+    }
+
+    private String describeLoss(Run run, LossCause cause, long now) {
       return RunController.describe(run)
           + " why="
           + cause
@@ -608,7 +714,7 @@
           + " ageMicros="
           + (now - run.orderedAt)
           + " workersLost="
-          + run.task.workersLost;
+          + (run.task.losses == null ? 0 : run.task.losses.all().size());
     }
 
     @Override
--- a/src/main/java/org/marjoramhoist/dispatch/DurableJobs.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DurableJobs.java
@@ -223,6 +223,13 @@
     }
   }
 
+  /** Records that a worker was lost with a run of a job; this is stored with the next batch. */
+  void recordLoss(Job job, long now) {
+    if (!job.status.isTerminal()) {
+      journal.recordUrgentProgress(job, now);
+    }
+  }
+
   /** Returns a job whose end is not stored yet; null if there is none with this id. */
   Job findEnding(JobId id) {
     return ending.get(id);
--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -168,10 +168,11 @@
   JobProgress progress() {
     List<JobProgress.TaskPosition> done = new ArrayList<>();
     List<JobProgress.FailedRun> failed = new ArrayList<>();
+    List<JobProgress.LostRun> lost = new ArrayList<>();
     if (!status.isTerminal()) {
-      steps.forEach(tasks -> tasks.forEach(task -> task.addTo(done, failed)));
+      steps.forEach(tasks -> tasks.forEach(task -> task.addTo(done, failed, lost)));
     }
-    return new JobProgress(status, done, failed, endedMillis);
+    return new JobProgress(status, done, failed, endedMillis, lost);
   }
 
   /**
@@ -261,6 +262,16 @@
     return true;
   }
 
+  /** Tells whether a task of this job is waiting and the predecessors of its step are done. */
+  boolean isReady(Task task) {
+    return task.isWaiting() && isReady(task.ref.step());
+  }
+
+  /** Returns the stored losses of workers with runs of this job. */
+  List<JobProgress.LostRun> storedLosses() {
+    return storedProgress == null ? List.of() : storedProgress.lost();
+  }
+
   /** Sets the observed ratio of run time to predicted run time of this job's tasks. */
   void setBiasFactor(double factor) {
     biasFactor = factor;
--- a/src/main/java/org/marjoramhoist/dispatch/Journal.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Journal.java
@@ -51,6 +51,7 @@
   private long sentAt;
   private long progressPendingSince;
   private boolean batchPending;
+  private boolean progressIsUrgent;
 
   /** Receives what a batch has stored. */
   interface Listener {
@@ -82,6 +83,12 @@
     }
   }
 
+  /** Records progress of a job that must not wait for other changes. */
+  void recordUrgentProgress(Job job, long now) {
+    recordProgress(job, now);
+    progressIsUrgent = true;
+  }
+
   void delete(JobId id) {
     deletedJobs.add(id);
   }
@@ -95,7 +102,7 @@
 
   /** Creates the next batch if one is due. */
   void flush(long now, List<DispatchAction> out) {
-    boolean urgent = !acceptedJobs.isEmpty() || !endedJobs.isEmpty();
+    boolean urgent = progressIsUrgent || !acceptedJobs.isEmpty() || !endedJobs.isEmpty();
     boolean due =
         urgent
             || !progressedJobs.isEmpty() && now - progressPendingSince > MAX_PROGRESS_DELAY_MICROS;
@@ -105,6 +112,7 @@
       return;
     }
     out.add(new DispatchAction.Store(nextBatch()));
+    progressIsUrgent = !progressedJobs.isEmpty() && progressIsUrgent;
     batchPending = true;
     sentAt = now;
   }
--- a/src/main/java/org/marjoramhoist/dispatch/Run.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Run.java
@@ -29,6 +29,12 @@
   /** The longest time between two progress updates of a run that is not stalled. */
   private static final long STALL_TIMEOUT_MICROS = 450_000;
 
+  /**
+   * The expected remaining time of a run that exceeded its predicted run time, as a fraction of the
+   * elapsed time.
+   */
+  private static final double OVERRUN_SHARE = 0.25;
+
   private static final int MIN_PERCENT = 5;
   private static final double PERCENT = 100.0;
 
@@ -40,6 +46,8 @@
   final long startLeaseMillis;
   final double predictedMicros;
 
+  private final boolean exclusive;
+
   /** The run time predicted for a worker that is not slow; 0 if it is unknown. */
   private final double usualMicros;
 
@@ -70,6 +78,7 @@
     this.predictedMicros = predictedMicros;
     this.usualMicros = predictedMicros / worker.observedSlowness;
     this.progressedAt = orderedAt;
+    this.exclusive = worker.reservedFor == task;
   }
 
   void startConfirmed(long now) {
@@ -85,6 +94,20 @@
     }
   }
 
+  /** Tells whether its worker was to run nothing else. */
+  boolean isExclusive() {
+    return exclusive;
+  }
+
+  /**
+   * Returns the predicted remaining time; for a run that exceeded its prediction, a fraction of the
+   * elapsed time.
+   */
+  double remainingMicros(long now) {
+    double elapsedMicros = now - orderedAt;
+    return Math.max(predictedMicros - elapsedMicros, OVERRUN_SHARE * elapsedMicros);
+  }
+
   /** Tells whether it is over because its worker was lost, given why it is over. */
   boolean isLostWithWorker(LossCause cause) {
     return switch (cause) {
--- a/src/main/java/org/marjoramhoist/dispatch/RunController.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunController.java
@@ -221,6 +221,7 @@
       worker.foreignRuns.keySet().retainAll(running);
       removeMissingRuns(worker, sentAt, report.clockMillis(), running, now, out);
     }
+    listener.workerExplained(worker, restarted, now, out);
     stopStalled(worker, now, out);
     worker.updateSlowness(now);
     renewIfDue(worker, now, out);
@@ -338,6 +339,9 @@
     } else if (wasReachable) {
       out.add(new Log(LogEvent.WORKER_UNREACHABLE, describe(worker)));
     }
+    if (!worker.isReachable() && failure == CallFailure.REFUSED) {
+      listener.workerRefuses(worker, now, out);
+    }
   }
 
   /** Handles a renewal that another worker, or another incarnation of the worker, answered. */
@@ -349,6 +353,7 @@
     if (!worker.replaced) {
       worker.replaced = true;
       out.add(new Log(LogEvent.WORKER_REPLACED, "by=reply " + describe(worker)));
+      listener.workerExplained(worker, true, now, out);
     }
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/RunListener.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunListener.java
@@ -22,6 +22,16 @@
   /** The run is over without a result, or never started; its task may be started again. */
   void runLost(Run run, LossCause cause, long now, List<DispatchAction> out);
 
+  /** A worker refuses connections; its runs may be lost. May be called repeatedly. */
+  void workerRefuses(Worker worker, long now, List<DispatchAction> out);
+
+  /**
+   * A worker answered as the process that it was, or another process answered in its place.
+   *
+   * @param crashed whether its process has ended
+   */
+  void workerExplained(Worker worker, boolean crashed, long now, List<DispatchAction> out);
+
   /** Returns the task of a run that a previous leader ordered; null if its job is not known. */
   Task findTask(RunRef ref);
 
--- a/src/main/java/org/marjoramhoist/dispatch/SlackPlacementStrategy.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SlackPlacementStrategy.java
@@ -27,12 +27,6 @@
   /** How long a job waits for capacity near its data before the expected wait is computed again. */
   private static final long RECHECK_MICROS = 2_000;
 
-  /**
-   * The expected remaining time of a run that exceeded its predicted run time, as a fraction of the
-   * elapsed time.
-   */
-  private static final double OVERRUN_SHARE = 0.25;
-
   private final DurationModel durations;
   private final SlackCalculator slack;
   private final WorkerRegistry workers;
@@ -173,24 +167,15 @@
     /** Adds the predicted waits until a worker has capacity for each additional task. */
     private void addWaits(Worker worker, List<Double> waits) {
       List<Run> runs = new ArrayList<>(worker.runs.values());
-      runs.sort(Comparator.comparingDouble(run -> remainingMicros(run)));
+      runs.sort(Comparator.comparingDouble(run -> run.remainingMicros(now)));
       Resources free = worker.freeResources;
       for (Run run : runs) {
         free = free.plus(run.need);
         while (free.covers(task.spec().need())) {
           free = free.minus(task.spec().need());
-          waits.add(remainingMicros(run));
+          waits.add(run.remainingMicros(now));
         }
       }
     }
-
-    /**
-     * Returns the predicted remaining time of a run; for a run that exceeded its prediction, a
-     * fraction of the elapsed time.
-     */
-    private double remainingMicros(Run run) {
-      double elapsedMicros = now - run.orderedAt;
-      return Math.max(run.predictedMicros - elapsedMicros, OVERRUN_SHARE * elapsedMicros);
-    }
   }
 }
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/SuspectTasks.java
@@ -0,0 +1,125 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.marjoramhoist.dispatch.WorkerLoss.Evidence;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.TaskRef;
+
+/**
+ * The tasks that were running on workers when these were lost. Entries outlive their jobs for a
+ * time, as a caller may submit the same job again.
+ *
+ * <p>Invariant: what is held against a task is withdrawn once its worker turns out to be alive.
+ * Confined to one thread.
+ */
+final class SuspectTasks {
+
+  /** How long a loss is remembered for a job that is not open. */
+  private static final long RETENTION_MICROS = 60_000_000;
+
+  private final Map<TaskRef, TaskLosses> tasks = new LinkedHashMap<>();
+
+  boolean isEmpty() {
+    return tasks.isEmpty();
+  }
+
+  int size() {
+    return tasks.size();
+  }
+
+  /** Records that a run was lost with its worker; returns what is now held against its task. */
+  TaskLosses runLost(Run run, Evidence evidence, long now) {
+    TaskLosses losses = tasks.computeIfAbsent(run.task.ref, TaskLosses::new);
+    WorkerLoss loss =
+        new WorkerLoss(run.ref.number(), run.worker.id(), run.isExclusive(), evidence);
+    losses.add(loss, Math.max(0, run.worker.lastReportAt - run.orderedAt), now);
+    run.task.losses = losses;
+    return losses;
+  }
+
+  /**
+   * Gives the tasks of a job what is held against them, by this leader or stored by earlier ones.
+   */
+  void attach(Job job, Collection<JobProgress.LostRun> stored, long now) {
+    for (JobProgress.LostRun each : stored) {
+      TaskRef ref = new TaskRef(job.id(), each.step(), each.index());
+      tasks.computeIfAbsent(ref, TaskLosses::new).add(each.loss(), 0, now);
+    }
+    if (tasks.isEmpty()) {
+      return;
+    }
+    for (TaskLosses losses : tasks.values()) {
+      Task task =
+          losses.task().job().equals(job.id())
+              ? job.task(losses.task().step(), losses.task().index())
+              : null;
+      if (task != null) {
+        task.losses = losses;
+      }
+    }
+  }
+
+  /** Clears a task that has completed. */
+  void taskDone(Task task) {
+    if (task.losses != null) {
+      tasks.remove(task.ref);
+      task.losses = null;
+    }
+  }
+
+  /** Records that a worker's process ended; returns the tasks whose losses are concerned. */
+  List<TaskLosses> workerCrashed(String worker) {
+    return changed(losses -> losses.workerCrashed(worker));
+  }
+
+  /** Records that a worker has not crashed; returns the tasks whose losses are concerned. */
+  List<TaskLosses> workerAnswered(String worker) {
+    return changed(losses -> losses.workerAnswered(worker));
+  }
+
+  private List<TaskLosses> changed(Predicate<TaskLosses> change) {
+    return tasks.isEmpty() ? List.of() : tasks.values().stream().filter(change).toList();
+  }
+
+  /** Returns the workers of losses whose cause is not known. */
+  List<WorkerLoss> unexplained() {
+    List<WorkerLoss> unexplained = new ArrayList<>();
+    for (TaskLosses losses : tasks.values()) {
+      losses.all().stream()
+          .filter(loss -> loss.evidence() != Evidence.CRASHED)
+          .forEach(unexplained::add);
+    }
+    return unexplained;
+  }
+
+  /**
+   * Returns the losses of all tasks. Those that had run longest come first: the last one that a
+   * worker started is the most likely to have ended it.
+   */
+  List<TaskLosses> likelyInnocentFirst() {
+    return tasks.values().stream()
+        .sorted(Comparator.comparingLong(TaskLosses::ranMicros).reversed())
+        .toList();
+  }
+
+  /** Counts the tasks that may be run in a certain way only. */
+  int count(TaskLosses.Handling handling, long now) {
+    return (int) tasks.values().stream().filter(each -> each.handling(now) == handling).count();
+  }
+
+  /** Removes entries without losses, and old ones of jobs that are not open. */
+  void prune(Predicate<JobId> isOpen, long now) {
+    tasks
+        .values()
+        .removeIf(
+            losses ->
+                !isOpen.test(losses.task().job())
+                    && (losses.isEmpty() || now - losses.lastLossAt() > RETENTION_MICROS));
+  }
+}
--- a/src/main/java/org/marjoramhoist/dispatch/Task.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Task.java
@@ -28,8 +28,8 @@
   /** The numbers of the failed runs; empty for most tasks. */
   private Set<Integer> failedRuns = Set.of();
 
-  /** How many workers were lost with a run of this task, as far as this leader knows. */
-  int workersLost;
+  /** The workers that were lost with a run of this task; null if there are none. */
+  TaskLosses losses;
 
   /** The worker of the most recent failed run; null if no run failed. */
   String lastFailedWorker;
@@ -66,13 +66,27 @@
     return !done && run == null;
   }
 
-  /** Adds this task, if it is done, and its failed runs to the job progress to be stored. */
-  void addTo(List<JobProgress.TaskPosition> doneTasks, List<JobProgress.FailedRun> allFailedRuns) {
+  /** Returns how this task may be run. */
+  TaskLosses.Handling handling(long now) {
+    return losses == null ? TaskLosses.Handling.SHARED : losses.handling(now);
+  }
+
+  /** Adds what must outlive a leader to the job progress to be stored. */
+  void addTo(
+      List<JobProgress.TaskPosition> doneTasks,
+      List<JobProgress.FailedRun> allFailedRuns,
+      List<JobProgress.LostRun> allLostRuns) {
     if (done) {
       doneTasks.add(new JobProgress.TaskPosition(ref.step(), ref.index()));
     }
     for (int number : failedRuns) {
       allFailedRuns.add(new JobProgress.FailedRun(ref.step(), ref.index(), number));
     }
+    if (losses != null && !done) {
+      losses.all().stream()
+          .filter(loss -> loss.evidence() != WorkerLoss.Evidence.SILENT)
+          .map(loss -> new JobProgress.LostRun(ref.step(), ref.index(), loss))
+          .forEach(allLostRuns::add);
+    }
   }
 }
--- a/src/main/java/org/marjoramhoist/dispatch/TaskAllocator.java
+++ b/src/main/java/org/marjoramhoist/dispatch/TaskAllocator.java
@@ -19,6 +19,7 @@
   private final RunController runs;
   private final WorkerSelector selector;
   private final QueueOrder order;
+  private final ExclusiveStarts exclusiveStarts;
   private final WaitingQueue queue;
 
   /**
@@ -32,13 +33,15 @@
       WorkerRegistry workers,
       RunController runs,
       WorkerSelector selector,
-      QueueOrder order) {
+      QueueOrder order,
+      ExclusiveStarts exclusiveStarts) {
     this.termStart = termStart;
     this.jobs = jobs;
     this.workers = workers;
     this.runs = runs;
     this.selector = selector;
     this.order = order;
+    this.exclusiveStarts = exclusiveStarts;
     this.queue = new WaitingQueue(order);
   }
 
@@ -107,6 +110,8 @@
 
   /** Starts as many waiting tasks as free capacity, start limits and placement allow. */
   void startWaitingTasks(long now, List<DispatchAction> out) {
+    boolean settled = workers.isSettled(now);
+    exclusiveStarts.run(job -> mayStart(job, settled, now), now, out);
     queue.insert(jobs.removeNewlyWaiting(), now);
     if (queue.isEmpty() || !runs.window().isOpen()) {
       return;
@@ -114,7 +119,6 @@
     Resources minimum = new Resources(queue.minCpuMillis(), 0, 0);
     List<Worker> candidates = WorkerSelector.withFreeCapacity(workers.all(), minimum, now);
     long maxFreeCpuMillis = WorkerSelector.maxFreeCpuMillis(candidates);
-    boolean settled = workers.isSettled(now);
     Iterator<Job> iterator = queue.iterator();
     while (iterator.hasNext() && !candidates.isEmpty() && runs.window().isOpen()) {
       Job job = iterator.next();
@@ -150,7 +154,8 @@
       if (!runs.window().isOpen()) {
         return;
       }
-      if (task.ref.step() == unplaceableStep) {
+      boolean mayShare = task.handling(now) == TaskLosses.Handling.SHARED;
+      if (task.ref.step() == unplaceableStep || !mayShare) {
         continue;
       }
       WorkerSelector.Choice choice = selector.selectWorker(task, candidates, now);
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/TaskLosses.java
@@ -0,0 +1,147 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.marjoramhoist.dispatch.WorkerLoss.Evidence;
+import org.marjoramhoist.job.TaskRef;
+
+/**
+ * The workers that were lost with a run of one task, and how the task may be run because of that.
+ *
+ * <p>A task that was at work on a worker that crashed may have caused the crash, or another task
+ * did, or none. It is therefore run alone on a worker next: if that one crashes as well, the task
+ * is the cause. Invariant: a task is given up only if workers have certainly crashed under it.
+ * Confined to one thread.
+ */
+final class TaskLosses {
+
+  /** How a task may be run. */
+  enum Handling {
+    /** Beside other tasks. */
+    SHARED,
+    /** On a worker that runs nothing else. */
+    EXCLUSIVE,
+    /** Not before it is known what became of the workers that it was lost with. */
+    HELD,
+    /** Never again: it crashes its workers. */
+    GIVEN_UP
+  }
+
+  /** How many crashes, one of them of a worker that ran nothing else, prove the task's guilt. */
+  private static final int CRASHES_WITH_EXCLUSIVE_RUN = 2;
+
+  /** How many crashes of any workers prove the task's guilt. */
+  private static final int MAX_CRASHES = 3;
+
+  /**
+   * How long a task is held: by then the worker's entry has lapsed, or another worker has its
+   * address.
+   */
+  private static final long HOLD_MICROS = 6_000_000;
+
+  private final TaskRef task;
+  private final List<WorkerLoss> losses = new ArrayList<>();
+  private long lastLossAt;
+  private long ranMicros;
+
+  TaskLosses(TaskRef task) {
+    this.task = task;
+  }
+
+  TaskRef task() {
+    return task;
+  }
+
+  /**
+   * Adds a loss.
+   *
+   * @param micros how long the run had been at work when its worker was last heard
+   */
+  void add(WorkerLoss loss, long micros, long now) {
+    if (!includes(loss.run())) {
+      losses.add(loss);
+      lastLossAt = now;
+      ranMicros = micros;
+    }
+  }
+
+  /** Tells whether the worker of a run is among the losses. */
+  boolean includes(int run) {
+    return losses.stream().anyMatch(loss -> loss.run() == run);
+  }
+
+  List<WorkerLoss> all() {
+    return List.copyOf(losses);
+  }
+
+  long lastLossAt() {
+    return lastLossAt;
+  }
+
+  /** Returns how long its last lost run had been at work when its worker was last heard. */
+  long ranMicros() {
+    return ranMicros;
+  }
+
+  /**
+   * Records that a worker's process ended.
+   *
+   * @return whether that was not known
+   */
+  boolean workerCrashed(String worker) {
+    boolean changed = false;
+    for (int i = 0; i < losses.size(); i++) {
+      WorkerLoss loss = losses.get(i);
+      if (loss.worker().equals(worker) && loss.evidence() != Evidence.CRASHED) {
+        losses.set(i, loss.with(Evidence.CRASHED));
+        changed = true;
+      }
+    }
+    return changed;
+  }
+
+  /**
+   * Records that a worker has not crashed, so that it was only out of reach.
+   *
+   * @return whether it was among the losses
+   */
+  boolean workerAnswered(String worker) {
+    return losses.removeIf(
+        loss -> loss.worker().equals(worker) && loss.evidence() != Evidence.CRASHED);
+  }
+
+  /** Tells whether nothing is held against the task. */
+  boolean isEmpty() {
+    return losses.isEmpty();
+  }
+
+  int crashes() {
+    return count(Evidence.CRASHED);
+  }
+
+  private int count(Evidence evidence) {
+    return (int) losses.stream().filter(loss -> loss.evidence() == evidence).count();
+  }
+
+  Handling handling(long now) {
+    if (isProven()) {
+      return Handling.GIVEN_UP;
+    }
+    int refused = count(Evidence.REFUSED);
+    int suspicious = crashes() + refused;
+    if (suspicious == 0) {
+      return Handling.SHARED;
+    }
+    boolean awaitsEvidence = refused > 0 && now - lastLossAt <= HOLD_MICROS;
+    return suspicious >= CRASHES_WITH_EXCLUSIVE_RUN && awaitsEvidence
+        ? Handling.HELD
+        : Handling.EXCLUSIVE;
+  }
+
+  private boolean isProven() {
+    int crashes = crashes();
+    boolean anyExclusive =
+        losses.stream().anyMatch(loss -> loss.exclusive() && loss.evidence() == Evidence.CRASHED);
+    return crashes >= MAX_CRASHES || crashes >= CRASHES_WITH_EXCLUSIVE_RUN && anyExclusive;
+  }
+}
--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -99,6 +99,9 @@
   /** Whether the process that now has its address is another worker. */
   boolean replaced;
 
+  /** The only task that may be started on it; null if any may be. */
+  Task reservedFor;
+
   /** Its clock in the latest report. */
   long reportedClockMillis;
 
@@ -248,8 +251,13 @@
     return listed && isReachable() && !info.draining() && !drained;
   }
 
-  /** Tells whether it can be assigned work now. */
+  /** Tells whether any task can be started on it now. */
   boolean isUsable(long now) {
+    return reservedFor == null && isAvailable(now);
+  }
+
+  /** Tells whether tasks can be started on it now, if only the one that it is reserved for. */
+  boolean isAvailable(long now) {
     boolean known = listed && inRoster && synced && clock.isKnown() && isReachable();
     if (!known || info.draining() || !foreignRuns.isEmpty() || now < pausedUntil) {
       return false;
@@ -291,6 +299,21 @@
     observedSlowness = slowness.estimate(runs.values(), now);
   }
 
+  /** Returns what is known of the cause if a run is lost with it. */
+  WorkerLoss.Evidence lossEvidence(Run run) {
+    if (replaced || run.orderedAt < restartedAt) {
+      return WorkerLoss.Evidence.CRASHED;
+    }
+    return lastFailure == CallFailure.REFUSED
+        ? WorkerLoss.Evidence.REFUSED
+        : WorkerLoss.Evidence.SILENT;
+  }
+
+  /** Returns the predicted time until its runs have ended. */
+  double remainingMicros(long now) {
+    return runs.values().stream().mapToDouble(run -> run.remainingMicros(now)).max().orElse(0);
+  }
+
   /** Returns how many tasks of the given CPU requirement its free capacity has room for. */
   long placesFor(long cpuMillis) {
     return freeResources.cpuMillis() / Math.max(1, cpuMillis);
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerLoss.java
@@ -0,0 +1,28 @@
+package org.marjoramhoist.dispatch;
+
+/**
+ * The loss of a worker while it ran a task.
+ *
+ * <p>Immutable and safe for use by several threads.
+ *
+ * @param run the number of the run
+ * @param worker the id of the worker
+ * @param exclusive whether the worker ran nothing else
+ * @param evidence what is known of the cause
+ */
+public record WorkerLoss(int run, String worker, boolean exclusive, Evidence evidence) {
+
+  /** What is known of the cause of a loss. */
+  public enum Evidence {
+    /** Nothing was heard of the worker; a cut looks the same. */
+    SILENT,
+    /** Connections to it were refused, as after the end of its process. */
+    REFUSED,
+    /** Its process ended: another one took its place, or its entry is gone after refusals. */
+    CRASHED
+  }
+
+  WorkerLoss with(Evidence newEvidence) {
+    return new WorkerLoss(run, worker, exclusive, newEvidence);
+  }
+}
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerRegistry.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerRegistry.java
@@ -34,6 +34,11 @@
   /** How long workers may take to be listed again once the store is available. */
   private static final long RELISTING_MICROS = 2_200_000;
 
+  /** The last reports of workers that are lost together differ by at most a renewal interval. */
+  private static final long COMMON_LOSS_MICROS = 300_000;
+
+  private static final int MIN_COMMON_LOSSES = 3;
+
   private static final int MAX_LOGGED_IDS = 8;
 
   private final long termStart;
@@ -228,6 +233,30 @@
     return false;
   }
 
+  /**
+   * Tells whether a worker is neither listed nor known to run anything, though the list is read.
+   */
+  boolean isGone(String id) {
+    return hasListAndRoster() && !workers.containsKey(id);
+  }
+
+  /**
+   * Tells whether most workers of its rack were lost at the same time, so that the cause is not a
+   * task.
+   */
+  boolean isLostWithOthers(Worker worker) {
+    int known = 0;
+    int lost = 0;
+    for (Worker each : workers.values()) {
+      if (each.info().rack().equals(worker.info().rack())) {
+        known++;
+        boolean sameTime = Math.abs(each.lastReportAt - worker.lastReportAt) <= COMMON_LOSS_MICROS;
+        lost += !each.isReachable() && sameTime ? 1 : 0;
+      }
+    }
+    return lost >= MIN_COMMON_LOSSES && 2 * lost >= known;
+  }
+
   private boolean hasListAndRoster() {
     return listRead && roster.isLoaded();
   }
--- a/src/main/java/org/marjoramhoist/experiment/CrashingTasks.java
+++ b/src/main/java/org/marjoramhoist/experiment/CrashingTasks.java
@@ -26,6 +26,7 @@
   private final Set<JobId> jobs = new HashSet<>();
   private final Map<TaskRef, Integer> crashes = new HashMap<>();
   private final Map<TaskRef, Integer> startsAfter = new HashMap<>();
+  private final Map<TaskRef, Integer> endedWorkers = new HashMap<>();
 
   /** Makes a task crash its workers. */
   void add(TaskRef task) {
@@ -52,6 +53,20 @@
     return crashes.values().stream().mapToInt(Integer::intValue).sum();
   }
 
+  /** Takes in that the process of a worker with a run of any task ended. */
+  void workerEnded(TaskRef task) {
+    endedWorkers.merge(task, 1, Integer::sum);
+  }
+
+  /** Returns how many workers' processes ended at most under any task of a job. */
+  int endedWorkers(JobId job) {
+    return endedWorkers.entrySet().stream()
+        .filter(each -> each.getKey().job().equals(job))
+        .mapToInt(Map.Entry::getValue)
+        .max()
+        .orElse(0);
+  }
+
   /** Takes in that a run of such a task began. */
   void began(RunRef run, List<String> breaches) {
     if (crashes.getOrDefault(run.task(), 0) >= CRASHES
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -706,7 +706,9 @@
     if (worker.process != LeasedWorker.Process.RUNNING) {
       return;
     }
+    worker.runningTasks().forEach(crashingTasks::workerEnded);
     worker.terminate();
+    network.breakConnections(worker);
     time.after(ENTRY_LAPSE, () -> worker.unlisted = true);
     time.after(
         REPLACEMENT,
--- a/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
+++ b/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
@@ -145,6 +145,11 @@
     slowness = factor;
   }
 
+  /** Returns the tasks that it runs. */
+  List<TaskRef> runningTasks() {
+    return running.keySet().stream().map(RunRef::task).toList();
+  }
+
   int runningCount() {
     return running.size();
   }
--- a/src/main/java/org/marjoramhoist/experiment/VirtualNetwork.java
+++ b/src/main/java/org/marjoramhoist/experiment/VirtualNetwork.java
@@ -1,6 +1,11 @@
 package org.marjoramhoist.experiment;
 
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
@@ -19,6 +24,28 @@
 
   private final VirtualTime time;
   private final SplittableRandom random;
+  private final Map<LeasedWorker, Set<PendingCall<?>>> pending = new HashMap<>();
+
+  /** A call whose end its caller is told once. */
+  private final class PendingCall<T> {
+    private final LeasedWorker target;
+    private final Consumer<Optional<T>> end;
+    private boolean ended;
+
+    private PendingCall(LeasedWorker target, Consumer<Optional<T>> end) {
+      this.target = target;
+      this.end = end;
+      pending.computeIfAbsent(target, key -> new LinkedHashSet<>()).add(this);
+    }
+
+    private void end(Optional<T> answer) {
+      if (!ended) {
+        ended = true;
+        pending.get(target).remove(this);
+        end.accept(answer);
+      }
+    }
+  }
 
   /** The share of the orders that go unanswered and are carried out seconds later. */
   double lateOrders;
@@ -59,15 +86,8 @@
       time.after(way(), () -> otherwise.accept(target.process));
       return;
     }
-    boolean[] ended = new boolean[1];
-    Consumer<Optional<T>> once =
-        answer -> {
-          if (!ended[0]) {
-            ended[0] = true;
-            end.accept(answer);
-          }
-        };
-    time.after(timeout, () -> once.accept(Optional.empty()));
+    PendingCall<T> call = new PendingCall<>(target, end);
+    time.after(timeout, () -> call.end(Optional.empty()));
     if (target == null || target.cutOff) {
       return;
     }
@@ -75,10 +95,18 @@
     deliver(
         target,
         worker ->
-            order.carryOut(worker, answer -> pass(worker, () -> once.accept(Optional.of(answer)))),
+            order.carryOut(worker, answer -> pass(worker, () -> call.end(Optional.of(answer)))),
         late ? random.nextLong(SHORTEST_DELAY, LONGEST_DELAY) : way());
   }
 
+  /** Ends the calls that a worker has not answered, as its connections break. */
+  void breakConnections(LeasedWorker worker) {
+    if (!worker.cutOff) {
+      List<PendingCall<?>> broken = List.copyOf(pending.getOrDefault(worker, Set.of()));
+      time.after(way(), () -> broken.forEach(call -> call.end(Optional.empty())));
+    }
+  }
+
   /** Has an order carried out after a delay, unless the process that took it has ended by then. */
   private void deliver(LeasedWorker target, Consumer<LeasedWorker> order, long delay) {
     int life = target.life();
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -102,6 +102,8 @@
   RUN_LOST(4015),
   /** Reports show no progress of a run; it is stopped and run elsewhere. */
   RUN_STALLED(4016),
+  /** A run was lost with its worker, whose process has probably ended; its task is run alone. */
+  TASK_SUSPECTED(4017),
   /** An attempt ended without a known outcome. */
   ATTEMPT_UNKNOWN(4101),
   /** A worker refused an attempt. */
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/dispatch/SuspectTasksTest.java
@@ -0,0 +1,207 @@
+package org.marjoramhoist.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.dispatch.WorkerReport.RunOutcome;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobFeature;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.JobOutcome;
+import org.marjoramhoist.job.JobStatus;
+import org.marjoramhoist.job.RunRef;
+
+/** How a leader runs the tasks of workers that were lost. */
+class SuspectTasksTest extends DispatcherFixture {
+
+  private static final JobId FIRST = new JobId("00000000000000a1");
+  private static final JobId SECOND = new JobId("00000000000000a2");
+  private static final long PATIENCE_MICROS = 60_000 * MICROS_PER_MILLI;
+
+  @BeforeEach
+  void listWorker() {
+    listWorkers(worker("w", 2_000, false));
+    report("w", List.of());
+    step(0, new DispatchEvent.JobsLoaded(1, List.of(), List.of()));
+    actions.clear();
+  }
+
+  private void submit(JobId id, int tasks) {
+    JobDescription job = new JobDescription(id, "p", List.of(tasks(tasks, List.of())), Set.of());
+    long deadline = now + PATIENCE_MICROS;
+    step(1, new DispatchEvent.JobSubmitted(job, REQUEST_CLASS, "e", now, deadline, 0));
+  }
+
+  private List<DispatchAction.Start> confirmStarts() {
+    List<DispatchAction.Start> starts = takeActions(DispatchAction.Start.class);
+    starts.forEach(start -> confirmStart(start.worker().id(), start.run()));
+    return starts;
+  }
+
+  /** Has a worker refuse connections until its leases have ended; others are listed beside it. */
+  private void loseWorker(WorkerInfo lost, WorkerInfo... others) {
+    step(1, new DispatchEvent.RenewalFailed(lost.id(), CallFailure.BROKEN));
+    step(1, new DispatchEvent.RenewalFailed(lost.id(), CallFailure.REFUSED));
+    List<WorkerInfo> listed = new ArrayList<>(List.of(others));
+    listed.add(lost);
+    listWorkers(listed.toArray(WorkerInfo[]::new));
+    for (WorkerInfo each : others) {
+      report(each.id(), List.of());
+    }
+    for (int i = 0; i < 60; i++) {
+      step(20, new DispatchEvent.Tick());
+    }
+  }
+
+  private void replaceWorker(String id) {
+    step(1, new DispatchEvent.RenewalAnswered(id, now, Optional.empty()));
+  }
+
+  private Optional<DispatchAction.Finish> finishOf(JobId id) {
+    return takeActions(DispatchAction.Finish.class).stream()
+        .filter(finish -> finish.job().equals(id))
+        .findFirst();
+  }
+
+  /** Two tasks ran on the lost worker; any of them may have ended it. */
+  @Test
+  void tasksOfLostWorkerRunOneByOne() {
+    submit(FIRST, 2);
+    assertThat(confirmStarts()).hasSize(2);
+    loseWorker(worker("w", 2_000, false), worker("x", 2_000, false));
+    List<DispatchAction.Start> starts = confirmStarts();
+    assertThat(starts).hasSize(1);
+    submit(SECOND, 2);
+    assertThat(confirmStarts()).isEmpty();
+    report("x", List.of(), new WorkerReport.Completion(1, starts.get(0).run(), RunOutcome.DONE));
+    List<DispatchAction.Start> next = confirmStarts();
+    assertThat(next).hasSize(1);
+    assertThat(next.get(0).run().task().job()).isEqualTo(FIRST);
+  }
+
+  @Test
+  void jobFailsOnceSecondWorkerCrashedUnderItsTaskAlone() {
+    submit(FIRST, 1);
+    confirmStarts();
+    loseWorker(worker("w", 2_000, false), worker("x", 2_000, false));
+    assertThat(confirmStarts()).hasSize(1);
+    loseWorker(worker("x", 2_000, false), worker("y", 2_000, false));
+    assertThat(confirmStarts()).isEmpty();
+    assertThat(finishOf(FIRST)).isEmpty();
+    replaceWorker("x");
+    assertThat(finishOf(FIRST)).isEmpty();
+    replaceWorker("w");
+    assertThat(finishOf(FIRST).map(DispatchAction.Finish::outcome))
+        .isEqualTo(Optional.of(JobOutcome.FAILED));
+    submit(FIRST, 1);
+    assertThat(confirmStarts()).isEmpty();
+  }
+
+  /** Its worker stayed reserved for it, though a task is not run where it failed last. */
+  @Test
+  void taskThatFailsAloneRunsOnAnotherWorker() {
+    submit(FIRST, 1);
+    confirmStarts();
+    loseWorker(worker("w", 2_000, false), worker("x", 2_000, false), worker("y", 2_000, false));
+    DispatchAction.Start alone = confirmStarts().get(0);
+    report(
+        alone.worker().id(),
+        List.of(),
+        new WorkerReport.Completion(1, alone.run(), RunOutcome.FAILED));
+    step(20, new DispatchEvent.Tick());
+    assertThat(confirmStarts().get(0).worker().id()).isNotEqualTo(alone.worker().id());
+  }
+
+  @Test
+  void workersThatAnswerAgainHaveNotCrashed() {
+    submit(FIRST, 2);
+    confirmStarts();
+    loseWorker(worker("w", 2_000, false), worker("x", 2_000, false));
+    RunRef run = confirmStarts().get(0).run();
+    report("w", List.of());
+    report("x", List.of(new WorkerReport.ActiveRun(run, 10)));
+    step(20, new DispatchEvent.Tick());
+    assertThat(confirmStarts()).hasSize(1);
+  }
+
+  @Test
+  void workerThatWasShuttingDownIsNotHeldAgainstItsTasks() {
+    submit(FIRST, 2);
+    confirmStarts();
+    listWorkers(worker("w", 2_000, true));
+    loseWorker(worker("w", 2_000, true), worker("x", 2_000, false));
+    assertThat(confirmStarts()).hasSize(2);
+  }
+
+  /** A rack without power loses all its workers at once. */
+  @Test
+  void workersLostTogetherAreNotHeldAgainstTheirTasks() {
+    listWorkers(worker("w", 2_000, false), worker("v", 2_000, false), worker("u", 2_000, false));
+    report("v", List.of());
+    report("u", List.of());
+    submit(FIRST, 6);
+    assertThat(confirmStarts()).hasSize(6);
+    for (String id : List.of("u", "v", "w")) {
+      step(0, new DispatchEvent.RenewalFailed(id, CallFailure.BROKEN));
+      step(0, new DispatchEvent.RenewalFailed(id, CallFailure.REFUSED));
+    }
+    listWorkers(worker("x", 12_000, false));
+    report("x", List.of());
+    for (int i = 0; i < 70; i++) {
+      step(20, new DispatchEvent.Tick());
+    }
+    assertThat(confirmStarts()).hasSize(6);
+  }
+
+  @Test
+  void laterLeaderKnowsUnderWhichTasksWorkersCrashed() {
+    JobDescription job =
+        new JobDescription(FIRST, "p", List.of(tasks(1, List.of())), Set.of(JobFeature.DURABLE));
+    final StoredJob record = new StoredJob(job, REQUEST_CLASS, 10_000);
+    WorkerLoss first = new WorkerLoss(65, "a", false, WorkerLoss.Evidence.CRASHED);
+    WorkerLoss second = new WorkerLoss(66, "b", true, WorkerLoss.Evidence.REFUSED);
+    final JobProgress progress =
+        new JobProgress(
+            JobStatus.RUNNING,
+            List.of(),
+            List.of(),
+            0,
+            List.of(new JobProgress.LostRun(0, 0, first), new JobProgress.LostRun(0, 0, second)));
+    beginTerm(now);
+    listWorkers(worker("w", 2_000, false), worker("b", 2_000, false));
+    report("w", List.of());
+    DispatchEvent.LoadedJob loaded = new DispatchEvent.LoadedJob(record, Optional.of(progress));
+    step(1, new DispatchEvent.JobsLoaded(2, List.of(loaded), List.of()));
+    step(20, new DispatchEvent.Tick());
+    assertThat(takeActions(DispatchAction.Start.class)).isEmpty();
+    replaceWorker("b");
+    step(20, new DispatchEvent.Tick());
+    JournalBatch batch = takeActions(DispatchAction.Store.class).get(0).batch();
+    assertThat(batch.progress().get(FIRST).status()).isEqualTo(JobStatus.FAILED);
+  }
+
+  @Test
+  void lossIsStoredWithTheProgressOfItsJob() {
+    JobDescription job =
+        new JobDescription(FIRST, "p", List.of(tasks(1, List.of())), Set.of(JobFeature.DURABLE));
+    final StoredJob record = new StoredJob(job, REQUEST_CLASS, 10_000);
+    step(1, new DispatchEvent.JobCallReceived(JobCallKind.SUBMIT, FIRST, record, "e", 1, now));
+    step(30, new DispatchEvent.Tick());
+    long number = takeActions(DispatchAction.Store.class).get(0).batch().number();
+    step(5, new DispatchEvent.BatchStored(number));
+    final RunRef run = confirmStarts().get(0).run();
+    loseWorker(worker("w", 2_000, false), worker("x", 2_000, false));
+    step(300, new DispatchEvent.Tick());
+    List<DispatchAction.Store> stores = takeActions(DispatchAction.Store.class);
+    assertThat(stores).isNotEmpty();
+    assertThat(stores.get(0).batch().progress().get(FIRST).lost())
+        .containsExactly(
+            new JobProgress.LostRun(
+                0, 0, new WorkerLoss(run.number(), "w", false, WorkerLoss.Evidence.REFUSED)));
+  }
+}
--- a/src/test/java/org/marjoramhoist/entry/JobRecordsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/JobRecordsTest.java
@@ -11,6 +11,7 @@
 import org.marjoramhoist.dispatch.JobProgress;
 import org.marjoramhoist.dispatch.JournalBatch;
 import org.marjoramhoist.dispatch.StoredJob;
+import org.marjoramhoist.dispatch.WorkerLoss;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobFeature;
 import org.marjoramhoist.job.JobId;
@@ -52,6 +53,27 @@
     assertThat(read(progress)).isEqualTo(new LoadedJob(RECORD, Optional.of(PROGRESS)));
   }
 
+  @Test
+  void readsLossesAndProgressOfEarlierVersionsWithoutThem() {
+    WorkerLoss loss = new WorkerLoss(65, "w", true, WorkerLoss.Evidence.CRASHED);
+    JobProgress progress =
+        new JobProgress(
+            JobStatus.RUNNING,
+            PROGRESS.done(),
+            List.of(),
+            0,
+            List.of(new JobProgress.LostRun(0, 1, loss)));
+    List<Item> stored = items(new JournalBatch(2, List.of(), Map.of(ID, progress), List.of()));
+    assertThat(read(stored)).isEqualTo(new LoadedJob(RECORD, Optional.of(progress)));
+    String earlier =
+        "{\"status\":\"RUNNING\",\"done\":[{\"step\":0,\"index\":1}],"
+            + "\"failed\":[],\"endedMillis\":0}";
+    assertThat(read(List.of(new Item(JobRecords.PROGRESS + ID, earlier, 1))))
+        .isEqualTo(new LoadedJob(RECORD, Optional.of(PROGRESS)));
+    assertThat(items(new JournalBatch(2, List.of(), Map.of(ID, PROGRESS), List.of())).get(0))
+        .isEqualTo(new Item(JobRecords.PROGRESS + ID, earlier, 1));
+  }
+
   @Test
   void invalidProgressIsNotTreatedAsMissing() {
     for (String value : List.of("", "null", "{\"done\":7}", "not json")) {
