Take a worker's smaller capacity for one that may grow again

A job that fitted no worker's capacity of the moment was failed as one that no worker could ever run: 29 jobs of the emulator as all workers had 0.3 of their capacity for 3 s. Whether a worker could ever run a step now counts the most that its process has said to have. Runs beyond a smaller capacity no longer take places off other workers in the backlog.

The emulator's workers can change their capacity and start what they are told to; what exceeds all capacities of the last 4.5 s is a breach.

Open: a leader that is elected during the smaller capacity knows no other.

--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -15,8 +15,8 @@
 /**
  * The leader's view of a worker.
  *
- * <p>Invariant: {@link #freeResources} is its capacity less the needs of {@link #runs}. Confined to
- * one thread.
+ * <p>Invariant: {@link #freeResources} is its capacity less the needs of {@link #runs}; it is
+ * negative while the capacity has shrunk below these. Confined to one thread.
  */
 final class Worker {
 
@@ -26,6 +26,7 @@
   private static final int FAILED_CALLS_BEFORE_UNREACHABLE = 2;
 
   private WorkerInfo info;
+  private Resources largestCapacity;
   private int failureStreak;
   private long pauseMicros = MIN_PAUSE_MICROS;
   private long pausedUntil;
@@ -126,9 +127,16 @@
     if (info != null) {
       freeResources = freeResources.plus(next.capacity().minus(info.capacity()));
     }
+    boolean isSameProcess = info != null && info.bornMillis() == next.bornMillis();
+    largestCapacity = isSameProcess ? largestCapacity.max(next.capacity()) : next.capacity();
     info = next;
   }
 
+  /** Returns the most that it has had of each resource; a smaller capacity may grow again. */
+  Resources largestCapacity() {
+    return largestCapacity;
+  }
+
   String id() {
     return info.id();
   }
@@ -316,7 +324,7 @@
 
   /** Returns how many tasks of the given CPU requirement its free capacity has room for. */
   long placesFor(long cpuMillis) {
-    return freeResources.cpuMillis() / Math.max(1, cpuMillis);
+    return Math.max(0, freeResources.cpuMillis()) / Math.max(1, cpuMillis);
   }
 
   /** Assigns no work to it until a time, regardless of failures. */
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
@@ -66,6 +66,22 @@
         0);
   }
 
+  /** Returns the same entry with another capacity. */
+  public WorkerInfo withCapacity(Resources newCapacity) {
+    return new WorkerInfo(
+        id,
+        upstream,
+        address,
+        failureDomain,
+        newCapacity,
+        kind,
+        rack,
+        labels,
+        draining,
+        bornMillis,
+        warmUpMillis);
+  }
+
   /** Returns the same entry with another id. */
   public WorkerInfo withId(String newId) {
     return new WorkerInfo(
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerSelector.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerSelector.java
@@ -94,9 +94,9 @@
     return max == 0 || worker.countRuns(task.job, task.ref.step()) < max;
   }
 
-  /** Returns whether an idle worker could run a step. */
+  /** Returns whether a worker could run a step if it were idle and had its largest capacity. */
   static boolean canEverRun(RequestClass requestClass, StepSpec step, Worker worker) {
-    return worker.info().capacity().covers(step.need())
+    return worker.largestCapacity().covers(step.need())
         && satisfiesConstraints(requestClass, step, worker);
   }
 
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -28,6 +28,7 @@
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.job.RunRef;
 import org.marjoramhoist.job.StepSpec;
 import org.marjoramhoist.job.TaskRef;
@@ -240,6 +241,7 @@
   private final VirtualJobStore jobStore = new VirtualJobStore();
   private final DurableCallers callers = new DurableCallers(jobStore);
   private final CrashingTasks crashingTasks = new CrashingTasks();
+  private final CapacityLimits capacityLimits = new CapacityLimits();
   private final Map<JobId, Ended> ends = new LinkedHashMap<>();
   private final Map<JobId, Integer> generations = new HashMap<>();
   private final Map<TaskRef, Set<RunRef>> atWork = new HashMap<>();
@@ -701,6 +703,12 @@
                     : new DispatchEvent.RenewalFailed(id, CallFailure.REFUSED)));
   }
 
+  /** Changes a worker's capacity; leaders hear of it when they read the list of workers. */
+  void setCapacity(LeasedWorker worker, Resources capacity) {
+    capacityLimits.changed(worker, worker.info().capacity(), time.now());
+    worker.setInfo(worker.info().withCapacity(capacity));
+  }
+
   /** Ends a worker's process; another worker takes its place some seconds later. */
   void endProcess(LeasedWorker worker) {
     if (worker.process != LeasedWorker.Process.RUNNING) {
@@ -728,6 +736,7 @@
   @Override
   public void runStarted(LeasedWorker worker, RunRef run) {
     begun.add(run.task().job());
+    capacityLimits.began(worker, run, time.now(), breaches);
     if (crashingTasks.contains(run.task())) {
       crashingTasks.began(run, breaches);
       int life = worker.life();
--- a/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
+++ b/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
@@ -91,6 +91,9 @@
   /** Whether its entry in the list of workers has lapsed, though it runs on. */
   boolean unlisted;
 
+  /** Whether it starts what it is told to, even beyond its capacity. */
+  boolean unguarded;
+
   /** Whether it rejects every order to start. */
   boolean unhealthy;
 
@@ -133,10 +136,17 @@
     return info;
   }
 
+  /** Changes what it says of itself; runs beyond a smaller capacity go on. */
   void setInfo(WorkerInfo next) {
+    free = free.plus(next.capacity().minus(info.capacity()));
     info = next;
   }
 
+  /** Tells whether its runs need more than an amount, in any resource. */
+  boolean needsMoreThan(Resources amount) {
+    return !amount.covers(info.capacity().minus(free));
+  }
+
   double slowness() {
     return slowness;
   }
@@ -223,7 +233,7 @@
     if (run.number() <= highest.getOrDefault(run.task(), 0)) {
       return Verdict.STALE_RUN;
     }
-    return free.covers(need) ? Verdict.STARTED : Verdict.NO_ROOM;
+    return unguarded || free.covers(need) ? Verdict.STARTED : Verdict.NO_ROOM;
   }
 
   private void planEnd(RunRef run, Running made) {
--- a/src/main/java/org/marjoramhoist/job/Resources.java
+++ b/src/main/java/org/marjoramhoist/job/Resources.java
@@ -27,6 +27,14 @@
         accelerators - other.accelerators);
   }
 
+  /** Returns the larger of both amounts in each component. */
+  public Resources max(Resources other) {
+    return new Resources(
+        Math.max(cpuMillis, other.cpuMillis),
+        Math.max(memoryMib, other.memoryMib),
+        Math.max(accelerators, other.accelerators));
+  }
+
   /** Returns whether every component of this amount is at least that of the other. */
   public boolean covers(Resources need) {
     return cpuMillis >= need.cpuMillis
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/dispatch/WorkerCapacityTest.java
@@ -0,0 +1,77 @@
+package org.marjoramhoist.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.JobOutcome;
+import org.marjoramhoist.job.Resources;
+import org.marjoramhoist.job.StepSpec;
+
+/** Decisions while the capacity of workers shrinks and grows again. */
+class WorkerCapacityTest extends DispatcherFixture {
+
+  private int jobs;
+
+  private void submit(StepSpec step) {
+    JobId id = new JobId(String.format(Locale.ROOT, "%016x", ++jobs));
+    JobDescription job = new JobDescription(id, "p", List.of(step), Set.of());
+    long deadline = now + 9_000 * MICROS_PER_MILLI;
+    step(1, new DispatchEvent.JobSubmitted(job, REQUEST_CLASS, "e", now, deadline, 0));
+  }
+
+  private int starts() {
+    List<DispatchAction.Start> starts = takeActions(DispatchAction.Start.class);
+    starts.forEach(start -> confirmStart(start.worker().id(), start.run()));
+    return starts.size();
+  }
+
+  @Test
+  void startsNothingBeyondSmallerCapacityAndGoesOnOnceItGrows() {
+    listWorkers(worker("w", 8_000, false));
+    report("w", List.of());
+    submit(tasks(4, List.of()));
+    assertThat(starts()).isEqualTo(4);
+    listWorkers(worker("w", 2_000, false));
+    submit(tasks(2, List.of()));
+    assertThat(starts()).isEqualTo(0);
+    listWorkers(worker("w", 8_000, false));
+    assertThat(starts()).isEqualTo(2);
+  }
+
+  /** It was failed as one that no worker could ever run. */
+  @Test
+  void jobThatFitsOnlyTheLargestCapacityWaitsForIt() {
+    listWorkers(worker("w", 8_000, false));
+    report("w", List.of());
+    listWorkers(worker("w", 2_000, false));
+    submit(new StepSpec(1, new Resources(4_000, 1, 0), 50, List.of(), "", "", 0));
+    assertThat(takeActions(DispatchAction.Finish.class)).isEmpty();
+    listWorkers(worker("w", 8_000, false));
+    assertThat(starts()).isEqualTo(1);
+  }
+
+  @Test
+  void jobThatFitsNoCapacityAnyWorkerHadFails() {
+    listWorkers(worker("w", 8_000, false));
+    report("w", List.of());
+    submit(new StepSpec(1, new Resources(9_000, 1, 0), 50, List.of(), "", "", 0));
+    assertThat(takeActions(DispatchAction.Finish.class).get(0).outcome())
+        .isEqualTo(JobOutcome.FAILED);
+  }
+
+  /** What runs beyond a smaller capacity was taken off the free capacity of other workers. */
+  @Test
+  void workerBeyondItsCapacityHasNoPlaces() {
+    Worker worker = new Worker(worker("w", 8_000, false));
+    worker.freeResources = worker.freeResources.minus(new Resources(6_000, 1, 0));
+    worker.setInfo(worker("w", 1_000, false));
+    assertThat(worker.placesFor(1_000)).isEqualTo(0);
+    worker.setInfo(worker("w", 8_000, false));
+    assertThat(worker.placesFor(1_000)).isEqualTo(2);
+  }
+}
