Let the likeliest cause of a crash wait for a worker that nobody needs

Hypothesis: each second crash costs a worker for 3.2 s at a time when capacity is short, and its caller gains nothing but an earlier failure; the other tasks of a lost worker wait behind these runs. Change: runs that the worker had started within 50 ms of its last one are the likeliest causes; they wait up to 10 s for an idle worker, take the smallest one, and at most a quarter of the idle workers, or one, may be missing because of them. The others get an idle or a reserved worker at once. Once a task is given up, the other tasks of the workers that it crashed are cleared. For best-effort jobs two refusals, one of them of a worker that ran nothing else, suffice: the caller is gone before the proof comes.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -319,11 +319,13 @@
 
   /** Ends a job as failed if a task of it has proved to crash its workers. */
   private void giveUpIfCrashing(Job job, long now, List<DispatchAction> out) {
-    for (TaskLosses losses : suspects.likelyInnocentFirst()) {
+    for (TaskLosses losses : suspects.all()) {
       boolean isOfJob = losses.task().job().equals(job.id());
       if (isOfJob && losses.handling(now) == TaskLosses.Handling.GIVEN_UP) {
-        String reason = "task " + losses.task() + " crashed " + losses.crashes() + " workers";
+        String reason =
+            "a task crashed " + losses.crashedWorkers().size() + " workers: " + losses.task();
         end(job, JobOutcome.FAILED, reason, now, out);
+        reconsider(suspects.causeFound(losses), now, out);
         return;
       }
     }
@@ -344,8 +346,12 @@
   }
 
   private void explainLosses(String worker, boolean crashed, long now, List<DispatchAction> out) {
-    List<TaskLosses> changed =
-        crashed ? suspects.workerCrashed(worker) : suspects.workerAnswered(worker);
+    reconsider(
+        crashed ? suspects.workerCrashed(worker) : suspects.workerAnswered(worker), now, out);
+  }
+
+  /** Decides again on the jobs of tasks, after what is held against these has changed. */
+  private void reconsider(List<TaskLosses> changed, long now, List<DispatchAction> out) {
     for (TaskLosses losses : changed) {
       allocationDue = true;
       Job job = jobs.find(losses.task().job());
--- a/src/main/java/org/marjoramhoist/dispatch/ExclusiveStarts.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ExclusiveStarts.java
@@ -10,8 +10,12 @@
 import org.marjoramhoist.dispatch.TaskLosses.Handling;
 
 /**
- * Starts the tasks that may have crashed a worker, each on a worker that runs nothing else. If none
- * is idle, one is reserved until its runs have ended.
+ * Starts the tasks that may have crashed a worker, each on a worker that runs nothing else.
+ *
+ * <p>A task that is not the likeliest cause starts soon: if no worker is idle, one is reserved
+ * until its runs have ended. The likeliest cause of a crash will probably cost another worker. It
+ * waits until a worker is left idle, which is the smallest of them, and only few workers may be
+ * missing because of such runs at a time.
  *
  * <p>Invariants: nothing else is started on a worker that is reserved for a task or runs it
  * exclusively; a limited share of the workers is kept for such tasks at a time. Confined to one
@@ -22,6 +26,12 @@
   /** One worker in so many may be reserved for suspected tasks or run one. */
   private static final int WORKERS_PER_RESERVATION = 8;
 
+  /** Of so many idle workers one may be missing because of a likely cause. */
+  private static final int IDLE_WORKERS_PER_LIKELY_CAUSE = 4;
+
+  /** How long a likely cause waits for an idle worker before one is reserved for it. */
+  private static final long IDLE_WAIT_MICROS = 10_000_000;
+
   private final SuspectTasks suspects;
   private final JobRegistry jobs;
   private final WorkerRegistry workers;
@@ -53,20 +63,59 @@
     return reservations.size();
   }
 
-  /** Starts suspected tasks, or reserves workers for them, as far as the limits allow. */
-  void run(StartPermission permission, long now, List<DispatchAction> out) {
+  /**
+   * Starts the tasks that are not the likeliest cause of a crash, or reserves workers for them. To
+   * be called before free capacity is given to other tasks.
+   */
+  void startUnlikelyCauses(StartPermission permission, long now, List<DispatchAction> out) {
     releaseUnused(now);
-    if (suspects.isEmpty()) {
-      return;
+    for (TaskLosses losses : suspects.all()) {
+      if (!waitsForIdleWorker(losses, now)) {
+        Task task = waitingTask(losses, now);
+        if (task != null && runs.window().isOpen() && permission.mayStart(task.job)) {
+          startOrReserve(task, now, out);
+        }
+      }
     }
-    for (TaskLosses losses : suspects.likelyInnocentFirst()) {
-      Task task = waitingTask(losses, now);
+  }
+
+  /**
+   * Starts likeliest causes of crashes on workers that are idle. To be called after free capacity
+   * was given to other tasks.
+   */
+  void startLikelyCauses(StartPermission permission, long now, List<DispatchAction> out) {
+    for (TaskLosses losses : suspects.all()) {
+      Task task = waitsForIdleWorker(losses, now) ? waitingTask(losses, now) : null;
       if (task != null && runs.window().isOpen() && permission.mayStart(task.job)) {
-        startOrReserve(task, now, out);
+        startOnIdleWorker(task, now, out);
       }
     }
   }
 
+  private static boolean waitsForIdleWorker(TaskLosses losses, long now) {
+    return losses.isLikelyCause() && now - losses.lastLossAt() <= IDLE_WAIT_MICROS;
+  }
+
+  private void startOnIdleWorker(Task task, long now, List<DispatchAction> out) {
+    List<Worker> idle =
+        candidates(task, now).stream().filter(worker -> worker.runs.isEmpty()).toList();
+    Optional<Worker> smallest =
+        idle.stream().min(Comparator.comparingLong(worker -> worker.info().capacity().cpuMillis()));
+    if (smallest.isPresent()
+        && missingWorkers() < Math.max(1, idle.size() / IDLE_WORKERS_PER_LIKELY_CAUSE)) {
+      reserve(task, smallest.get());
+      start(task, smallest.get(), now, out);
+    }
+  }
+
+  /** Returns how many workers may be lost to likely causes that ran alone. */
+  private long missingWorkers() {
+    long running =
+        reservations.keySet().stream().filter(task -> task.losses.isLikelyCause()).count();
+    long lost = suspects.unexplained().stream().filter(WorkerLoss::exclusive).count();
+    return running + lost;
+  }
+
   private Task waitingTask(TaskLosses losses, long now) {
     if (losses.handling(now) != Handling.EXCLUSIVE) {
       return null;
@@ -147,6 +196,7 @@
     List<Worker> candidates = new ArrayList<>();
     for (Worker worker : workers.all()) {
       if (worker.isUsable(now)
+          && worker.info().capacity().covers(task.spec().need())
           && WorkerSelector.canEverRun(task.job.requestClass(), task.spec(), worker)
           && WorkerSelector.canRun(task, worker)) {
         candidates.add(worker);
--- a/src/main/java/org/marjoramhoist/dispatch/SuspectTasks.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SuspectTasks.java
@@ -2,10 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.marjoramhoist.dispatch.WorkerLoss.Evidence;
 import org.marjoramhoist.job.JobId;
@@ -23,6 +23,9 @@
   /** How long a loss is remembered for a job that is not open. */
   private static final long RETENTION_MICROS = 60_000_000;
 
+  /** Runs that a worker started less than this before its last one are as likely a cause. */
+  private static final long LATEST_MICROS = 50_000;
+
   private final Map<TaskRef, TaskLosses> tasks = new LinkedHashMap<>();
 
   boolean isEmpty() {
@@ -35,21 +38,31 @@
 
   /** Records that a run was lost with its worker; returns what is now held against its task. */
   TaskLosses runLost(Run run, Evidence evidence, long now) {
-    TaskLosses losses = tasks.computeIfAbsent(run.task.ref, TaskLosses::new);
-    WorkerLoss loss =
-        new WorkerLoss(run.ref.number(), run.worker.id(), run.isExclusive(), evidence);
-    losses.add(loss, Math.max(0, run.worker.lastReportAt - run.orderedAt), now);
+    TaskLosses losses = lossesOf(run.task.ref, run.task.job);
+    losses.add(
+        new WorkerLoss(
+            run.ref.number(), run.worker.id(), run.isExclusive(), isAmongLatest(run), evidence),
+        now);
     run.task.losses = losses;
     return losses;
   }
 
+  private TaskLosses lossesOf(TaskRef ref, Job job) {
+    return tasks.computeIfAbsent(ref, key -> new TaskLosses(key, job.isDurable()));
+  }
+
+  private static boolean isAmongLatest(Run run) {
+    return run.worker.runs.values().stream()
+        .noneMatch(each -> each.orderedAt - run.orderedAt > LATEST_MICROS);
+  }
+
   /**
    * Gives the tasks of a job what is held against them, by this leader or stored by earlier ones.
    */
   void attach(Job job, Collection<JobProgress.LostRun> stored, long now) {
     for (JobProgress.LostRun each : stored) {
       TaskRef ref = new TaskRef(job.id(), each.step(), each.index());
-      tasks.computeIfAbsent(ref, TaskLosses::new).add(each.loss(), 0, now);
+      lossesOf(ref, job).add(each.loss(), now);
     }
     if (tasks.isEmpty()) {
       return;
@@ -99,13 +112,17 @@
   }
 
   /**
-   * Returns the losses of all tasks. Those that had run longest come first: the last one that a
-   * worker started is the most likely to have ended it.
+   * Clears the other tasks of the workers that a task has crashed; returns those whose losses are
+   * concerned.
    */
-  List<TaskLosses> likelyInnocentFirst() {
-    return tasks.values().stream()
-        .sorted(Comparator.comparingLong(TaskLosses::ranMicros).reversed())
-        .toList();
+  List<TaskLosses> causeFound(TaskLosses cause) {
+    Set<String> workers = cause.crashedWorkers();
+    return changed(losses -> losses != cause && losses.withdraw(workers));
+  }
+
+  /** Returns what is held against each task. */
+  List<TaskLosses> all() {
+    return List.copyOf(tasks.values());
   }
 
   /** Counts the tasks that may be run in a certain way only. */
--- a/src/main/java/org/marjoramhoist/dispatch/TaskAllocator.java
+++ b/src/main/java/org/marjoramhoist/dispatch/TaskAllocator.java
@@ -111,7 +111,12 @@
   /** Starts as many waiting tasks as free capacity, start limits and placement allow. */
   void startWaitingTasks(long now, List<DispatchAction> out) {
     boolean settled = workers.isSettled(now);
-    exclusiveStarts.run(job -> mayStart(job, settled, now), now, out);
+    exclusiveStarts.startUnlikelyCauses(job -> mayStart(job, settled, now), now, out);
+    startQueuedTasks(settled, now, out);
+    exclusiveStarts.startLikelyCauses(job -> mayStart(job, settled, now), now, out);
+  }
+
+  private void startQueuedTasks(boolean settled, long now, List<DispatchAction> out) {
     queue.insert(jobs.removeNewlyWaiting(), now);
     if (queue.isEmpty() || !runs.window().isOpen()) {
       return;
--- a/src/main/java/org/marjoramhoist/dispatch/TaskLosses.java
+++ b/src/main/java/org/marjoramhoist/dispatch/TaskLosses.java
@@ -2,6 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.marjoramhoist.dispatch.WorkerLoss.Evidence;
 import org.marjoramhoist.job.TaskRef;
 
@@ -41,27 +44,28 @@
 
   private final TaskRef task;
   private final List<WorkerLoss> losses = new ArrayList<>();
+  private final boolean durable;
   private long lastLossAt;
-  private long ranMicros;
 
-  TaskLosses(TaskRef task) {
+  /**
+   * Creates an empty list.
+   *
+   * @param durable whether the task's job is durable, so that its caller can wait for proof
+   */
+  TaskLosses(TaskRef task, boolean durable) {
     this.task = task;
+    this.durable = durable;
   }
 
   TaskRef task() {
     return task;
   }
 
-  /**
-   * Adds a loss.
-   *
-   * @param micros how long the run had been at work when its worker was last heard
-   */
-  void add(WorkerLoss loss, long micros, long now) {
+  /** Adds a loss. */
+  void add(WorkerLoss loss, long now) {
     if (!includes(loss.run())) {
       losses.add(loss);
       lastLossAt = now;
-      ranMicros = micros;
     }
   }
 
@@ -78,9 +82,9 @@
     return lastLossAt;
   }
 
-  /** Returns how long its last lost run had been at work when its worker was last heard. */
-  long ranMicros() {
-    return ranMicros;
+  /** Tells whether it is the likeliest cause of one of its losses. */
+  boolean isLikelyCause() {
+    return losses.stream().anyMatch(WorkerLoss::latest);
   }
 
   /**
@@ -110,13 +114,31 @@
         loss -> loss.worker().equals(worker) && loss.evidence() != Evidence.CRASHED);
   }
 
+  /**
+   * Withdraws the losses of workers that another task has crashed.
+   *
+   * @return whether there were any
+   */
+  boolean withdraw(Set<String> workers) {
+    return losses.removeIf(loss -> workers.contains(loss.worker()));
+  }
+
   /** Tells whether nothing is held against the task. */
   boolean isEmpty() {
     return losses.isEmpty();
   }
 
-  int crashes() {
-    return count(Evidence.CRASHED);
+  /** Returns the ids of the workers that crashed under it, as far as its caller waits for proof. */
+  Set<String> crashedWorkers() {
+    return losses.stream()
+        .filter(this::counts)
+        .map(WorkerLoss::worker)
+        .collect(Collectors.toCollection(TreeSet::new));
+  }
+
+  /** The caller of an ephemeral job is gone before a crash is proved. */
+  private boolean counts(WorkerLoss loss) {
+    return loss.evidence() == Evidence.CRASHED || !durable && loss.evidence() == Evidence.REFUSED;
   }
 
   private int count(Evidence evidence) {
@@ -124,11 +146,11 @@
   }
 
   Handling handling(long now) {
-    if (isProven()) {
+    if (isCause()) {
       return Handling.GIVEN_UP;
     }
     int refused = count(Evidence.REFUSED);
-    int suspicious = crashes() + refused;
+    int suspicious = count(Evidence.CRASHED) + refused;
     if (suspicious == 0) {
       return Handling.SHARED;
     }
@@ -138,10 +160,9 @@
         : Handling.EXCLUSIVE;
   }
 
-  private boolean isProven() {
-    int crashes = crashes();
-    boolean anyExclusive =
-        losses.stream().anyMatch(loss -> loss.exclusive() && loss.evidence() == Evidence.CRASHED);
+  private boolean isCause() {
+    int crashes = crashedWorkers().size();
+    boolean anyExclusive = losses.stream().anyMatch(loss -> loss.exclusive() && counts(loss));
     return crashes >= MAX_CRASHES || crashes >= CRASHES_WITH_EXCLUSIVE_RUN && anyExclusive;
   }
 }
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerLoss.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerLoss.java
@@ -8,9 +8,12 @@
  * @param run the number of the run
  * @param worker the id of the worker
  * @param exclusive whether the worker ran nothing else
+ * @param latest whether the run was among the last that the worker had started, so that it is the
+ *     likeliest cause
  * @param evidence what is known of the cause
  */
-public record WorkerLoss(int run, String worker, boolean exclusive, Evidence evidence) {
+public record WorkerLoss(
+    int run, String worker, boolean exclusive, boolean latest, Evidence evidence) {
 
   /** What is known of the cause of a loss. */
   public enum Evidence {
@@ -23,6 +26,6 @@
   }
 
   WorkerLoss with(Evidence newEvidence) {
-    return new WorkerLoss(run, worker, exclusive, newEvidence);
+    return new WorkerLoss(run, worker, exclusive, latest, newEvidence);
   }
 }
