Show suspected tasks and reserved workers in status and metrics

LEADER_STATUS and three gauges of the leader's host: tasks that run only alone, tasks held until more is known, and workers reserved for them.

--- a/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
@@ -12,6 +12,7 @@
  * @param runs the runs
  * @param drain the drained failure domains
  * @param starts the runs ordered in this term
+ * @param suspects the tasks that may have crashed workers
  * @param startsAllowed whether new runs may be started
  * @param settled whether no run of a previous leader can be running unnoticed
  * @param waitingJobs the number of jobs with tasks that can start now
@@ -24,6 +25,7 @@
     Runs runs,
     Drain drain,
     Starts starts,
+    Suspects suspects,
     boolean startsAllowed,
     boolean settled,
     int waitingJobs,
@@ -38,6 +40,7 @@
           new Runs(0, 0, 0, 0, 0, 0, 0),
           new Drain(false, List.of(), 0, 0),
           new Starts(0, 0, 0, 0),
+          new Suspects(0, 0, 0),
           false,
           false,
           0,
@@ -177,12 +180,26 @@
     }
   }
 
+  /**
+   * The tasks that were running on workers when these were lost.
+   *
+   * @param exclusive the number of tasks that are run only on workers that run nothing else
+   * @param held the number of tasks that wait until it is known what became of the workers
+   * @param reservedWorkers the number of workers that are reserved for such a task or run it
+   */
+  public record Suspects(int exclusive, int held, int reservedWorkers) {
+    private String describe() {
+      return " suspects=" + exclusive + " held=" + held + " reserved=" + reservedWorkers;
+    }
+  }
+
   @Override
   public String toString() {
     return workers.describe()
         + runs.describe()
         + drain.describe()
         + starts.describe()
+        + suspects.describe()
         + " startsAllowed="
         + startsAllowed
         + " settled="
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -544,6 +544,10 @@
         counts.runs(runController.window()),
         workerRegistry.drains().snapshot(workerRegistry.all()),
         workerSelector.stats(runController.window()),
+        new DispatchSnapshot.Suspects(
+            suspects.count(TaskLosses.Handling.EXCLUSIVE, now),
+            suspects.count(TaskLosses.Handling.HELD, now),
+            exclusiveStarts.reservedWorkers()),
         startsAllowed,
         workerRegistry.isSettled(now),
         jobs.waiting().size(),
--- a/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
+++ b/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
@@ -71,6 +71,9 @@
     gauge("marjoramhoist.leader.starts.ordered", () -> starts().ordered());
     gauge("marjoramhoist.leader.starts.fast", () -> starts().fast());
     gauge("marjoramhoist.leader.starts.far", () -> starts().far());
+    gauge("marjoramhoist.leader.tasks.suspected", () -> suspects().exclusive());
+    gauge("marjoramhoist.leader.tasks.held", () -> suspects().held());
+    gauge("marjoramhoist.leader.workers.reserved", () -> suspects().reservedWorkers());
     gauge("marjoramhoist.leader.starts.allowed", () -> flag(status.dispatch().startsAllowed()));
     gauge("marjoramhoist.leader.orders.allowed", () -> flag(status.mayOrder()));
     gauge("marjoramhoist.leader.workers.drained", () -> drain().workers());
@@ -94,6 +97,10 @@
     return status.dispatch().starts();
   }
 
+  private DispatchSnapshot.Suspects suspects() {
+    return status.dispatch().suspects();
+  }
+
   private DispatchSnapshot.Runs runs() {
     return status.dispatch().runs();
   }
