Tell the next leader which best-effort tasks may have crashed workers

The heartbeat now carries these tasks, 32 at most, when they have changed and again each second; hosts keep them, and a new leader of the partition or of a domain that is cut off begins with them.

nextLeaderIsToldOfTasksOfEphemeralJobs failed before.

--- a/src/main/java/org/marjoramhoist/dispatch/TaskLosses.java
+++ b/src/main/java/org/marjoramhoist/dispatch/TaskLosses.java
@@ -57,6 +57,10 @@
     this.durable = durable;
   }
 
+  boolean isDurable() {
+    return durable;
+  }
+
   TaskRef task() {
     return task;
   }
--- a/src/main/java/org/marjoramhoist/entry/PartitionMember.java
+++ b/src/main/java/org/marjoramhoist/entry/PartitionMember.java
@@ -67,6 +67,7 @@
   private Map<String, Integer> waitingByClass = Map.of();
   private final SuspensionDetector suspension = new SuspensionDetector();
   private final SuccessorSelector successorSelector;
+  private final SuspectNews suspectNews = new SuspectNews();
   private final StoreOutageMonitor storeOutage = new StoreOutageMonitor();
 
   /** The channel to this host as leader. */
@@ -253,6 +254,7 @@
             host -> entryHostLost(host));
     followers.onOpened(workerLists::forget);
     localChannel = new LocalLeaderChannel(term);
+    leadership.learnSuspects(leaders.suspects());
     leadership.start();
     sendHeartbeats();
     leaders.leaderFound(localChannel);
@@ -305,6 +307,7 @@
     jobs.setAdmittedShare(admittedShare);
     RetryForecast forecast = leadership.retryForecast(admittedShare);
     leaders.updateRetryForecast(forecast);
+    leaders.updateSuspects(leadership.suspectTasks());
     followers.sendHeartbeats(
         new Heartbeat(
             leadership.term(),
@@ -314,7 +317,8 @@
             leadership.waitingJobs(),
             admittedShare,
             EventLoop.now(),
-            forecast));
+            forecast,
+            suspectNews.due(leadership.suspectTasks(), EventLoop.now())));
     handOverIfDue();
   }
 
@@ -435,6 +439,7 @@
       waitingByClass = heartbeat.waiting();
       jobs.setAdmittedShare(heartbeat.intake());
       leaders.updateRetryForecast(heartbeat.returns());
+      leaders.updateSuspects(heartbeat.suspects());
       if (!isLeaderLink(link)) {
         EventLog.info(
             LogEvent.LEADER_CHANGED, "leader={} term={}", heartbeat.host(), heartbeat.term());
