Bound the search for places of a task, and refuse negative amounts

A task that needs no processor, memory or accelerator, with a preferred rack that is full, fits any number of times into what a run leaves; the list of places grew until the leader's memory was full. Its hosts would then hand the job to the next leader. As many places are counted as tasks wait. A job with negative amounts, which grow the room they take, is refused.

--- a/src/main/java/org/marjoramhoist/dispatch/SlackPlacementStrategy.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SlackPlacementStrategy.java
@@ -131,13 +131,14 @@
      * remote one now.
      */
     private boolean isWaitWorthwhile() {
+      int waitingTasks = waitingTasksOfStep();
       List<Double> waits = new ArrayList<>();
       double bestLocalFactor = Double.MAX_VALUE;
       for (Worker worker : workers.all()) {
         if (!WorkerSelector.isFar(task.spec(), worker)
             && WorkerSelector.canRun(task, worker)
             && worker.isUsable(now)) {
-          addWaits(worker, waits);
+          addWaits(worker, waitingTasks, waits);
           bestLocalFactor = Math.min(bestLocalFactor, durations.workerFactor(worker));
         }
       }
@@ -146,7 +147,6 @@
         return false;
       }
       Collections.sort(waits);
-      int waitingTasks = waitingTasksOfStep();
       boolean startsInTime =
           waitingTasks <= waits.size() && now + waits.get(waitingTasks - 1) <= latestStart;
       return startsInTime || bestSlowdown > expectedMaxSlowdown;
@@ -164,16 +164,21 @@
       return count;
     }
 
-    /** Adds the predicted waits until a worker has capacity for each additional task. */
-    private void addWaits(Worker worker, List<Double> waits) {
+    /**
+     * Adds the predicted waits until a worker has capacity for each additional task, for as many
+     * tasks as are waiting.
+     */
+    private void addWaits(Worker worker, int waitingTasks, List<Double> waits) {
       List<Run> runs = new ArrayList<>(worker.runs.values());
       runs.sort(Comparator.comparingDouble(run -> run.remainingMicros(now)));
       Resources free = worker.freeResources;
+      int places = 0;
       for (Run run : runs) {
         free = free.plus(run.need);
-        while (free.covers(task.spec().need())) {
+        while (places < waitingTasks && free.covers(task.spec().need())) {
           free = free.minus(task.spec().need());
           waits.add(run.remainingMicros(now));
+          places++;
         }
       }
     }
--- a/src/main/java/org/marjoramhoist/platform/JobBodies.java
+++ b/src/main/java/org/marjoramhoist/platform/JobBodies.java
@@ -100,12 +100,24 @@
         throw new IOException(
             "step " + i + " must have at least one task and depend on earlier steps only");
       }
+      if (hasNegativeAmount(step)) {
+        throw new IOException("step " + i + " must not have negative amounts");
+      }
     }
     if (tasks > MAX_TASKS) {
       throw new IOException("a job may have at most " + MAX_TASKS + " tasks, but has " + tasks);
     }
   }
 
+  private static boolean hasNegativeAmount(StepSpec step) {
+    Resources need = step.need();
+    return need.cpuMillis() < 0
+        || need.memoryMib() < 0
+        || need.accelerators() < 0
+        || step.estimateMillis() < 0
+        || step.maxPerWorker() < 0;
+  }
+
   private static List<StepSpec> parseSteps(JsonParser in, Set<JobFeature> features)
       throws IOException {
     requireToken(in.currentToken(), JsonToken.START_ARRAY, "steps");
--- a/src/test/java/org/marjoramhoist/dispatch/SlackPlacementStrategyTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/SlackPlacementStrategyTest.java
@@ -1,7 +1,9 @@
 package org.marjoramhoist.dispatch;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -61,8 +63,11 @@
   }
 
   private Task task(long arrivedAt, String rack) {
-    StepSpec step =
-        new StepSpec(1, new Resources(TASK_CPU_MILLIS, 1, 0), WORK_MILLIS, List.of(), "", rack, 0);
+    return task(arrivedAt, rack, new Resources(TASK_CPU_MILLIS, 1, 0));
+  }
+
+  private Task task(long arrivedAt, String rack, Resources need) {
+    StepSpec step = new StepSpec(1, need, WORK_MILLIS, List.of(), "", rack, 0);
     JobId id = new JobId(String.format("%016x", ++lastJobNumber));
     JobDescription description = new JobDescription(id, "p", List.of(step), Set.of());
     return new Job(description, DispatcherFixture.REQUEST_CLASS, arrivedAt, Long.MAX_VALUE, 0)
@@ -156,6 +161,17 @@
     assertThat(chosenWorker(task(NOW - 200 * MICROS_PER_MILLI, "r-1"), far)).isEqualTo("far");
   }
 
+  /** One such request kept its leader busy until its memory was full, and so the next leader. */
+  @Test
+  void taskThatNeedsNothingIsPlacedBesideBusyRack() {
+    Worker near = worker("near", "slow", "r-1", 1_000);
+    Worker far = worker("far", "fast", "r-0", 1_000);
+    addUsable(near);
+    occupy(near);
+    Task task = task(NOW, "r-1", new Resources(0, 0, 0));
+    assertTimeoutPreemptively(Duration.ofMillis(500), () -> chosenWorker(task, far));
+  }
+
   /** Tasks must not wait for a rack without usable workers. */
   @Test
   void taskDoesNotWaitForRackWithoutUsableWorkers() {
--- a/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
+++ b/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
@@ -75,6 +75,11 @@
             "{\"steps\":[{\"count\":0}]}",
             "{\"steps\":[{\"count\":1,\"after\":[0]}]}",
             "{\"steps\":[{\"count\":200000}]}",
+            "{\"steps\":[{\"count\":1,\"cpu\":-1}]}",
+            "{\"steps\":[{\"count\":1,\"memMb\":-1}]}",
+            "{\"steps\":[{\"count\":1,\"gpu\":-1}]}",
+            "{\"steps\":[{\"count\":1,\"estimateMs\":-1}]}",
+            "{\"steps\":[{\"count\":1,\"maxPerServer\":-1}]}",
             "{\"spec\":7,\"steps\":[{\"count\":1}]}",
             "{\"steps\":[{\"count\":1}")) {
       assertThrows(IOException.class, () -> parse(body), body);
