--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -78,6 +78,7 @@
   private final TaskAllocator allocator;
   private final JobRegistry jobs = new JobRegistry();
   private final SuspectTasks suspects = new SuspectTasks();
+  private final WorkerLossHandler workerLosses;
   private final ExclusiveStarts exclusiveStarts;
 
   /** Null unless load shedding is enabled. */
@@ -132,6 +133,8 @@
             workerSelector,
             queueOrder,
             exclusiveStarts);
+    this.workerLosses =
+        new WorkerLossHandler(suspects, jobs, workerRegistry, durableJobs, this::end);
     this.jobCalls =
         new JobCallHandler(
             jobs,
@@ -216,8 +219,7 @@
     } else if (event instanceof JobsLoaded stored) {
       jobCalls.loadJobs(stored, now, out);
       for (Job job : List.copyOf(jobs.all())) {
-        suspects.attach(job, job.storedLosses(), now);
-        giveUpIfCrashing(job, now, out);
+        workerLosses.jobLoaded(job, now, out);
       }
       allocationDue = true;
     } else if (event instanceof SuspectsLearned learned) {
@@ -318,56 +320,11 @@
     } else if (!job.started && workerRegistry.canNeverRun(job.description(), job.requestClass())) {
       endImpossible(job, now, out);
     } else if (!refuseIfUnservable(job, now, out)) {
-      giveUpIfCrashing(job, now, out);
+      workerLosses.giveUpIfCrashing(job, now, out);
       allocationDue = true;
     }
   }
 
-  /** Ends a job as failed if a task of it has proved to crash its workers. */
-  private void giveUpIfCrashing(Job job, long now, List<DispatchAction> out) {
-    for (TaskLosses losses : suspects.all()) {
-      boolean isOfJob = losses.task().job().equals(job.id());
-      if (isOfJob && losses.handling(now) == TaskLosses.Handling.GIVEN_UP) {
-        String reason =
-            "a task crashed " + losses.crashedWorkers().size() + " workers: " + losses.task();
-        end(job, JobOutcome.FAILED, reason, now, out);
-        reconsider(suspects.causeFound(losses), now, out);
-        return;
-      }
-    }
-  }
-
-  /**
-   * Concludes that the process of a worker which refused connections has ended once its entry is
-   * gone too. Losses of workers that are gone without a refusal are not held against any task.
-   */
-  private void explainLosses(long now, List<DispatchAction> out) {
-    for (WorkerLoss loss : suspects.unexplained()) {
-      if (workerRegistry.isGone(loss.worker())) {
-        boolean crashed = loss.evidence() == WorkerLoss.Evidence.REFUSED;
-        explainLosses(loss.worker(), crashed, now, out);
-      }
-    }
-    suspects.prune(id -> jobs.find(id) != null, now);
-  }
-
-  private void explainLosses(String worker, boolean crashed, long now, List<DispatchAction> out) {
-    reconsider(
-        crashed ? suspects.workerCrashed(worker) : suspects.workerAnswered(worker), now, out);
-  }
-
-  /** Decides again on the jobs of tasks, after what is held against these has changed. */
-  private void reconsider(List<TaskLosses> changed, long now, List<DispatchAction> out) {
-    for (TaskLosses losses : changed) {
-      allocationDue = true;
-      Job job = jobs.find(losses.task().job());
-      if (job != null) {
-        giveUpIfCrashing(job, now, out);
-        recordProgress(job, now);
-      }
-    }
-  }
-
   private void recordProgress(Job job, long now) {
     if (job.isDurable()) {
       durableJobs.recordProgress(job, now);
@@ -416,7 +373,7 @@
     for (Worker worker : workerRegistry.all()) {
       runController.tick(worker, now, out);
     }
-    explainLosses(now, out);
+    workerLosses.tick(now, out);
     workerRegistry.logSettled(now, out);
     workerRegistry.logIdleDomains(out);
     if (guard != null) {
@@ -669,59 +626,21 @@
     public void runLost(Run run, LossCause cause, long now, List<DispatchAction> out) {
       allocationDue = true;
       if (run.isLostWithWorker(cause)) {
-        lostWithWorker(run, now, out);
+        workerLosses.runLost(run, now, out);
       }
       out.add(new Log(LogEvent.RUN_LOST, describeLoss(run, cause, now)));
       jobs.markWaiting(run.task.job);
     }
 
-    /**
-     * The losses of the runs are recorded before their leases have expired, so that the next leader
-     * knows of them even if this one is lost as well.
-     */
     @Override
     public void workerRefuses(Worker worker, long now, List<DispatchAction> out) {
-      if (!worker.info().draining()) {
-        List.copyOf(worker.runs.values()).forEach(run -> suspect(run, now, out));
-      }
-    }
-
-    private void lostWithWorker(Run run, long now, List<DispatchAction> out) {
-      Worker worker = run.worker;
-      if (worker.info().draining()) {
-        return;
-      }
-      if (workerRegistry.isLostWithOthers(worker)) {
-        explainLosses(worker.id(), false, now, out);
-      } else {
-        suspect(run, now, out);
-      }
-    }
-
-    private void suspect(Run run, long now, List<DispatchAction> out) {
-      TaskLosses before = run.task.losses;
-      if (before != null && before.includes(run.ref.number())) {
-        return;
-      }
-      TaskLosses losses = suspects.runLost(run, run.worker.lossEvidence(run), now);
-      TaskLosses.Handling next = losses.handling(now);
-      if (next == TaskLosses.Handling.SHARED) {
-        return;
-      }
-      Job job = run.task.job;
-      out.add(new Log(LogEvent.TASK_SUSPECTED, RunController.describe(run) + " next=" + next));
-      if (job.isDurable()) {
-        durableJobs.recordLoss(job, now);
-      }
-      if (jobs.find(job.id()) == job) {
-        giveUpIfCrashing(job, now, out);
-      }
+      workerLosses.workerRefuses(worker, now, out);
     }
 
     @Override
     public void workerExplained(
         Worker worker, boolean crashed, long now, List<DispatchAction> out) {
-      explainLosses(worker.id(), crashed, now, out);
+      allocationDue |= workerLosses.explain(worker.id(), crashed, now, out);
     }
 
     private String describeLoss(Run run, LossCause cause, long now) {
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerLossHandler.java
@@ -0,0 +1,137 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.List;
+import org.marjoramhoist.dispatch.DispatchAction.Log;
+import org.marjoramhoist.dispatch.TaskLosses.Handling;
+import org.marjoramhoist.job.JobOutcome;
+import org.marjoramhoist.log.LogEvent;
+
+/**
+ * Decides what the loss of workers means for the tasks that ran on them.
+ *
+ * <p>Invariant: nothing is held against a task for a worker that was shutting down, was only
+ * silent, or was lost together with most of its rack. Confined to one thread.
+ */
+final class WorkerLossHandler {
+
+  private final SuspectTasks suspects;
+  private final JobRegistry jobs;
+  private final WorkerRegistry workers;
+  private final DurableJobs durableJobs;
+  private final JobFinisher jobFinisher;
+
+  WorkerLossHandler(
+      SuspectTasks suspects,
+      JobRegistry jobs,
+      WorkerRegistry workers,
+      DurableJobs durableJobs,
+      JobFinisher jobFinisher) {
+    this.suspects = suspects;
+    this.jobs = jobs;
+    this.workers = workers;
+    this.durableJobs = durableJobs;
+    this.jobFinisher = jobFinisher;
+  }
+
+  /** Takes over what earlier leaders stored about the tasks of a job. */
+  void jobLoaded(Job job, long now, List<DispatchAction> out) {
+    suspects.attach(job, job.storedLosses(), now);
+    giveUpIfCrashing(job, now, out);
+  }
+
+  /**
+   * Handles that a worker refuses connections. Its losses are recorded before the leases of its
+   * runs have expired, so that the next leader knows of them even if this one is lost as well.
+   */
+  void workerRefuses(Worker worker, long now, List<DispatchAction> out) {
+    if (!worker.info().draining()) {
+      List.copyOf(worker.runs.values()).forEach(run -> suspect(run, now, out));
+    }
+  }
+
+  /** Handles that a run is over as its worker was lost. */
+  void runLost(Run run, long now, List<DispatchAction> out) {
+    Worker worker = run.worker;
+    if (worker.info().draining()) {
+      return;
+    }
+    if (workers.isLostWithOthers(worker)) {
+      explain(worker.id(), false, now, out);
+    } else {
+      suspect(run, now, out);
+    }
+  }
+
+  private void suspect(Run run, long now, List<DispatchAction> out) {
+    TaskLosses before = run.task.losses;
+    if (before != null && before.includes(run.ref.number())) {
+      return;
+    }
+    TaskLosses losses = suspects.runLost(run, run.worker.lossEvidence(run), now);
+    Handling next = losses.handling(now);
+    if (next == Handling.SHARED) {
+      return;
+    }
+    Job job = run.task.job;
+    out.add(new Log(LogEvent.TASK_SUSPECTED, RunController.describe(run) + " next=" + next));
+    if (job.isDurable()) {
+      durableJobs.recordLoss(job, now);
+    }
+    if (jobs.find(job.id()) == job) {
+      giveUpIfCrashing(job, now, out);
+    }
+  }
+
+  /**
+   * Concludes that the process of a worker which refused connections has ended once its entry is
+   * gone too. Losses of workers that are gone without a refusal are not held against any task.
+   */
+  void tick(long now, List<DispatchAction> out) {
+    for (WorkerLoss loss : suspects.unexplained()) {
+      if (workers.isGone(loss.worker())) {
+        explain(loss.worker(), loss.evidence() == WorkerLoss.Evidence.REFUSED, now, out);
+      }
+    }
+    suspects.prune(id -> jobs.find(id) != null, now);
+  }
+
+  /**
+   * Handles that it is known what became of a worker.
+   *
+   * @param crashed whether its process has ended; otherwise it was only out of reach
+   * @return whether that changes how any task may be run
+   */
+  boolean explain(String worker, boolean crashed, long now, List<DispatchAction> out) {
+    List<TaskLosses> changed =
+        crashed ? suspects.workerCrashed(worker) : suspects.workerAnswered(worker);
+    reconsider(changed, now, out);
+    return !changed.isEmpty();
+  }
+
+  /** Decides again on the jobs of tasks, after what is held against these has changed. */
+  private void reconsider(List<TaskLosses> changed, long now, List<DispatchAction> out) {
+    for (TaskLosses losses : changed) {
+      Job job = jobs.find(losses.task().job());
+      if (job != null) {
+        giveUpIfCrashing(job, now, out);
+        if (job.isDurable()) {
+          durableJobs.recordProgress(job, now);
+        }
+      }
+    }
+  }
+
+  /** Ends a job as failed if a task of it has proved to crash its workers. */
+  void giveUpIfCrashing(Job job, long now, List<DispatchAction> out) {
+    for (TaskLosses losses : suspects.all()) {
+      boolean isOfJob = losses.task().job().equals(job.id());
+      if (isOfJob && losses.handling(now) == Handling.GIVEN_UP) {
+        String reason =
+            "a task crashed " + losses.crashedWorkers().size() + " workers: " + losses.task();
+        jobFinisher.end(job, JobOutcome.FAILED, reason, now, out);
+        reconsider(suspects.causeFound(losses), now, out);
+        return;
+      }
+    }
+  }
+}
