--- a/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -192,14 +192,6 @@
     }
   }
 
-  /** A previous leader told which tasks may have crashed workers. */
-  record SuspectsLearned(List<SuspectTask> tasks) implements DispatchEvent {
-    /** Creates an event with a copy of the list. */
-    public SuspectsLearned {
-      tasks = List.copyOf(tasks);
-    }
-  }
-
   /** A journal batch was stored. */
   record BatchStored(long number) implements DispatchEvent {}
 
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -22,7 +22,6 @@
 import org.marjoramhoist.dispatch.DispatchEvent.StartUnanswered;
 import org.marjoramhoist.dispatch.DispatchEvent.StartsAllowed;
 import org.marjoramhoist.dispatch.DispatchEvent.StopEnded;
-import org.marjoramhoist.dispatch.DispatchEvent.SuspectsLearned;
 import org.marjoramhoist.dispatch.DispatchEvent.TermEnded;
 import org.marjoramhoist.dispatch.DispatchEvent.Tick;
 import org.marjoramhoist.dispatch.DispatchEvent.WorkerEvent;
@@ -54,9 +53,6 @@
 
   private static final long MIN_RETRY_AFTER_MILLIS = 1_000;
 
-  /** Limits the size of the messages that tell them. */
-  private static final int MAX_TOLD_SUSPECTS = 32;
-
   private static final double MICROS_PER_MILLI = 1_000.0;
 
   private final long termStart;
@@ -222,8 +218,6 @@
         workerLosses.jobLoaded(job, now, out);
       }
       allocationDue = true;
-    } else if (event instanceof SuspectsLearned learned) {
-      suspects.learn(learned.tasks(), now);
     } else if (event instanceof BatchStored batch) {
       durableJobs.confirmBatch(batch.number(), out).forEach(jobs::markWaiting);
       allocationDue = true;
@@ -494,11 +488,6 @@
     return retrySchedule == null ? RetryForecast.NONE : retrySchedule.forecast(admittedShare, now);
   }
 
-  /** Returns the tasks of ephemeral jobs that a next leader should know, the latest ones. */
-  public List<SuspectTask> suspectTasks() {
-    return suspects.ephemeral(MAX_TOLD_SUSPECTS);
-  }
-
   /** Returns the served shares of caller groups; empty unless fair shares are enabled. */
   public Map<ServedShares.CallerGroup, Double> servedShares(long now) {
     return fairShareWeights.servedShares(now);
--- a/src/main/java/org/marjoramhoist/dispatch/SuspectTasks.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SuspectTasks.java
@@ -78,31 +78,6 @@
     }
   }
 
-  /** Adds what a previous leader held against tasks of ephemeral jobs. */
-  void learn(List<SuspectTask> told, long now) {
-    for (SuspectTask each : told) {
-      TaskRef ref = new TaskRef(each.job(), each.step(), each.index());
-      TaskLosses losses = tasks.computeIfAbsent(ref, key -> new TaskLosses(key, false));
-      each.losses().forEach(loss -> losses.add(loss, now));
-    }
-  }
-
-  /** Returns the tasks of ephemeral jobs that a next leader should know, the latest ones. */
-  List<SuspectTask> ephemeral(int limit) {
-    List<SuspectTask> suspects =
-        tasks.values().stream()
-            .filter(losses -> !losses.isDurable() && !losses.isEmpty())
-            .map(
-                losses ->
-                    new SuspectTask(
-                        losses.task().job(),
-                        losses.task().step(),
-                        losses.task().index(),
-                        losses.all()))
-            .toList();
-    return suspects.subList(Math.max(0, suspects.size() - limit), suspects.size());
-  }
-
   /** Clears a task that has completed. */
   void taskDone(Task task) {
     if (task.losses != null) {
--- a/src/main/java/org/marjoramhoist/dispatch/TaskLosses.java
+++ b/src/main/java/org/marjoramhoist/dispatch/TaskLosses.java
@@ -57,10 +57,6 @@
     this.durable = durable;
   }
 
-  boolean isDurable() {
-    return durable;
-  }
-
   TaskRef task() {
     return task;
   }
--- a/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
+++ b/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
@@ -234,7 +234,6 @@
     successorSelector.clear();
     boolean succeedsActiveLeader = hasValidHandOver() && receivedHandOver.usesWorkers();
     leadership = leaderships.apply(succeedsActiveLeader);
-    leadership.learnSuspects(leaders.suspects());
     leadership.start(hasValidHandOver() ? Set.copyOf(receivedHandOver.kept()) : Set.of());
     leaders.setDomainLeader(new LocalLeaderChannel(leadership));
     sendHeartbeats();
--- a/src/main/java/org/marjoramhoist/entry/LeaderTracker.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderTracker.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import org.marjoramhoist.dispatch.ReceivedRetryForecast;
 import org.marjoramhoist.dispatch.RetryForecast;
-import org.marjoramhoist.dispatch.SuspectTask;
 import org.marjoramhoist.job.JobId;
 
 /**
@@ -33,7 +32,6 @@
   private long leaderLostAt = EventLoop.now();
   private boolean hadLeader;
   private final ReceivedRetryForecast forecast = new ReceivedRetryForecast();
-  private List<SuspectTask> suspects = List.of();
 
   /** Registers a task to run each time that a leader is found; tasks run in registration order. */
   void onLeaderFound(Runnable task) {
@@ -126,22 +124,6 @@
     forecast.update(received, EventLoop.now());
   }
 
-  /**
-   * Updates the tasks that may have crashed workers, as the partition's leader knows them.
-   *
-   * @param received the tasks; null if they are unchanged
-   */
-  void updateSuspects(List<SuspectTask> received) {
-    if (received != null) {
-      suspects = received;
-    }
-  }
-
-  /** Returns the tasks that may have crashed workers, as the partition's last leader knew them. */
-  List<SuspectTask> suspects() {
-    return suspects;
-  }
-
   /**
    * Returns after how many milliseconds the caller of a refused job may retry.
    *
--- a/src/main/java/org/marjoramhoist/entry/Leadership.java
+++ b/src/main/java/org/marjoramhoist/entry/Leadership.java
@@ -9,7 +9,6 @@
 import org.marjoramhoist.dispatch.DispatchEvent;
 import org.marjoramhoist.dispatch.Dispatcher;
 import org.marjoramhoist.dispatch.RetryForecast;
-import org.marjoramhoist.dispatch.SuspectTask;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.Finished;
@@ -105,18 +104,6 @@
     return events.size();
   }
 
-  /** Returns the tasks that may have crashed workers, for the next leader. */
-  final List<SuspectTask> suspectTasks() {
-    return dispatcher.suspectTasks();
-  }
-
-  /**
-   * Takes over what the previous leader held against tasks; to be called before any other event.
-   */
-  final void learnSuspects(List<SuspectTask> suspects) {
-    handle(new DispatchEvent.SuspectsLearned(suspects));
-  }
-
   final Map<String, Integer> waitingJobs() {
     return dispatcher.waitingJobsByClass();
   }
--- a/src/main/java/org/marjoramhoist/entry/PartitionMember.java
+++ b/src/main/java/org/marjoramhoist/entry/PartitionMember.java
@@ -67,7 +67,6 @@
   private Map<String, Integer> waitingByClass = Map.of();
   private final SuspensionDetector suspension = new SuspensionDetector();
   private final SuccessorSelector successorSelector;
-  private final SuspectNews suspectNews = new SuspectNews();
   private final StoreOutageMonitor storeOutage = new StoreOutageMonitor();
 
   /** The channel to this host as leader. */
@@ -254,7 +253,6 @@
             host -> entryHostLost(host));
     followers.onOpened(workerLists::forget);
     localChannel = new LocalLeaderChannel(term);
-    leadership.learnSuspects(leaders.suspects());
     leadership.start();
     sendHeartbeats();
     leaders.leaderFound(localChannel);
@@ -307,7 +305,6 @@
     jobs.setAdmittedShare(admittedShare);
     RetryForecast forecast = leadership.retryForecast(admittedShare);
     leaders.updateRetryForecast(forecast);
-    leaders.updateSuspects(leadership.suspectTasks());
     followers.sendHeartbeats(
         new Heartbeat(
             leadership.term(),
@@ -317,8 +314,7 @@
             leadership.waitingJobs(),
             admittedShare,
             EventLoop.now(),
-            forecast,
-            suspectNews.due(leadership.suspectTasks(), EventLoop.now())));
+            forecast));
     handOverIfDue();
   }
 
@@ -439,7 +435,6 @@
       waitingByClass = heartbeat.waiting();
       jobs.setAdmittedShare(heartbeat.intake());
       leaders.updateRetryForecast(heartbeat.returns());
-      leaders.updateSuspects(heartbeat.suspects());
       if (!isLeaderLink(link)) {
         EventLog.info(
             LogEvent.LEADER_CHANGED, "leader={} term={}", heartbeat.host(), heartbeat.term());
--- a/src/main/java/org/marjoramhoist/message/HostMessage.java
+++ b/src/main/java/org/marjoramhoist/message/HostMessage.java
@@ -8,7 +8,6 @@
 import org.marjoramhoist.dispatch.JobCallKind;
 import org.marjoramhoist.dispatch.JobCallResult;
 import org.marjoramhoist.dispatch.RetryForecast;
-import org.marjoramhoist.dispatch.SuspectTask;
 import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
@@ -58,8 +57,6 @@
    * @param intake the share of the new jobs that hosts are to send on, from 0 to 1
    * @param sentAt when it was sent, on the leader's steady clock in microseconds
    * @param returns when callers that hosts refuse may come back
-   * @param suspects the tasks that may have crashed workers, for the next leader; null if they are
-   *     those last told
    */
   record Heartbeat(
       long term,
@@ -69,27 +66,13 @@
       Map<String, Integer> waiting,
       double intake,
       long sentAt,
-      RetryForecast returns,
-      List<SuspectTask> suspects)
+      RetryForecast returns)
       implements HostMessage {
 
     /** Creates a heartbeat; one of an earlier version has no forecast. */
     public Heartbeat {
       returns = returns == null ? RetryForecast.NONE : returns;
     }
-
-    /** Creates a heartbeat after which the suspects are those last told. */
-    public Heartbeat(
-        long term,
-        String host,
-        long configVersion,
-        long drainRevision,
-        Map<String, Integer> waiting,
-        double intake,
-        long sentAt,
-        RetryForecast returns) {
-      this(term, host, configVersion, drainRevision, waiting, intake, sentAt, returns, null);
-    }
   }
 
   /**
--- a/src/test/java/org/marjoramhoist/dispatch/SuspectTasksTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/SuspectTasksTest.java
@@ -204,23 +204,6 @@
     assertThat(confirmStarts()).hasSize(6);
   }
 
-  @Test
-  void nextLeaderIsToldOfTasksOfEphemeralJobs() {
-    submit(FIRST, 1);
-    confirmStarts();
-    loseWorker(worker("w", 2_000, false));
-    final List<SuspectTask> told = dispatcher.suspectTasks();
-    beginTerm(now);
-    step(0, new DispatchEvent.SuspectsLearned(told));
-    listWorkers(worker("w", 2_000, false), worker("x", 2_000, false));
-    report("x", List.of());
-    step(0, new DispatchEvent.JobsLoaded(1, List.of(), List.of()));
-    submit(FIRST, 2);
-    assertThat(confirmStarts()).hasSize(1);
-    loseWorker(worker("x", 2_000, false), worker("y", 2_000, false));
-    assertThat(confirmStarts()).hasSize(1);
-  }
-
   @Test
   void laterLeaderKnowsUnderWhichTasksWorkersCrashed() {
     JobDescription job =
--- a/src/test/java/org/marjoramhoist/peer/HostMessageVersionsTest.java
+++ b/src/test/java/org/marjoramhoist/peer/HostMessageVersionsTest.java
@@ -6,13 +6,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.dispatch.RetryForecast;
-import org.marjoramhoist.dispatch.SuspectTask;
-import org.marjoramhoist.dispatch.WorkerLoss;
-import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.Heartbeat;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
@@ -39,16 +35,6 @@
         .isEqualTo(HEARTBEAT);
   }
 
-  @Test
-  void readsBackSuspects() throws IOException {
-    WorkerLoss loss = new WorkerLoss(3, "w", true, false, WorkerLoss.Evidence.REFUSED);
-    SuspectTask suspect = new SuspectTask(new JobId("00000000000000aa"), 0, 7, List.of(loss));
-    Heartbeat heartbeat =
-        new Heartbeat(7, "h", 3, 5, Map.of(), 0.5, 99, FORECAST, List.of(suspect));
-    assertThat(FrameCodec.decode(FrameCodec.encode(heartbeat), HostMessage.class))
-        .isEqualTo(heartbeat);
-  }
-
   /** A leader of an earlier version tells no forecast; its heartbeats must count all the same. */
   @Test
   void readsHeartbeatWithoutForecast() throws IOException {
