Refuse jobs whose progress would not fit into one value of the store

A job could have 100,000 tasks, whose progress is up to 10 MB; the store takes 1 MiB. The batch that holds it would be refused and written again for ever, by each leader, and no stored job of anybody would go on.

--- a/src/main/java/org/marjoramhoist/platform/JobBodies.java
+++ b/src/main/java/org/marjoramhoist/platform/JobBodies.java
@@ -29,7 +29,9 @@
   private static final JsonFactory JSON_FACTORY = new JsonFactory();
   private static final HttpString DEADLINE_HEADER = new HttpString("X-Marjoramhoist-Deadline-Ms");
   private static final int MAX_STEPS = 1_000;
-  private static final int MAX_TASKS = 100_000;
+
+  /** The most tasks of a job: its progress must fit into one value of the store. */
+  public static final int MAX_TASKS = 10_000;
 
   private JobBodies() {}
 
--- a/src/test/java/org/marjoramhoist/entry/JobRecordsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/JobRecordsTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,11 +20,15 @@
 import org.marjoramhoist.job.RequestClass;
 import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.job.StepSpec;
+import org.marjoramhoist.platform.JobBodies;
 import org.marjoramhoist.platform.KeyValueClient.Item;
 
 /** Reading stored jobs. */
 class JobRecordsTest {
 
+  /** The platform's limit for a value of its store. */
+  private static final int MAX_VALUE_BYTES = 1 << 20;
+
   private static final JobId ID = new JobId("00000000000000aa");
   private static final RequestClass CLASS =
       new RequestClass("check", "h", "/p/", "reviews", 0, 3, 1.6, 60, false);
@@ -74,6 +79,21 @@
         .isEqualTo(new Item(JobRecords.PROGRESS + ID, earlier, 1));
   }
 
+  /** A value that the store refuses was written again and again, so nothing was stored any more. */
+  @Test
+  void progressOfLargestJobFitsIntoOneValue() {
+    List<JobProgress.TaskPosition> done = new ArrayList<>();
+    List<JobProgress.FailedRun> failed = new ArrayList<>();
+    for (int i = 0; i < JobBodies.MAX_TASKS; i++) {
+      done.add(new JobProgress.TaskPosition(999, i));
+      failed.add(new JobProgress.FailedRun(999, i, 1_000));
+      failed.add(new JobProgress.FailedRun(999, i, 1_001));
+    }
+    JobProgress progress = new JobProgress(JobStatus.RUNNING, done, failed, 0);
+    JournalBatch batch = new JournalBatch(2, List.of(), Map.of(ID, progress), List.of());
+    assertThat(JobRecords.puts(batch).get(0).value().length()).isAtMost(MAX_VALUE_BYTES);
+  }
+
   @Test
   void invalidProgressIsNotTreatedAsMissing() {
     for (String value : List.of("", "null", "{\"done\":7}", "not json")) {
