Reserve one worker at most for a task, and none for one that is done

A likeliest cause that waited for a worker near its data reserved one more idle worker each round, and these were never freed: with twelve idle ones four were kept. And a task that became done through a run of an earlier leader, while its present run was still at work alone, ended the leader's decision with an exception, so that the actions of that step were lost.

--- a/src/main/java/org/marjoramhoist/dispatch/ExclusiveStarts.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ExclusiveStarts.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.marjoramhoist.dispatch.TaskLosses.Handling;
 
 /**
@@ -52,12 +53,6 @@
     this.selector = selector;
   }
 
-  /** Decides whether a job may be started now. */
-  @FunctionalInterface
-  interface StartPermission {
-    boolean mayStart(Job job);
-  }
-
   /** Returns the number of workers that are reserved for a task or run it exclusively. */
   int reservedWorkers() {
     return reservations.size();
@@ -67,12 +62,12 @@
    * Starts the tasks that are not the likeliest cause of a crash, or reserves workers for them. To
    * be called before free capacity is given to other tasks.
    */
-  void startUnlikelyCauses(StartPermission permission, long now, List<DispatchAction> out) {
+  void startUnlikelyCauses(Predicate<Job> mayStart, long now, List<DispatchAction> out) {
     releaseUnused(now);
     for (TaskLosses losses : suspects.all()) {
       if (!waitsForIdleWorker(losses, now)) {
         Task task = waitingTask(losses, now);
-        if (task != null && runs.window().isOpen() && permission.mayStart(task.job)) {
+        if (task != null && runs.window().isOpen() && mayStart.test(task.job)) {
           startOrReserve(task, now, out);
         }
       }
@@ -83,10 +78,10 @@
    * Starts likeliest causes of crashes on workers that are idle. To be called after free capacity
    * was given to other tasks.
    */
-  void startLikelyCauses(StartPermission permission, long now, List<DispatchAction> out) {
+  void startLikelyCauses(Predicate<Job> mayStart, long now, List<DispatchAction> out) {
     for (TaskLosses losses : suspects.all()) {
       Task task = waitsForIdleWorker(losses, now) ? waitingTask(losses, now) : null;
-      if (task != null && runs.window().isOpen() && permission.mayStart(task.job)) {
+      if (task != null && runs.window().isOpen() && mayStart.test(task.job)) {
         startOnIdleWorker(task, now, out);
       }
     }
@@ -97,6 +92,9 @@
   }
 
   private void startOnIdleWorker(Task task, long now, List<DispatchAction> out) {
+    if (startIfReserved(task, now, out)) {
+      return;
+    }
     List<Worker> idle =
         candidates(task, now).stream().filter(worker -> worker.runs.isEmpty()).toList();
     Optional<Worker> smallest =
@@ -110,8 +108,7 @@
 
   /** Returns how many workers may be lost to likely causes that ran alone. */
   private long missingWorkers() {
-    long running =
-        reservations.keySet().stream().filter(task -> task.losses.isLikelyCause()).count();
+    long running = reservations.keySet().stream().filter(Task::isLikelyCause).count();
     long lost = suspects.unexplained().stream().filter(WorkerLoss::exclusive).count();
     return running + lost;
   }
@@ -152,14 +149,7 @@
   }
 
   private void startOrReserve(Task task, long now, List<DispatchAction> out) {
-    Worker reserved = reservations.get(task);
-    if (reserved != null) {
-      if (reserved.runs.isEmpty()) {
-        start(task, reserved, now, out);
-      }
-      return;
-    }
-    if (reservations.size() >= maxReservations(now)) {
+    if (startIfReserved(task, now, out) || reservations.size() >= maxReservations(now)) {
       return;
     }
     List<Worker> candidates = candidates(task, now);
@@ -175,6 +165,15 @@
     }
   }
 
+  /** Starts a task on the worker that is reserved for it, if that is idle; false if none is. */
+  private boolean startIfReserved(Task task, long now, List<DispatchAction> out) {
+    Worker reserved = reservations.get(task);
+    if (reserved != null && reserved.runs.isEmpty()) {
+      start(task, reserved, now, out);
+    }
+    return reserved != null;
+  }
+
   private void start(Task task, Worker worker, long now, List<DispatchAction> out) {
     WorkerSelector.Choice choice = selector.selectWorker(task, List.of(worker), now);
     if (choice != null) {
--- a/src/main/java/org/marjoramhoist/dispatch/SuspectTasks.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SuspectTasks.java
@@ -28,14 +28,6 @@
 
   private final Map<TaskRef, TaskLosses> tasks = new LinkedHashMap<>();
 
-  boolean isEmpty() {
-    return tasks.isEmpty();
-  }
-
-  int size() {
-    return tasks.size();
-  }
-
   /** Records that a run was lost with its worker; returns what is now held against its task. */
   TaskLosses runLost(Run run, Evidence evidence, long now) {
     TaskLosses losses = lossesOf(run.task.ref, run.task.job);
@@ -64,14 +56,9 @@
       TaskRef ref = new TaskRef(job.id(), each.step(), each.index());
       lossesOf(ref, job).add(each.loss(), now);
     }
-    if (tasks.isEmpty()) {
-      return;
-    }
     for (TaskLosses losses : tasks.values()) {
-      Task task =
-          losses.task().job().equals(job.id())
-              ? job.task(losses.task().step(), losses.task().index())
-              : null;
+      TaskRef ref = losses.task();
+      Task task = ref.job().equals(job.id()) ? job.task(ref.step(), ref.index()) : null;
       if (task != null) {
         task.losses = losses;
       }
@@ -97,10 +84,10 @@
   }
 
   private List<TaskLosses> changed(Predicate<TaskLosses> change) {
-    return tasks.isEmpty() ? List.of() : tasks.values().stream().filter(change).toList();
+    return tasks.values().stream().filter(change).toList();
   }
 
-  /** Returns the workers of losses whose cause is not known. */
+  /** Returns the losses whose cause is not known. */
   List<WorkerLoss> unexplained() {
     List<WorkerLoss> unexplained = new ArrayList<>();
     for (TaskLosses losses : tasks.values()) {
--- a/src/main/java/org/marjoramhoist/dispatch/Task.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Task.java
@@ -71,6 +71,11 @@
     return losses == null ? TaskLosses.Handling.SHARED : losses.handling(now);
   }
 
+  /** Tells whether it is the likeliest cause of the loss of a worker. */
+  boolean isLikelyCause() {
+    return losses != null && losses.isLikelyCause();
+  }
+
   /** Adds what must outlive a leader to the job progress to be stored. */
   void addTo(
       List<JobProgress.TaskPosition> doneTasks,
--- a/src/main/java/org/marjoramhoist/dispatch/TaskLosses.java
+++ b/src/main/java/org/marjoramhoist/dispatch/TaskLosses.java
@@ -11,10 +11,10 @@
 /**
  * The workers that were lost with a run of one task, and how the task may be run because of that.
  *
- * <p>A task that was at work on a worker that crashed may have caused the crash, or another task
+ * <p>A task that was running on a worker that crashed may have caused the crash, or another task
  * did, or none. It is therefore run alone on a worker next: if that one crashes as well, the task
- * is the cause. Invariant: a task is given up only if workers have certainly crashed under it.
- * Confined to one thread.
+ * is the cause. Invariant: a task of a durable job is given up only if workers have certainly
+ * crashed under it. Confined to one thread.
  */
 final class TaskLosses {
 
@@ -30,10 +30,10 @@
     GIVEN_UP
   }
 
-  /** How many crashes, one of them of a worker that ran nothing else, prove the task's guilt. */
+  /** How many crashes show the cause if one of the workers ran nothing else. */
   private static final int CRASHES_WITH_EXCLUSIVE_RUN = 2;
 
-  /** How many crashes of any workers prove the task's guilt. */
+  /** How many crashes show the cause, whatever else the workers ran. */
   private static final int MAX_CRASHES = 3;
 
   /**
@@ -74,6 +74,7 @@
     return losses.stream().anyMatch(loss -> loss.run() == run);
   }
 
+  /** Returns the losses, oldest first. */
   List<WorkerLoss> all() {
     return List.copyOf(losses);
   }
@@ -128,7 +129,7 @@
     return losses.isEmpty();
   }
 
-  /** Returns the ids of the workers that crashed under it, as far as its caller waits for proof. */
+  /** Returns the ids of the workers that count as crashed under it. */
   Set<String> crashedWorkers() {
     return losses.stream()
         .filter(this::counts)
@@ -136,7 +137,10 @@
         .collect(Collectors.toCollection(TreeSet::new));
   }
 
-  /** The caller of an ephemeral job is gone before a crash is proved. */
+  /**
+   * Tells whether a loss counts as a crash. For an ephemeral job refusals suffice, as its caller is
+   * gone before more is known.
+   */
   private boolean counts(WorkerLoss loss) {
     return loss.evidence() == Evidence.CRASHED || !durable && loss.evidence() == Evidence.REFUSED;
   }
@@ -145,6 +149,7 @@
     return (int) losses.stream().filter(loss -> loss.evidence() == evidence).count();
   }
 
+  /** Returns how the task may be run. */
   Handling handling(long now) {
     if (isCause()) {
       return Handling.GIVEN_UP;
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerLoss.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerLoss.java
@@ -25,6 +25,7 @@
     CRASHED
   }
 
+  /** Returns the same loss with other evidence. */
   WorkerLoss with(Evidence newEvidence) {
     return new WorkerLoss(run, worker, exclusive, latest, newEvidence);
   }
--- a/src/test/java/org/marjoramhoist/dispatch/SuspectTasksTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/SuspectTasksTest.java
@@ -14,7 +14,9 @@
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.JobStatus;
+import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.StepSpec;
 
 /** How a leader runs the tasks of workers that were lost. */
 class SuspectTasksTest extends DispatcherFixture {
@@ -36,7 +38,11 @@
   }
 
   private void submit(JobId id, int tasks) {
-    JobDescription job = new JobDescription(id, "p", List.of(tasks(tasks, List.of())), Set.of());
+    submit(id, tasks(tasks, List.of()));
+  }
+
+  private void submit(JobId id, StepSpec step) {
+    JobDescription job = new JobDescription(id, "p", List.of(step), Set.of());
     long deadline = now + PATIENCE_MICROS;
     step(1, new DispatchEvent.JobSubmitted(job, REQUEST_CLASS, "e", now, deadline, 0));
   }
@@ -163,6 +169,63 @@
     assertThat(confirmStarts().get(0).worker().id()).isNotEqualTo(alone.worker().id());
   }
 
+  /** Each round reserved one more worker for a task that waited for one near its data. */
+  @Test
+  void onlyOneWorkerIsReservedForTaskThatWaitsForItsRack() {
+    policy =
+        POLICY.withScheduling(
+            SchedulingPolicy.DEFAULT.withPlacement(SchedulingPolicy.Placement.SLACK));
+    beginTerm(now);
+    listWorkers(worker("w", 2_000, false));
+    report("w", List.of());
+    submit(FIRST, new StepSpec(1, new Resources(1_000, 1, 0), 9_000, List.of(), "", "r-1", 0));
+    confirmStarts();
+    step(1, new DispatchEvent.RenewalFailed("w", CallFailure.BROKEN));
+    step(1, new DispatchEvent.RenewalFailed("w", CallFailure.REFUSED));
+    List<WorkerInfo> others = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      others.add(onRack("far" + i, "r-2"));
+    }
+    others.add(onRack("near", "r-1"));
+    listWorkers(others.toArray(WorkerInfo[]::new));
+    others.forEach(each -> report(each.id(), List.of()));
+    submit(SECOND, new StepSpec(1, new Resources(2_000, 1, 0), 900, List.of(), "", "r-1", 0));
+    confirmStarts();
+    for (int i = 0; i < 90; i++) {
+      step(20, new DispatchEvent.Tick());
+    }
+    assertThat(dispatcher.snapshot(now).suspects().reservedWorkers()).isAtMost(1);
+    assertThat(dispatcher.snapshot(now).workers().usable()).isAtLeast(12);
+  }
+
+  private static WorkerInfo onRack(String id, String rack) {
+    WorkerInfo info = worker(id, 2_000, false);
+    return new WorkerInfo(
+        id,
+        info.upstream(),
+        info.address(),
+        info.failureDomain(),
+        info.capacity(),
+        info.kind(),
+        rack,
+        Set.of(info.kind(), rack),
+        false,
+        1);
+  }
+
+  /** The end of a run of an earlier leader makes a task done whose present run is still at work. */
+  @Test
+  void taskThatIsDoneWhileItRunsAloneIsNoSuspect() {
+    submit(FIRST, 2);
+    confirmStarts();
+    loseWorker(worker("w", 2_000, false), worker("x", 2_000, false), worker("y", 2_000, false));
+    DispatchAction.Start alone = confirmStarts().get(0);
+    RunRef earlier = new RunRef(alone.run().task(), 1_000);
+    report("y", List.of(), new WorkerReport.Completion(1, earlier, RunOutcome.DONE));
+    step(20, new DispatchEvent.Tick());
+    assertThat(confirmStarts()).hasSize(1);
+  }
+
   @Test
   void workersThatAnswerAgainHaveNotCrashed() {
     submit(FIRST, 2);
