Leave out what the reading found to serve nobody

Two counts of the emulator that no test uses; a check of the largest capacity beside one of the present, which is never larger (labels and upstream are checked by canRun); a permission built twice.

--- a/src/main/java/org/marjoramhoist/dispatch/ExclusiveStarts.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ExclusiveStarts.java
@@ -196,7 +196,6 @@
     for (Worker worker : workers.all()) {
       if (worker.isUsable(now)
           && worker.info().capacity().covers(task.spec().need())
-          && WorkerSelector.canEverRun(task.job.requestClass(), task.spec(), worker)
           && WorkerSelector.canRun(task, worker)) {
         candidates.add(worker);
       }
--- a/src/main/java/org/marjoramhoist/dispatch/TaskAllocator.java
+++ b/src/main/java/org/marjoramhoist/dispatch/TaskAllocator.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Iterator;
 import java.util.List;
+import java.util.function.Predicate;
 import org.marjoramhoist.job.Resources;
 
 /**
@@ -111,9 +112,10 @@
   /** Starts as many waiting tasks as free capacity, start limits and placement allow. */
   void startWaitingTasks(long now, List<DispatchAction> out) {
     boolean settled = workers.isSettled(now);
-    exclusiveStarts.startUnlikelyCauses(job -> mayStart(job, settled, now), now, out);
+    Predicate<Job> mayStart = job -> mayStart(job, settled, now);
+    exclusiveStarts.startUnlikelyCauses(mayStart, now, out);
     startQueuedTasks(settled, now, out);
-    exclusiveStarts.startLikelyCauses(job -> mayStart(job, settled, now), now, out);
+    exclusiveStarts.startLikelyCauses(mayStart, now, out);
   }
 
   private void startQueuedTasks(boolean settled, long now, List<DispatchAction> out) {
--- a/src/main/java/org/marjoramhoist/experiment/CrashingTasks.java
+++ b/src/main/java/org/marjoramhoist/experiment/CrashingTasks.java
@@ -43,16 +43,6 @@
     return jobs;
   }
 
-  /** Returns the most workers that any task has crashed. */
-  int mostCrashes() {
-    return crashes.values().stream().mapToInt(Integer::intValue).max().orElse(0);
-  }
-
-  /** Returns how many workers were crashed. */
-  int totalCrashes() {
-    return crashes.values().stream().mapToInt(Integer::intValue).sum();
-  }
-
   /** Takes in that the process of a worker with a run of any task ended. */
   void workerEnded(TaskRef task) {
     endedWorkers.merge(task, 1, Integer::sum);
