Tell the evidence behind each loss of a worker and each failed job

TASK_SUSPECTED and JOB_FAILED now list each loss with its worker, evidence, whether it ran alone, and how many workers of its failure domain and rack are known, were lost since, or were heard since; 'no worker can run it' tells how many workers are known, listed and have reported, and how old the term is. No decision has changed.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -331,7 +331,8 @@
    */
   private void endImpossible(Job job, long now, List<DispatchAction> out) {
     if (guard == null) {
-      end(job, JobOutcome.FAILED, "no worker can run it", now, out);
+      String known = workerRegistry.describeKnown(now);
+      end(job, JobOutcome.FAILED, "no worker can run it: " + known, now, out);
     } else {
       end(job, JobOutcome.REFUSED, "no worker of the failure domain can run it", now, out);
     }
--- a/src/main/java/org/marjoramhoist/dispatch/RunController.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunController.java
@@ -105,7 +105,7 @@
       StartReply reply,
       long now,
       List<DispatchAction> out) {
-    worker.recordCallSuccess();
+    worker.recordCallSuccess(now);
     worker.mayHaveRestarted |= worker.clock.isInconsistentWith(reply.clockMillis(), sentAt, now);
     worker.clock.update(reply.clockMillis(), sentAt, now);
     Run run = worker.runs.get(ref);
@@ -144,7 +144,7 @@
   /** Handles a start order that was not answered. */
   void startUnanswered(
       Worker worker, RunRef ref, boolean mayRun, long now, List<DispatchAction> out) {
-    worker.recordCallFailure();
+    worker.recordCallFailure(now);
     Run run = worker.runs.get(ref);
     if (run == null || run.phase != Run.Phase.STARTING) {
       return;
@@ -166,12 +166,12 @@
       return;
     }
     if (answered) {
-      worker.recordCallSuccess();
+      worker.recordCallSuccess(now);
       run.phase = Run.Phase.STOPPED;
       run.answeredAt = now;
       renewIfDue(worker, now, out);
     } else {
-      worker.recordCallFailure();
+      worker.recordCallFailure(now);
       run.phase = Run.Phase.RUNNING;
       run.answeredAt = Long.MAX_VALUE;
     }
@@ -181,7 +181,7 @@
   void handleReport(
       Worker worker, long sentAt, WorkerReport report, long now, List<DispatchAction> out) {
     worker.recordRenewalEnd();
-    worker.recordCallSuccess();
+    worker.recordCallSuccess(now);
     worker.lastFailure = null;
     worker.replaced = false;
     if (isOutdated(worker, report)) {
@@ -332,7 +332,7 @@
   void renewalFailed(Worker worker, CallFailure failure, long now, List<DispatchAction> out) {
     final boolean wasReachable = worker.isReachable();
     worker.recordRenewalEnd();
-    worker.recordCallFailure();
+    worker.recordCallFailure(now);
     worker.lastFailure = failure;
     if (worker.isReachable()) {
       renewIfDue(worker, now, out);
@@ -347,7 +347,7 @@
   /** Handles a renewal that another worker, or another incarnation of the worker, answered. */
   void otherProcessAnswered(Worker worker, long now, List<DispatchAction> out) {
     worker.recordRenewalEnd();
-    worker.recordCallFailure();
+    worker.recordCallFailure(now);
     worker.synced = false;
     worker.hasMoreCompletions = false;
     if (!worker.replaced) {
--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -31,6 +31,8 @@
   private long pauseMicros = MIN_PAUSE_MICROS;
   private long pausedUntil;
   private int failedCalls;
+  private long failingSince;
+  private long lastHeardAt;
   private long lastCompletion;
   private final TreeSet<Long> heldCompletions = new TreeSet<>();
 
@@ -168,15 +170,35 @@
     return failedCalls < FAILED_CALLS_BEFORE_UNREACHABLE;
   }
 
-  void recordCallSuccess() {
+  void recordCallSuccess(long now) {
     failedCalls = 0;
+    failingSince = 0;
+    lastHeardAt = now;
   }
 
-  void recordCallFailure() {
+  void recordCallFailure(long now) {
+    if (failedCalls == 0) {
+      failingSince = now;
+    }
     failedCalls++;
     mayHaveRestarted = true;
   }
 
+  /** Tells whether the latest call to it failed. */
+  boolean isFailing() {
+    return failedCalls > 0;
+  }
+
+  /** Returns since when all calls to it have failed; 0 if the latest was answered. */
+  long failingSince() {
+    return failingSince;
+  }
+
+  /** Returns when it last answered a call. */
+  long lastHeardAt() {
+    return lastHeardAt;
+  }
+
   /** Tells whether a report shows a process other than the one that reported before. */
   boolean isRestartedIn(WorkerReport report) {
     return reportedBornMillis != 0 && report.bornMillis() != reportedBornMillis;
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerLossHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerLossHandler.java
@@ -73,7 +73,10 @@
       return;
     }
     Job job = run.task.job;
-    out.add(new Log(LogEvent.TASK_SUSPECTED, RunController.describe(run) + " next=" + next));
+    out.add(
+        new Log(
+            LogEvent.TASK_SUSPECTED,
+            RunController.describe(run) + " next=" + next + " losses=" + describe(losses)));
     if (job.isDurable()) {
       durableJobs.recordLoss(job, now);
     }
@@ -82,6 +85,10 @@
     }
   }
 
+  private List<String> describe(TaskLosses losses) {
+    return losses.all().stream().map(workers::describeLoss).toList();
+  }
+
   /**
    * Concludes that the process of a worker which refused connections has ended once its entry is
    * gone too. Losses of workers that are gone without a refusal are not held against any task.
@@ -127,7 +134,12 @@
       boolean isOfJob = losses.task().job().equals(job.id());
       if (isOfJob && losses.handling(now) == Handling.GIVEN_UP) {
         String reason =
-            "a task crashed " + losses.crashedWorkers().size() + " workers: " + losses.task();
+            "a task crashed "
+                + losses.crashedWorkers().size()
+                + " workers: "
+                + losses.task()
+                + " losses="
+                + describe(losses);
         jobFinisher.end(job, JobOutcome.FAILED, reason, now, out);
         reconsider(suspects.causeFound(losses), now, out);
         return;
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerRegistry.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerRegistry.java
@@ -257,6 +257,58 @@
     return lost >= MIN_COMMON_LOSSES && 2 * lost >= known;
   }
 
+  /** Describes a loss, and how the workers near the lost one have answered since, for the log. */
+  String describeLoss(WorkerLoss loss) {
+    Worker worker = workers.get(loss.worker());
+    String detail =
+        "worker="
+            + loss.worker()
+            + " run="
+            + loss.run()
+            + " evidence="
+            + loss.evidence()
+            + " exclusive="
+            + loss.exclusive()
+            + " latest="
+            + loss.latest();
+    if (worker == null) {
+      return "(" + detail + " forgotten)";
+    }
+    WorkerInfo info = worker.info();
+    return "("
+        + detail
+        + " domain="
+        + info.failureDomain()
+        + " "
+        + contacts(worker, each -> each.info().failureDomain().equals(info.failureDomain()))
+        + " rack="
+        + info.rack()
+        + " "
+        + contacts(worker, each -> each.info().rack().equals(info.rack()))
+        + ")";
+  }
+
+  private GroupContacts contacts(Worker worker, Predicate<Worker> isInGroup) {
+    return GroupContacts.since(
+        worker.failingSince(), workers.values().stream().filter(isInGroup).toList());
+  }
+
+  /** Describes how complete the known workers are, for the log. */
+  String describeKnown(long now) {
+    long listed = workers.values().stream().filter(worker -> worker.listed).count();
+    long reported = workers.values().stream().filter(worker -> worker.synced).count();
+    return "known="
+        + workers.size()
+        + " listed="
+        + listed
+        + " reported="
+        + reported
+        + " relisting="
+        + (now < relistingEndsAt)
+        + " sinceTermMicros="
+        + (now - termStart);
+  }
+
   private boolean hasListAndRoster() {
     return listRead && roster.isLoaded();
   }
--- a/src/test/java/org/marjoramhoist/dispatch/WorkerLossTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/WorkerLossTest.java
@@ -61,6 +61,23 @@
     assertThat(logged(LogEvent.RUN_LOST)).endsWith("workersLost=1");
   }
 
+  @Test
+  void tellsEvidenceOfLossAndWhatWasHeardOfWorkersNearby() {
+    listWorkers(worker("w", 64_000, false), worker("x", 64_000, false));
+    failRenewals(CallFailure.BROKEN, CallFailure.REFUSED);
+    assertThat(logged(LogEvent.TASK_SUSPECTED)).contains("worker=w run=1 evidence=REFUSED");
+    assertThat(logged(LogEvent.TASK_SUSPECTED)).contains("domain=d known=2 lost=1 heard=0");
+    report("x", List.of());
+    passLease();
+    step(1, new DispatchEvent.RenewalFailed("w", CallFailure.REFUSED));
+    RunRef second = takeActions(DispatchAction.Start.class).get(0).run();
+    confirmStart("x", second);
+    actions.clear();
+    step(1, new DispatchEvent.RenewalFailed("x", CallFailure.BROKEN));
+    step(1, new DispatchEvent.RenewalFailed("x", CallFailure.REFUSED));
+    assertThat(logged(LogEvent.TASK_SUSPECTED)).contains("worker=x run=2 evidence=REFUSED");
+  }
+
   @Test
   void tellsThatAnotherProcessAnswersAtItsAddress() {
     failRenewals(CallFailure.BROKEN, CallFailure.REFUSED);
