Emulate cuts that refuse connections; jobs fail without a cause, listed as red

The emulator's workers can now be cut off so that open connections break and new ones are refused, with entries that lapse if that lasts, and can end and start again under their id.

--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -75,6 +75,9 @@
   /** How long a worker's entry stays in the list after the end of its process. */
   private static final long ENTRY_LAPSE = 3_000 * MILLI;
 
+  /** How long after a cut a worker's entry is back in the list. */
+  private static final long ENTRY_BACK = 1_000 * MILLI;
+
   /** When another worker is at the address of one whose process has ended. */
   private static final long REPLACEMENT = 3_200 * MILLI;
 
@@ -709,6 +712,38 @@
     worker.setInfo(worker.info().withCapacity(capacity));
   }
 
+  /**
+   * Cuts a worker off for a time, from leaders and the store: open connections break, new ones are
+   * refused, and its entry lapses if that lasts.
+   */
+  void refuseConnections(LeasedWorker worker, long micros) {
+    if (worker.refuses) {
+      return;
+    }
+    worker.refuses = true;
+    worker.hasStaleConnection = true;
+    network.breakConnections(worker);
+    if (micros > ENTRY_LAPSE) {
+      time.after(ENTRY_LAPSE, () -> worker.unlisted = worker.refuses);
+    }
+    time.after(
+        micros,
+        () -> {
+          worker.refuses = false;
+          time.after(ENTRY_BACK, () -> worker.unlisted = worker.refuses && worker.unlisted);
+        });
+  }
+
+  /** Ends a worker's process, which starts again under its id after a time. */
+  void restartProcess(LeasedWorker worker, long micros) {
+    if (worker.process == LeasedWorker.Process.RUNNING) {
+      worker.runningTasks().forEach(crashingTasks::workerEnded);
+      worker.terminate();
+      network.breakConnections(worker);
+      time.after(micros, worker::restart);
+    }
+  }
+
   /** Ends a worker's process; another worker takes its place some seconds later. */
   void endProcess(LeasedWorker worker) {
     if (worker.process != LeasedWorker.Process.RUNNING) {
--- a/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
+++ b/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
@@ -88,6 +88,12 @@
   /** Whether it hears nothing and says nothing. */
   boolean cutOff;
 
+  /** Whether it is cut off so that connections to it are refused. */
+  boolean refuses;
+
+  /** Whether a connection from before such a cut is open, on which the next call breaks. */
+  boolean hasStaleConnection;
+
   /** Whether its entry in the list of workers has lapsed, though it runs on. */
   boolean unlisted;
 
@@ -182,7 +188,13 @@
     }
   }
 
-  /** Ends its process for good. */
+  /** Starts a process again after the end of the last one. */
+  void restart() {
+    begin(500_000 + life);
+    process = Process.RUNNING;
+  }
+
+  /** Ends its process. */
   void terminate() {
     dropRuns();
     begin(0);
--- a/src/main/java/org/marjoramhoist/experiment/VirtualNetwork.java
+++ b/src/main/java/org/marjoramhoist/experiment/VirtualNetwork.java
@@ -86,6 +86,16 @@
       time.after(way(), () -> otherwise.accept(target.process));
       return;
     }
+    if (target != null && target.refuses) {
+      boolean breaks = target.hasStaleConnection;
+      target.hasStaleConnection = false;
+      time.after(
+          way(),
+          breaks
+              ? () -> end.accept(Optional.empty())
+              : () -> otherwise.accept(LeasedWorker.Process.ENDED));
+      return;
+    }
     PendingCall<T> call = new PendingCall<>(target, end);
     time.after(timeout, () -> call.end(Optional.empty()));
     if (target == null || target.cutOff) {
@@ -121,7 +131,7 @@
 
   /** Passes an answer on, unless it is lost. */
   private void pass(LeasedWorker from, Runnable answer) {
-    if (!from.cutOff && random.nextDouble() >= lostAnswers) {
+    if (!from.cutOff && !from.refuses && random.nextDouble() >= lostAnswers) {
       time.after(way(), answer);
     }
   }
