Tell at the end of a stop what became of its requests

REQUESTS_AT_STOP now gives its length, the requests served, refused, abandoned and broken since the signal, and those still open as the listener closed: body half read, waiting for a result, response not yet written. Gauges marjoramhoist_exchanges_open and marjoramhoist_stopping tell the same while it lasts. No change of logic.

--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -74,6 +74,7 @@
   private final LeaderTracker leaderTracker = new LeaderTracker();
   private final OpenJobs jobs;
   private final JobCalls calls;
+  private final OpenExchanges exchanges;
   private final ConfigWatch config = new ConfigWatch();
   private final DrainedDomains drainedDomains = new DrainedDomains();
   private final NodeMetrics metrics = new NodeMetrics();
@@ -82,6 +83,9 @@
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile boolean draining;
 
+  /** When the stop began, in microseconds on the monotonic clock; 0 while the host runs. */
+  private volatile long stopStartedAt;
+
   private EntryNode(NodeSettings settings) throws IOException {
     this.settings = settings;
     this.jobs = new OpenJobs(leaderTracker, settings.scheduling());
@@ -178,11 +182,16 @@
                     reason -> memberRef[0].handle(new ElectionEvent.StepDownRequired(reason))));
     memberRef[0] = member;
     metrics.gauge("marjoramhoist.jobs.open", jobs::count);
+    metrics.gauge("marjoramhoist.stopping", () -> draining ? 1 : 0);
     metrics.gauge("marjoramhoist.leader", () -> member.isLeader() ? 1 : 0);
     metrics.gauge("marjoramhoist.config.version", () -> config.current().version());
     metrics.gauge("marjoramhoist.drain.revision", drainedDomains::revision);
     metrics.gauge("marjoramhoist.store.up", () -> health.isAvailable() ? 1 : 0);
     this.network = new FrameNetwork(worker, HostPort.parse(settings.listen().peers()), member);
+    this.exchanges =
+        new OpenExchanges(
+            new JobHttpHandler(config, jobs, calls, metrics, member::waitingJobs, () -> draining));
+    metrics.gauge("marjoramhoist.exchanges.open", exchanges::count);
     this.http = startHttpServer();
     PrefixWatch operatorWatch =
         new PrefixWatch(
@@ -221,8 +230,6 @@
   }
 
   private Undertow startHttpServer() {
-    HttpHandler jobHandler =
-        new JobHttpHandler(config, jobs, calls, metrics, member::waitingJobs, () -> draining);
     HttpHandler readinessHandler =
         exchange -> {
           exchange.setStatusCode(isReady() ? 200 : 503);
@@ -238,7 +245,7 @@
             .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_REQUEST_BODY_BYTES)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
             .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
-            .addHttpListener(callerAddress.getPort(), callerAddress.getHostString(), jobHandler)
+            .addHttpListener(callerAddress.getPort(), callerAddress.getHostString(), exchanges)
             .addHttpListener(
                 readinessAddress.getPort(), readinessAddress.getHostString(), readinessHandler);
     if (!settings.listen().metrics().isEmpty()) {
@@ -294,8 +301,10 @@
     draining = true;
     CountDownLatch drainCompleted = new CountDownLatch(1);
     long startedAt = EventLoop.now();
+    stopStartedAt = startedAt;
     loop.execute(
         () -> {
+          exchanges.startTotals();
           member.beginShutdown();
           awaitDrained(startedAt, drainCompleted);
         });
@@ -332,6 +341,13 @@
     loop.close();
     network.close();
     http.stop();
+    if (stopStartedAt != 0) {
+      long micros = EventLoop.now() - stopStartedAt;
+      worker
+          .getIoThread()
+          .execute(
+              () -> EventLog.info(LogEvent.REQUESTS_AT_STOP, "micros={} {}", micros, exchanges));
+    }
     worker.shutdownNow();
     EventLog.info(LogEvent.PROCESS_STOPPED, "host={}", settings.host());
   }
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -18,6 +18,8 @@
   DRAIN_INCOMPLETE(1006),
   /** The settings were read again. */
   SETTINGS_READ(1007),
+  /** What became of the requests since the stop began, and of those open as the listener closed. */
+  REQUESTS_AT_STOP(1008),
   /** A host was heard for the first time. */
   PEER_JOINED(2001),
   /** A host was not heard for the suspicion time. */
