--- a/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
+++ b/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
@@ -184,6 +184,11 @@
     return hosts;
   }
 
+  /** Returns the address at which a host takes requests of callers. */
+  public String address(int host) {
+    return settings.get(host).listen().callers();
+  }
+
   /** Stops a host immediately, without a graceful shutdown. */
   public void kill(int host) {
     hosts.get(host).close();
@@ -272,7 +277,7 @@
     long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
     HttpCall call =
         new HttpCall(
-            settings.get(host).listen().callers(),
+            address(host),
             method,
             PATH_PREFIX + rest,
             body,
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/trial/RawCaller.java
@@ -0,0 +1,107 @@
+package org.marjoramhoist.trial;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import org.marjoramhoist.http.HostPort;
+
+/**
+ * A caller with one connection, which sends the bytes of a request as told and sees the end of the
+ * connection.
+ *
+ * <p>Confined to one thread.
+ */
+final class RawCaller implements AutoCloseable {
+
+  private static final int READ_TIMEOUT_MILLIS = 20_000;
+
+  /**
+   * A whole response.
+   *
+   * @param status the status
+   * @param headers the headers, with names in lower case
+   * @param body the body
+   */
+  record Response(int status, Map<String, String> headers, String body) {
+
+    boolean closesConnection() {
+      return "close".equals(headers.get("connection"));
+    }
+  }
+
+  private final Socket socket = new Socket();
+  private final InputStream in;
+
+  /** Connects to {@code host:port}. */
+  RawCaller(String address) throws IOException {
+    socket.setTcpNoDelay(true);
+    socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+    socket.connect(HostPort.parse(address));
+    in = new BufferedInputStream(socket.getInputStream());
+  }
+
+  /** Returns the bytes of a request that submits a job of the sample class. */
+  static byte[] submission(String id, String body) {
+    String head =
+        "POST "
+            + PlatformCluster.PATH_PREFIX
+            + id
+            + " HTTP/1.1\r\nHost: "
+            + PlatformCluster.AUTHORITY
+            + "\r\nContent-Length: "
+            + body.length()
+            + "\r\n\r\n";
+    return (head + body).getBytes(StandardCharsets.US_ASCII);
+  }
+
+  void send(byte[] bytes) throws IOException {
+    send(bytes, 0, bytes.length);
+  }
+
+  void send(byte[] bytes, int offset, int length) throws IOException {
+    socket.getOutputStream().write(bytes, offset, length);
+  }
+
+  /** Reads a response; fails if the connection ends before the response is whole. */
+  Response receive() throws IOException {
+    String[] lines = readHead().split("\r\n");
+    Map<String, String> headers = new HashMap<>();
+    for (int i = 1; i < lines.length; i++) {
+      String[] field = lines[i].split(": ", 2);
+      headers.put(field[0].toLowerCase(Locale.ROOT), field[1]);
+    }
+    int length = Integer.parseInt(headers.get("content-length"));
+    byte[] body = in.readNBytes(length);
+    if (body.length < length) {
+      throw new EOFException("body cut after " + body.length + " bytes");
+    }
+    return new Response(
+        Integer.parseInt(lines[0].split(" ")[1]),
+        headers,
+        new String(body, StandardCharsets.UTF_8));
+  }
+
+  private String readHead() throws IOException {
+    ByteArrayOutputStream head = new ByteArrayOutputStream();
+    while (!head.toString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
+      int next = in.read();
+      if (next < 0) {
+        throw new EOFException("head cut after " + head.size() + " bytes");
+      }
+      head.write(next);
+    }
+    return head.toString(StandardCharsets.US_ASCII);
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
--- a/src/test/java/org/marjoramhoist/trial/RecordingObserver.java
+++ b/src/test/java/org/marjoramhoist/trial/RecordingObserver.java
@@ -23,6 +23,11 @@
   /** The number of current runs of each task. */
   final Map<TaskRef, Integer> runningCounts = new HashMap<>();
 
+  /** Returns the tasks of which a run has started. */
+  synchronized Set<TaskRef> startedTasks() {
+    return Set.copyOf(runningCounts.keySet());
+  }
+
   @Override
   public synchronized void runStarted(LeasedWorker worker, RunRef run) {
     usedDomains.add(worker.info().failureDomain());
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/trial/SteadyCallers.java
@@ -0,0 +1,96 @@
+package org.marjoramhoist.trial;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Callers of one host, each of which sends a short job a little after its last response, and
+ * connects again once its connection is closed.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class SteadyCallers implements AutoCloseable {
+
+  private static final int TASK_MILLIS = 30;
+  private static final int PAUSE_MILLIS = 30;
+
+  /** The whole responses, by job. */
+  final Map<String, RawCaller.Response> responses = new ConcurrentHashMap<>();
+
+  /** The jobs that were sent in full and whose connection ended without a whole response. */
+  final Set<String> cut = ConcurrentHashMap.newKeySet();
+
+  private final AtomicInteger jobs = new AtomicInteger();
+  private final List<Thread> threads = new ArrayList<>();
+  private final String address;
+  private final String idFormat;
+  private volatile boolean stopped;
+
+  /**
+   * Starts the callers.
+   *
+   * @param address the address of the host
+   * @param idFormat makes a job's ID of its number
+   */
+  SteadyCallers(int count, String address, String idFormat) {
+    this.address = address;
+    this.idFormat = idFormat;
+    for (int i = 0; i < count; i++) {
+      Thread thread = new Thread(this::call, "caller-" + i);
+      threads.add(thread);
+      thread.start();
+    }
+  }
+
+  private void call() {
+    while (!stopped) {
+      try (RawCaller caller = new RawCaller(address)) {
+        boolean open = true;
+        while (open && !stopped) {
+          open = callOnce(caller);
+          Thread.sleep(PAUSE_MILLIS);
+        }
+      } catch (IOException e) {
+        pause();
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+
+  /** Sends a job and returns whether the connection can be used again. */
+  private boolean callOnce(RawCaller caller) throws IOException {
+    String id = String.format(idFormat, jobs.incrementAndGet());
+    caller.send(RawCaller.submission(id, PlatformCluster.job(1, TASK_MILLIS)));
+    try {
+      RawCaller.Response response = caller.receive();
+      responses.put(id, response);
+      return !response.closesConnection();
+    } catch (IOException e) {
+      cut.add(id);
+      return false;
+    }
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(PAUSE_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Ends the callers after their present responses. */
+  @Override
+  public void close() throws InterruptedException {
+    stopped = true;
+    for (Thread thread : threads) {
+      thread.join();
+    }
+  }
+}
