Show what one odd item in the store does, with tests that fail

What operators of such systems saw: after another writer left one odd entry among those of the workers, the machines that read the list ended again and again or stopped following it. It can happen here.

- Two hosts that start beside an entry whose id has 180 bytes, or whose first label has 600 kB, never have a worker to use (10 s waited): the store refuses the transaction that stores the roster, as the key or the value is too long, and the leader repeats it for ever.
The stand-in of the store now has the platform's limits, 200 bytes of a key, 1 MiB of a value, 32 entries; and the one of a worker answers 421 to calls that name another.
- One value that is no base64 makes a read of the whole prefix fail.
- A host registered at an odd address ends the round of heartbeats, since FrameNetwork.open throws.

--- a/src/main/java/org/marjoramhoist/platform/standin/PlatformStoreStandIn.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/PlatformStoreStandIn.java
@@ -32,12 +32,19 @@
 public final class PlatformStoreStandIn implements AutoCloseable {
 
   private static final int OK = 200;
+  private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
   private static final int GONE = 410;
   private static final int PRECONDITION_FAILED = 412;
   private static final int UNAVAILABLE = 503;
   private static final long EXPIRY_INTERVAL_MILLIS = 50;
 
+  /** The platform's limits of a transaction. */
+  private static final int MAX_KEY_BYTES = 200;
+
+  private static final int MAX_VALUE_BYTES = 1 << 20;
+  private static final int MAX_ENTRIES = 32;
+
   private record Watcher(
       HttpServerExchange exchange, String prefix, long afterRevision, long deadlineMillis) {}
 
@@ -223,7 +230,10 @@
     List<String> deletes = new ArrayList<>();
     body.path("deletes").forEach(key -> deletes.add(key.asText()));
     List<Item> failed = model.conflicts(conditions);
-    if (puts.stream().anyMatch(put -> blockedKeys.contains(put.key()))) {
+    boolean isTooLarge = conditions.size() + puts.size() + deletes.size() > MAX_ENTRIES;
+    if (isTooLarge || !puts.stream().allMatch(PlatformStoreStandIn::isWithinLimits)) {
+      Exchanges.reply(exchange, BAD_REQUEST, "{}");
+    } else if (puts.stream().anyMatch(put -> blockedKeys.contains(put.key()))) {
       Exchanges.reply(exchange, UNAVAILABLE, "{}");
     } else if (!failed.isEmpty()) {
       ObjectNode root = JsonText.MAPPER.createObjectNode();
@@ -238,6 +248,11 @@
     }
   }
 
+  private static boolean isWithinLimits(Put put) {
+    return put.key().getBytes(StandardCharsets.UTF_8).length <= MAX_KEY_BYTES
+        && put.value().getBytes(StandardCharsets.UTF_8).length <= MAX_VALUE_BYTES;
+  }
+
   private static long revisionOf(JsonNode condition) {
     return condition.path("revision").asLong();
   }
--- a/src/main/java/org/marjoramhoist/platform/standin/PlatformWorkerStandIn.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/PlatformWorkerStandIn.java
@@ -33,8 +33,10 @@
   private static final long TICK_INTERVAL_MILLIS = 2;
   private static final int OK = 200;
   private static final int CONFLICT = 409;
+  private static final int MISDIRECTED_REQUEST = 421;
   private static final int UNAVAILABLE = 503;
   private static final double MICROS_PER_MILLI = 1_000;
+  private static final String TARGET_HEADER = "X-Marjoramhoist-Target-Instance";
 
   private final VirtualTime time = new VirtualTime(nowMicros());
   private final LeasedWorker worker;
@@ -101,6 +103,10 @@
       return;
     }
     time.runUntil(nowMicros());
+    if (isMisdirected(exchange.getRequestHeaders().getFirst(TARGET_HEADER))) {
+      Exchanges.reply(exchange, MISDIRECTED_REQUEST, "{}");
+      return;
+    }
     try {
       JsonNode call = JsonText.MAPPER.readTree(body);
       long fence = call.path("fence").asLong();
@@ -125,6 +131,11 @@
     }
   }
 
+  /** Tells whether a call is meant for another worker; a call may name none. */
+  private boolean isMisdirected(String target) {
+    return target != null && !target.equals(worker.info().id());
+  }
+
   private void start(HttpServerExchange exchange, JsonNode call, long fence) {
     double micros = Double.parseDouble(call.path("spec").asText()) * MICROS_PER_MILLI;
     StartReply startReply =
--- a/src/test/java/org/marjoramhoist/entry/RosterStoreTest.java
+++ b/src/test/java/org/marjoramhoist/entry/RosterStoreTest.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramhoist.dispatch.DispatchEvent;
 import org.marjoramhoist.dispatch.RosterChange;
 import org.marjoramhoist.dispatch.WorkerInfo;
@@ -51,6 +53,35 @@
     assertThat(StoredWorker.read(JsonText.of(worker))).isEqualTo(worker);
   }
 
+  /** Its runs may still be running on a worker whose stored entry can't be used. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "null",
+        "7",
+        "[]",
+        "{",
+        "{}",
+        "{\"id\":\"other\",\"address\":\"127.0.0.1:1\"}",
+        "{\"address\":\"127.0.0.1:99999\",\"capacity\":{\"cpuMillis\":1e400}}",
+        "{\"capacity\":{\"cpuMillis\":99999999999999999999999999}}"
+      })
+  void oddItemIsWorkerThatCannotBeCalled(String value) throws InterruptedException {
+    store.put("marjoramhoist.roster/0/odd", value);
+    store.put("marjoramhoist.roster/0/w", StoredWorker.write(WORKER));
+    loop.execute(roster::start);
+    Thread.sleep(WAIT_MILLIS);
+    assertThat(events).hasSize(1);
+    List<WorkerInfo> workers = ((DispatchEvent.RosterLoaded) events.poll()).workers();
+    assertThat(workers).hasSize(2);
+    assertThat(workers).contains(WORKER);
+    WorkerInfo odd = workers.get(workers.indexOf(WORKER) == 0 ? 1 : 0);
+    assertThat(odd.id()).isEqualTo("odd");
+    assertThat(odd.address()).isEmpty();
+    assertThat(odd.capacity()).isEqualTo(new Resources(0, 0, 0));
+  }
+
   /**
    * After a store outage the leader record may be missing because its lease expired. The term must
    * not end, as no other leader is named and the record may be written again.
--- a/src/test/java/org/marjoramhoist/peer/FrameNetworkTest.java
+++ b/src/test/java/org/marjoramhoist/peer/FrameNetworkTest.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramhoist.http.LoopbackServer;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.LeaderQuery;
@@ -65,6 +67,15 @@
     worker.shutdownNow();
   }
 
+  /** An exception here would keep a leader from the hosts that it was to call next. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", ":", "x", "127.0.0.1", "127.0.0.1:", "127.0.0.1:99999", "a b:1"})
+  void linkToOddAddressFails(String odd) throws Exception {
+    CompletableFuture<Boolean> refused = new CompletableFuture<>();
+    network.open(odd, PATIENCE_MILLIS, listener, link -> heard.addAndGet(10), refused::complete);
+    assertThat(refused.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isFalse();
+  }
+
   @Test
   void faultInOneMessageLeavesTheLinkOpen() throws Exception {
     CompletableFuture<FrameLink> opened = new CompletableFuture<>();
--- /dev/null
+++ b/src/test/java/org/marjoramhoist/platform/KeyValueClientTest.java
@@ -0,0 +1,56 @@
+package org.marjoramhoist.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.marjoramhoist.http.Exchanges;
+import org.marjoramhoist.http.HttpCaller;
+import org.marjoramhoist.http.LoopbackServer;
+import org.marjoramhoist.platform.KeyValueClient.Change;
+import org.marjoramhoist.platform.KeyValueClient.Item;
+
+/** Items whose bytes can't be read. */
+class KeyValueClientTest {
+
+  private static final String GOOD =
+      Base64.getEncoder().encodeToString("good".getBytes(StandardCharsets.UTF_8));
+  private static final Item GOOD_ITEM = new Item("p/good", "good", 7);
+
+  private final HttpCaller caller = new HttpCaller("test", 1);
+  private String items = "";
+  private final LoopbackServer server =
+      new LoopbackServer(
+          "127.0.0.1:0",
+          exchange -> {
+            String field = exchange.getRequestPath().endsWith("watch") ? "events" : "items";
+            Exchanges.reply(exchange, 200, "{\"" + field + "\":[" + items + "],\"asOf\":9}");
+          });
+
+  @AfterEach
+  void close() {
+    server.close();
+    caller.close();
+  }
+
+  private static String item(String key, String value) {
+    return "{\"key\":\"" + key + "\",\"value\":" + value + ",\"revision\":7}";
+  }
+
+  /** The value is not absent, as that would say that the key was deleted. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"null", "7", "{}", "[]", "\"*\"", "\"a\"", "\"/w==\"", "\"7aCA\"", "\"wIA=\""})
+  void unreadableValueIsEmpty(String value) {
+    items = item("p/odd", value) + "," + item("p/good", "\"" + GOOD + "\"");
+    KeyValueClient client = new KeyValueClient(server.address(), caller, 2_000);
+    List<Item> expected = List.of(new Item("p/odd", "", 7), GOOD_ITEM);
+    assertThat(client.readAll("p/").join().items()).isEqualTo(expected);
+    assertThat(client.watch("p/", 1, 1).join().changes())
+        .isEqualTo(expected.stream().map(Change::new).toList());
+  }
+}
