Store the largest capacity of each worker in the roster

What callers saw: best-effort jobs answered as failed, "no worker can run it", though workers that could run them were only smaller for a time.

Cause: a leader that sees a worker shrink knows that it may grow again, but stored only the smaller capacity, so the next leader took that for the most that the worker can have. Dispatcher.endImpossible believed it.

Fix: the largest capacity of an incarnation is a part of the worker's entry, is stored with it, and a new leader merges what it reads from the roster into what the list tells it, in either order. The present capacity stays what the list says, so no start can exceed it. An entry of an earlier version has none; then the present capacity counts. Jobs that fit no capacity a worker had still fail.

Tests, which failed before: - ChangingCapacityTest.noJobFailsUnderLeaderElectedWhileAllWorkersAreSmaller: 19 best-effort jobs of a history ended as failed. - WorkerCapacityTest.jobThatFitsTheCapacityInTheRosterWaitsForIt: "Finish[... outcome=FAILED, reason=no worker can run it". Passed with the fix: these classes, RosterTest, RosterStoreTest, ValueTypesTest, WorkerLossTest, CrashingTasksTest and Domain*Test.

--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -26,7 +26,6 @@
   private static final int FAILED_CALLS_BEFORE_UNREACHABLE = 2;
 
   private WorkerInfo info;
-  private Resources largestCapacity;
   private int failureStreak;
   private long pauseMicros = MIN_PAUSE_MICROS;
   private long pausedUntil;
@@ -127,14 +126,18 @@
     if (info != null) {
       freeResources = freeResources.plus(next.capacity().minus(info.capacity()));
     }
-    boolean isSameProcess = info != null && info.bornMillis() == next.bornMillis();
-    largestCapacity = isSameProcess ? largestCapacity.max(next.capacity()) : next.capacity();
+    WorkerInfo last = info;
     info = next;
+    if (last != null) {
+      recordEarlierCapacity(last);
+    }
   }
 
-  /** Returns the most that it has had of each resource; a smaller capacity may grow again. */
-  Resources largestCapacity() {
-    return largestCapacity;
+  /** Records what an earlier entry tells of its capacity, unless that is of another incarnation. */
+  void recordEarlierCapacity(WorkerInfo earlier) {
+    if (earlier.bornMillis() == info.bornMillis()) {
+      info = info.withEarlierCapacity(earlier.largestCapacity());
+    }
   }
 
   String id() {
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
@@ -13,6 +13,8 @@
  * @param address {@code host:port} of its interface
  * @param failureDomain its failure domain
  * @param capacity its resources for tasks
+ * @param largestCapacity the most that it is known to have had of each resource since its start; it
+ *     covers {@code capacity}
  * @param kind its hardware kind; workers of one kind run at about the same speed
  * @param rack its rack
  * @param labels its labels, including its kind and its rack
@@ -28,6 +30,7 @@
     String address,
     String failureDomain,
     Resources capacity,
+    Resources largestCapacity,
     String kind,
     String rack,
     Set<String> labels,
@@ -35,12 +38,13 @@
     long bornMillis,
     long warmUpMillis) {
 
-  /** Creates an entry with a copy of the labels. */
+  /** Creates an entry with a copy of the labels; a missing largest capacity is the present one. */
   public WorkerInfo {
+    largestCapacity = largestCapacity == null ? capacity : largestCapacity.max(capacity);
     labels = Set.copyOf(labels);
   }
 
-  /** Creates the entry of a worker that is not warming up. */
+  /** Creates the entry of a worker that is not warming up and had no larger capacity. */
   public WorkerInfo(
       String id,
       String upstream,
@@ -58,6 +62,7 @@
         address,
         failureDomain,
         capacity,
+        capacity,
         kind,
         rack,
         labels,
@@ -66,6 +71,26 @@
         0);
   }
 
+  /** Returns an entry whose largest capacity covers an earlier one too. */
+  WorkerInfo withEarlierCapacity(Resources earlier) {
+    if (largestCapacity.covers(earlier)) {
+      return this;
+    }
+    return new WorkerInfo(
+        id,
+        upstream,
+        address,
+        failureDomain,
+        capacity,
+        largestCapacity.max(earlier),
+        kind,
+        rack,
+        labels,
+        draining,
+        bornMillis,
+        warmUpMillis);
+  }
+
   /** Returns the same entry with another capacity. */
   public WorkerInfo withCapacity(Resources newCapacity) {
     return new WorkerInfo(
@@ -74,6 +99,7 @@
         address,
         failureDomain,
         newCapacity,
+        newCapacity,
         kind,
         rack,
         labels,
@@ -90,6 +116,7 @@
         address,
         failureDomain,
         capacity,
+        largestCapacity,
         kind,
         rack,
         labels,
@@ -101,7 +128,18 @@
   /** Returns the same entry without a warm-up time. */
   public WorkerInfo withoutWarmUp() {
     return new WorkerInfo(
-        id, upstream, address, failureDomain, capacity, kind, rack, labels, draining, bornMillis);
+        id,
+        upstream,
+        address,
+        failureDomain,
+        capacity,
+        largestCapacity,
+        kind,
+        rack,
+        labels,
+        draining,
+        bornMillis,
+        0);
   }
 
   // Written by hand: linking the generated methods takes milliseconds of a process's start.
@@ -114,6 +152,7 @@
         && address.equals(that.address)
         && failureDomain.equals(that.failureDomain)
         && capacity.equals(that.capacity)
+        && largestCapacity.equals(that.largestCapacity)
         && kind.equals(that.kind)
         && rack.equals(that.rack)
         && labels.equals(that.labels)
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerRegistry.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerRegistry.java
@@ -156,6 +156,7 @@
         add(info, now).listed = !listRead || now < relistingEndsAt;
       } else {
         worker.inRoster = true;
+        worker.recordEarlierCapacity(info);
       }
     }
     roster.requestNextChange(workers.values(), out);
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerSelector.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerSelector.java
@@ -96,7 +96,7 @@
 
   /** Returns whether a worker could run a step if it were idle and had its largest capacity. */
   static boolean canEverRun(RequestClass requestClass, StepSpec step, Worker worker) {
-    return worker.largestCapacity().covers(step.need())
+    return worker.info().largestCapacity().covers(step.need())
         && satisfiesConstraints(requestClass, step, worker);
   }
 
--- a/src/main/java/org/marjoramhoist/entry/StoredWorker.java
+++ b/src/main/java/org/marjoramhoist/entry/StoredWorker.java
@@ -27,10 +27,8 @@
     node.put("upstream", worker.upstream());
     node.put("address", worker.address());
     node.put("failureDomain", worker.failureDomain());
-    node.putObject("capacity")
-        .put("cpuMillis", worker.capacity().cpuMillis())
-        .put("memoryMib", worker.capacity().memoryMib())
-        .put("accelerators", worker.capacity().accelerators());
+    write(worker.capacity(), node.putObject("capacity"));
+    write(worker.largestCapacity(), node.putObject("largestCapacity"));
     node.put("kind", worker.kind());
     node.put("rack", worker.rack());
     worker.labels().forEach(node.putArray("labels")::add);
@@ -39,19 +37,19 @@
     return node.toString();
   }
 
+  private static void write(Resources resources, ObjectNode node) {
+    node.put("cpuMillis", resources.cpuMillis());
+    node.put("memoryMib", resources.memoryMib());
+    node.put("accelerators", resources.accelerators());
+  }
+
   /**
-   * Parses a worker.
+   * Parses a worker; earlier versions wrote no largest capacity.
    *
    * @throws JsonProcessingException if the text is not valid JSON
    */
   static WorkerInfo read(String text) throws JsonProcessingException {
     JsonNode node = JsonText.MAPPER.readTree(text);
-    JsonNode capacityNode = node.path("capacity");
-    Resources capacity =
-        new Resources(
-            capacityNode.path("cpuMillis").asLong(),
-            capacityNode.path("memoryMib").asLong(),
-            capacityNode.path("accelerators").asLong());
     Set<String> labels = new HashSet<>();
     node.path("labels").forEach(label -> labels.add(label.asText()));
     return new WorkerInfo(
@@ -59,11 +57,20 @@
         node.path("upstream").asText(),
         node.path("address").asText(),
         node.path("failureDomain").asText(),
-        capacity,
+        readResources(node.path("capacity")),
+        readResources(node.path("largestCapacity")),
         node.path("kind").asText(),
         node.path("rack").asText(),
         labels,
         node.path("draining").asBoolean(),
-        node.path("bornMillis").asLong());
+        node.path("bornMillis").asLong(),
+        0);
+  }
+
+  private static Resources readResources(JsonNode node) {
+    return new Resources(
+        node.path("cpuMillis").asLong(),
+        node.path("memoryMib").asLong(),
+        node.path("accelerators").asLong());
   }
 }
--- a/src/main/java/org/marjoramhoist/platform/StoreDocuments.java
+++ b/src/main/java/org/marjoramhoist/platform/StoreDocuments.java
@@ -108,6 +108,7 @@
             root.path("address").asText(),
             root.path("zone").asText(),
             capacity,
+            capacity,
             labels.isEmpty() ? "" : labels.get(0),
             labels.size() < 2 ? "" : labels.get(1),
             Set.copyOf(labels),
--- a/src/test/java/org/marjoramhoist/dispatch/DomainDrainTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DomainDrainTest.java
@@ -45,12 +45,14 @@
   }
 
   private static WorkerInfo worker(String id, String domain, long cpuMillis, long warmUpMillis) {
+    Resources capacity = new Resources(cpuMillis, 1_000, 0);
     return new WorkerInfo(
         id,
         "reviews",
         "10.0.0.1:1",
         domain,
-        new Resources(cpuMillis, 1_000, 0),
+        capacity,
+        capacity,
         "a",
         "r-1",
         Set.of("a", "r-1", id),
--- a/src/test/java/org/marjoramhoist/dispatch/WorkerCapacityTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/WorkerCapacityTest.java
@@ -15,6 +15,8 @@
 /** Decisions while the capacity of workers shrinks and grows again. */
 class WorkerCapacityTest extends DispatcherFixture {
 
+  private static final WorkerInfo SMALL = worker("w", 2_000, false);
+
   private int jobs;
 
   private void submit(StepSpec step) {
@@ -55,6 +57,31 @@
     assertThat(starts()).isEqualTo(1);
   }
 
+  /** A leader that was elected while the worker was small failed it. */
+  @Test
+  void jobThatFitsTheCapacityInTheRosterWaitsForIt() {
+    listWorkers(worker("w", 8_000, false));
+    now += MICROS_PER_MILLI;
+    RosterChange change = rosterChange(new DispatchEvent.WorkersListed(List.of(SMALL)));
+    beginTerm(now);
+    listWorkers(SMALL);
+    step(1, new DispatchEvent.RosterLoaded(change.added()));
+    report("w", List.of());
+    submit(new StepSpec(1, new Resources(4_000, 1, 0), 50, List.of(), "", "", 0));
+    assertThat(takeActions(DispatchAction.Finish.class)).isEmpty();
+    assertThat(starts()).isEqualTo(0);
+    listWorkers(worker("w", 8_000, false));
+    assertThat(starts()).isEqualTo(1);
+  }
+
+  private RosterChange rosterChange(DispatchEvent event) {
+    return dispatcher.step(now, event).stream()
+        .filter(DispatchAction.StoreRoster.class::isInstance)
+        .map(action -> ((DispatchAction.StoreRoster) action).change())
+        .findFirst()
+        .orElseThrow();
+  }
+
   @Test
   void jobThatFitsNoCapacityAnyWorkerHadFails() {
     listWorkers(worker("w", 8_000, false));
--- a/src/test/java/org/marjoramhoist/entry/RosterStoreTest.java
+++ b/src/test/java/org/marjoramhoist/entry/RosterStoreTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -41,16 +42,25 @@
             "10.0.0.1:80",
             "north",
             new Resources(16_000, 65_536, 2),
+            new Resources(32_000, 65_536, 4),
             "a",
             "r-1",
             Set.of("a", "r-1", "ssd"),
             true,
-            1_700_000_000_123L);
+            1_700_000_000_123L,
+            0);
     assertThat(StoredWorker.read(StoredWorker.write(worker))).isEqualTo(worker);
     // The format that earlier versions wrote.
     assertThat(StoredWorker.read(JsonText.of(worker))).isEqualTo(worker);
   }
 
+  @Test
+  void readsWorkerThatVersionWithoutLargestCapacityWrote() throws Exception {
+    ObjectNode stored = (ObjectNode) JsonText.MAPPER.readTree(StoredWorker.write(WORKER));
+    stored.remove("largestCapacity");
+    assertThat(StoredWorker.read(stored.toString())).isEqualTo(WORKER);
+  }
+
   /**
    * After a store outage the leader record may be missing because its lease expired. The term must
    * not end, as no other leader is named and the record may be written again.
--- a/src/test/java/org/marjoramhoist/experiment/ChangingCapacityTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/ChangingCapacityTest.java
@@ -65,11 +65,28 @@
   @Example
   void noJobFailsWhileAllWorkersAreSmaller() {
     DispatchFleet fleet = Fleets.dispatching(3);
-    long end = fleet.time().now() + 12 * SECOND;
-    offer(fleet, 0.5, 4, end);
+    shrinkAllForThreeSeconds(fleet, () -> {});
+    assertNoJobFailed(fleet);
+  }
+
+  /** The new leader failed them, as it knew none of the larger capacities. */
+  @Example
+  void noJobFailsUnderLeaderElectedWhileAllWorkersAreSmaller() {
+    DispatchFleet fleet = Fleets.dispatching(3);
+    shrinkAllForThreeSeconds(fleet, fleet::elect);
+    assertNoJobFailed(fleet);
+  }
+
+  private static void shrinkAllForThreeSeconds(DispatchFleet fleet, Runnable whileSmaller) {
+    offer(fleet, 0.5, 4, fleet.time().now() + 12 * SECOND);
     fleet.runFor(3 * SECOND);
     fleet.workers().forEach(worker -> shrink(fleet, worker, 0.3, 3 * SECOND));
+    fleet.runFor(SECOND);
+    whileSmaller.run();
     fleet.runFor(SETTLE);
+  }
+
+  private static void assertNoJobFailed(DispatchFleet fleet) {
     assertThat(fleet.breaches()).isEmpty();
     assertThat(fleet.callers().unfinished()).isEmpty();
     assertThat(fleet.callers().count(JobStatus.FAILED)).isEqualTo(0);
--- a/src/test/java/org/marjoramhoist/job/ValueTypesTest.java
+++ b/src/test/java/org/marjoramhoist/job/ValueTypesTest.java
@@ -72,6 +72,19 @@
             new WorkerInfo("w", "u", "1", "d", RESOURCES, "k", "x", LABELS, false, 1),
             new WorkerInfo("w", "u", "1", "d", RESOURCES, "k", "r", Set.of("x"), false, 1),
             new WorkerInfo("w", "u", "1", "d", RESOURCES, "k", "r", LABELS, true, 1),
-            new WorkerInfo("w", "u", "1", "d", RESOURCES, "k", "r", LABELS, false, 2)));
+            new WorkerInfo("w", "u", "1", "d", RESOURCES, "k", "r", LABELS, false, 2),
+            new WorkerInfo(
+                "w",
+                "u",
+                "1",
+                "d",
+                RESOURCES,
+                new Resources(9, 2, 3),
+                "k",
+                "r",
+                LABELS,
+                false,
+                1,
+                0)));
   }
 }
