Let no host that knows no others replace the leader

Cause: a host that has just started hears of the leader by its heartbeat before it has read the list of hosts. Once its connection to the leader breaks or a heartbeat is late, it polls nobody, takes itself for most of all hosts, and replaces the leader's record, though the leader is alive. Test: ElectionTest.hostThatKnowsNoOthersDoesNotReplaceTheLeader failed before, with AcquireRecord[expectedRevision=9] in place of ReadRecord. Fix: only a host that has been told the registered hosts can have a majority, of them or of their confirmations; until then it reads the record, so that a host that is alone in its group is elected as soon as it has read the list.

--- a/src/main/java/org/marjoramhoist/lead/VoterSet.java
+++ b/src/main/java/org/marjoramhoist/lead/VoterSet.java
@@ -20,6 +20,7 @@
   private final String self;
   private final Map<String, Long> expiredVoters = new HashMap<>();
   private Map<String, HostCapacity> registered = Map.of();
+  private boolean known;
   private boolean hadOthers;
 
   VoterSet(String self) {
@@ -28,6 +29,7 @@
 
   /** Replaces the registered hosts. */
   void update(Map<String, HostCapacity> hosts, long now) {
+    known = true;
     for (String host : registered.keySet()) {
       expiredVoters.put(host, now + EXPIRED_VOTER_MICROS);
     }
@@ -50,8 +52,13 @@
     return others;
   }
 
-  /** Returns whether no other host was ever registered. */
+  /** Returns whether the registered hosts are known; a host that has just started knows none. */
+  boolean isKnown() {
+    return known;
+  }
+
+  /** Returns whether it is known that no other host was ever registered. */
   boolean neverHadOthers() {
-    return !hadOthers;
+    return known && !hadOthers;
   }
 }
--- a/src/test/java/org/marjoramhoist/lead/ElectionTest.java
+++ b/src/test/java/org/marjoramhoist/lead/ElectionTest.java
@@ -106,6 +106,31 @@
     assertThat(tick(10)).containsExactly(new ElectionAction.AcquireRecord(0));
   }
 
+  /**
+   * A host that had just started took itself for a majority and replaced a leader that was alive.
+   */
+  @Test
+  void hostThatKnowsNoOthersDoesNotReplaceTheLeader() {
+    Election started = new Election("b", 8, TIMEOUTS, now);
+    started.step(now, new ElectionEvent.HeartbeatReceived(9, "a"));
+    started.step(now, new ElectionEvent.LeaderLinkLost(9));
+    assertThat(started.step(now, new ElectionEvent.Tick()))
+        .containsExactly(new ElectionAction.PollHosts());
+    assertThat(started.step(now, new ElectionEvent.HostsPolled(0, false, false)))
+        .containsExactly(new ElectionAction.ReadRecord());
+  }
+
+  @Test
+  void onlyHostReplacesTheLeaderOnceTheHostsAreListed() {
+    Election started = new Election("b", 8, TIMEOUTS, now);
+    started.step(now, new ElectionEvent.HostsListed(Map.of("b", SMALL)));
+    started.step(now, new ElectionEvent.HeartbeatReceived(9, "a"));
+    started.step(now, new ElectionEvent.LeaderLinkLost(9));
+    started.step(now, new ElectionEvent.Tick());
+    assertThat(started.step(now, new ElectionEvent.HostsPolled(0, false, false)))
+        .containsExactly(new ElectionAction.AcquireRecord(9));
+  }
+
   @Test
   void suspectedLeaderIsExcludedFromTheRanking() {
     registerCapacity("a", 900);
