Fail a job for crashes only if another process was seen in the workers' place

Cause: a guess was taken for a verdict. For ephemeral jobs two refused connections counted as two crashes; for durable ones the lapse of the entry of a worker that had refused connections did. A cut that refuses looks the same.

Only another process that reports with another start time, or answers at the worker's address, proves a crash now, for all jobs. Losses without proof delay the next exclusive run by 6 s, then 12 s. A worker that was lost with a run is retained and asked for 10 s after its entry has lapsed, so that the proof, or that it lives, is found. An ephemeral job whose task is held beyond the time that its caller waits is abandoned at once (it may have run); if it is submitted again once the proof is there, it fails.

TaskLosses no longer needs to know whether a job is durable.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -314,7 +314,7 @@
     } else if (!job.started && workerRegistry.canNeverRun(job.description(), job.requestClass())) {
       endImpossible(job, now, out);
     } else if (!refuseIfUnservable(job, now, out)) {
-      workerLosses.giveUpIfCrashing(job, now, out);
+      workerLosses.reconsider(job, now, out);
       allocationDue = true;
     }
   }
--- a/src/main/java/org/marjoramhoist/dispatch/GroupContacts.java
+++ b/src/main/java/org/marjoramhoist/dispatch/GroupContacts.java
@@ -25,7 +25,8 @@
     int lost = 0;
     int heard = 0;
     for (Worker each : group) {
-      lost += each.failingSince() > lostAt - SAME_TIME_MICROS ? 1 : 0;
+      boolean isLost = each.isFailing() && each.failingSince() >= lostAt - SAME_TIME_MICROS;
+      lost += isLost ? 1 : 0;
       heard += !each.isFailing() && each.lastHeardAt() > lostAt ? 1 : 0;
     }
     return new GroupContacts(group.size(), lost, heard);
--- a/src/main/java/org/marjoramhoist/dispatch/SuspectTasks.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SuspectTasks.java
@@ -30,7 +30,7 @@
 
   /** Records that a run was lost with its worker; returns what is now held against its task. */
   TaskLosses runLost(Run run, Evidence evidence, long now) {
-    TaskLosses losses = lossesOf(run.task.ref, run.task.job);
+    TaskLosses losses = lossesOf(run.task.ref);
     losses.add(
         new WorkerLoss(
             run.ref.number(), run.worker.id(), run.isExclusive(), isAmongLatest(run), evidence),
@@ -39,8 +39,8 @@
     return losses;
   }
 
-  private TaskLosses lossesOf(TaskRef ref, Job job) {
-    return tasks.computeIfAbsent(ref, key -> new TaskLosses(key, job.isDurable()));
+  private TaskLosses lossesOf(TaskRef ref) {
+    return tasks.computeIfAbsent(ref, TaskLosses::new);
   }
 
   private static boolean isAmongLatest(Run run) {
@@ -54,7 +54,7 @@
   void attach(Job job, Collection<JobProgress.LostRun> stored, long now) {
     for (JobProgress.LostRun each : stored) {
       TaskRef ref = new TaskRef(job.id(), each.step(), each.index());
-      lossesOf(ref, job).add(each.loss(), now);
+      lossesOf(ref).add(each.loss(), now);
     }
     for (TaskLosses losses : tasks.values()) {
       TaskRef ref = losses.task();
--- a/src/main/java/org/marjoramhoist/dispatch/TaskLosses.java
+++ b/src/main/java/org/marjoramhoist/dispatch/TaskLosses.java
@@ -13,8 +13,8 @@
  *
  * <p>A task that was running on a worker that crashed may have caused the crash, or another task
  * did, or none. It is therefore run alone on a worker next: if that one crashes as well, the task
- * is the cause. Invariant: a task of a durable job is given up only if workers have certainly
- * crashed under it. Confined to one thread.
+ * is the cause. Invariant: a task is given up only if workers have certainly crashed under it;
+ * unproved losses only delay it. Confined to one thread.
  */
 final class TaskLosses {
 
@@ -37,24 +37,22 @@
   private static final int MAX_CRASHES = 3;
 
   /**
-   * How long a task is held: by then the worker's entry has lapsed, or another worker has its
-   * address.
+   * How long a task is held after two losses that are not all proved; by then another worker
+   * usually has the address of one that crashed.
    */
   private static final long HOLD_MICROS = 6_000_000;
 
+  /** How long a task is held after each further loss. */
+  private static final long MAX_HOLD_MICROS = 12_000_000;
+
   private final TaskRef task;
   private final List<WorkerLoss> losses = new ArrayList<>();
-  private final boolean durable;
   private long lastLossAt;
+  private long heldUntil;
 
-  /**
-   * Creates an empty list.
-   *
-   * @param durable whether the task's job is durable, so that its caller can wait for proof
-   */
-  TaskLosses(TaskRef task, boolean durable) {
+  /** Creates an empty list. */
+  TaskLosses(TaskRef task) {
     this.task = task;
-    this.durable = durable;
   }
 
   TaskRef task() {
@@ -66,9 +64,14 @@
     if (!includes(loss.run())) {
       losses.add(loss);
       lastLossAt = now;
+      heldUntil = now + holdMicros();
     }
   }
 
+  private long holdMicros() {
+    return suspicious() <= CRASHES_WITH_EXCLUSIVE_RUN ? HOLD_MICROS : MAX_HOLD_MICROS;
+  }
+
   /** Tells whether the worker of a run is among the losses. */
   boolean includes(int run) {
     return losses.stream().anyMatch(loss -> loss.run() == run);
@@ -129,45 +132,49 @@
     return losses.isEmpty();
   }
 
-  /** Returns the ids of the workers that count as crashed under it. */
+  /** Returns the ids of the workers that have certainly crashed under it. */
   Set<String> crashedWorkers() {
     return losses.stream()
-        .filter(this::counts)
+        .filter(TaskLosses::isProved)
         .map(WorkerLoss::worker)
         .collect(Collectors.toCollection(TreeSet::new));
   }
 
-  /**
-   * Tells whether a loss counts as a crash. For an ephemeral job refusals suffice, as its caller is
-   * gone before more is known.
-   */
-  private boolean counts(WorkerLoss loss) {
-    return loss.evidence() == Evidence.CRASHED || !durable && loss.evidence() == Evidence.REFUSED;
+  private static boolean isProved(WorkerLoss loss) {
+    return loss.evidence() == Evidence.CRASHED;
   }
 
   private int count(Evidence evidence) {
     return (int) losses.stream().filter(loss -> loss.evidence() == evidence).count();
   }
 
+  private int suspicious() {
+    return count(Evidence.CRASHED) + count(Evidence.REFUSED);
+  }
+
+  /** Returns until when it is held unless more becomes known. */
+  long heldUntil() {
+    return heldUntil;
+  }
+
   /** Returns how the task may be run. */
   Handling handling(long now) {
     if (isCause()) {
       return Handling.GIVEN_UP;
     }
-    int refused = count(Evidence.REFUSED);
-    int suspicious = count(Evidence.CRASHED) + refused;
+    int suspicious = suspicious();
     if (suspicious == 0) {
       return Handling.SHARED;
     }
-    boolean awaitsEvidence = refused > 0 && now - lastLossAt <= HOLD_MICROS;
-    return suspicious >= CRASHES_WITH_EXCLUSIVE_RUN && awaitsEvidence
+    boolean awaitsProof = count(Evidence.REFUSED) > 0 && now <= heldUntil;
+    return suspicious >= CRASHES_WITH_EXCLUSIVE_RUN && awaitsProof
         ? Handling.HELD
         : Handling.EXCLUSIVE;
   }
 
   private boolean isCause() {
     int crashes = crashedWorkers().size();
-    boolean anyExclusive = losses.stream().anyMatch(loss -> loss.exclusive() && counts(loss));
+    boolean anyExclusive = losses.stream().anyMatch(loss -> loss.exclusive() && isProved(loss));
     return crashes >= MAX_CRASHES || crashes >= CRASHES_WITH_EXCLUSIVE_RUN && anyExclusive;
   }
 }
--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -56,6 +56,12 @@
 
   Resources freeResources;
 
+  /**
+   * Until when it is retained, and asked, to learn what became of it; 0 if that is known or no run
+   * was lost with it.
+   */
+  long soughtUntil;
+
   private boolean drained;
 
   /**
@@ -254,11 +260,12 @@
 
   /**
    * Tells whether it must be retained though it is not listed: runs of this leader or runs renewed
-   * by it may be running on it, or it has completions that are not stored yet.
+   * by it may be running on it, it has completions that are not stored yet, or it is not known
+   * whether its process has ended.
    */
   boolean mustBeRetained(long now) {
     boolean renewed = !foreignRuns.isEmpty() && !clock.hasCertainlyPassed(leaseUntilMillis, now);
-    return !runs.isEmpty() || renewed || !heldCompletions.isEmpty();
+    return !runs.isEmpty() || renewed || !heldCompletions.isEmpty() || now <= soughtUntil;
   }
 
   /** Sets whether the operator drains its failure domain. */
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerLoss.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerLoss.java
@@ -19,9 +19,9 @@
   public enum Evidence {
     /** Nothing was heard of the worker; a cut looks the same. */
     SILENT,
-    /** Connections to it were refused, as after the end of its process. */
+    /** Connections to it were refused, as after the end of its process or behind a cut. */
     REFUSED,
-    /** Its process ended: another one took its place, or its entry is gone after refusals. */
+    /** Its process ended: another one reports for it or answers at its address. */
     CRASHED
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerLossHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerLossHandler.java
@@ -14,6 +14,9 @@
  */
 final class WorkerLossHandler {
 
+  /** How long a worker that refused connections is asked for what became of it. */
+  private static final long SEARCH_MICROS = 10_000_000;
+
   private final SuspectTasks suspects;
   private final JobRegistry jobs;
   private final WorkerRegistry workers;
@@ -36,7 +39,8 @@
   /** Takes over what earlier leaders stored about the tasks of a job. */
   void jobLoaded(Job job, long now, List<DispatchAction> out) {
     suspects.attach(job, job.storedLosses(), now);
-    giveUpIfCrashing(job, now, out);
+    job.storedLosses().forEach(lost -> seek(workers.find(lost.loss().worker()), now));
+    reconsider(job, now, out);
   }
 
   /**
@@ -72,6 +76,7 @@
     if (next == Handling.SHARED) {
       return;
     }
+    seek(run.worker, now);
     Job job = run.task.job;
     out.add(
         new Log(
@@ -81,7 +86,13 @@
       durableJobs.recordLoss(job, now);
     }
     if (jobs.find(job.id()) == job) {
-      giveUpIfCrashing(job, now, out);
+      reconsider(job, now, out);
+    }
+  }
+
+  private static void seek(Worker worker, long now) {
+    if (worker != null) {
+      worker.soughtUntil = now + SEARCH_MICROS;
     }
   }
 
@@ -89,14 +100,11 @@
     return losses.all().stream().map(workers::describeLoss).toList();
   }
 
-  /**
-   * Concludes that the process of a worker which refused connections has ended once its entry is
-   * gone too. Losses of workers that are gone without a refusal are not held against any task.
-   */
+  /** Withdraws the losses of workers that are gone without a refusal. */
   void tick(long now, List<DispatchAction> out) {
     for (WorkerLoss loss : suspects.unexplained()) {
-      if (workers.isGone(loss.worker())) {
-        explain(loss.worker(), loss.evidence() == WorkerLoss.Evidence.REFUSED, now, out);
+      if (loss.evidence() == WorkerLoss.Evidence.SILENT && workers.isGone(loss.worker())) {
+        explain(loss.worker(), false, now, out);
       }
     }
     suspects.prune(id -> jobs.find(id) != null, now);
@@ -109,6 +117,10 @@
    * @return whether that changes how any task may be run
    */
   boolean explain(String worker, boolean crashed, long now, List<DispatchAction> out) {
+    Worker known = workers.find(worker);
+    if (known != null) {
+      known.soughtUntil = 0;
+    }
     List<TaskLosses> changed =
         crashed ? suspects.workerCrashed(worker) : suspects.workerAnswered(worker);
     reconsider(changed, now, out);
@@ -120,7 +132,7 @@
     for (TaskLosses losses : changed) {
       Job job = jobs.find(losses.task().job());
       if (job != null) {
-        giveUpIfCrashing(job, now, out);
+        reconsider(job, now, out);
         if (job.isDurable()) {
           durableJobs.recordProgress(job, now);
         }
@@ -128,22 +140,34 @@
     }
   }
 
-  /** Ends a job as failed if a task of it has proved to crash its workers. */
-  void giveUpIfCrashing(Job job, long now, List<DispatchAction> out) {
+  /**
+   * Ends a job as failed if a task of it has proved to crash its workers, and as abandoned if a
+   * task of it is held beyond the time that its caller waits: it may have run.
+   */
+  void reconsider(Job job, long now, List<DispatchAction> out) {
     for (TaskLosses losses : suspects.all()) {
-      boolean isOfJob = losses.task().job().equals(job.id());
-      if (isOfJob && losses.handling(now) == Handling.GIVEN_UP) {
-        String reason =
-            "a task crashed "
-                + losses.crashedWorkers().size()
-                + " workers: "
-                + losses.task()
-                + " losses="
-                + describe(losses);
-        jobFinisher.end(job, JobOutcome.FAILED, reason, now, out);
+      if (!losses.task().job().equals(job.id())) {
+        continue;
+      }
+      TaskLosses.Handling handling = losses.handling(now);
+      if (handling == Handling.GIVEN_UP) {
+        jobFinisher.end(job, JobOutcome.FAILED, crashReason(losses), now, out);
         reconsider(suspects.causeFound(losses), now, out);
         return;
       }
+      if (handling == Handling.HELD && !job.isDurable() && losses.heldUntil() > job.deadline) {
+        jobFinisher.end(job, JobOutcome.ABANDONED, "its workers were lost", now, out);
+        return;
+      }
     }
   }
+
+  private String crashReason(TaskLosses losses) {
+    return "a task crashed "
+        + losses.crashedWorkers().size()
+        + " workers: "
+        + losses.task()
+        + " losses="
+        + describe(losses);
+  }
 }
