Count the lease of a run on the clock of the process that started it

What callers saw: a job that never ended: its run was held on a worker that was long gone.

Cause: a start order counts its lease on the worker's clock. A worker that has restarted since its last report has another one; it accepts the order, and shortens the lease to the maximum. If it is lost before its next report, the leader waited until the new clock reached what the order counted on the old one, many minutes. Reports of a restart were handled, answers of starts were not.

If the clock in the answer can't be the one known before, all leases of the worker end a lease from now on the new clock at the latest.

--- a/src/main/java/org/marjoramhoist/dispatch/Run.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Run.java
@@ -43,10 +43,10 @@
   final Worker worker;
   final Resources need;
   final long orderedAt;
-  final long startLeaseMillis;
   final double predictedMicros;
 
   private final boolean exclusive;
+  private long startLeaseMillis;
 
   /** The run time predicted for a worker that is not slow; 0 if it is unknown. */
   private final double usualMicros;
@@ -81,6 +81,16 @@
     this.exclusive = worker.reservedFor == task;
   }
 
+  /** Returns when the lease of its start order ends, on its worker's clock. */
+  long startLeaseMillis() {
+    return startLeaseMillis;
+  }
+
+  /** Lets the lease of its start order end at a time at the latest. */
+  void limitStartLease(long latestMillis) {
+    startLeaseMillis = Math.min(startLeaseMillis, latestMillis);
+  }
+
   void startConfirmed(long now) {
     phase = Phase.RUNNING;
     answeredAt = now;
--- a/src/main/java/org/marjoramhoist/dispatch/RunController.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunController.java
@@ -106,9 +106,13 @@
       long now,
       List<DispatchAction> out) {
     worker.recordCallSuccess(now);
-    worker.mayHaveRestarted |= worker.clock.isInconsistentWith(reply.clockMillis(), sentAt, now);
+    boolean otherClock = worker.clock.isInconsistentWith(reply.clockMillis(), sentAt, now);
+    worker.mayHaveRestarted |= otherClock;
     worker.clock.update(reply.clockMillis(), sentAt, now);
     Run run = worker.runs.get(ref);
+    if (otherClock) {
+      limitLeases(worker, now);
+    }
     if (run == null || run.phase != Run.Phase.STARTING) {
       return;
     }
@@ -120,6 +124,16 @@
     startRejected(worker, run, reply.verdict(), now, out);
   }
 
+  /**
+   * Counts the leases of a worker that has probably restarted on its new clock; workers shorten
+   * leases to the maximum.
+   */
+  private void limitLeases(Worker worker, long now) {
+    long latest = leaseExpiryMillis(worker, now);
+    worker.leaseUntilMillis = Math.min(worker.leaseUntilMillis, latest);
+    worker.runs.values().forEach(run -> run.limitStartLease(latest));
+  }
+
   private void startRejected(
       Worker worker, Run run, StartReply.Verdict verdict, long now, List<DispatchAction> out) {
     switch (verdict) {
@@ -320,7 +334,7 @@
       }
       boolean confirmed = run.phase == Run.Phase.RUNNING || run.phase == Run.Phase.STOPPED;
       boolean requestedLater = confirmed && run.answeredAt < sentAt;
-      boolean tooLateToStart = clockMillis > run.startLeaseMillis + LEASE_EXPIRY_MARGIN_MILLIS;
+      boolean tooLateToStart = clockMillis > run.startLeaseMillis() + LEASE_EXPIRY_MARGIN_MILLIS;
       if (requestedLater || tooLateToStart) {
         removeRun(run);
         listener.runLost(run, LossCause.NOT_THERE, now, out);
@@ -367,7 +381,7 @@
   /** Renews leases, repeats stop orders and removes runs whose leases have expired. */
   void tick(Worker worker, long now, List<DispatchAction> out) {
     for (Run run : new ArrayList<>(worker.runs.values())) {
-      long lease = Math.max(run.startLeaseMillis, worker.leaseUntilMillis);
+      long lease = Math.max(run.startLeaseMillis(), worker.leaseUntilMillis);
       boolean unresponsive = !worker.isReachable() || run.answeredAt == Long.MAX_VALUE;
       if (unresponsive
           && worker.clock.hasCertainlyPassed(lease + LEASE_EXPIRY_MARGIN_MILLIS, now)) {
--- a/src/test/java/org/marjoramhoist/dispatch/WorkerLossTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/WorkerLossTest.java
@@ -102,6 +102,20 @@
     assertThat(logged(LogEvent.RUN_LOST)).contains("why=lease expired");
   }
 
+  /** Its run was held until its new clock reached what the order counted on the old one. */
+  @Test
+  void runThatRestartedWorkerStartedIsLostSoonAfterItIsLostToo() {
+    JobId other = new JobId("00000000000000ab");
+    JobDescription job = new JobDescription(other, "p", List.of(tasks(1, List.of())), Set.of());
+    step(1, new DispatchEvent.JobSubmitted(job, REQUEST_CLASS, "e", now, Long.MAX_VALUE, 0));
+    RunRef run = takeActions(DispatchAction.Start.class).get(0).run();
+    step(1, new DispatchEvent.StartAnswered("w", run, now, started(5)));
+    actions.clear();
+    failRenewals(CallFailure.BROKEN, CallFailure.REFUSED);
+    passLease();
+    assertThat(logged(LogEvent.RUN_LOST)).contains("why=lease expired");
+  }
+
   private static StartReply started(long clock) {
     return new StartReply(StartReply.Verdict.STARTED, clock);
   }
