Answer each request that a stopping host has read

Cause: EntryNode.awaitDrained waited for a moment without open jobs, and nothing ever refused a request. It looked at counts that know no half-read body and no half-written response, and between its last look and the end of the process the I/O thread went on reading requests and sending orders.

Why this works: GracefulShutdown, a pure state machine, accepts all requests while new connections may still arrive, then only those of connections that were opened before; these are finite in number and each response closes one, so callers can't prolong a stop. A job that can't end before the results are due is refused unstarted. Once nothing is open from the head of a request to the last byte of its response, and another host leads, the listener is closed, requests on open connections are refused for 0.1 s, and the connections are closed in one iteration of the only I/O thread while none is open. What is open when results are due is withdrawn and gets 504, or 503 if no leader saw it. Connections keep the handler that was set when they were accepted, for which the listener for callers is built from Undertow's parts.

--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -5,7 +5,6 @@
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.marjoramhoist.config.NodeSettings;
@@ -16,6 +15,7 @@
 import org.marjoramhoist.lead.Election;
 import org.marjoramhoist.lead.ElectionEvent;
 import org.marjoramhoist.lead.ElectionTimeouts;
+import org.marjoramhoist.lead.GracefulShutdown;
 import org.marjoramhoist.lead.HostCapacity;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
@@ -55,17 +55,6 @@
   /** Keeps leases below the platform's limit despite the error of the estimated worker clocks. */
   private static final long LEASE_SLACK_MILLIS = 20;
 
-  private static final int HTTP_BUFFER_BYTES = 8 * 1024;
-  private static final int MAX_REQUEST_BODY_BYTES = 1 << 20;
-
-  /** How long new connections may still arrive after a stop signal. */
-  private static final long NEW_CONNECTIONS_GRACE_MILLIS = 2_300;
-
-  /** The part of the shutdown time that is reserved for sending the last responses. */
-  private static final long RESPONSE_RESERVE_MILLIS = 700;
-
-  private static final long DRAIN_POLL_INTERVAL_MILLIS = 50;
-
   private final NodeSettings settings;
   private final XnioWorker worker;
   private final EventLoop loop;
@@ -74,17 +63,15 @@
   private final LeaderTracker leaderTracker = new LeaderTracker();
   private final OpenJobs jobs;
   private final JobCalls calls;
-  private final OpenExchanges exchanges;
+  private final GracefulShutdown shutdown = new GracefulShutdown();
+  private final CallerListener callers;
+  private final HostShutdown hostShutdown;
   private final ConfigWatch config = new ConfigWatch();
   private final DrainedDomains drainedDomains = new DrainedDomains();
   private final NodeMetrics metrics = new NodeMetrics();
   private final HostRegistration registration;
   private final PartitionMember member;
   private final AtomicBoolean closed = new AtomicBoolean();
-  private volatile boolean draining;
-
-  /** When the stop began, in microseconds on the monotonic clock; 0 while the host runs. */
-  private volatile long stopStartedAt;
 
   private EntryNode(NodeSettings settings) throws IOException {
     this.settings = settings;
@@ -182,16 +169,30 @@
                     reason -> memberRef[0].handle(new ElectionEvent.StepDownRequired(reason))));
     memberRef[0] = member;
     metrics.gauge("marjoramhoist.jobs.open", jobs::count);
-    metrics.gauge("marjoramhoist.stopping", () -> draining ? 1 : 0);
+    metrics.gauge("marjoramhoist.stopping", () -> shutdown.hasStarted() ? 1 : 0);
     metrics.gauge("marjoramhoist.leader", () -> member.isLeader() ? 1 : 0);
     metrics.gauge("marjoramhoist.config.version", () -> config.current().version());
     metrics.gauge("marjoramhoist.drain.revision", drainedDomains::revision);
     metrics.gauge("marjoramhoist.store.up", () -> health.isAvailable() ? 1 : 0);
     this.network = new FrameNetwork(worker, HostPort.parse(settings.listen().peers()), member);
-    this.exchanges =
-        new OpenExchanges(
-            new JobHttpHandler(config, jobs, calls, metrics, member::waitingJobs, () -> draining));
+    OpenExchanges exchanges = new OpenExchanges();
     metrics.gauge("marjoramhoist.exchanges.open", exchanges::count);
+    JobHttpHandler jobHandler =
+        new JobHttpHandler(config, jobs, calls, metrics, member::waitingJobs, shutdown);
+    this.callers =
+        new CallerListener(
+            worker, HostPort.parse(settings.listen().callers()), exchanges.counting(jobHandler));
+    this.hostShutdown =
+        new HostShutdown(
+            loop,
+            shutdown,
+            callers,
+            exchanges,
+            jobs,
+            calls,
+            jobHandler::refuseStopping,
+            member::awaitsSuccessor,
+            registration::deregister);
     this.http = startHttpServer();
     PrefixWatch operatorWatch =
         new PrefixWatch(
@@ -235,17 +236,14 @@
           exchange.setStatusCode(isReady() ? 200 : 503);
           exchange.endExchange();
         };
-    InetSocketAddress callerAddress = HostPort.parse(settings.listen().callers());
     InetSocketAddress readinessAddress = HostPort.parse(settings.listen().ready());
     Undertow.Builder builder =
         Undertow.builder()
             .setWorker(worker)
-            .setBufferSize(HTTP_BUFFER_BYTES)
+            .setBufferSize(CallerListener.BUFFER_BYTES)
             .setDirectBuffers(true)
-            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_REQUEST_BODY_BYTES)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
             .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
-            .addHttpListener(callerAddress.getPort(), callerAddress.getHostString(), exchanges)
             .addHttpListener(
                 readinessAddress.getPort(), readinessAddress.getHostString(), readinessHandler);
     if (!settings.listen().metrics().isEmpty()) {
@@ -268,7 +266,7 @@
   }
 
   private boolean isReady() {
-    return !draining && config.isKnown() && leaderTracker.isReady();
+    return !shutdown.hasStarted() && config.isKnown() && leaderTracker.isReady();
   }
 
   private void tick() {
@@ -293,23 +291,19 @@
   }
 
   /**
-   * Hands over leadership and completes open jobs and calls. Returns when none is open or the drain
-   * timeout expires.
+   * Hands over leadership and completes open requests. Returns when nothing more is read from
+   * callers or the drain timeout expires; also if it was called before.
    */
   public void drain() {
     EventLog.info(LogEvent.PROCESS_STOPPING, "host={}", settings.host());
-    draining = true;
-    CountDownLatch drainCompleted = new CountDownLatch(1);
-    long startedAt = EventLoop.now();
-    stopStartedAt = startedAt;
+    long endBy = EventLoop.now() + EventLoop.millisToMicros(settings.drainMillis());
     loop.execute(
         () -> {
-          exchanges.startTotals();
           member.beginShutdown();
-          awaitDrained(startedAt, drainCompleted);
+          hostShutdown.start(endBy);
         });
     try {
-      if (!drainCompleted.await(settings.drainMillis(), TimeUnit.MILLISECONDS)) {
+      if (!hostShutdown.completed().await(settings.drainMillis(), TimeUnit.MILLISECONDS)) {
         EventLog.warn(LogEvent.DRAIN_INCOMPLETE, "host={}", settings.host());
       }
     } catch (InterruptedException e) {
@@ -317,37 +311,15 @@
     }
   }
 
-  private void awaitDrained(long startedAt, CountDownLatch drainCompleted) {
-    long elapsed = EventLoop.now() - startedAt;
-    boolean isDrained =
-        elapsed > EventLoop.millisToMicros(NEW_CONNECTIONS_GRACE_MILLIS)
-            && jobs.count() + calls.count() == 0;
-    if (isDrained
-        || elapsed > EventLoop.millisToMicros(settings.drainMillis() - RESPONSE_RESERVE_MILLIS)) {
-      jobs.abandonAll();
-      calls.abandonAll();
-      registration.deregister();
-      loop.schedule(DRAIN_POLL_INTERVAL_MILLIS, drainCompleted::countDown);
-    } else {
-      loop.schedule(DRAIN_POLL_INTERVAL_MILLIS, () -> awaitDrained(startedAt, drainCompleted));
-    }
-  }
-
   @Override
   public void close() {
     if (!closed.compareAndSet(false, true)) {
       return;
     }
     loop.close();
+    callers.close();
     network.close();
     http.stop();
-    if (stopStartedAt != 0) {
-      long micros = EventLoop.now() - stopStartedAt;
-      worker
-          .getIoThread()
-          .execute(
-              () -> EventLog.info(LogEvent.REQUESTS_AT_STOP, "micros={} {}", micros, exchanges));
-    }
     worker.shutdownNow();
     EventLog.info(LogEvent.PROCESS_STOPPED, "host={}", settings.host());
   }
--- a/src/main/java/org/marjoramhoist/entry/JobHttpHandler.java
+++ b/src/main/java/org/marjoramhoist/entry/JobHttpHandler.java
@@ -8,10 +8,10 @@
 import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.ToIntFunction;
 import org.marjoramhoist.dispatch.JobCallKind;
 import org.marjoramhoist.dispatch.JobCallResult;
+import org.marjoramhoist.dispatch.JobTimeLimits;
 import org.marjoramhoist.http.Exchanges;
 import org.marjoramhoist.http.Replies;
 import org.marjoramhoist.job.JobDescription;
@@ -20,6 +20,7 @@
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.JobStatus;
 import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.lead.GracefulShutdown;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.message.HostMessage.Finished;
@@ -42,6 +43,10 @@
   private static final int UNAVAILABLE = 503;
   private static final int GATEWAY_TIMEOUT = 504;
   private static final long DEFAULT_TIMEOUT_MILLIS = 10_000;
+
+  /** When the callers of a host that stops may retry, which other hosts serve. */
+  private static final long STOP_RETRY_MILLIS = 1_000;
+
   private static final String EMPTY_BODY = "{}";
 
   private final ConfigWatch config;
@@ -49,13 +54,13 @@
   private final JobCalls calls;
   private final NodeMetrics metrics;
   private final ToIntFunction<String> waitingJobs;
-  private final BooleanSupplier draining;
+  private final GracefulShutdown shutdown;
 
   /**
    * Creates the handler.
    *
    * @param waitingJobs returns the number of waiting jobs of a class
-   * @param draining whether connections are closed after their responses
+   * @param shutdown whether requests are accepted, and by when they must have a result
    */
   JobHttpHandler(
       ConfigWatch config,
@@ -63,17 +68,21 @@
       JobCalls calls,
       NodeMetrics metrics,
       ToIntFunction<String> waitingJobs,
-      BooleanSupplier draining) {
+      GracefulShutdown shutdown) {
     this.config = config;
     this.jobs = jobs;
     this.calls = calls;
     this.metrics = metrics;
     this.waitingJobs = waitingJobs;
-    this.draining = draining;
+    this.shutdown = shutdown;
   }
 
   @Override
   public void handleRequest(HttpServerExchange exchange) {
+    if (!shutdown.accepts(EventLoop.now())) {
+      refuseStopping(exchange);
+      return;
+    }
     if (!config.isKnown()) {
       reply(exchange, UNAVAILABLE, EMPTY_BODY);
       return;
@@ -88,6 +97,17 @@
     route(exchange, found.get(), path.substring(found.get().pathPrefix().length()));
   }
 
+  /** Refuses a request, which has not run, because this host stops. */
+  void refuseStopping(HttpServerExchange exchange) {
+    String path = exchange.getRequestPath();
+    EventLog.info(
+        LogEvent.JOB_ANSWERED,
+        "job={} outcome=REFUSED reason=the host stops retryAfterMillis={}",
+        path.substring(path.lastIndexOf('/') + 1),
+        STOP_RETRY_MILLIS);
+    replyRefused(exchange, STOP_RETRY_MILLIS);
+  }
+
   private void route(HttpServerExchange exchange, RequestClass requestClass, String jobPath) {
     if (exchange.getRequestMethod().equals(Methods.GET) && jobPath.isEmpty()) {
       reply(exchange, OK, JobBodies.waitingJobsBody(waitingJobs.applyAsInt(requestClass.name())));
@@ -136,11 +156,11 @@
                 kind,
                 id,
                 arrivedAt,
-                deadline(exchange, arrivedAt),
+                shutdown.limit(callerDeadline(exchange, arrivedAt)),
                 callReply -> replyToCall(exchange, kind, id, callReply)));
   }
 
-  private static long deadline(HttpServerExchange exchange, long arrivedAt) {
+  private static long callerDeadline(HttpServerExchange exchange, long arrivedAt) {
     long timeoutMillis =
         JobBodies.callerTimeoutMillis(exchange.getRequestHeaders(), DEFAULT_TIMEOUT_MILLIS);
     return arrivedAt + EventLoop.millisToMicros(timeoutMillis);
@@ -177,6 +197,10 @@
       JobId id,
       long arrivedAt,
       byte[] body) {
+    if (!shutdown.accepts(EventLoop.now())) {
+      refuseStopping(exchange);
+      return;
+    }
     JobDescription job;
     try {
       job = JobBodies.parseJob(id, body);
@@ -192,7 +216,8 @@
       reply(exchange, UNAVAILABLE, EMPTY_BODY);
       return;
     }
-    long deadline = deadline(exchange, arrivedAt);
+    long callerDeadline = callerDeadline(exchange, arrivedAt);
+    long deadline = shutdown.limit(callerDeadline);
     if (job.isDurable()) {
       calls.submit(
           job,
@@ -202,6 +227,12 @@
           callReply -> replyToCall(exchange, JobCallKind.SUBMIT, id, callReply));
       return;
     }
+    if (deadline < callerDeadline
+        && !JobTimeLimits.canFinishInTime(
+            job, requestClass, arrivedAt, deadline, EventLoop.now())) {
+      refuseStopping(exchange);
+      return;
+    }
     jobs.submit(
         job,
         requestClass,
@@ -244,8 +275,8 @@
     if (exchange.isResponseStarted()) {
       return;
     }
-    if (draining.getAsBoolean()) {
-      exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+    if (shutdown.hasStarted()) {
+      exchange.setPersistent(false);
     }
     Replies.json(exchange, status, body);
   }
--- a/src/main/java/org/marjoramhoist/entry/OpenExchanges.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenExchanges.java
@@ -4,6 +4,7 @@
 import io.undertow.server.HttpServerExchange;
 import java.util.Collections;
 import java.util.IdentityHashMap;
+import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -13,12 +14,11 @@
  *
  * <p>Confined to the listener's only I/O thread, except for {@link #count}.
  */
-final class OpenExchanges implements HttpHandler {
+final class OpenExchanges {
 
   private static final int UNAVAILABLE = 503;
   private static final int GATEWAY_TIMEOUT = 504;
 
-  private final HttpHandler next;
   private final Set<HttpServerExchange> open = Collections.newSetFromMap(new IdentityHashMap<>());
   private volatile int count;
   private int served;
@@ -26,13 +26,15 @@
   private int abandoned;
   private int broken;
 
-  /** Creates an empty set; {@code next} handles the requests. */
-  OpenExchanges(HttpHandler next) {
-    this.next = next;
+  /** Returns a handler that counts its exchanges here and passes them on. */
+  HttpHandler counting(HttpHandler next) {
+    return exchange -> {
+      add(exchange);
+      next.handleRequest(exchange);
+    };
   }
 
-  @Override
-  public void handleRequest(HttpServerExchange exchange) throws Exception {
+  private void add(HttpServerExchange exchange) {
     open.add(exchange);
     count = open.size();
     exchange.addExchangeCompleteListener(
@@ -40,7 +42,6 @@
           remove(completed);
           nextListener.proceed();
         });
-    next.handleRequest(exchange);
   }
 
   private void remove(HttpServerExchange exchange) {
@@ -72,6 +73,15 @@
     broken = 0;
   }
 
+  /** Returns the exchanges whose request was read in part and that have no response. */
+  List<HttpServerExchange> halfRead() {
+    return open.stream().filter(OpenExchanges::isHalfRead).toList();
+  }
+
+  private static boolean isHalfRead(HttpServerExchange exchange) {
+    return !exchange.isRequestComplete() && !exchange.isResponseStarted();
+  }
+
   private long countIf(Predicate<HttpServerExchange> predicate) {
     return open.stream().filter(predicate).count();
   }
@@ -90,7 +100,7 @@
         + " open="
         + open.size()
         + " halfRead="
-        + countIf(exchange -> !exchange.isRequestComplete())
+        + countIf(OpenExchanges::isHalfRead)
         + " waiting="
         + countIf(exchange -> exchange.isRequestComplete() && !exchange.isResponseStarted())
         + " unwritten="
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -295,12 +295,15 @@
     }
   }
 
-  /** Completes all open jobs without their results before the host stops. */
+  /** Withdraws all open jobs and completes them without their results before the host stops. */
   void abandonAll() {
     for (OpenJob openJob : List.copyOf(open.values())) {
+      JobOutcome outcome = outcomeWithoutResult(openJob);
+      long retryAfterMillis =
+          outcome == JobOutcome.REFUSED ? LeaderTracker.DEFAULT_RETRY_MILLIS : 0;
+      withdraw(openJob);
       complete(
-          openJob,
-          new Finished(openJob.job.id(), outcomeWithoutResult(openJob), "the host stops", 0));
+          openJob, new Finished(openJob.job.id(), outcome, "the host stops", retryAfterMillis));
     }
   }
 
--- a/src/main/java/org/marjoramhoist/entry/PartitionMember.java
+++ b/src/main/java/org/marjoramhoist/entry/PartitionMember.java
@@ -362,6 +362,11 @@
     }
   }
 
+  /** Returns whether this host leads although another host may succeed it. */
+  boolean awaitsSuccessor() {
+    return leadership != null && !election.otherVoters(EventLoop.now()).isEmpty();
+  }
+
   private void handleFollowerMessage(String host, HostMessage message) {
     if (leadership == null
         || drained.handleMessage(message, answer -> followers.send(host, answer))) {
--- a/src/test/java/org/marjoramhoist/trial/RawCaller.java
+++ b/src/test/java/org/marjoramhoist/http/RawCaller.java
@@ -1,4 +1,4 @@
-package org.marjoramhoist.trial;
+package org.marjoramhoist.http;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
@@ -10,7 +10,6 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
-import org.marjoramhoist.http.HostPort;
 
 /**
  * A caller with one connection, which sends the bytes of a request as told and sees the end of the
@@ -18,7 +17,7 @@
  *
  * <p>Confined to one thread.
  */
-final class RawCaller implements AutoCloseable {
+public final class RawCaller implements AutoCloseable {
 
   private static final int READ_TIMEOUT_MILLIS = 20_000;
 
@@ -29,9 +28,10 @@
    * @param headers the headers, with names in lower case
    * @param body the body
    */
-  record Response(int status, Map<String, String> headers, String body) {
+  public record Response(int status, Map<String, String> headers, String body) {
 
-    boolean closesConnection() {
+    /** Returns whether the connection is closed after the response. */
+    public boolean closesConnection() {
       return "close".equals(headers.get("connection"));
     }
   }
@@ -40,37 +40,38 @@
   private final InputStream in;
 
   /** Connects to {@code host:port}. */
-  RawCaller(String address) throws IOException {
+  public RawCaller(String address) throws IOException {
     socket.setTcpNoDelay(true);
     socket.setSoTimeout(READ_TIMEOUT_MILLIS);
     socket.connect(HostPort.parse(address));
     in = new BufferedInputStream(socket.getInputStream());
   }
 
-  /** Returns the bytes of a request that submits a job of the sample class. */
-  static byte[] submission(String id, String body) {
+  /** Returns the bytes of a POST request. */
+  public static byte[] post(String authority, String path, String body) {
     String head =
         "POST "
-            + PlatformCluster.PATH_PREFIX
-            + id
+            + path
             + " HTTP/1.1\r\nHost: "
-            + PlatformCluster.AUTHORITY
+            + authority
             + "\r\nContent-Length: "
             + body.length()
             + "\r\n\r\n";
     return (head + body).getBytes(StandardCharsets.US_ASCII);
   }
 
-  void send(byte[] bytes) throws IOException {
+  /** Sends bytes of a request. */
+  public void send(byte[] bytes) throws IOException {
     send(bytes, 0, bytes.length);
   }
 
-  void send(byte[] bytes, int offset, int length) throws IOException {
+  /** Sends a part of the bytes of a request. */
+  public void send(byte[] bytes, int offset, int length) throws IOException {
     socket.getOutputStream().write(bytes, offset, length);
   }
 
   /** Reads a response; fails if the connection ends before the response is whole. */
-  Response receive() throws IOException {
+  public Response receive() throws IOException {
     String[] lines = readHead().split("\r\n");
     Map<String, String> headers = new HashMap<>();
     for (int i = 1; i < lines.length; i++) {
--- a/src/test/java/org/marjoramhoist/trial/PlannedStopClusterTest.java
+++ b/src/test/java/org/marjoramhoist/trial/PlannedStopClusterTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.entry.EntryNode;
+import org.marjoramhoist.http.RawCaller;
 
 /** A host that is stopped as planned answers each request that it has read. */
 class PlannedStopClusterTest {
@@ -106,7 +107,7 @@
   void requestHalfReadAsTheStopBeginsIsServed()
       throws IOException, InterruptedException, ExecutionException, TimeoutException {
     int host = (leader() + 1) % HOSTS;
-    byte[] request = RawCaller.submission("00000000000000a1", PlatformCluster.job(1, 30));
+    byte[] request = SteadyCallers.submission("00000000000000a1", PlatformCluster.job(1, 30));
     try (RawCaller caller = new RawCaller(cluster.address(host))) {
       int half = request.length - 10;
       caller.send(request, 0, half);
@@ -127,13 +128,13 @@
     int host = (leader() + 1) % HOSTS;
     try (RawCaller late = new RawCaller(cluster.address(host));
         RawCaller open = new RawCaller(cluster.address(host))) {
-      late.send(RawCaller.submission("00000000000000b1", PlatformCluster.job(1, 10)));
+      late.send(SteadyCallers.submission("00000000000000b1", PlatformCluster.job(1, 10)));
       assertThat(late.receive().closesConnection()).isFalse();
-      open.send(RawCaller.submission("00000000000000b2", PlatformCluster.job(1, 3_500)));
+      open.send(SteadyCallers.submission("00000000000000b2", PlatformCluster.job(1, 3_500)));
       Thread.sleep(100);
       final CompletableFuture<Long> stopped = stopLater(host);
       Thread.sleep(2_700);
-      late.send(RawCaller.submission("00000000000000b3", PlatformCluster.job(1, 10)));
+      late.send(SteadyCallers.submission("00000000000000b3", PlatformCluster.job(1, 10)));
       RawCaller.Response response = late.receive();
       assertThat(response.status()).isEqualTo(200);
       assertThat(response.closesConnection()).isTrue();
@@ -147,11 +148,11 @@
     int host = (leader() + 1) % HOSTS;
     try (RawCaller caller = new RawCaller(cluster.address(host));
         RawCaller open = new RawCaller(cluster.address(host))) {
-      open.send(RawCaller.submission("00000000000000c1", PlatformCluster.job(1, 9_000)));
+      open.send(SteadyCallers.submission("00000000000000c1", PlatformCluster.job(1, 9_000)));
       Thread.sleep(100);
       final CompletableFuture<Long> stopped = stopLater(host);
       Thread.sleep(200);
-      caller.send(RawCaller.submission("00000000000000c2", PlatformCluster.job(1, 9_000)));
+      caller.send(SteadyCallers.submission("00000000000000c2", PlatformCluster.job(1, 9_000)));
       RawCaller.Response response = caller.receive();
       assertThat(response.status()).isEqualTo(503);
       assertThat(response.headers()).containsKey("retry-after");
--- a/src/test/java/org/marjoramhoist/trial/SteadyCallers.java
+++ b/src/test/java/org/marjoramhoist/trial/SteadyCallers.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.marjoramhoist.http.RawCaller;
 
 /**
  * Callers of one host, each of which sends a short job a little after its last response, and
@@ -47,6 +48,11 @@
     }
   }
 
+  /** Returns the bytes of a request that submits a job of the sample class. */
+  static byte[] submission(String id, String body) {
+    return RawCaller.post(PlatformCluster.AUTHORITY, PlatformCluster.PATH_PREFIX + id, body);
+  }
+
   private void call() {
     while (!stopped) {
       try (RawCaller caller = new RawCaller(address)) {
@@ -66,7 +72,7 @@
   /** Sends a job and returns whether the connection can be used again. */
   private boolean callOnce(RawCaller caller) throws IOException {
     String id = String.format(idFormat, jobs.incrementAndGet());
-    caller.send(RawCaller.submission(id, PlatformCluster.job(1, TASK_MILLIS)));
+    caller.send(submission(id, PlatformCluster.job(1, TASK_MILLIS)));
     try {
       RawCaller.Response response = caller.receive();
       responses.put(id, response);
