Read no JSON that is too deep or too long to be used

Callers saw nothing yet; operators of systems like this one saw machines end on a very deeply nested entry. Cause: Jackson's default limits are a depth of 1,000 and numbers of 1,000 digits. A tree of that depth is read without the stack, but compared, hashed and written with it: 990 levels overflow a stack of 256 KiB (JsonTextTest#valueThatIsReadCanBeUsed(990) failed with StackOverflowError, #deepValueIsRefused for 150 and 990 as nothing was thrown).

--- a/src/main/java/org/marjoramhoist/platform/JobBodies.java
+++ b/src/main/java/org/marjoramhoist/platform/JobBodies.java
@@ -1,6 +1,5 @@
 package org.marjoramhoist.platform;
 
-import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import io.undertow.util.HeaderMap;
@@ -18,6 +17,7 @@
 import org.marjoramhoist.job.JobStatus;
 import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.job.StepSpec;
+import org.marjoramhoist.json.JsonText;
 
 /**
  * Parses the job requests of callers and formats the response bodies.
@@ -26,7 +26,6 @@
  */
 public final class JobBodies {
 
-  private static final JsonFactory JSON_FACTORY = new JsonFactory();
   private static final HttpString DEADLINE_HEADER = new HttpString("X-Marjoramhoist-Deadline-Ms");
   private static final int MAX_STEPS = 1_000;
 
@@ -58,7 +57,7 @@
    * @throws IOException if the body is not a valid job; the message gives the reason
    */
   public static JobDescription parseJob(JobId id, byte[] body) throws IOException {
-    try (JsonParser in = JSON_FACTORY.createParser(body)) {
+    try (JsonParser in = JsonText.FACTORY.createParser(body)) {
       requireToken(in.nextToken(), JsonToken.START_OBJECT, "the body");
       String payload = "";
       List<StepSpec> steps = List.of();
--- a/src/main/java/org/marjoramhoist/platform/PlatformWorkerClient.java
+++ b/src/main/java/org/marjoramhoist/platform/PlatformWorkerClient.java
@@ -1,6 +1,5 @@
 package org.marjoramhoist.platform;
 
-import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
@@ -20,6 +19,7 @@
 import org.marjoramhoist.http.HttpReply;
 import org.marjoramhoist.job.RunRef;
 import org.marjoramhoist.job.TaskRef;
+import org.marjoramhoist.json.JsonText;
 
 /**
  * A client of the workers' interface, which starts and stops runs, renews leases and fetches
@@ -41,7 +41,6 @@
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int UNAVAILABLE = 503;
   private static final String TARGET_HEADER = "X-Marjoramhoist-Target-Instance";
-  private static final JsonFactory JSON_FACTORY = new JsonFactory();
 
   /**
    * The completions of tasks with a valid name, and whether the report contains all completions.
@@ -148,7 +147,7 @@
   private static StartReply parseStartReply(HttpReply reply) {
     long clock = 0;
     String reason = "";
-    try (JsonParser in = JSON_FACTORY.createParser(reply.body())) {
+    try (JsonParser in = JsonText.FACTORY.createParser(reply.body())) {
       if (in.nextToken() == JsonToken.START_OBJECT) {
         while (in.nextToken() == JsonToken.FIELD_NAME) {
           String field = in.currentName();
@@ -206,7 +205,7 @@
     long born = 0;
     List<WorkerReport.ActiveRun> activeRuns = List.of();
     CompletionList completions = new CompletionList(List.of(), true);
-    try (JsonParser in = JSON_FACTORY.createParser(body)) {
+    try (JsonParser in = JsonText.FACTORY.createParser(body)) {
       if (in.nextToken() != JsonToken.START_OBJECT) {
         throw new IOException("the report must be a JSON object");
       }
--- a/src/main/java/org/marjoramhoist/upstream/WorkerClient.java
+++ b/src/main/java/org/marjoramhoist/upstream/WorkerClient.java
@@ -24,7 +24,7 @@
 public final class WorkerClient implements AutoCloseable {
 
   private static final ObjectMapper MAPPER =
-      new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+      JsonText.MAPPER.copy().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
   private static final long SETTLE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
   private static final long REPLY_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
   private static final long CLOCK_MARGIN_MILLIS = 2_000;
