Log errors in loops, timers and threads, and go on

Cause: the loop caught RuntimeException alone and scheduled the next run after that. The same cause elsewhere, read: a timer's task ended at its first exception, unlogged (DaemonTimer); the ticks of the other engine ended with an Error of which the supervisor never heard, and a part that failed with one at its second start was taken to be running; a call to the store was never completed if its reply led to an Error, so that a watch waited for ever (KeyValueClient, EtcdStore); a link between hosts kept a broken buffer, or lost its thread.

Faults.contain and Faults.report now stand in all of these.

--- a/src/main/java/org/marjoramhoist/cli/Main.java
+++ b/src/main/java/org/marjoramhoist/cli/Main.java
@@ -10,6 +10,7 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
+import org.marjoramhoist.log.Faults;
 import org.marjoramhoist.log.Logging;
 
 /**
@@ -25,6 +26,8 @@
 
   /** Runs a command and ends the process with its exit code. */
   public static void main(String[] arguments) {
+    Thread.setDefaultUncaughtExceptionHandler(
+        (thread, error) -> Faults.report("thread " + thread.getName(), error));
     System.exit(run(arguments).code());
   }
 
@@ -53,7 +56,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return ExitCode.FAILED;
-    } catch (Exception e) {
+    } catch (Exception | Error e) {
       System.err.println("fault of the program: " + e);
       return ExitCode.FAILED;
     }
--- a/src/main/java/org/marjoramhoist/entry/EventLoop.java
+++ b/src/main/java/org/marjoramhoist/entry/EventLoop.java
@@ -2,13 +2,13 @@
 
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.Faults;
 import org.xnio.XnioIoThread;
 
 /**
  * A host's single-threaded event loop and its clock.
  *
- * <p>An exception thrown by a task is logged and does not end the loop. Thread-safe.
+ * <p>A task that fails is logged and ends neither the loop nor its own repetition. Thread-safe.
  */
 final class EventLoop implements AutoCloseable {
 
@@ -37,14 +37,14 @@
 
   void execute(Runnable task) {
     if (!closed) {
-      thread.execute(() -> runAndLogExceptions(task));
+      thread.execute(() -> runAndLogFailures(task));
     }
   }
 
   /** Runs a task once after a delay. */
   void schedule(long delayMillis, Runnable task) {
     if (!closed) {
-      thread.executeAfter(() -> runAndLogExceptions(task), delayMillis, TimeUnit.MILLISECONDS);
+      thread.executeAfter(() -> runAndLogFailures(task), delayMillis, TimeUnit.MILLISECONDS);
     }
   }
 
@@ -58,19 +58,14 @@
     schedule(
         delayMillis,
         () -> {
-          runAndLogExceptions(task);
+          runAndLogFailures(task);
           scheduleWithFixedDelay(delayMillis, task);
         });
   }
 
-  private void runAndLogExceptions(Runnable task) {
-    if (closed) {
-      return;
-    }
-    try {
-      task.run();
-    } catch (RuntimeException e) {
-      EventLog.fault("loop", e);
+  private void runAndLogFailures(Runnable task) {
+    if (!closed) {
+      Faults.contain("loop", task);
     }
   }
 
--- a/src/main/java/org/marjoramhoist/host/CoreLoop.java
+++ b/src/main/java/org/marjoramhoist/host/CoreLoop.java
@@ -14,7 +14,7 @@
 import org.marjoramhoist.decision.Action;
 import org.marjoramhoist.decision.Event;
 import org.marjoramhoist.decision.HostCore;
-import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.Faults;
 
 /**
  * Feeds events to the decisions on one thread, in the order of their arrival.
@@ -67,7 +67,7 @@
             },
             ProducerType.MULTI,
             new BlockingWaitStrategy());
-    disruptor.setDefaultExceptionHandler(new Faults());
+    disruptor.setDefaultExceptionHandler(new FaultHandler());
     disruptor.handleEventsWith((EventHandler<Slot>) this::handle);
   }
 
@@ -128,20 +128,20 @@
   }
 
   /** A fault in one event is logged; the loop goes on with the next. */
-  private static final class Faults implements ExceptionHandler<Slot> {
+  private static final class FaultHandler implements ExceptionHandler<Slot> {
     @Override
     public void handleEventException(Throwable error, long sequence, Slot slot) {
-      EventLog.fault("core loop", error);
+      Faults.report("core loop", error);
     }
 
     @Override
     public void handleOnStartException(Throwable error) {
-      EventLog.fault("core loop start", error);
+      Faults.report("core loop start", error);
     }
 
     @Override
     public void handleOnShutdownException(Throwable error) {
-      EventLog.fault("core loop stop", error);
+      Faults.report("core loop stop", error);
     }
   }
 }
--- a/src/main/java/org/marjoramhoist/host/EntryHost.java
+++ b/src/main/java/org/marjoramhoist/host/EntryHost.java
@@ -20,6 +20,7 @@
 import org.marjoramhoist.http.HostPort;
 import org.marjoramhoist.http.HttpCaller;
 import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.Faults;
 import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.message.PeerMessage;
 import org.marjoramhoist.model.HostId;
@@ -98,7 +99,7 @@
     EntryHost host = new EntryHost(settings, self, clock);
     try {
       host.startParts();
-    } catch (Exception e) {
+    } catch (Exception | Error e) {
       host.close();
       throw e;
     }
@@ -185,8 +186,9 @@
             () -> {
               try {
                 tick();
-              } catch (RuntimeException e) {
+              } catch (Throwable e) {
                 ended.completeExceptionally(e);
+                Faults.report("tick", e);
               }
             },
             TICK_MILLIS,
--- a/src/main/java/org/marjoramhoist/peer/FrameLink.java
+++ b/src/main/java/org/marjoramhoist/peer/FrameLink.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.Faults;
 import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.message.HostMessage;
 import org.xnio.IoUtils;
@@ -152,11 +153,8 @@
 
   /** A message that can't be dealt with takes neither the link nor the process with it. */
   private void deliver(HostMessage message) {
-    try {
-      listener.received(this, message);
-    } catch (RuntimeException e) {
-      EventLog.fault("message " + message.getClass().getSimpleName(), e);
-    }
+    Faults.contain(
+        "message " + message.getClass().getSimpleName(), () -> listener.received(this, message));
   }
 
   @Override
--- a/src/main/java/org/marjoramhoist/peer/Link.java
+++ b/src/main/java/org/marjoramhoist/peer/Link.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import org.marjoramhoist.http.HostPort;
 import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.Faults;
 import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.message.PeerMessage;
 import org.marjoramhoist.model.HostRef;
@@ -76,6 +77,8 @@
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
         closed = true;
+      } catch (RuntimeException | Error e) {
+        Faults.report("link to " + address, e);
       }
       lost();
       backoff = connected ? MIN_BACKOFF_MS : Math.min(MAX_BACKOFF_MS, backoff * 2);
--- a/src/main/java/org/marjoramhoist/peer/PeerNetwork.java
+++ b/src/main/java/org/marjoramhoist/peer/PeerNetwork.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.marjoramhoist.http.HostPort;
 import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.Faults;
 import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.message.PeerMessage;
 import org.marjoramhoist.model.HostId;
@@ -112,6 +113,8 @@
         if (!closed) {
           EventLog.warn(LogEvent.PEER_LINK_LOST, "accept failed: {}", e.getMessage());
         }
+      } catch (RuntimeException | Error e) {
+        Faults.report("accept", e);
       }
     }
   }
@@ -168,7 +171,7 @@
   }
 
   private static void start(Runnable task, String name) {
-    Thread thread = new Thread(task, name);
+    Thread thread = new Thread(() -> Faults.contain("thread " + name, task), name);
     thread.setDaemon(true);
     thread.start();
   }
--- a/src/main/java/org/marjoramhoist/platform/EtcdStore.java
+++ b/src/main/java/org/marjoramhoist/platform/EtcdStore.java
@@ -14,6 +14,7 @@
 import org.marjoramhoist.http.HttpException;
 import org.marjoramhoist.http.HttpReply;
 import org.marjoramhoist.json.JsonText;
+import org.marjoramhoist.log.Faults;
 
 /**
  * A client of an etcd v3 store, through its JSON gateway.
@@ -118,6 +119,9 @@
       result.complete(parser.apply(JsonText.MAPPER.readTree(reply.body())));
     } catch (IOException | RuntimeException e) {
       result.completeExceptionally(new StoreException(modifies, "invalid etcd reply: " + e));
+    } catch (Error e) {
+      result.completeExceptionally(new StoreException(modifies, "invalid etcd reply: " + e));
+      Faults.report("etcd reply", e);
     }
   }
 
@@ -153,6 +157,9 @@
       EtcdJson.deliverEvents(JsonText.MAPPER.readTree(line), listener);
     } catch (IOException | RuntimeException e) {
       end.run();
+    } catch (Error e) {
+      end.run();
+      Faults.report("etcd watch", e);
     }
   }
 
--- a/src/main/java/org/marjoramhoist/platform/KeyValueClient.java
+++ b/src/main/java/org/marjoramhoist/platform/KeyValueClient.java
@@ -17,6 +17,7 @@
 import org.marjoramhoist.http.HttpException;
 import org.marjoramhoist.http.HttpReply;
 import org.marjoramhoist.json.JsonText;
+import org.marjoramhoist.log.Faults;
 
 /**
  * A client of the platform's key-value store.
@@ -268,6 +269,9 @@
       result.complete(parser.apply(reply));
     } catch (RuntimeException e) {
       result.completeExceptionally(new StoreException(modifies, e.getMessage()));
+    } catch (Error e) {
+      result.completeExceptionally(new StoreException(modifies, e.toString()));
+      Faults.report("reply of the store", e);
     }
   }
 
--- a/src/main/java/org/marjoramhoist/supervise/Supervisor.java
+++ b/src/main/java/org/marjoramhoist/supervise/Supervisor.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.Faults;
 import org.marjoramhoist.log.LogEvent;
 
 /**
@@ -83,8 +84,9 @@
     EventLog.warn(LogEvent.PART_RESTARTED, "part={}/{} cause={}", name, child.name, error);
     try {
       start(child);
-    } catch (Exception e) {
+    } catch (Throwable e) {
       giveUp(child, e);
+      Faults.report("start of part " + child.name, e);
     }
   }
 
@@ -115,12 +117,8 @@
       children.forEach(child -> parts.add(0, child.part));
     }
     for (Part part : parts) {
-      try {
-        if (part != null) {
-          part.close();
-        }
-      } catch (RuntimeException e) {
-        EventLog.fault("stop of a part", e);
+      if (part != null) {
+        Faults.contain("stop of a part", part::close);
       }
     }
   }
