Let a watch go on when a listener fails

Seen: PrefixWatchTest, all four cases failed: after a change that a listener can't handle, neither the watch nor the listeners behind that one ever heard of a later change (5 s waited). A host whose watch of the hosts and the leader record, or of the configuration, has ended this way stops following them while it lives. Cause: the listeners were called in the turn that starts the next watch, and before it.

Each listener is now called by itself, its failure is logged as INTERNAL_FAULT, and the watch goes on. The same cause, read: the actions of one step of the dispatcher were executed in a row, so that one that can't be executed kept the others, start orders and answers among them, from being; and the status of a leader was reported no more after one report that failed.

--- a/src/main/java/org/marjoramhoist/entry/Leadership.java
+++ b/src/main/java/org/marjoramhoist/entry/Leadership.java
@@ -10,6 +10,7 @@
 import org.marjoramhoist.dispatch.Dispatcher;
 import org.marjoramhoist.dispatch.RetryForecast;
 import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.Faults;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.Finished;
 import org.marjoramhoist.message.HostMessage.Submit;
@@ -187,10 +188,15 @@
     List<DispatchEvent> batch = List.copyOf(events);
     events.clear();
     long now = EventLoop.now();
-    dispatcher.step(now, batch).forEach(this::execute);
+    dispatcher.step(now, batch).forEach(this::executeOrLog);
     loopStats.recordStep(EventLoop.now() - now);
   }
 
+  /** Executes an action; if that fails, those that follow are still executed. */
+  private void executeOrLog(DispatchAction action) {
+    Faults.contain("action " + action.getClass().getSimpleName(), () -> execute(action));
+  }
+
   private void execute(DispatchAction action) {
     if (closed) {
       return;
@@ -233,7 +239,7 @@
   /** Handles an event at once, without the queue, when this leadership is ending. */
   final void handleImmediately(DispatchEvent event) {
     if (!closed) {
-      dispatcher.step(EventLoop.now(), event).forEach(this::execute);
+      dispatcher.step(EventLoop.now(), event).forEach(this::executeOrLog);
     }
   }
 
--- a/src/main/java/org/marjoramhoist/entry/PartitionLeadership.java
+++ b/src/main/java/org/marjoramhoist/entry/PartitionLeadership.java
@@ -110,6 +110,7 @@
     if (isClosed()) {
       return;
     }
+    loop.schedule(STATUS_INTERVAL_MILLIS, this::reportStatus);
     boolean mayOrder = permissions.mayOrder().getAsBoolean();
     // Checking the permission may have ended this leadership.
     if (isClosed()) {
@@ -121,7 +122,6 @@
     metrics.setLeaderStatus(status);
     EventLog.info(LogEvent.LEADER_STATUS, "term={} {}", term(), status);
     reportServedShares();
-    loop.schedule(STATUS_INTERVAL_MILLIS, this::reportStatus);
   }
 
   private void reportServedShares() {
--- a/src/main/java/org/marjoramhoist/entry/PrefixWatch.java
+++ b/src/main/java/org/marjoramhoist/entry/PrefixWatch.java
@@ -1,6 +1,8 @@
 package org.marjoramhoist.entry;
 
 import java.util.List;
+import java.util.function.Consumer;
+import org.marjoramhoist.log.Faults;
 import org.marjoramhoist.platform.KeyValueClient;
 import org.marjoramhoist.platform.KeyValueClient.Change;
 import org.marjoramhoist.platform.KeyValueClient.Item;
@@ -9,7 +11,7 @@
 
 /**
  * Watches the keys with a prefix: reads all of them, then receives changes, and reads again when
- * changes may have been missed.
+ * changes may have been missed. It goes on if a listener fails.
  *
  * <p>Confined to the event loop's thread.
  */
@@ -69,7 +71,7 @@
     }
     retry.recordSuccess();
     revision = page.revision();
-    listeners.forEach(listener -> listener.replaced(page.items(), revision));
+    notifyListeners(listener -> listener.replaced(page.items(), revision));
     start();
   }
 
@@ -84,9 +86,15 @@
     } else {
       revision = Math.max(revision, reply.revision());
       for (Change change : reply.changes()) {
-        listeners.forEach(listener -> listener.changed(change));
+        notifyListeners(listener -> listener.changed(change));
       }
     }
     start();
   }
+
+  /** Notifies each listener, regardless of whether another one fails. */
+  private void notifyListeners(Consumer<Listener> notification) {
+    listeners.forEach(
+        listener -> Faults.contain("watch of " + prefix, () -> notification.accept(listener)));
+  }
 }
