Use only worker entries whose fields are of their type and in range

Seen: on two hosts that start beside one entry of another writer, with an id of 180 bytes or a label of 600 kB, never had a worker to use (OddWorkerEntryClusterTest#hostsStartBesideOddEntry, two of three failed: not ready within 10 s). The leader stores up to 30 workers in one transaction before it uses them. The store refuses a key over 200 bytes or a value over its limit, and with it the others; the leader repeats the transaction for ever, and each later leader does the same. And 131 of 249 odd fields named a worker (OddWorkerEntryTest): ports 0 and 99999, 999.1.1.1, which is looked up as a name on the event loop's thread, a cpu of 26 digits as -, 1e400 as 2^63-1, negative amounts, born as a text, labels of numbers; an id with a line break went into a header of each call.

Cause: the parser checked a few types, and neither ranges nor the id. Now WorkerEntries takes an entry only if the id has 1 to 128 visible characters, the address is IPv4 with a port of 1 to 65535, texts have 1 to 256 characters without control characters, there are at most 64 labels, amounts are whole and at most 2^30, so that no sum over 100,000 workers leaves the range of a long, and fields that aren't used have their type. Anything else names no worker: it is logged once for each content as WORKER_ENTRY_INVALID (4209), counted in marjoramhoist_events_total, and the others hold. The largest entry that is taken stays under a quarter of the store's limit in the roster.

PlatformFormatsTest: the parser now throws with a reason where it returned an empty value; the same documents are refused.

--- a/src/main/java/org/marjoramhoist/entry/PartitionLeadership.java
+++ b/src/main/java/org/marjoramhoist/entry/PartitionLeadership.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
@@ -22,7 +21,7 @@
 import org.marjoramhoist.platform.KeyValueClient;
 import org.marjoramhoist.platform.KeyValueClient.Page;
 import org.marjoramhoist.platform.PlatformWorkerClient;
-import org.marjoramhoist.platform.StoreDocuments;
+import org.marjoramhoist.platform.WorkerEntries;
 
 /**
  * Leadership of the partition. Besides dispatching, it reads the list of workers and maintains the
@@ -45,6 +44,7 @@
   private final StoreHealth health;
   private final JobStore jobStore;
   private final RosterStore rosterStore;
+  private final WorkerList workerList;
   private final Consumer<List<WorkerInfo>> onWorkersListed;
   private final UnaryOperator<String> domainOf;
   private final long epochMillis;
@@ -93,6 +93,7 @@
     this.onWorkersListed = onWorkersListed;
     this.domainOf = domainOf;
     this.epochMillis = epochMillis;
+    this.workerList = new WorkerList(metrics);
     this.jobStore = new JobStore(term, store, health, loop, this::handle, onSuperseded);
     this.rosterStore = new RosterStore(term, store, health, loop, this::handle, onSuperseded);
   }
@@ -169,7 +170,7 @@
   private void listWorkers() {
     if (!isClosed()) {
       store
-          .readAll(StoreDocuments.WORKERS_PREFIX)
+          .readAll(WorkerEntries.PREFIX)
           .whenComplete((page, error) -> loop.execute(() -> workersListed(page, error)));
     }
   }
@@ -184,11 +185,7 @@
       return;
     }
     health.recordSuccess();
-    List<WorkerInfo> workers =
-        page.items().stream()
-            .map(item -> StoreDocuments.parseWorker(item.key(), item.value()))
-            .flatMap(Optional::stream)
-            .toList();
+    List<WorkerInfo> workers = workerList.read(page.items());
     handle(new DispatchEvent.WorkersListed(workers));
     onWorkersListed.accept(workers);
   }
--- a/src/main/java/org/marjoramhoist/http/HostPort.java
+++ b/src/main/java/org/marjoramhoist/http/HostPort.java
@@ -1,6 +1,8 @@
 package org.marjoramhoist.http;
 
 import java.net.InetSocketAddress;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Addresses written as {@code host:port}, with an IPv6 host in brackets.
@@ -9,8 +11,23 @@
  */
 public final class HostPort {
 
+  private static final int MAX_PORT = 65_535;
+  private static final String BYTE = "(?:25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])";
+
+  private static final Pattern IPV4 =
+      Pattern.compile(BYTE + "(?:\\." + BYTE + "){3}:([1-9][0-9]{0,4})");
+
   private HostPort() {}
 
+  /**
+   * Returns whether a text is an IPv4 address with a port other than 0; such an address needs no
+   * resolver.
+   */
+  public static boolean isIpv4(String text) {
+    Matcher matcher = IPV4.matcher(text);
+    return matcher.matches() && Integer.parseInt(matcher.group(1)) <= MAX_PORT;
+  }
+
   /**
    * Returns the address that a text names.
    *
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -126,6 +126,8 @@
   WORKER_UNREACHABLE(4207),
   /** A worker's process has ended: another one reports for it, or answers at its address. */
   WORKER_REPLACED(4208),
+  /** An entry among those of the workers names no worker to use; logged once for each content. */
+  WORKER_ENTRY_INVALID(4209),
   /** A configuration revision is in force at this host. */
   CONFIG_APPLIED(5001),
   /** An older configuration revision was refused. */
--- a/src/main/java/org/marjoramhoist/platform/StoreDocuments.java
+++ b/src/main/java/org/marjoramhoist/platform/StoreDocuments.java
@@ -5,16 +5,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
-import java.util.regex.Pattern;
-import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.job.RequestClass;
-import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.job.RouteTable;
 import org.marjoramhoist.json.JsonText;
 
 /**
- * Parses the documents that the operator and the workers write to the platform's store.
+ * Parses the documents that the operator writes to the platform's store.
  *
  * <p>Stateless and safe for use by several threads.
  */
@@ -29,11 +25,6 @@
   /** The prefix of the keys that each request the drain of a failure domain. */
   private static final String DRAIN_PREFIX = OPERATOR_PREFIX + "evacuate/";
 
-  /** The prefix under which workers register. */
-  public static final String WORKERS_PREFIX = "servers/";
-
-  private static final Pattern ADDRESS = Pattern.compile("[0-9.]+:[0-9]{1,5}");
-
   private StoreDocuments() {}
 
   /**
@@ -74,57 +65,4 @@
         ? Optional.of(key.substring(DRAIN_PREFIX.length()))
         : Optional.empty();
   }
-
-  /**
-   * Parses a worker's registration.
-   *
-   * @param key the key of the registration
-   * @param text the registration
-   * @return the worker; empty if the registration is invalid
-   */
-  public static Optional<WorkerInfo> parseWorker(String key, String text) {
-    JsonNode root;
-    try {
-      root = JsonText.MAPPER.readTree(text);
-    } catch (IOException e) {
-      return Optional.empty();
-    }
-    if (root == null || !isValidWorker(root)) {
-      return Optional.empty();
-    }
-    JsonNode capacityNode = root.path("capacity");
-    Resources capacity =
-        new Resources(
-            capacityNode.path("cpu").asLong(),
-            capacityNode.path("memMb").asLong(),
-            capacityNode.path("gpu").asLong());
-    // The first label is the kind and the second the rack.
-    List<String> labels = new ArrayList<>();
-    root.path("labels").forEach(label -> labels.add(label.asText()));
-    return Optional.of(
-        new WorkerInfo(
-            key.substring(WORKERS_PREFIX.length()),
-            root.path("service").asText(),
-            root.path("address").asText(),
-            root.path("zone").asText(),
-            capacity,
-            labels.isEmpty() ? "" : labels.get(0),
-            labels.size() < 2 ? "" : labels.get(1),
-            Set.copyOf(labels),
-            root.path("state").asText().equals("draining"),
-            root.path("born").asLong(),
-            Math.max(0, root.path("warmupLeftMs").asLong())));
-  }
-
-  private static boolean isValidWorker(JsonNode root) {
-    String state = root.path("state").asText();
-    JsonNode capacityNode = root.path("capacity");
-    return root.path("service").isTextual()
-        && root.path("address").isTextual()
-        && ADDRESS.matcher(root.path("address").asText()).matches()
-        && (state.equals("ready") || state.equals("draining"))
-        && capacityNode.path("cpu").isNumber()
-        && capacityNode.path("memMb").isNumber()
-        && root.path("labels").isArray();
-  }
 }
--- a/src/main/java/org/marjoramhoist/platform/standin/SampleDocuments.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/SampleDocuments.java
@@ -1,6 +1,7 @@
 package org.marjoramhoist.platform.standin;
 
 import org.marjoramhoist.platform.StoreDocuments;
+import org.marjoramhoist.platform.WorkerEntries;
 
 /**
  * Sample documents in the platform's formats, for tests and trials.
@@ -34,7 +35,7 @@
   /** Stores a worker's registration. */
   public static void putWorker(
       PlatformStoreStandIn store, String name, PlatformWorkerStandIn worker) {
-    store.put(StoreDocuments.WORKERS_PREFIX + name, worker.registration(false));
+    store.put(WorkerEntries.PREFIX + name, worker.registration(false));
   }
 
   /** Returns the body of a job whose tasks run for {@code millis} each. */
--- a/src/test/java/org/marjoramhoist/platform/OddWorkerEntryTest.java
+++ b/src/test/java/org/marjoramhoist/platform/OddWorkerEntryTest.java
@@ -58,14 +58,13 @@
   }
 
   static Stream<Odd> oddFields() {
-    List<String> whole = List.of("-1", "0.5", "1e3");
     List<String> numbers = List.of("born", "capacity/cpu", "capacity/memMb", "capacity/gpu");
     List<String> texts = List.of("service", "address", "zone", "state");
     List<String> unusedNumbers = List.of("warmupLeftMs", "slots", "seq", "clockMs");
     return Stream.of(
             all(numbers, ofOtherType()),
             all(numbers, oddNumbers()),
-            all(numbers, whole),
+            all(numbers, List.of("-1", "0.5", "1e3")),
             all(unusedNumbers, ofOtherType()),
             all(unusedNumbers, oddNumbers()),
             all(texts, ofOtherType()),
@@ -115,7 +114,15 @@
   }
 
   private static Optional<WorkerInfo> parse(String text) {
-    return StoreDocuments.parseWorker("servers/i-1", text);
+    return parse("i-1", text);
+  }
+
+  private static Optional<WorkerInfo> parse(String id, String text) {
+    try {
+      return Optional.of(WorkerEntries.parse(WorkerEntries.PREFIX + id, text));
+    } catch (IOException e) {
+      return Optional.empty();
+    }
   }
 
   @ParameterizedTest
@@ -172,7 +179,7 @@
   void oddIdNamesNoWorker() {
     for (String id :
         List.of("", "a b", "a\r\nX-Odd: 1", "a" + (char) 0, "a" + (char) 0xE4, "x".repeat(180))) {
-      assertThat(StoreDocuments.parseWorker("servers/" + id, ENTRY)).isEmpty();
+      assertThat(parse(id, ENTRY)).isEmpty();
     }
   }
 
--- a/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
+++ b/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
@@ -135,13 +135,13 @@
   }
 
   @Test
-  void parsesWorkerRegistration() {
+  void parsesWorkerRegistration() throws IOException {
     String entry =
         "{\"service\":\"huvo11a\",\"address\":\"10.128.0.9:8080\",\"zone\":\"osl-a\",\"slots\":8,"
             + "\"state\":\"draining\",\"born\":9,\"capacity\":{\"cpu\":16000,\"memMb\":32768,"
             + "\"gpu\":0},\"labels\":[\"a\",\"r1-3\"],\"seq\":4,"
             + "\"warmupLeftMs\":700,\"future\":{}}";
-    WorkerInfo worker = StoreDocuments.parseWorker("servers/i-1", entry).orElseThrow();
+    WorkerInfo worker = WorkerEntries.parse("servers/i-1", entry);
     assertThat(worker.id()).isEqualTo("i-1");
     assertThat(worker.kind()).isEqualTo("a");
     assertThat(worker.rack()).isEqualTo("r1-3");
@@ -171,7 +171,7 @@
             "{\"service\":\"s\",\"address\":\"nowhere\",\"state\":\"ready\"," + capacity + "}",
             "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":\"odd\"," + capacity + "}",
             "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":\"ready\",\"labels\":[]}")) {
-      assertThat(StoreDocuments.parseWorker("servers/x", entry)).isEmpty();
+      assertThrows(IOException.class, () -> WorkerEntries.parse("servers/x", entry));
     }
   }
 
