Register only hosts whose address can be called

Cause: FollowerLinks.sendHeartbeats and LeaderPoll.start call FrameNetwork.open for one host after the other, so that the hosts behind the odd one got no heartbeat in that round and no question in that poll; the odd one itself stayed marked as being opened, and was never tried again when its entry was right. A name was looked up on the event loop's thread. Read, not shown: the odd host counts towards the majority of hosts.

FrameNetwork.open now fails like any link that can't be opened, and looks up no name. HostRegistration takes an entry only if it is an object with an IP address and a port, a failure domain and a capacity in range, the last two of which may be missing; otherwise CONFIG_RESOURCE_INVALID says why, and the host counts as one whose registration was removed, so that the leader still calls it for a while. An odd leader record names no host, as before.

--- a/src/main/java/org/marjoramhoist/entry/HostRegistration.java
+++ b/src/main/java/org/marjoramhoist/entry/HostRegistration.java
@@ -1,12 +1,13 @@
 package org.marjoramhoist.entry;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.marjoramhoist.http.HostPort;
+import org.marjoramhoist.json.CheckedObject;
 import org.marjoramhoist.json.JsonText;
 import org.marjoramhoist.lead.ElectionEvent;
 import org.marjoramhoist.lead.HostCapacity;
@@ -39,6 +40,8 @@
   private static final long LEASE_MILLIS = 4_000;
   private static final long RENEW_INTERVAL_MILLIS = 1_000;
   private static final long RETRY_MILLIS = 200;
+  private static final int MAX_TEXT_CHARS = 256;
+  private static final long MAX_STARTS_PER_SECOND = 1L << 40;
 
   private final KeyValueClient store;
   private final EventLoop loop;
@@ -335,10 +338,11 @@
 
   private static LeaderRecord parseLeaderRecord(Item item) {
     try {
-      JsonNode node = JsonText.MAPPER.readTree(item.value());
-      return new LeaderRecord(node.path("host").asText(), node.path("incarnation").asLong());
+      CheckedObject record = CheckedObject.parse(item.value());
+      return new LeaderRecord(
+          record.text("host", MAX_TEXT_CHARS), record.wholeNumber("incarnation", Long.MAX_VALUE));
     } catch (IOException e) {
-      EventLog.warn(LogEvent.CONFIG_RESOURCE_INVALID, "key={} can't be read", item.key());
+      logInvalid(item, e);
       return new LeaderRecord("", 0);
     }
   }
@@ -380,17 +384,27 @@
     if (!item.key().startsWith(HOSTS)) {
       return;
     }
+    String name = item.key().substring(HOSTS.length());
     try {
-      JsonNode node = JsonText.MAPPER.readTree(item.value());
-      String name = item.key().substring(HOSTS.length());
-      HostCapacity hostCapacity = new HostCapacity(node.path("startsPerSecond").asLong());
-      String domain = node.path("failureDomain").asText();
-      hosts.register(name, node.path("address").asText(), domain, hostCapacity);
+      CheckedObject entry = CheckedObject.parse(item.value());
+      String address = entry.text("address", MAX_TEXT_CHARS);
+      if (!HostPort.isIp(address)) {
+        throw new IOException("the address is no IP address with a port");
+      }
+      String domain = entry.textOrEmpty("failureDomain", MAX_TEXT_CHARS);
+      long startsPerSecond = entry.wholeNumberOrZero("startsPerSecond", MAX_STARTS_PER_SECOND);
+      hosts.register(name, address, domain, new HostCapacity(startsPerSecond));
     } catch (IOException e) {
-      EventLog.warn(LogEvent.CONFIG_RESOURCE_INVALID, "key={} can't be read", item.key());
+      logInvalid(item, e);
+      hosts.deregister(name, EventLoop.now());
     }
   }
 
+  private static void logInvalid(Item item, IOException reason) {
+    EventLog.warn(
+        LogEvent.CONFIG_RESOURCE_INVALID, "key={} reason={}", item.key(), reason.getMessage());
+  }
+
   private void publishHosts() {
     election.accept(new ElectionEvent.HostsListed(Map.copyOf(hosts.capacities())));
   }
--- a/src/main/java/org/marjoramhoist/http/HostPort.java
+++ b/src/main/java/org/marjoramhoist/http/HostPort.java
@@ -17,6 +17,9 @@
   private static final Pattern IPV4 =
       Pattern.compile(BYTE + "(?:\\." + BYTE + "){3}:([1-9][0-9]{0,4})");
 
+  /** Only an IPv6 address can stand in brackets, so that no name is ever looked up. */
+  private static final Pattern IPV6 = Pattern.compile("\\[[0-9a-fA-F:.]+]:([1-9][0-9]{0,4})");
+
   private HostPort() {}
 
   /**
@@ -24,14 +27,22 @@
    * resolver.
    */
   public static boolean isIpv4(String text) {
-    Matcher matcher = IPV4.matcher(text);
+    return hasPort(IPV4.matcher(text));
+  }
+
+  /** Returns whether a text is an IP address with a port other than 0. */
+  public static boolean isIp(String text) {
+    return isIpv4(text) || hasPort(IPV6.matcher(text));
+  }
+
+  private static boolean hasPort(Matcher matcher) {
     return matcher.matches() && Integer.parseInt(matcher.group(1)) <= MAX_PORT;
   }
 
   /**
    * Returns the address that a text names.
    *
-   * @throws IllegalArgumentException if the text has no port
+   * @throws IllegalArgumentException if the text has no port, or one out of range
    */
   public static InetSocketAddress parse(String text) {
     int colon = text.lastIndexOf(':');
--- a/src/main/java/org/marjoramhoist/json/CheckedObject.java
+++ b/src/main/java/org/marjoramhoist/json/CheckedObject.java
@@ -59,6 +59,17 @@
     return textOf(node.get(field), field, maxLength);
   }
 
+  /**
+   * Returns a text without control characters; an empty one if there is no such field.
+   *
+   * @throws IOException if there is one that is not a text of at most {@code maxLength} characters
+   */
+  public String textOrEmpty(String field, int maxLength) throws IOException {
+    JsonNode value = node.get(field);
+    boolean isEmpty = value == null || value.isTextual() && value.textValue().isEmpty();
+    return isEmpty ? "" : textOf(value, field, maxLength);
+  }
+
   private static String textOf(JsonNode value, String field, int maxLength) throws IOException {
     if (value == null || !value.isTextual()) {
       throw new IOException(field + " is not a text");
--- a/src/main/java/org/marjoramhoist/peer/FrameNetwork.java
+++ b/src/main/java/org/marjoramhoist/peer/FrameNetwork.java
@@ -63,7 +63,7 @@
   /**
    * Opens a link.
    *
-   * @param address {@code host:port} of the other host
+   * @param address {@code IP:port} of the other host; a link to any other text fails
    * @param timeoutMillis how long that may take, in milliseconds
    * @param listener hears what happens on the link
    * @param opened takes the link once it is open; called on the I/O thread
@@ -75,11 +75,15 @@
       FrameLink.Listener listener,
       Consumer<FrameLink> opened,
       Consumer<Boolean> failed) {
+    InetSocketAddress to = HostPort.isIp(address) ? HostPort.parse(address) : null;
+    if (to == null || to.isUnresolved()) {
+      logFailure(address, "not an address");
+      thread.execute(() -> failed.accept(false));
+      return;
+    }
     IoFuture<StreamConnection> future =
         thread.openStreamConnection(
-            HostPort.parse(address),
-            connection -> opened.accept(begin(connection, listener)),
-            OPTIONS);
+            to, connection -> opened.accept(begin(connection, listener)), OPTIONS);
     future.addNotifier(
         (done, nothing) -> {
           if (done.getStatus() != IoFuture.Status.DONE) {
@@ -87,7 +91,7 @@
                 done.getStatus() == IoFuture.Status.FAILED
                     ? String.valueOf(done.getException().getMessage())
                     : "no connection in time";
-            EventLog.debug(LogEvent.PEER_LINK_LOST, "address={} reason={}", address, reason);
+            logFailure(address, reason);
             thread.execute(() -> failed.accept(reason.contains("refused")));
           }
         },
@@ -95,6 +99,10 @@
     thread.executeAfter(future::cancel, timeoutMillis, TimeUnit.MILLISECONDS);
   }
 
+  private static void logFailure(String address, String reason) {
+    EventLog.debug(LogEvent.PEER_LINK_LOST, "address={} reason={}", address, reason);
+  }
+
   @Override
   public void close() {
     IoUtils.safeClose(server);
--- a/src/test/java/org/marjoramhoist/entry/HostRegistrationTest.java
+++ b/src/test/java/org/marjoramhoist/entry/HostRegistrationTest.java
@@ -112,6 +112,13 @@
     await(() -> listedHosts().contains("odd"));
   }
 
+  @Test
+  void registrationOfHostWithoutDomainAndCapacityNamesHost() throws InterruptedException {
+    store.put(ODD_HOST, "{\"address\":\"[::1]:7\",\"failureDomain\":\"\"}");
+    await(() -> listedHosts().contains("odd"));
+    assertThat(reachable()).containsEntry("odd", "[::1]:7");
+  }
+
   /** A registration that turns odd says nothing, as if it had been removed. */
   @Test
   void registrationThatTurnsOddIsRemoved() throws InterruptedException {
