Test that no start exceeds a shrunk capacity while runs stop

Unguarded workers shrink below what runs on them and grow again, starts are on their way, durable jobs are cancelled so that runs are being stopped, leaders change or are paused, and what a worker says of its capacity is heard late.

Both tests pass on the code as it is: no start was found that exceeds a capacity.

--- a/src/test/java/org/marjoramhoist/dispatch/WorkerCapacityTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/WorkerCapacityTest.java
@@ -10,6 +10,7 @@
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.Resources;
+import org.marjoramhoist.job.RunRef;
 import org.marjoramhoist.job.StepSpec;
 
 /** Decisions while the capacity of workers shrinks and grows again. */
@@ -27,9 +28,13 @@
   }
 
   private int starts() {
+    return startedRuns().size();
+  }
+
+  private List<RunRef> startedRuns() {
     List<DispatchAction.Start> starts = takeActions(DispatchAction.Start.class);
     starts.forEach(start -> confirmStart(start.worker().id(), start.run()));
-    return starts.size();
+    return starts.stream().map(DispatchAction.Start::run).toList();
   }
 
   @Test
@@ -45,6 +50,40 @@
     assertThat(starts()).isEqualTo(2);
   }
 
+  @Test
+  void runThatIsBeingStoppedCountsAgainstTheSmallerCapacity() {
+    listWorkers(worker("w", 4_000, false));
+    report("w", List.of());
+    submit(tasks(2, List.of()));
+    assertThat(starts()).isEqualTo(2);
+    step(1, new DispatchEvent.JobWithdrawn(new JobId(String.format("%016x", jobs)), "e"));
+    listWorkers(SMALL);
+    submit(tasks(2, List.of()));
+    List<RunRef> stopped = confirmStops();
+    assertThat(starts()).isEqualTo(0);
+    report("w", List.of(active(stopped.get(0))), stopped(1, stopped.get(1)));
+    List<RunRef> next = startedRuns();
+    assertThat(next).hasSize(1);
+    listWorkers(worker("w", 1_000, false));
+    report("w", List.of(active(next.get(0))), stopped(2, stopped.get(0)));
+    assertThat(starts()).isEqualTo(0);
+  }
+
+  private List<RunRef> confirmStops() {
+    List<RunRef> runs =
+        takeActions(DispatchAction.Stop.class).stream().map(DispatchAction.Stop::run).toList();
+    runs.forEach(run -> step(1, new DispatchEvent.StopEnded("w", run, true)));
+    return runs;
+  }
+
+  private static WorkerReport.ActiveRun active(RunRef run) {
+    return new WorkerReport.ActiveRun(run, 0);
+  }
+
+  private static WorkerReport.Completion stopped(long sequence, RunRef run) {
+    return new WorkerReport.Completion(sequence, run, WorkerReport.RunOutcome.STOPPED);
+  }
+
   /** It was failed as one that no worker could ever run. */
   @Test
   void jobThatFitsOnlyTheLargestCapacityWaitsForIt() {
--- a/src/test/java/org/marjoramhoist/experiment/ChangingCapacityTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/ChangingCapacityTest.java
@@ -4,12 +4,16 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 import static org.marjoramhoist.experiment.Fleets.SECOND;
 
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
+import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.JobStatus;
 import org.marjoramhoist.job.Resources;
@@ -61,6 +65,55 @@
     assertWithMessage("seed %s", seed).that(fleet.openJobs()).isEmpty();
   }
 
+  /** Starts are on their way, runs are being stopped, and leaders change, while workers shrink. */
+  @Property(tries = 20, shrinking = ShrinkingMode.OFF, seed = "20261205")
+  void noStartExceedsTheCapacityWhileRunsStopAndLeadersChange(@ForAll long seed) {
+    DispatchFleet fleet = Fleets.dispatching(seed);
+    fleet.workers().forEach(worker -> worker.unguarded = true);
+    long end = fleet.time().now() + 20 * SECOND;
+    new DispatchLoad(fleet, DispatchLoad.reviews(1.2), List.of(), seed)
+        .withDurableShare(0.8)
+        .offerUntil(end);
+    SplittableRandom random = new SplittableRandom(seed);
+    Set<LeasedWorker> whole = new HashSet<>(fleet.workers());
+    while (fleet.time().now() < end) {
+      fleet.runFor(random.nextLong(50_000, 300_000));
+      disturb(fleet, whole, random);
+    }
+    Disturbances.end(fleet);
+    fleet.runFor(SETTLE);
+    assertWithMessage("seed %s", seed).that(fleet.breaches()).isEmpty();
+    assertWithMessage("seed %s", seed).that(fleet.callers().unfinished()).isEmpty();
+    assertWithMessage("seed %s", seed).that(fleet.openJobs()).isEmpty();
+  }
+
+  private static void disturb(
+      DispatchFleet fleet, Set<LeasedWorker> whole, SplittableRandom random) {
+    List<LeasedWorker> workers = fleet.workers();
+    LeasedWorker one = workers.get(random.nextInt(workers.size()));
+    switch (random.nextInt(6)) {
+      case 0, 1 -> cancelLatest(fleet, 3);
+      case 2, 3 -> {
+        if (whole.remove(one)) {
+          shrink(fleet, one, random.nextDouble(), 9 * SECOND);
+        }
+      }
+      case 4 -> {
+        // What it says of its capacity is heard late.
+        one.unlisted = true;
+        fleet.time().after(random.nextLong(3 * SECOND), () -> one.unlisted = false);
+      }
+      default -> Disturbances.disturb(fleet, random);
+    }
+  }
+
+  private static void cancelLatest(DispatchFleet fleet, int count) {
+    fleet.callers().accepted().stream()
+        .sorted(Comparator.comparing(JobId::value).reversed())
+        .limit(count)
+        .forEach(fleet::cancel);
+  }
+
   /** Jobs that need more than any worker has at the moment were failed. */
   @Example
   void noJobFailsWhileAllWorkersAreSmaller() {
