--- a/src/main/java/org/marjoramhoist/platform/WorkerEntries.java
+++ b/src/main/java/org/marjoramhoist/platform/WorkerEntries.java
@@ -52,13 +52,15 @@
     CheckedObject root = CheckedObject.parse(text);
     checkUnused(root);
     List<String> labels = root.texts("labels", MAX_LABELS, MAX_TEXT_CHARS);
+    Resources capacity = capacity(root.object("capacity"));
     // The first label is the kind and the second the rack.
     return new WorkerInfo(
         id,
         root.text("service", MAX_TEXT_CHARS),
         address(root),
         root.text("zone", MAX_TEXT_CHARS),
-        capacity(root.object("capacity")),
+        capacity,
+        capacity,
         labels.isEmpty() ? "" : labels.get(0),
         labels.size() < 2 ? "" : labels.get(1),
         Set.copyOf(labels),
