Keep a started host from replacing a leader it has just heard

Cause: a host that has just started hears the leader's heartbeat before it has read the list of hosts. When its young connection breaks it suspects the leader, asks nobody (LEADER_SUSPECTED asks=0), takes itself for the majority of an empty list, and acquires the record of a leader that is well. It knows no host to send heartbeats to, so all hosts were without a leader for a second and more.

An empty list that was never read is no majority: the host reads the record instead. The test failed before with AcquireRecord[expectedRevision=9].

--- a/src/main/java/org/marjoramhoist/lead/Election.java
+++ b/src/main/java/org/marjoramhoist/lead/Election.java
@@ -307,7 +307,7 @@
       return List.of();
     }
     int voterCount = voters.others(now).size() + 1;
-    boolean majority = 2 * (polled.answered() + 1) > voterCount;
+    boolean majority = voters.areKnown() && 2 * (polled.answered() + 1) > voterCount;
     if (majority || record == null) {
       return acquireRecordWithBackoff(now, record == null ? 0 : recordRevision);
     }
--- a/src/main/java/org/marjoramhoist/lead/VoterSet.java
+++ b/src/main/java/org/marjoramhoist/lead/VoterSet.java
@@ -20,6 +20,7 @@
   private final String self;
   private final Map<String, Long> expiredVoters = new HashMap<>();
   private Map<String, HostCapacity> registered = Map.of();
+  private boolean known;
   private boolean hadOthers;
 
   VoterSet(String self) {
@@ -32,10 +33,16 @@
       expiredVoters.put(host, now + EXPIRED_VOTER_MICROS);
     }
     registered = Map.copyOf(hosts);
+    known = true;
     expiredVoters.keySet().removeAll(registered.keySet());
     hadOthers |= !others(now).isEmpty();
   }
 
+  /** Returns whether the registered hosts have been read since this process started. */
+  boolean areKnown() {
+    return known;
+  }
+
   /** Returns the registered hosts. */
   Map<String, HostCapacity> registered() {
     return registered;
--- a/src/test/java/org/marjoramhoist/lead/ElectionTest.java
+++ b/src/test/java/org/marjoramhoist/lead/ElectionTest.java
@@ -137,6 +137,18 @@
         .containsExactly(new ElectionAction.BecomeLeader(12, false));
   }
 
+  /** A host that has just started hears the leader before it has read who else could vote. */
+  @Test
+  void startedHostThatKnowsNoVotersDoesNotReplaceTheLeader() {
+    Election started = new Election("b", 8, TIMEOUTS, now);
+    started.step(now, new ElectionEvent.HeartbeatReceived(9, "a"));
+    started.step(now + 1, new ElectionEvent.LeaderLinkLost(9));
+    assertThat(started.step(now + 2, new ElectionEvent.Tick()))
+        .containsExactly(new ElectionAction.PollHosts());
+    assertThat(started.step(now + 3, new ElectionEvent.HostsPolled(0, false, false)))
+        .containsExactly(new ElectionAction.ReadRecord());
+  }
+
   @Test
   void doesNotAcquireRecordIfAnotherHostIsInContactWithTheLeader() {
     follow();
