Hold nothing against tasks whose workers are lost to one cause

Cause: losses were grouped by rack alone, and counted among all known workers, of which idle ones are asked every 4 s only; a run that was never sent, as its worker refused the order, counted as a loss too; nothing looked at what was heard of a worker before a suspected task went there.

Now: - workers of a rack or a failure domain that begin to fail within 0.3 s, three or more, and at least as many as have answered since, are lost to one cause; what is held against their tasks is withdrawn until they answer; - a few idle workers near a lost one are asked for a report at once, and all if it was lost with others; an idle worker whose call failed is asked again at once; - a suspected task starts only on a worker that has answered since its last loss; if there is none, one is asked; - runs whose order is unanswered are not held against their task while it may turn out not to have been sent.

SuspectTasksTest: four new tests.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -130,7 +130,8 @@
             queueOrder,
             exclusiveStarts);
     this.workerLosses =
-        new WorkerLossHandler(suspects, jobs, workerRegistry, durableJobs, this::end);
+        new WorkerLossHandler(
+            suspects, jobs, workerRegistry, runController, durableJobs, this::end);
     this.jobCalls =
         new JobCallHandler(
             jobs,
--- a/src/main/java/org/marjoramhoist/dispatch/ExclusiveStarts.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ExclusiveStarts.java
@@ -97,19 +97,41 @@
     }
     List<Worker> idle =
         candidates(task, now).stream().filter(worker -> worker.runs.isEmpty()).toList();
+    if (missingWorkers() >= Math.max(1, idle.size() / IDLE_WORKERS_PER_LIKELY_CAUSE)) {
+      return;
+    }
     Optional<Worker> smallest =
-        idle.stream().min(Comparator.comparingLong(worker -> worker.info().capacity().cpuMillis()));
-    if (smallest.isPresent()
-        && missingWorkers() < Math.max(1, idle.size() / IDLE_WORKERS_PER_LIKELY_CAUSE)) {
+        heardSinceLoss(task, idle, now, out).stream()
+            .min(Comparator.comparingLong(worker -> worker.info().capacity().cpuMillis()));
+    if (smallest.isPresent()) {
       reserve(task, smallest.get());
       start(task, smallest.get(), now, out);
     }
   }
 
+  /**
+   * Returns the idle workers that have answered since the last loss of a task: the others may be
+   * lost for the same cause. If there are none, one is asked for a report.
+   */
+  private List<Worker> heardSinceLoss(
+      Task task, List<Worker> idle, long now, List<DispatchAction> out) {
+    List<Worker> heard = idle.stream().filter(task::isHeardSinceLoss).toList();
+    if (heard.isEmpty()) {
+      idle.stream()
+          .filter(worker -> worker.pendingRenewals == 0)
+          .max(Comparator.comparingLong(Worker::lastHeardAt))
+          .ifPresent(worker -> runs.requestReport(worker, now, out));
+    }
+    return heard;
+  }
+
   /** Returns how many workers may be lost to likely causes that ran alone. */
   private long missingWorkers() {
     long running = reservations.keySet().stream().filter(Task::isLikelyCause).count();
-    long lost = suspects.unexplained().stream().filter(WorkerLoss::exclusive).count();
+    long lost =
+        suspects.unexplained().stream()
+            .filter(loss -> loss.exclusive() && !workers.isGone(loss.worker()))
+            .count();
     return running + lost;
   }
 
@@ -158,7 +180,8 @@
       soonestIdle(candidates, now).ifPresent(worker -> reserve(task, worker));
       return;
     }
-    WorkerSelector.Choice choice = selector.selectWorker(task, idle, now);
+    List<Worker> heard = heardSinceLoss(task, idle, now, out);
+    WorkerSelector.Choice choice = selector.selectWorker(task, heard, now);
     if (choice != null) {
       reserve(task, choice.worker());
       runs.start(task, choice.worker(), choice.predictedMicros(), now, out);
@@ -169,7 +192,9 @@
   private boolean startIfReserved(Task task, long now, List<DispatchAction> out) {
     Worker reserved = reservations.get(task);
     if (reserved != null && reserved.runs.isEmpty()) {
-      start(task, reserved, now, out);
+      for (Worker heard : heardSinceLoss(task, List.of(reserved), now, out)) {
+        start(task, heard, now, out);
+      }
     }
     return reserved != null;
   }
--- a/src/main/java/org/marjoramhoist/dispatch/RunController.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunController.java
@@ -430,7 +430,8 @@
             && worker.acknowledged() > worker.acknowledgementSent
             && (worker.acknowledgementDeferred
                 || now - worker.lastReportAt > ACKNOWLEDGEMENT_DELAY_MICROS);
-    boolean mustPoll = worker.runs.isEmpty() && now - worker.lastReportAt > IDLE_POLL_MICROS;
+    boolean pollDue = worker.isFailing() || now - worker.lastReportAt > IDLE_POLL_MICROS;
+    boolean mustPoll = worker.runs.isEmpty() && pollDue;
     if (mustAcknowledge || mustPoll) {
       renew(worker, 0, 0, now, out);
     }
@@ -473,6 +474,13 @@
     }
   }
 
+  /** Requests a report at once without extending any lease, unless a report is awaited. */
+  void requestReport(Worker worker, long now, List<DispatchAction> out) {
+    if (worker.pendingRenewals == 0) {
+      renew(worker, 0, 0, now, out);
+    }
+  }
+
   /**
    * Sends a renewal, which acknowledges completions and requests a report.
    *
--- a/src/main/java/org/marjoramhoist/dispatch/Task.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Task.java
@@ -76,6 +76,11 @@
     return losses != null && losses.isLikelyCause();
   }
 
+  /** Tells whether a worker has answered since the last worker was lost with this task. */
+  boolean isHeardSinceLoss(Worker worker) {
+    return losses == null || worker.lastHeardAt() >= losses.lastLossAt();
+  }
+
   /** Adds what must outlive a leader to the job progress to be stored. */
   void addTo(
       List<JobProgress.TaskPosition> doneTasks,
--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -56,6 +56,9 @@
 
   Resources freeResources;
 
+  /** Whether it was lost with others near it and has not answered since. */
+  boolean lostWithOthers;
+
   /**
    * Until when it is retained, and asked, to learn what became of it; 0 if that is known or no run
    * was lost with it.
@@ -179,6 +182,7 @@
   void recordCallSuccess(long now) {
     failedCalls = 0;
     failingSince = 0;
+    lostWithOthers = false;
     lastHeardAt = now;
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerLossHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerLossHandler.java
@@ -10,16 +10,20 @@
  * Decides what the loss of workers means for the tasks that ran on them.
  *
  * <p>Invariant: nothing is held against a task for a worker that was shutting down, was only
- * silent, or was lost together with most of its rack. Confined to one thread.
+ * silent, or was lost together with others of its rack or failure domain. Confined to one thread.
  */
 final class WorkerLossHandler {
 
   /** How long a worker that refused connections is asked for what became of it. */
   private static final long SEARCH_MICROS = 10_000_000;
 
+  /** How many workers near a lost one are asked for a report. */
+  private static final long ASKED_NEIGHBOURS = 4;
+
   private final SuspectTasks suspects;
   private final JobRegistry jobs;
   private final WorkerRegistry workers;
+  private final RunController runs;
   private final DurableJobs durableJobs;
   private final JobFinisher jobFinisher;
 
@@ -27,11 +31,13 @@
       SuspectTasks suspects,
       JobRegistry jobs,
       WorkerRegistry workers,
+      RunController runs,
       DurableJobs durableJobs,
       JobFinisher jobFinisher) {
     this.suspects = suspects;
     this.jobs = jobs;
     this.workers = workers;
+    this.runs = runs;
     this.durableJobs = durableJobs;
     this.jobFinisher = jobFinisher;
   }
@@ -48,20 +54,44 @@
    * runs have expired, so that the next leader knows of them even if this one is lost as well.
    */
   void workerRefuses(Worker worker, long now, List<DispatchAction> out) {
-    if (!worker.info().draining()) {
-      List.copyOf(worker.runs.values()).forEach(run -> suspect(run, now, out));
+    if (worker.info().draining()) {
+      return;
+    }
+    askNeighbours(worker, now, out);
+    if (!isLostWithOthers(worker, now, out)) {
+      worker.runs.values().stream()
+          .filter(run -> run.phase != Run.Phase.STARTING)
+          .toList()
+          .forEach(run -> suspect(run, now, out));
+    }
+  }
+
+  /**
+   * Asks workers near a lost one, of which nothing was heard since, for a report: at first a few,
+   * which tell whether others are lost too, and all if they are, so that no task is started there.
+   */
+  private void askNeighbours(Worker lost, long now, List<DispatchAction> out) {
+    boolean isNew = now - lost.failingSince() <= GroupContacts.SAME_TIME_MICROS;
+    long few = isNew ? ASKED_NEIGHBOURS : 0;
+    long count = lost.lostWithOthers ? Long.MAX_VALUE : few;
+    workers.unheardNear(lost).stream()
+        .limit(count)
+        .forEach(each -> runs.requestReport(each, now, out));
+  }
+
+  /** Withdraws the losses of a worker if it was lost with others near it. */
+  private boolean isLostWithOthers(Worker worker, long now, List<DispatchAction> out) {
+    if (!workers.isLostWithOthers(worker, now)) {
+      return false;
     }
+    explain(worker.id(), false, now, out);
+    return true;
   }
 
   /** Handles that a run is over as its worker was lost. */
   void runLost(Run run, long now, List<DispatchAction> out) {
     Worker worker = run.worker;
-    if (worker.info().draining()) {
-      return;
-    }
-    if (workers.isLostWithOthers(worker)) {
-      explain(worker.id(), false, now, out);
-    } else {
+    if (!worker.info().draining() && !isLostWithOthers(worker, now, out)) {
       suspect(run, now, out);
     }
   }
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerRegistry.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerRegistry.java
@@ -34,11 +34,6 @@
   /** How long workers may take to be listed again once the store is available. */
   private static final long RELISTING_MICROS = 2_200_000;
 
-  /** The last reports of workers that are lost together differ by at most a renewal interval. */
-  private static final long COMMON_LOSS_MICROS = 300_000;
-
-  private static final int MIN_COMMON_LOSSES = 3;
-
   private static final int MAX_LOGGED_IDS = 8;
 
   private final long termStart;
@@ -241,20 +236,38 @@
   }
 
   /**
-   * Tells whether most workers of its rack were lost at the same time, so that the cause is not a
-   * task.
+   * Tells whether workers of its rack or its failure domain were lost with it, so that the cause is
+   * not a task. That holds until it answers again, once busy workers nearby had time to answer.
    */
-  boolean isLostWithOthers(Worker worker) {
-    int known = 0;
-    int lost = 0;
-    for (Worker each : workers.values()) {
-      if (each.info().rack().equals(worker.info().rack())) {
-        known++;
-        boolean sameTime = Math.abs(each.lastReportAt - worker.lastReportAt) <= COMMON_LOSS_MICROS;
-        lost += !each.isReachable() && sameTime ? 1 : 0;
-      }
+  boolean isLostWithOthers(Worker worker, long now) {
+    if (worker.lostWithOthers) {
+      return true;
     }
-    return lost >= MIN_COMMON_LOSSES && 2 * lost >= known;
+    boolean common =
+        contacts(worker, rackOf(worker)).haveCommonCause()
+            || contacts(worker, domainOf(worker)).haveCommonCause();
+    worker.lostWithOthers = common && now - worker.failingSince() > GroupContacts.SAME_TIME_MICROS;
+    return common;
+  }
+
+  /**
+   * Returns the workers of a lost worker's rack and failure domain of which nothing was heard since
+   * and which have not failed.
+   */
+  List<Worker> unheardNear(Worker lost) {
+    Predicate<Worker> isNear = rackOf(lost).or(domainOf(lost));
+    return workers.values().stream()
+        .filter(isNear)
+        .filter(each -> !each.isFailing() && each.lastHeardAt() <= lost.failingSince())
+        .toList();
+  }
+
+  private static Predicate<Worker> rackOf(Worker worker) {
+    return each -> each.info().rack().equals(worker.info().rack());
+  }
+
+  private static Predicate<Worker> domainOf(Worker worker) {
+    return each -> each.info().failureDomain().equals(worker.info().failureDomain());
   }
 
   /** Describes a loss, and how the workers near the lost one have answered since, for the log. */
@@ -280,11 +293,11 @@
         + " domain="
         + info.failureDomain()
         + " "
-        + contacts(worker, each -> each.info().failureDomain().equals(info.failureDomain()))
+        + contacts(worker, domainOf(worker))
         + " rack="
         + info.rack()
         + " "
-        + contacts(worker, each -> each.info().rack().equals(info.rack()))
+        + contacts(worker, rackOf(worker))
         + ")";
   }
 
--- a/src/test/java/org/marjoramhoist/dispatch/SuspectTasksTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/SuspectTasksTest.java
@@ -225,12 +225,20 @@
   }
 
   private static WorkerInfo onRack(String id, String rack) {
+    return placed(id, "d", rack);
+  }
+
+  private static WorkerInfo inDomain(String id, String domain) {
+    return placed(id, domain, "r-" + domain);
+  }
+
+  private static WorkerInfo placed(String id, String domain, String rack) {
     WorkerInfo info = worker(id, 2_000, false);
     return new WorkerInfo(
         id,
         info.upstream(),
         info.address(),
-        info.failureDomain(),
+        domain,
         info.capacity(),
         info.kind(),
         rack,
@@ -293,6 +301,81 @@
     assertThat(confirmStarts()).hasSize(6);
   }
 
+  /** Some forty tasks were suspected, and workers reserved for them, in each cut of a domain. */
+  @Test
+  void workersLostWithTheirFailureDomainAreNotHeldAgainstTheirTasks() {
+    listWorkers(onRack("w", "r-1"), onRack("v", "r-2"), onRack("u", "r-3"), inDomain("x", "other"));
+    List.of("v", "u", "x").forEach(id -> report(id, List.of()));
+    submit(FIRST, 8);
+    assertThat(confirmStarts()).hasSize(8);
+    List.of("u", "v", "w").forEach(id -> fail(id, CallFailure.BROKEN));
+    List.of("u", "v", "w").forEach(id -> fail(id, CallFailure.REFUSED));
+    assertThat(suspects()).isEqualTo(0);
+    for (int i = 0; i < 70; i++) {
+      step(20, new DispatchEvent.Tick());
+      assertThat(suspects()).isEqualTo(0);
+    }
+  }
+
+  @Test
+  void lossesAreWithdrawnOnceWorkersNearbyTurnOutToBeLostToo() {
+    listWorkers(onRack("w", "r-1"), onRack("v", "r-2"), onRack("u", "r-3"));
+    List.of("v", "u").forEach(id -> report(id, List.of()));
+    submit(FIRST, 1);
+    String lost = confirmStarts().get(0).worker().id();
+    final List<String> others =
+        List.of("u", "v", "w").stream().filter(id -> !id.equals(lost)).toList();
+    fail(lost, CallFailure.BROKEN);
+    fail(lost, CallFailure.REFUSED);
+    assertThat(suspects()).isEqualTo(1);
+    List<String> asked =
+        takeActions(DispatchAction.Renew.class).stream().map(each -> each.worker().id()).toList();
+    assertThat(asked).containsAtLeastElementsIn(others);
+    others.forEach(id -> fail(id, CallFailure.REFUSED));
+    fail(lost, CallFailure.REFUSED);
+    assertThat(suspects()).isEqualTo(0);
+  }
+
+  private void fail(String worker, CallFailure failure) {
+    step(0, new DispatchEvent.RenewalFailed(worker, failure));
+  }
+
+  private int suspects() {
+    DispatchSnapshot.Suspects suspects = dispatcher.snapshot(now).suspects();
+    return suspects.exclusive() + suspects.held();
+  }
+
+  /** The second run of such a task went to a worker behind the same cut. */
+  @Test
+  void suspectedTaskRunsOnlyWhereSomethingWasHeardSinceItsLoss() {
+    submit(FIRST, 1);
+    confirmStarts();
+    listWorkers(worker("w", 2_000, false), worker("x", 2_000, false), inDomain("y", "other"));
+    List.of("x", "y").forEach(id -> report(id, List.of()));
+    step(1, new DispatchEvent.Tick());
+    fail("w", CallFailure.BROKEN);
+    fail("w", CallFailure.REFUSED);
+    for (int i = 0; i < 60; i++) {
+      step(20, new DispatchEvent.Tick());
+    }
+    assertThat(confirmStarts()).isEmpty();
+    fail("x", CallFailure.BROKEN);
+    report("y", List.of());
+    step(20, new DispatchEvent.Tick());
+    assertThat(confirmStarts().get(0).worker().id()).isEqualTo("y");
+  }
+
+  /** A worker that refused the order to start a task was held against the task. */
+  @Test
+  void runThatWasNotSentIsNoLoss() {
+    submit(FIRST, 1);
+    RunRef run = takeActions(DispatchAction.Start.class).get(0).run();
+    fail("w", CallFailure.BROKEN);
+    fail("w", CallFailure.REFUSED);
+    step(0, new DispatchEvent.StartUnanswered("w", run, false));
+    assertThat(suspects()).isEqualTo(0);
+  }
+
   @Test
   void laterLeaderKnowsUnderWhichTasksWorkersCrashed() {
     JobDescription job =
