Handle signals before a host listens

What callers would see: a SIGTERM between the start of the listeners and addShutdownHook ended the process at once, and with it the requests that it had taken; a SIGHUP before its handler was installed ended it too. Restarts that follow one another meet such young processes.

Both handlers are now installed before the settings are read. A stop that comes during the start waits for it, then drains the host; if the start fails, the process ends. The serve command had the same window and uses the same hook.

What comes before the Java program begins is out of its reach.

--- a/src/main/java/org/marjoramhoist/cli/EntryCommand.java
+++ b/src/main/java/org/marjoramhoist/cli/EntryCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
@@ -43,31 +44,40 @@
   @Override
   public ExitCode run(Namespace arguments) throws Exception {
     Path file = Path.of(arguments.getString("settings"));
-    NodeSettings settings = settings(file);
-    Logging.configure(
-        arguments.getString("log_format"),
-        settings.logLevel(),
-        Logging.Target.STANDARD_OUTPUT_QUEUED);
-    EntryNode node;
+    // Both signals end a process that has no handler for them.
+    CompletableFuture<NodeSettings> inForce = new CompletableFuture<>();
+    HangupSignal.onHangup(() -> inForce.thenAccept(settings -> reload(file, settings)));
+    StopHook hook = StopHook.install();
     try {
-      HangupSignal.onHangup(() -> reload(file, settings));
-      node = EntryNode.start(settings);
-    } catch (IOException | RuntimeException | ReflectiveOperationException e) {
-      throw new CommandFailure(ExitCode.FAILED, "can't start: " + e.getMessage());
+      NodeSettings settings = settings(file);
+      Logging.configure(
+          arguments.getString("log_format"),
+          settings.logLevel(),
+          Logging.Target.STANDARD_OUTPUT_QUEUED);
+      EntryNode node = start(settings);
+      inForce.complete(settings);
+      hook.started(() -> stop(node));
+    } finally {
+      hook.startEnded();
     }
-    Thread hook =
-        new Thread(
-            () -> {
-              node.drain();
-              node.close();
-              Logging.finish();
-            },
-            "shutdown");
-    Runtime.getRuntime().addShutdownHook(hook);
     new CountDownLatch(1).await();
     return ExitCode.OK;
   }
 
+  private static EntryNode start(NodeSettings settings) throws CommandFailure {
+    try {
+      return EntryNode.start(settings);
+    } catch (IOException | RuntimeException e) {
+      throw new CommandFailure(ExitCode.FAILED, "can't start: " + e.getMessage());
+    }
+  }
+
+  private static void stop(EntryNode node) {
+    node.drain();
+    node.close();
+    Logging.finish();
+  }
+
   /** Reads the settings again; what can only be set at the start stays as it is. */
   private static void reload(Path file, NodeSettings inForce) {
     try {
--- a/src/main/java/org/marjoramhoist/cli/ServeCommand.java
+++ b/src/main/java/org/marjoramhoist/cli/ServeCommand.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.concurrent.CompletableFuture;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.marjoramhoist.config.Settings;
@@ -42,28 +41,27 @@
   public ExitCode run(Namespace arguments) throws Exception {
     Settings settings = settings(Path.of(arguments.getString("settings")));
     Logging.configure(settings.log().format(), settings.log().level());
+    StopHook hook = StopHook.install();
     EntryHost host;
     try {
       host = EntryHost.start(settings);
+      hook.started(() -> stop(host));
     } catch (IOException | RuntimeException e) {
       throw new CommandFailure(ExitCode.FAILED, "can't start: " + e.getMessage());
+    } finally {
+      hook.startEnded();
     }
-    CompletableFuture<Void> stopped = new CompletableFuture<>();
-    Thread hook =
-        new Thread(
-            () -> {
-              host.drain();
-              host.close();
-              stopped.complete(null);
-            },
-            "shutdown");
-    Runtime.getRuntime().addShutdownHook(hook);
     host.gaveUp().join();
-    Runtime.getRuntime().removeShutdownHook(hook);
+    hook.remove();
     host.close();
     return ExitCode.FAILED;
   }
 
+  private static void stop(EntryHost host) {
+    host.drain();
+    host.close();
+  }
+
   static Settings settings(Path file) throws CommandFailure {
     try {
       return Settings.load(file);
