Test what callers of other hosts notice of a leader's stop

Three cases of a planned stop that were open: 24 callers at another host while the leader stops, with tasks of 30 ms and of 700 ms: all are answered 200, and no task is started twice, so the successor takes the runs over. A leader that stops while the store is away leads for 3.2 s more, until it can hand over.

--- a/src/test/java/org/marjoramhoist/trial/PlannedStopClusterTest.java
+++ b/src/test/java/org/marjoramhoist/trial/PlannedStopClusterTest.java
@@ -4,6 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.io.IOException;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -72,7 +73,7 @@
 
   private void stopUnderSteadyCallers(int host) throws InterruptedException {
     long millis;
-    SteadyCallers callers = new SteadyCallers(CALLERS, cluster.address(host), "%016x");
+    SteadyCallers callers = new SteadyCallers(CALLERS, cluster.address(host), "%016x", 30);
     try (callers) {
       Thread.sleep(300);
       millis = stopHost(host);
@@ -161,4 +162,50 @@
       assertThat(stopped.join()).isLessThan(DRAIN_MILLIS);
     }
   }
+
+  /** Returns the jobs of callers at another host that were not served while the leader stopped. */
+  private Map<String, RawCaller.Response> notServedElsewhereWhileLeaderStops(int taskMillis)
+      throws InterruptedException {
+    int leader = leader();
+    String other = cluster.address((leader + 1) % HOSTS);
+    SteadyCallers callers = new SteadyCallers(CALLERS, other, "%016x", taskMillis);
+    try (callers) {
+      Thread.sleep(500);
+      stopHost(leader);
+      Thread.sleep(500);
+    }
+    assertThat(callers.cut).isEmpty();
+    Map<String, RawCaller.Response> notServed = new HashMap<>(callers.responses);
+    notServed.values().removeIf(response -> response.status() == 200);
+    return notServed;
+  }
+
+  @Test
+  void callersOfOtherHostsDoNotNoticeThatTheLeaderStops() throws InterruptedException {
+    assertThat(notServedElsewhereWhileLeaderStops(30)).isEmpty();
+  }
+
+  @Test
+  void runsOfTheLeaderThatStopsAreTakenOver() throws InterruptedException {
+    assertThat(notServedElsewhereWhileLeaderStops(700)).isEmpty();
+    assertThat(observer.startCounts().values().stream().filter(count -> count > 1).toList())
+        .isEmpty();
+  }
+
+  @Test
+  void leaderThatStopsWhileTheStoreIsAwayLeadsUntilItCanHandOver()
+      throws IOException, InterruptedException {
+    int leader = leader();
+    cluster.store().setDown(true);
+    final CompletableFuture<Long> stopped = stopLater(leader);
+    Thread.sleep(3_200);
+    try (RawCaller caller = new RawCaller(cluster.address((leader + 1) % HOSTS))) {
+      caller.send(SteadyCallers.submission("00000000000000d1", PlatformCluster.job(1, 30)));
+      assertThat(caller.receive().status()).isEqualTo(200);
+      cluster.store().setDown(false);
+      assertThat(stopped.join()).isLessThan(DRAIN_MILLIS);
+      caller.send(SteadyCallers.submission("00000000000000d2", PlatformCluster.job(1, 30)));
+      assertThat(caller.receive().status()).isEqualTo(200);
+    }
+  }
 }
--- a/src/test/java/org/marjoramhoist/trial/RecordingObserver.java
+++ b/src/test/java/org/marjoramhoist/trial/RecordingObserver.java
@@ -23,6 +23,13 @@
   /** The number of current runs of each task. */
   final Map<TaskRef, Integer> runningCounts = new HashMap<>();
 
+  private final Map<TaskRef, Integer> starts = new HashMap<>();
+
+  /** Returns how many runs of each task have started. */
+  synchronized Map<TaskRef, Integer> startCounts() {
+    return Map.copyOf(starts);
+  }
+
   /** Returns the tasks of which a run has started. */
   synchronized Set<TaskRef> startedTasks() {
     return Set.copyOf(runningCounts.keySet());
@@ -30,6 +37,7 @@
 
   @Override
   public synchronized void runStarted(LeasedWorker worker, RunRef run) {
+    starts.merge(run.task(), 1, Integer::sum);
     usedDomains.add(worker.info().failureDomain());
     if (runningCounts.merge(run.task(), 1, Integer::sum) > 1) {
       concurrentRuns.add(run.toString());
--- a/src/test/java/org/marjoramhoist/trial/SteadyCallers.java
+++ b/src/test/java/org/marjoramhoist/trial/SteadyCallers.java
@@ -17,7 +17,6 @@
  */
 final class SteadyCallers implements AutoCloseable {
 
-  private static final int TASK_MILLIS = 30;
   private static final int PAUSE_MILLIS = 30;
 
   /** The whole responses, by job. */
@@ -30,6 +29,7 @@
   private final List<Thread> threads = new ArrayList<>();
   private final String address;
   private final String idFormat;
+  private final int taskMillis;
   private volatile boolean stopped;
 
   /**
@@ -37,10 +37,12 @@
    *
    * @param address the address of the host
    * @param idFormat makes a job's ID of its number
+   * @param taskMillis how long each job takes
    */
-  SteadyCallers(int count, String address, String idFormat) {
+  SteadyCallers(int count, String address, String idFormat, int taskMillis) {
     this.address = address;
     this.idFormat = idFormat;
+    this.taskMillis = taskMillis;
     for (int i = 0; i < count; i++) {
       Thread thread = new Thread(this::call, "caller-" + i);
       threads.add(thread);
@@ -72,7 +74,7 @@
   /** Sends a job and returns whether the connection can be used again. */
   private boolean callOnce(RawCaller caller) throws IOException {
     String id = String.format(idFormat, jobs.incrementAndGet());
-    caller.send(submission(id, PlatformCluster.job(1, TASK_MILLIS)));
+    caller.send(submission(id, PlatformCluster.job(1, taskMillis)));
     try {
       RawCaller.Response response = caller.receive();
       responses.put(id, response);
