Read the other items of the store beside one that can't be decoded

Cause: a page was decoded as one. A watch or a list that fails is repeated from where it was, so that a host never gets past such an item. The store's page promises standard base64, so that only bytes which are no text can come from another writer.

A value that can't be decoded is now empty, which no reader takes for a document, and the others are read. An event is a deletion only if it says so: one without a value was one too, which an empty value that is left out would have been.

--- a/src/main/java/org/marjoramhoist/platform/KeyValueClient.java
+++ b/src/main/java/org/marjoramhoist/platform/KeyValueClient.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.URLEncoder;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -55,7 +57,7 @@
    * A stored key.
    *
    * @param key the key
-   * @param value the value
+   * @param value the value; empty if its bytes are no text
    * @param revision the store revision at which the key was last modified
    */
   public record Item(String key, String value, long revision) {}
@@ -196,7 +198,7 @@
   private static Page parsePage(HttpReply reply) {
     JsonNode node = parseBody(reply, OK);
     List<Item> items = new ArrayList<>();
-    node.path("items").forEach(item -> items.add(parseItem(item)));
+    node.path("items").forEach(item -> items.add(parseExisting(item)));
     return new Page(items, node.path("hasMore").asBoolean(), node.path("asOf").asLong());
   }
 
@@ -206,7 +208,7 @@
     }
     JsonNode node = parseBody(reply, OK);
     List<Change> changes = new ArrayList<>();
-    node.path("events").forEach(event -> changes.add(new Change(parseItem(event))));
+    node.path("events").forEach(event -> changes.add(new Change(parseEvent(event))));
     return new WatchReply(false, changes, node.path("asOf").asLong());
   }
 
@@ -221,14 +223,35 @@
     return new TxnReply(true, parseBody(reply, OK).path("revision").asLong(), List.of());
   }
 
+  /** Parses the state of a key that may be absent; its value is then null. */
   private static Item parseItem(JsonNode node) {
-    long revision = node.path("revision").asLong();
-    String key = node.path("key").asText();
-    if (node.path("deleted").asBoolean() || !node.has("value")) {
-      return new Item(key, null, revision);
+    return node.has("value") ? parseEvent(node) : absent(node);
+  }
+
+  private static Item parseEvent(JsonNode node) {
+    return node.path("deleted").asBoolean() ? absent(node) : parseExisting(node);
+  }
+
+  private static Item absent(JsonNode node) {
+    return new Item(node.path("key").asText(), null, node.path("revision").asLong());
+  }
+
+  private static Item parseExisting(JsonNode node) {
+    String value = decode(node.path("value"));
+    return new Item(node.path("key").asText(), value, node.path("revision").asLong());
+  }
+
+  /** Returns a value; an empty one if it is no text, so that the other items can still be used. */
+  private static String decode(JsonNode value) {
+    if (!value.isTextual()) {
+      return "";
+    }
+    try {
+      byte[] bytes = Base64.getDecoder().decode(value.textValue());
+      return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
+    } catch (IllegalArgumentException | CharacterCodingException e) {
+      return "";
     }
-    byte[] value = Base64.getDecoder().decode(node.path("value").asText());
-    return new Item(key, new String(value, StandardCharsets.UTF_8), revision);
   }
 
   private <T> CompletableFuture<T> call(
--- a/src/test/java/org/marjoramhoist/platform/KeyValueClientTest.java
+++ b/src/test/java/org/marjoramhoist/platform/KeyValueClientTest.java
@@ -6,9 +6,9 @@
 import java.util.Base64;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.marjoramhoist.http.Exchanges;
 import org.marjoramhoist.http.HttpCaller;
 import org.marjoramhoist.http.LoopbackServer;
 import org.marjoramhoist.platform.KeyValueClient.Change;
@@ -28,7 +28,8 @@
           "127.0.0.1:0",
           exchange -> {
             String field = exchange.getRequestPath().endsWith("watch") ? "events" : "items";
-            Exchanges.reply(exchange, 200, "{\"" + field + "\":[" + items + "],\"asOf\":9}");
+            String body = "{\"" + field + "\":[" + items + "],\"asOf\":9}";
+            exchange.getResponseSender().send(body);
           });
 
   @AfterEach
@@ -46,7 +47,16 @@
   @ValueSource(
       strings = {"null", "7", "{}", "[]", "\"*\"", "\"a\"", "\"/w==\"", "\"7aCA\"", "\"wIA=\""})
   void unreadableValueIsEmpty(String value) {
-    items = item("p/odd", value) + "," + item("p/good", "\"" + GOOD + "\"");
+    assertThatOddIsEmpty(item("p/odd", value));
+  }
+
+  @Test
+  void missingValueIsEmpty() {
+    assertThatOddIsEmpty("{\"key\":\"p/odd\",\"revision\":7}");
+  }
+
+  private void assertThatOddIsEmpty(String odd) {
+    items = odd + "," + item("p/good", "\"" + GOOD + "\"");
     KeyValueClient client = new KeyValueClient(server.address(), caller, 2_000);
     List<Item> expected = List.of(new Item("p/odd", "", 7), GOOD_ITEM);
     assertThat(client.readAll("p/").join().items()).isEqualTo(expected);
