Take an odd item of the stored roster for a worker that can't be called

Seen: RosterStoreTest#oddItemIsWorkerThatCannotBeCalled failed in eight of nine cases. An item in the roster that is JSON but no worker, such as null, a number or an object without fields, was read as a worker without an id, so that no later leader waited for the runs on the worker that the key names, and the key was never removed; amounts of 26 digits wrapped, and an address out of range was called. Only an unreadable text was logged. Cause: fields were read by names without a look at their types.

An item is now a worker only if its fields have the types and ranges of a worker's entry and its id is that of the key. Any other is logged as STORED_WORKER_INVALID, as an unreadable one was, and stands for a worker of that id which can't be called, whose runs may be running.

--- a/src/main/java/org/marjoramhoist/entry/RosterStore.java
+++ b/src/main/java/org/marjoramhoist/entry/RosterStore.java
@@ -1,6 +1,6 @@
 package org.marjoramhoist.entry;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -86,10 +86,13 @@
 
   private static WorkerInfo readWorker(Item item) {
     try {
-      return StoredWorker.read(item.value());
-    } catch (JsonProcessingException e) {
-      EventLog.warn(
-          LogEvent.STORED_WORKER_INVALID, "key={} reason={}", item.key(), e.getOriginalMessage());
+      WorkerInfo worker = StoredWorker.read(item.value());
+      if (!worker.id().equals(idOf(item))) {
+        throw new IOException("the id is not that of the key");
+      }
+      return worker;
+    } catch (IOException e) {
+      EventLog.warn(LogEvent.STORED_WORKER_INVALID, "key={} reason={}", item.key(), e.getMessage());
       return withoutAddress(idOf(item));
     }
   }
--- a/src/main/java/org/marjoramhoist/entry/StoredWorker.java
+++ b/src/main/java/org/marjoramhoist/entry/StoredWorker.java
@@ -1,14 +1,14 @@
 package org.marjoramhoist.entry;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.HashSet;
+import java.io.IOException;
 import java.util.Set;
 import org.marjoramhoist.dispatch.WorkerInfo;
+import org.marjoramhoist.http.HostPort;
 import org.marjoramhoist.job.Resources;
-import org.marjoramhoist.json.JsonText;
+import org.marjoramhoist.json.CheckedObject;
+import org.marjoramhoist.platform.WorkerEntries;
 
 /**
  * The storage format of a worker in the roster.
@@ -42,28 +42,29 @@
   /**
    * Parses a worker.
    *
-   * @throws JsonProcessingException if the text is not valid JSON
+   * @param text the text; may be null
+   * @throws IOException if the text is no worker, or has values that no entry of a worker has
    */
-  static WorkerInfo read(String text) throws JsonProcessingException {
-    JsonNode node = JsonText.MAPPER.readTree(text);
-    JsonNode capacityNode = node.path("capacity");
-    Resources capacity =
-        new Resources(
-            capacityNode.path("cpuMillis").asLong(),
-            capacityNode.path("memoryMib").asLong(),
-            capacityNode.path("accelerators").asLong());
-    Set<String> labels = new HashSet<>();
-    node.path("labels").forEach(label -> labels.add(label.asText()));
+  static WorkerInfo read(String text) throws IOException {
+    CheckedObject root = CheckedObject.parse(text);
+    CheckedObject capacity = root.object("capacity");
+    String address = root.text("address", WorkerEntries.MAX_TEXT_CHARS);
+    if (!HostPort.isIpv4(address)) {
+      throw new IOException("the address is no IPv4 address with a port");
+    }
     return new WorkerInfo(
-        node.path("id").asText(),
-        node.path("upstream").asText(),
-        node.path("address").asText(),
-        node.path("failureDomain").asText(),
-        capacity,
-        node.path("kind").asText(),
-        node.path("rack").asText(),
-        labels,
-        node.path("draining").asBoolean(),
-        node.path("bornMillis").asLong());
+        root.text("id", WorkerEntries.MAX_TEXT_CHARS),
+        root.textOrEmpty("upstream", WorkerEntries.MAX_TEXT_CHARS),
+        address,
+        root.textOrEmpty("failureDomain", WorkerEntries.MAX_TEXT_CHARS),
+        new Resources(
+            capacity.wholeNumber("cpuMillis", WorkerEntries.MAX_AMOUNT),
+            capacity.wholeNumber("memoryMib", WorkerEntries.MAX_AMOUNT),
+            capacity.wholeNumberOrZero("accelerators", WorkerEntries.MAX_AMOUNT)),
+        root.textOrEmpty("kind", WorkerEntries.MAX_TEXT_CHARS),
+        root.textOrEmpty("rack", WorkerEntries.MAX_TEXT_CHARS),
+        Set.copyOf(root.texts("labels", WorkerEntries.MAX_LABELS, WorkerEntries.MAX_TEXT_CHARS)),
+        root.flag("draining"),
+        root.wholeNumberOrZero("bornMillis", WorkerEntries.MAX_TIME_MILLIS));
   }
 }
--- a/src/main/java/org/marjoramhoist/json/CheckedObject.java
+++ b/src/main/java/org/marjoramhoist/json/CheckedObject.java
@@ -50,6 +50,19 @@
     return of(node.get(field), field);
   }
 
+  /**
+   * Returns a truth value; false if there is no such field.
+   *
+   * @throws IOException if there is one that is no truth value
+   */
+  public boolean flag(String field) throws IOException {
+    JsonNode value = node.get(field);
+    if (value != null && !value.isBoolean()) {
+      throw new IOException(field + " is not a truth value");
+    }
+    return value != null && value.booleanValue();
+  }
+
   /**
    * Returns a text without control characters.
    *
--- a/src/main/java/org/marjoramhoist/platform/WorkerEntries.java
+++ b/src/main/java/org/marjoramhoist/platform/WorkerEntries.java
@@ -24,16 +24,19 @@
   /** The store limits a key, of which the id is a part, to 200 bytes. */
   private static final int MAX_ID_CHARS = 128;
 
-  private static final int MAX_TEXT_CHARS = 256;
-  private static final int MAX_LABELS = 64;
+  /** The longest text of an entry. */
+  public static final int MAX_TEXT_CHARS = 256;
+
+  /** The most labels of a worker. */
+  public static final int MAX_LABELS = 64;
 
   /**
    * The most of a resource, in thousandths of a core or in MiB: about a million cores, or 1 PiB.
    */
-  private static final long MAX_AMOUNT = 1L << 30;
+  public static final long MAX_AMOUNT = 1L << 30;
 
   /** Far in the future, in milliseconds since the epoch. */
-  private static final long MAX_TIME_MILLIS = 1L << 50;
+  public static final long MAX_TIME_MILLIS = 1L << 50;
 
   private static final long MAX_WARM_UP_MILLIS = 86_400_000;
 
