Start nothing on an unguarded worker whose capacity is not known

Cause: a worker tells its capacity only in its entry in the store, and a leader went on using the last entry however old it was.

Fix: an entry carries the worker's steady clock, which reports carry too, so its age is known without any common clock, also to a leader that was just elected. For upstreams whose workers start beyond their capacity, which the configuration tells, no task is started on a worker whose entry is older than 4 s or of another incarnation. Others are not affected: their workers reject what does not fit. Workers whose entries tell no clock are used as before.

The price: in an outage of the store of 4.5 s such an upstream is not served from 2.5 to 4 s after its start until the entries are written again.

The emulator's leaders no longer read the list of workers while the store is down.

Open: the leader of a cut failure domain is told workers without their clocks, so it uses them as before.

--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -23,6 +23,10 @@
   private static final long MIN_PAUSE_MICROS = 1_000_000;
   private static final long MAX_PAUSE_MICROS = 16_000_000;
   private static final int FAILURES_BEFORE_PAUSE = 3;
+
+  /** Covers two missed heartbeats. */
+  private static final long MAX_CAPACITY_AGE_MILLIS = 4_000;
+
   private static final int FAILED_CALLS_BEFORE_UNREACHABLE = 2;
 
   private WorkerInfo info;
@@ -349,6 +353,14 @@
         : WorkerLoss.Evidence.SILENT;
   }
 
+  /** Tells whether its capacity is what its entry says, or was until a moment ago. */
+  boolean isCapacityKnown(long now) {
+    boolean tellsClock = info.clockMillis() > 0 && clock.isKnown();
+    return !tellsClock
+        || info.bornMillis() == reportedBornMillis
+            && clock.estimate(now) - info.clockMillis() <= MAX_CAPACITY_AGE_MILLIS;
+  }
+
   /** Returns the predicted time until its runs have ended. */
   double remainingMicros(long now) {
     return runs.values().stream().mapToDouble(run -> run.remainingMicros(now)).max().orElse(0);
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
@@ -20,9 +20,10 @@
  * @param labels its labels, including its kind and its rack
  * @param draining whether it is shutting down and must be assigned no new work
  * @param bornMillis when it started, in milliseconds since the epoch; identifies its incarnation
- * @param warmUpMillis the remaining warm-up time that it reported last. Entries that differ in it
- *     alone are equal, so that a worker that warms up is not stored or sent again each time the
- *     remaining time changes.
+ * @param warmUpMillis the remaining warm-up time that it reported last
+ * @param clockMillis its steady clock when it wrote the entry, in milliseconds; 0 if unknown.
+ *     Entries that differ in this or the warm-up time alone are equal, so that a worker is not
+ *     stored or sent again each time it writes its entry.
  */
 public record WorkerInfo(
     String id,
@@ -36,7 +37,8 @@
     Set<String> labels,
     boolean draining,
     long bornMillis,
-    long warmUpMillis) {
+    long warmUpMillis,
+    long clockMillis) {
 
   /** Creates an entry with a copy of the labels; a missing largest capacity is the present one. */
   public WorkerInfo {
@@ -68,6 +70,7 @@
         labels,
         draining,
         bornMillis,
+        0,
         0);
   }
 
@@ -88,7 +91,8 @@
         labels,
         draining,
         bornMillis,
-        warmUpMillis);
+        warmUpMillis,
+        clockMillis);
   }
 
   /** Returns the same entry with another capacity. */
@@ -105,7 +109,26 @@
         labels,
         draining,
         bornMillis,
-        warmUpMillis);
+        warmUpMillis,
+        clockMillis);
+  }
+
+  /** Returns the same entry, written by an incarnation at a time on its steady clock. */
+  public WorkerInfo writtenBy(long newBornMillis, long newClockMillis) {
+    return new WorkerInfo(
+        id,
+        upstream,
+        address,
+        failureDomain,
+        capacity,
+        largestCapacity,
+        kind,
+        rack,
+        labels,
+        draining,
+        newBornMillis,
+        warmUpMillis,
+        newClockMillis);
   }
 
   /** Returns the same entry with another id. */
@@ -122,10 +145,11 @@
         labels,
         draining,
         bornMillis,
-        warmUpMillis);
+        warmUpMillis,
+        clockMillis);
   }
 
-  /** Returns the same entry without a warm-up time. */
+  /** Returns the same entry without a warm-up time and a clock. */
   public WorkerInfo withoutWarmUp() {
     return new WorkerInfo(
         id,
@@ -139,6 +163,7 @@
         labels,
         draining,
         bornMillis,
+        0,
         0);
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerSelector.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerSelector.java
@@ -53,6 +53,7 @@
     for (Worker worker : workers) {
       if (worker.freeResources.covers(task.spec().need())
           && selection.isEligible(worker)
+          && isCapacityKnown(task, worker, now)
           && canRun(task, worker)) {
         double slowdown = slowdownOn(task, worker);
         if (!avoidance.avoids(task, worker, micros * slowdown, now)) {
@@ -67,6 +68,14 @@
     return choice;
   }
 
+  /**
+   * Tells whether the capacity of a worker is known, as it must be if the worker starts tasks
+   * beyond it.
+   */
+  private static boolean isCapacityKnown(Task task, Worker worker, long now) {
+    return !task.job.requestClass().startsBeyondCapacity() || worker.isCapacityKnown(now);
+  }
+
   private void recordStart(Task task, Worker worker) {
     starts++;
     fastStarts += durations.workerKindFactor(worker) < 1 ? 1 : 0;
--- a/src/main/java/org/marjoramhoist/entry/StoredWorker.java
+++ b/src/main/java/org/marjoramhoist/entry/StoredWorker.java
@@ -64,6 +64,7 @@
         labels,
         node.path("draining").asBoolean(),
         node.path("bornMillis").asLong(),
+        0,
         0);
   }
 
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -168,7 +168,7 @@
     private List<WorkerInfo> listedWorkers() {
       return workers.values().stream()
           .filter(worker -> isLocal() ? reaches(worker.info().id()) : !worker.unlisted)
-          .map(LeasedWorker::info)
+          .map(LeasedWorker::entry)
           .toList();
     }
 
@@ -230,7 +230,9 @@
 
     private void list() {
       if (!over) {
-        take(new DispatchEvent.WorkersListed(listedWorkers()));
+        if (isLocal() || !jobStore.down) {
+          take(new DispatchEvent.WorkersListed(listedWorkers()));
+        }
         time.after(LIST, this::list);
       }
     }
--- a/src/main/java/org/marjoramhoist/experiment/DispatchLoad.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchLoad.java
@@ -80,6 +80,23 @@
       return new Kind(patient, perSecond, tasks, taskMillis, cpuMillis, mostCpuMillis, nearShare);
     }
 
+    /** Returns the same kind for workers that start tasks beyond their capacity. */
+    Kind unguarded() {
+      RequestClass unguarded =
+          new RequestClass(
+              requestClass.name(),
+              requestClass.authority(),
+              requestClass.pathPrefix(),
+              UPSTREAM,
+              requestClass.priority(),
+              requestClass.attempts(),
+              requestClass.stretch(),
+              requestClass.objectiveMillis(),
+              false,
+              true);
+      return new Kind(unguarded, perSecond, tasks, taskMillis, cpuMillis, mostCpuMillis, nearShare);
+    }
+
     /** Returns the mean work that its jobs bring, in cores of speed 1. */
     double meanCores() {
       double meanFactor = Math.exp(SIZE_SPREAD * SIZE_SPREAD + CPU_SPREAD * CPU_SPREAD / 2);
--- a/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
+++ b/src/main/java/org/marjoramhoist/experiment/LeasedWorker.java
@@ -142,6 +142,15 @@
     return info;
   }
 
+  /** Returns its entry in the list of workers. */
+  WorkerInfo entry() {
+    return info.writtenBy(bornMillis(), clock());
+  }
+
+  private long bornMillis() {
+    return bornAt / 1_000;
+  }
+
   /** Changes what it says of itself; runs beyond a smaller capacity go on. */
   void setInfo(WorkerInfo next) {
     free = free.plus(next.capacity().minus(info.capacity()));
@@ -350,7 +359,7 @@
     List<WorkerReport.Completion> first =
         ended.values().stream().limit(PlatformWorkerClient.MAX_COMPLETIONS_PER_REPORT).toList();
     boolean whole = first.size() < PlatformWorkerClient.MAX_COMPLETIONS_PER_REPORT;
-    return new WorkerReport(clock(), bornAt / 1_000, rows, first, whole);
+    return new WorkerReport(clock(), bornMillis(), rows, first, whole);
   }
 
   private int percent(Running made) {
--- a/src/main/java/org/marjoramhoist/job/RequestClass.java
+++ b/src/main/java/org/marjoramhoist/job/RequestClass.java
@@ -19,6 +19,7 @@
  *     milliseconds
  * @param needsPlacementAdvice whether only an external service can decide which workers may run a
  *     step
+ * @param startsBeyondCapacity whether the upstream's workers start tasks that exceed their capacity
  */
 public record RequestClass(
     String name,
@@ -29,4 +30,30 @@
     int attempts,
     double stretch,
     long objectiveMillis,
-    @JsonProperty("advised") boolean needsPlacementAdvice) {}
+    @JsonProperty("advised") boolean needsPlacementAdvice,
+    boolean startsBeyondCapacity) {
+
+  /** Creates a class of an upstream whose workers reject tasks that exceed their capacity. */
+  public RequestClass(
+      String name,
+      String authority,
+      String pathPrefix,
+      String upstream,
+      int priority,
+      int attempts,
+      double stretch,
+      long objectiveMillis,
+      boolean needsPlacementAdvice) {
+    this(
+        name,
+        authority,
+        pathPrefix,
+        upstream,
+        priority,
+        attempts,
+        stretch,
+        objectiveMillis,
+        needsPlacementAdvice,
+        false);
+  }
+}
--- a/src/main/java/org/marjoramhoist/platform/StoreDocuments.java
+++ b/src/main/java/org/marjoramhoist/platform/StoreDocuments.java
@@ -3,8 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.marjoramhoist.job.RequestClass;
 import org.marjoramhoist.job.RouteTable;
 import org.marjoramhoist.json.JsonText;
@@ -37,14 +39,26 @@
     if (root == null || !root.path("version").isIntegralNumber()) {
       throw new IOException("the configuration has no version");
     }
+    Set<String> unguarded = parseUnguardedUpstreams(root.path("services"));
     List<RequestClass> classes = new ArrayList<>();
     for (JsonNode route : root.path("routes")) {
-      classes.add(parseRequestClass(route));
+      classes.add(parseRequestClass(route, unguarded));
     }
     return new RouteTable(root.path("version").asLong(), classes);
   }
 
-  private static RequestClass parseRequestClass(JsonNode route) {
+  /** Returns the upstreams whose workers start whatever they are told to. */
+  private static Set<String> parseUnguardedUpstreams(JsonNode services) {
+    Set<String> unguarded = new HashSet<>();
+    for (JsonNode service : services) {
+      if (!service.path("rejectsOverload").asBoolean(true)) {
+        unguarded.add(service.path("name").asText());
+      }
+    }
+    return unguarded;
+  }
+
+  private static RequestClass parseRequestClass(JsonNode route, Set<String> unguarded) {
     return new RequestClass(
         route.path("name").asText(),
         // The host name in the requests, not a machine.
@@ -56,7 +70,8 @@
         route.path("stretch").asDouble(1),
         // Not a run time, but the time that the objective allows beyond the stretched run time.
         route.path("targetRuntimeMs").asLong(),
-        route.hasNonNull("advice"));
+        route.hasNonNull("advice"),
+        unguarded.contains(route.path("service").asText()));
   }
 
   /** Returns the failure domain whose drain a key requests; empty if it is not a drain key. */
--- a/src/main/java/org/marjoramhoist/platform/WorkerEntries.java
+++ b/src/main/java/org/marjoramhoist/platform/WorkerEntries.java
@@ -66,7 +66,8 @@
         Set.copyOf(labels),
         isDraining(root),
         root.wholeNumberOrZero("born", MAX_TIME_MILLIS),
-        (long) Math.max(0, root.numberOrZero("warmupLeftMs", MAX_WARM_UP_MILLIS)));
+        (long) Math.max(0, root.numberOrZero("warmupLeftMs", MAX_WARM_UP_MILLIS)),
+        (long) Math.max(0, root.numberOrZero("clockMs", MAX_TIME_MILLIS)));
   }
 
   /** An id is sent in a header, and is part of keys. */
@@ -84,7 +85,6 @@
     }
     root.numberOrZero("slots", MAX_AMOUNT);
     root.numberOrZero("seq", MAX_TIME_MILLIS);
-    root.numberOrZero("clockMs", MAX_TIME_MILLIS);
   }
 
   private static String address(CheckedObject root) throws IOException {
--- a/src/test/java/org/marjoramhoist/dispatch/DomainDrainTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DomainDrainTest.java
@@ -58,7 +58,8 @@
         Set.of("a", "r-1", id),
         false,
         1,
-        warmUpMillis);
+        warmUpMillis,
+        0);
   }
 
   private void drain(String... domains) {
--- a/src/test/java/org/marjoramhoist/dispatch/WorkerCapacityTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/WorkerCapacityTest.java
@@ -130,6 +130,18 @@
         .isEqualTo(JobOutcome.FAILED);
   }
 
+  @Test
+  void capacityOfOldEntryOrOfAnotherIncarnationIsNotKnown() {
+    Worker worker = new Worker(worker("w", 8_000, false).writtenBy(5, 1_000));
+    worker.restarted(5);
+    worker.clock.update(1_000, now, now);
+    assertThat(worker.isCapacityKnown(now + 3_000 * MICROS_PER_MILLI)).isTrue();
+    assertThat(worker.isCapacityKnown(now + 4_500 * MICROS_PER_MILLI)).isFalse();
+    worker.restarted(6);
+    worker.clock.update(1_000, now, now);
+    assertThat(worker.isCapacityKnown(now)).isFalse();
+  }
+
   /** What runs beyond a smaller capacity was taken off the free capacity of other workers. */
   @Test
   void workerBeyondItsCapacityHasNoPlaces() {
--- a/src/test/java/org/marjoramhoist/entry/RosterStoreTest.java
+++ b/src/test/java/org/marjoramhoist/entry/RosterStoreTest.java
@@ -50,6 +50,7 @@
             Set.of("a", "r-1", "ssd"),
             true,
             1_700_000_000_123L,
+            0,
             0);
     assertThat(StoredWorker.read(StoredWorker.write(worker))).isEqualTo(worker);
     // The format that earlier versions wrote.
--- a/src/test/java/org/marjoramhoist/experiment/ChangingCapacityTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/ChangingCapacityTest.java
@@ -114,6 +114,27 @@
         .forEach(fleet::cancel);
   }
 
+  /** Workers that had shrunk while the store was away were started on as if they had not. */
+  @Property(tries = 10, shrinking = ShrinkingMode.OFF, seed = "20261205")
+  void noStartExceedsTheCapacityThatTheStoreCouldNotTell(@ForAll long seed) {
+    DispatchFleet fleet = Fleets.dispatching(seed);
+    fleet.workers().forEach(worker -> worker.unguarded = true);
+    long end = fleet.time().now() + 16 * SECOND;
+    List<DispatchLoad.Kind> kinds =
+        DispatchLoad.reviews(0.5).stream().map(DispatchLoad.Kind::unguarded).toList();
+    new DispatchLoad(fleet, kinds, List.of(), seed).withDurableShare(0.3).offerUntil(end);
+    fleet.runFor(2 * SECOND);
+    fleet.setStoreDown(true);
+    fleet.runFor(SECOND);
+    fleet.workers().forEach(worker -> shrink(fleet, worker, 0.5, 9 * SECOND));
+    fleet.runFor(7 * SECOND);
+    fleet.setStoreDown(false);
+    fleet.runFor(SETTLE);
+    assertWithMessage("seed %s", seed).that(fleet.breaches()).isEmpty();
+    assertWithMessage("seed %s", seed).that(fleet.callers().unfinished()).isEmpty();
+    assertWithMessage("seed %s", seed).that(fleet.openJobs()).isEmpty();
+  }
+
   /** Jobs that need more than any worker has at the moment were failed. */
   @Example
   void noJobFailsWhileAllWorkersAreSmaller() {
--- a/src/test/java/org/marjoramhoist/job/ValueTypesTest.java
+++ b/src/test/java/org/marjoramhoist/job/ValueTypesTest.java
@@ -85,6 +85,7 @@
                 LABELS,
                 false,
                 1,
+                0,
                 0)));
   }
 }
--- a/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
+++ b/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
@@ -140,13 +140,14 @@
         "{\"service\":\"huvo11a\",\"address\":\"10.128.0.9:8080\",\"zone\":\"osl-a\",\"slots\":8,"
             + "\"state\":\"draining\",\"born\":9,\"capacity\":{\"cpu\":16000,\"memMb\":32768,"
             + "\"gpu\":0},\"labels\":[\"a\",\"r1-3\"],\"seq\":4,"
-            + "\"warmupLeftMs\":700,\"future\":{}}";
+            + "\"warmupLeftMs\":700,\"clockMs\":482113,\"future\":{}}";
     WorkerInfo worker = WorkerEntries.parse("servers/i-1", entry);
     assertThat(worker.id()).isEqualTo("i-1");
     assertThat(worker.kind()).isEqualTo("a");
     assertThat(worker.rack()).isEqualTo("r1-3");
     assertThat(worker.draining()).isTrue();
     assertThat(worker.warmUpMillis()).isEqualTo(700);
+    assertThat(worker.clockMillis()).isEqualTo(482_113);
     assertThat(worker.capacity()).isEqualTo(new Resources(16000, 32768, 0));
   }
 
@@ -193,4 +194,18 @@
     assertThat(table.version()).isEqualTo(7);
     assertThrows(IOException.class, () -> StoreDocuments.parseConfig("{\"routes\":[]}"));
   }
+
+  @Test
+  void tellsWhoseWorkersStartBeyondTheirCapacity() throws IOException {
+    RouteTable table =
+        StoreDocuments.parseConfig(
+            "{\"version\":7,\"routes\":[{\"host\":\"a\",\"prefix\":\"/1/\",\"service\":\"s1\"},"
+                + "{\"host\":\"a\",\"prefix\":\"/2/\",\"service\":\"s2\"},"
+                + "{\"host\":\"a\",\"prefix\":\"/3/\",\"service\":\"s3\"}],"
+                + "\"services\":[{\"name\":\"s1\",\"rejectsOverload\":false},"
+                + "{\"name\":\"s2\",\"rejectsOverload\":true},{\"name\":\"s3\"}]}");
+    assertThat(table.find("a", "/1/00").orElseThrow().startsBeyondCapacity()).isTrue();
+    assertThat(table.find("a", "/2/00").orElseThrow().startsBeyondCapacity()).isFalse();
+    assertThat(table.find("a", "/3/00").orElseThrow().startsBeyondCapacity()).isFalse();
+  }
 }
