--- a/src/main/java/org/marjoramhoist/entry/StoredWorker.java
+++ b/src/main/java/org/marjoramhoist/entry/StoredWorker.java
@@ -67,6 +67,7 @@
         Set.copyOf(root.texts("labels", WorkerEntries.MAX_LABELS, WorkerEntries.MAX_TEXT_CHARS)),
         root.flag("draining"),
         root.wholeNumberOrZero("bornMillis", WorkerEntries.MAX_TIME_MILLIS),
+        0,
         0);
   }
 
