Answer half-read requests before a served host ends

The GracefulShutdownHandler around the listeners was never told to shut down.

EntryHost.stop drains, refuses new requests, waits for the open exchanges within the drain timeout, and closes; the serve command uses it. A drain by the operator still leaves the host answering.

DrainTest.requestHalfReadAsTheStopBeginsIsAnswered failed with the stop as it was (drain, then close): "head cut after 0 bytes".

--- a/src/main/java/org/marjoramhoist/cli/ServeCommand.java
+++ b/src/main/java/org/marjoramhoist/cli/ServeCommand.java
@@ -45,7 +45,7 @@
     EntryHost host;
     try {
       host = EntryHost.start(settings);
-      hook.started(() -> stop(host));
+      hook.started(host::stop);
     } catch (IOException | RuntimeException e) {
       throw new CommandFailure(ExitCode.FAILED, "can't start: " + e.getMessage());
     } finally {
@@ -57,11 +57,6 @@
     return ExitCode.FAILED;
   }
 
-  private static void stop(EntryHost host) {
-    host.drain();
-    host.close();
-  }
-
   static Settings settings(Path file) throws CommandFailure {
     try {
       return Settings.load(file);
--- a/src/main/java/org/marjoramhoist/host/EntryHost.java
+++ b/src/main/java/org/marjoramhoist/host/EntryHost.java
@@ -49,6 +49,7 @@
   private static final int LISTENER_IO_THREADS = 2;
   private static final int HEADER_BYTES = 16 * 1024;
   private static final int IDLE_MILLIS = 60_000;
+  private static final long MIN_RESPONSE_MILLIS = 100;
   private static final int SLOW_BODY_MILLIS = 30_000;
 
   private final Settings settings;
@@ -64,6 +65,7 @@
   private final Metrics metrics = new Metrics();
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
   private volatile PeerNetwork network;
+  private volatile GracefulShutdownHandler callers;
   private volatile boolean draining;
   private int idleTicks;
 
@@ -157,7 +159,7 @@
         () -> {
           OperatorApi api =
               new OperatorApi(settings, requests, loop::publish, feed, store, metrics);
-          return listener(settings.listen().operators(), api);
+          return listener(settings.listen().operators(), new GracefulShutdownHandler(api));
         });
     supervisor.add(
         "callers",
@@ -165,7 +167,8 @@
         () -> {
           CallerApi api =
               new CallerApi(settings, requests, loop::publish, feed::view, this::isReady, metrics);
-          return listener(settings.listen().callers(), api);
+          callers = new GracefulShutdownHandler(api);
+          return listener(settings.listen().callers(), callers);
         });
   }
 
@@ -229,7 +232,6 @@
 
   private Part listener(String address, HttpHandler handler) {
     InetSocketAddress listen = HostPort.parse(address);
-    GracefulShutdownHandler graceful = new GracefulShutdownHandler(handler);
     Undertow server =
         Undertow.builder()
             .addHttpListener(listen.getPort(), listen.getHostString())
@@ -240,7 +242,7 @@
             .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MILLIS)
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, SLOW_BODY_MILLIS)
             .setServerOption(UndertowOptions.MAX_CONCURRENT_REQUESTS_PER_CONNECTION, 1)
-            .setHandler(graceful)
+            .setHandler(handler)
             .build();
     server.start();
     return Part.of(server::stop);
@@ -368,6 +370,26 @@
     return false;
   }
 
+  /**
+   * Drains, waits until the callers have their whole responses, and closes; new requests are
+   * refused meanwhile.
+   */
+  public void stop() {
+    long deadline =
+        System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.timing().drainMillis());
+    drain();
+    callers.shutdown();
+    try {
+      long left = TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime());
+      if (!callers.awaitShutdown(Math.max(MIN_RESPONSE_MILLIS, left))) {
+        EventLog.warn(LogEvent.DRAIN_INCOMPLETE, "host={} cause=open responses", self);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    close();
+  }
+
   /** Stops at once; what is in flight is cut short. */
   @Override
   public void close() {
--- a/src/test/java/org/marjoramhoist/host/DrainTest.java
+++ b/src/test/java/org/marjoramhoist/host/DrainTest.java
@@ -10,6 +10,7 @@
 import org.marjoramhoist.http.HttpCall;
 import org.marjoramhoist.http.HttpCaller;
 import org.marjoramhoist.http.HttpReply;
+import org.marjoramhoist.http.RawCaller;
 import org.marjoramhoist.json.JsonText;
 import org.marjoramhoist.standin.DevCluster;
 
@@ -81,4 +82,20 @@
       await(other, "/v1/status", "shards", 8);
     }
   }
+
+  @Test
+  void requestHalfReadAsTheStopBeginsIsAnswered() throws Exception {
+    try (DevCluster cluster = new DevCluster(1, 1);
+        RawCaller half = new RawCaller(cluster.hosts().get(0).listen().callers())) {
+      byte[] request = RawCaller.request("PUT", "host", "/v1/jobs/half", "{}");
+      half.send(request, 0, request.length - 1);
+      Thread.sleep(100);
+      final CompletableFuture<Void> stopped =
+          CompletableFuture.runAsync(cluster.hosts().get(0)::stop);
+      Thread.sleep(1_500);
+      half.send(request, request.length - 1, 1);
+      assertThat(half.receive().status()).isEqualTo(400);
+      stopped.get(SECONDS, TimeUnit.SECONDS);
+    }
+  }
 }
--- a/src/test/java/org/marjoramhoist/http/RawCaller.java
+++ b/src/test/java/org/marjoramhoist/http/RawCaller.java
@@ -49,8 +49,14 @@
 
   /** Returns the bytes of a POST request. */
   public static byte[] post(String authority, String path, String body) {
+    return request("POST", authority, path, body);
+  }
+
+  /** Returns the bytes of a request. */
+  public static byte[] request(String method, String authority, String path, String body) {
     String head =
-        "POST "
+        method
+            + " "
             + path
             + " HTTP/1.1\r\nHost: "
             + authority
