Let no late connection keep a stopping host's loop busy, and no body that can't be read pass as served

Cause: a connection that the accepting thread has queued as the socket is closed was never taken from the queue; the I/O thread then calls the listener again and again and runs no task that is due, so that neither the count of open requests nor a response goes on. Test: CallerListenerTest.connectionThatArrivesAsTheListenerClosesDoesNotOccupyTheLoop failed before: a task due in 50 ms did not run in 5 s. Fix: such connections are accepted, refused while the host lingers and closed after it. Besides, the count of open requests goes on if an action fails, and what is open is answered in tasks of their own (found in the review by reading).

A body of more than 1 MiB was answered 200 with an empty body, which a caller takes for the acceptance of its job (found in the review). CallerListenerTest.bodyThatIsTooLongIsNotAnsweredAsServed failed before: expected at least 400, was 200. It is 413 now, 400 for other errors.

--- a/src/main/java/org/marjoramhoist/entry/CallerListener.java
+++ b/src/main/java/org/marjoramhoist/entry/CallerListener.java
@@ -30,7 +30,7 @@
 
   private final HttpOpenListener connections;
   private final AcceptingChannel<StreamConnection> socket;
-  private volatile boolean accepting = true;
+  private volatile boolean closed;
 
   /**
    * Starts to listen.
@@ -67,25 +67,32 @@
     connections.setRootHandler(handler);
   }
 
-  /** Accepts connections that wait, no more than the socket may hold, and then no more. */
+  /** Accepts connections that wait, no more than the socket may hold, and closes the socket. */
   void stopAccepting() {
     socket.suspendAccepts();
     int left = ACCEPT_BACKLOG;
     while (left > 0 && acceptNext(socket)) {
       left--;
     }
-    accepting = false;
     IoUtils.safeClose(socket);
   }
 
-  /** Accepts a connection that waits and returns whether there was one. */
+  /**
+   * Accepts a connection that waits and returns whether there was one. Connections that another
+   * thread queued before the socket was closed must be accepted too: as long as any waits, the I/O
+   * thread calls again, without running anything that is scheduled.
+   */
   private boolean acceptNext(AcceptingChannel<StreamConnection> channel) {
     try {
-      StreamConnection accepted = accepting ? channel.accept() : null;
+      StreamConnection accepted = channel.accept();
       if (accepted == null) {
         return false;
       }
-      connections.handleEvent(accepted);
+      if (closed) {
+        IoUtils.safeClose(accepted);
+      } else {
+        connections.handleEvent(accepted);
+      }
       return true;
     } catch (ClosedChannelException e) {
       return false;
@@ -95,14 +102,14 @@
     }
   }
 
-  /** Closes all connections before anything more is read from them. */
+  /** Closes all connections before anything more is read from them, and those accepted later. */
   void closeConnections() {
+    closed = true;
     connections.closeConnections();
   }
 
   @Override
   public void close() {
-    accepting = false;
     IoUtils.safeClose(socket);
     closeConnections();
   }
--- a/src/main/java/org/marjoramhoist/entry/HostShutdown.java
+++ b/src/main/java/org/marjoramhoist/entry/HostShutdown.java
@@ -1,6 +1,7 @@
 package org.marjoramhoist.entry;
 
 import io.undertow.server.HttpServerExchange;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -79,10 +80,11 @@
   private void countOpen() {
     int open = Math.max(exchanges.count(), jobs.count() + calls.count());
     ShutdownEvent event = new ShutdownEvent.OpenCounted(open, awaitsSuccessor.getAsBoolean());
-    shutdown.step(EventLoop.now(), event).forEach(this::execute);
+    List<ShutdownAction> actions = shutdown.step(EventLoop.now(), event);
     if (!shutdown.hasEnded()) {
       loop.schedule(COUNT_INTERVAL_MILLIS, this::countOpen);
     }
+    actions.forEach(this::execute);
   }
 
   private void execute(ShutdownAction action) {
@@ -91,24 +93,30 @@
           listener.handleNewConnectionsWith(exchanges.counting(refusal::accept));
       case ABANDON_OPEN -> abandonOpen();
       case CLOSE_LISTENER -> {
+        loop.execute(deregistration);
         listener.stopAccepting();
-        deregistration.run();
       }
       case CLOSE_CONNECTIONS -> closeConnections();
       default -> throw new AssertionError(action);
     }
   }
 
+  /**
+   * Answers what is open, each part in a task of its own, so that a failure of one ends no other.
+   */
   private void abandonOpen() {
-    jobs.abandonAll();
-    calls.abandonAll();
-    exchanges.halfRead().forEach(refusal);
+    loop.execute(jobs::abandonAll);
+    loop.execute(calls::abandonAll);
+    exchanges.halfRead().forEach(exchange -> loop.execute(() -> refusal.accept(exchange)));
   }
 
   private void closeConnections() {
     long micros = EventLoop.now() - startedAt;
     EventLog.info(LogEvent.REQUESTS_AT_STOP, "micros={} {}", micros, exchanges);
-    listener.closeConnections();
-    loop.execute(completed::countDown);
+    try {
+      listener.closeConnections();
+    } finally {
+      loop.execute(completed::countDown);
+    }
   }
 }
--- a/src/main/java/org/marjoramhoist/http/Exchanges.java
+++ b/src/main/java/org/marjoramhoist/http/Exchanges.java
@@ -1,7 +1,10 @@
 package org.marjoramhoist.http;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
 import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
+import java.io.IOException;
 import java.util.function.BiConsumer;
 
 /**
@@ -25,7 +28,17 @@
                     (same, body) ->
                         same.dispatch(
                             SameThreadExecutor.INSTANCE, () -> receiver.accept(same, body)),
-                    (same, error) -> same.endExchange()));
+                    (same, error) -> endUnread(same, error)));
+  }
+
+  /** Ends an exchange whose body could not be read, which must not be answered as served. */
+  private static void endUnread(HttpServerExchange exchange, IOException error) {
+    if (!exchange.isResponseStarted()) {
+      boolean isTooLong = error instanceof RequestTooBigException;
+      exchange.setStatusCode(
+          isTooLong ? StatusCodes.REQUEST_ENTITY_TOO_LARGE : StatusCodes.BAD_REQUEST);
+    }
+    exchange.endExchange();
   }
 
   /** Answers from any thread. */
