Say of no job that is open at a stopping host that it has not run

Found in the review by reading: a request that comes again on another connection after the host has begun to refuse was answered 503, 'not run', though its job was still open there for the first connection. Test: OpenJobsTest.openJobIsNotRefused, of the new method; there was none to fail before.

--- a/src/main/java/org/marjoramhoist/entry/JobHttpHandler.java
+++ b/src/main/java/org/marjoramhoist/entry/JobHttpHandler.java
@@ -97,15 +97,15 @@
     route(exchange, found.get(), path.substring(found.get().pathPrefix().length()));
   }
 
-  /** Refuses a request, which has not run, because this host stops. */
+  /** Refuses a request because this host stops, unless its job may have run. */
   void refuseStopping(HttpServerExchange exchange) {
     String path = exchange.getRequestPath();
-    EventLog.info(
-        LogEvent.JOB_ANSWERED,
-        "job={} outcome=REFUSED reason=the host stops retryAfterMillis={}",
-        path.substring(path.lastIndexOf('/') + 1),
-        STOP_RETRY_MILLIS);
-    replyRefused(exchange, STOP_RETRY_MILLIS);
+    try {
+      JobId id = new JobId(path.substring(path.lastIndexOf('/') + 1));
+      replyResult(exchange, jobs.refusal(id, "the host stops", STOP_RETRY_MILLIS));
+    } catch (IllegalArgumentException e) {
+      replyRefused(exchange, STOP_RETRY_MILLIS);
+    }
   }
 
   private void route(HttpServerExchange exchange, RequestClass requestClass, String jobPath) {
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -295,6 +295,17 @@
     }
   }
 
+  /**
+   * Returns the result for a request that this host takes no more. A job that is open here, or that
+   * may have run before, isn't refused.
+   */
+  Finished refusal(JobId id, String reason, long retryAfterMillis) {
+    Finished refused = new Finished(id, JobOutcome.REFUSED, reason, retryAfterMillis);
+    return isOpen(id)
+        ? new Finished(id, JobOutcome.ABANDONED, reason, 0)
+        : recentResults.reconcile(refused, EventLoop.now());
+  }
+
   /** Withdraws all open jobs and completes them without their results before the host stops. */
   void abandonAll() {
     for (OpenJob openJob : List.copyOf(open.values())) {
--- a/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
@@ -105,6 +105,17 @@
     assertThat(outcomes).isEmpty();
   }
 
+  /** A stopping host told a caller that its job had not run while it was running for another. */
+  @Test
+  void openJobIsNotRefused() {
+    assertThat(jobs.refusal(ID, "test", 1).outcome()).isEqualTo(JobOutcome.REFUSED);
+    leaderTracker.leaderFound(leaderChannel("partition", 7));
+    submit(ID);
+    assertThat(jobs.refusal(ID, "test", 1).outcome()).isEqualTo(JobOutcome.ABANDONED);
+    jobs.finished(result(JobOutcome.ABANDONED));
+    assertThat(jobs.refusal(ID, "test", 1).outcome()).isEqualTo(JobOutcome.ABANDONED);
+  }
+
   @Test
   void resubmittedJobGetsSameResultUnderLaterLeader() {
     leaderTracker.leaderFound(leaderChannel("partition", 7));
