Write that workers start beyond their capacity only where they do

Now the field is written only if it is true, so nothing changes where workers guard their capacity. Where they don't, an earlier version can't read jobs that this one stored.

--- a/src/main/java/org/marjoramhoist/job/RequestClass.java
+++ b/src/main/java/org/marjoramhoist/job/RequestClass.java
@@ -1,5 +1,6 @@
 package org.marjoramhoist.job;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 
 /**
@@ -31,7 +32,7 @@
     double stretch,
     long objectiveMillis,
     @JsonProperty("advised") boolean needsPlacementAdvice,
-    boolean startsBeyondCapacity) {
+    @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean startsBeyondCapacity) {
 
   /** Creates a class of an upstream whose workers reject tasks that exceed their capacity. */
   public RequestClass(
--- a/src/test/java/org/marjoramhoist/job/RequestClassTest.java
+++ b/src/test/java/org/marjoramhoist/job/RequestClassTest.java
@@ -24,4 +24,12 @@
     assertThat(JsonText.MAPPER.readTree(JsonText.of(VALUE)))
         .isEqualTo(JsonText.MAPPER.readTree(TEXT));
   }
+
+  @Test
+  void keepsThatWorkersStartBeyondTheirCapacity() throws JsonProcessingException {
+    RequestClass unguarded =
+        new RequestClass("check", "h", "/p/", "reviews", 1, 3, 1.6, 60, true, true);
+    assertThat(JsonText.MAPPER.readValue(JsonText.of(unguarded), RequestClass.class))
+        .isEqualTo(unguarded);
+  }
 }
