Tell how many jobs wait only once the stored jobs are loaded

LEADER_ELECTED at 14.074, JOBS_LOADED at 14.292 s; 286 jobs waited before and 311 after.

Cause: a new leader answered, and told the other hosts with its first heartbeat, the counts of a dispatcher that has no stored job yet.

Fix: the dispatcher has no counts until the stored jobs are loaded, and the host goes on with the last that it heard or told, which are less than 2 s old then.

Test: DurableDispatchTest.waitingJobsAreNotCountedBeforeStoredJobsAreLoaded failed before ("expected: Optional.empty, but was: Optional[{}]"). Passed: DurableDispatchTest, DispatcherTest, PlatformClusterTest, ArchitectureTest. PartitionMember's part has no test of its own.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
 import org.marjoramhoist.dispatch.DispatchEvent.BatchStored;
@@ -476,9 +477,12 @@
     };
   }
 
-  /** Returns the number of jobs without a started task, by class name. */
-  public Map<String, Integer> waitingJobsByClass() {
-    return jobs.waitingJobsByClass();
+  /**
+   * Returns the number of jobs without a started task, by class name; empty if the stored jobs are
+   * not loaded yet.
+   */
+  public Optional<Map<String, Integer>> waitingJobsByClass() {
+    return durableJobs.isLoaded() ? Optional.of(jobs.waitingJobsByClass()) : Optional.empty();
   }
 
   /**
--- a/src/main/java/org/marjoramhoist/entry/Leadership.java
+++ b/src/main/java/org/marjoramhoist/entry/Leadership.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.marjoramhoist.dispatch.DispatchAction;
@@ -105,7 +106,8 @@
     return events.size();
   }
 
-  final Map<String, Integer> waitingJobs() {
+  /** Returns the number of waiting jobs by class; empty if the stored jobs are not loaded yet. */
+  final Optional<Map<String, Integer>> waitingJobs() {
     return dispatcher.waitingJobsByClass();
   }
 
--- a/src/main/java/org/marjoramhoist/entry/PartitionMember.java
+++ b/src/main/java/org/marjoramhoist/entry/PartitionMember.java
@@ -133,8 +133,12 @@
 
   /** Returns the number of waiting jobs of a class, as far as this host knows. */
   int waitingJobs(String requestClass) {
-    Map<String, Integer> counts = leadership != null ? leadership.waitingJobs() : waitingByClass;
-    return counts.getOrDefault(requestClass, 0);
+    return waitingJobs().getOrDefault(requestClass, 0);
+  }
+
+  /** Returns the number of waiting jobs by class; a new leader goes on with what it last heard. */
+  private Map<String, Integer> waitingJobs() {
+    return leadership == null ? waitingByClass : leadership.waitingJobs().orElse(waitingByClass);
   }
 
   /** Returns whether this host leads and may send orders to workers. */
@@ -301,6 +305,7 @@
     if (leadership == null) {
       return;
     }
+    waitingByClass = waitingJobs();
     double admittedShare = admissionRate.update(leadership.meanResponseMicros());
     jobs.setAdmittedShare(admittedShare);
     RetryForecast forecast = leadership.retryForecast(admittedShare);
@@ -311,7 +316,7 @@
             self,
             config.current().version(),
             drained.revision(),
-            leadership.waitingJobs(),
+            waitingByClass,
             admittedShare,
             EventLoop.now(),
             forecast));
--- a/src/test/java/org/marjoramhoist/dispatch/DurableDispatchTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DurableDispatchTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
@@ -359,4 +360,13 @@
     call(JobCallKind.STATUS);
     assertThat(takeReplyStatus()).isEqualTo(JobStatus.CANCELLED);
   }
+
+  /** A new leader told that none waits. */
+  @Test
+  void waitingJobsAreNotCountedBeforeStoredJobsAreLoaded() {
+    beginTerm(now);
+    assertThat(dispatcher.waitingJobsByClass()).isEqualTo(Optional.empty());
+    step(1, new DispatchEvent.JobsLoaded(1, List.of(), List.of()));
+    assertThat(dispatcher.waitingJobsByClass()).isEqualTo(Optional.of(Map.of()));
+  }
 }
