Fail a job as impossible only once all workers are known

Cause: the workers known at the moment were taken for all that there are. Entries lapse in a cut or while the store is away, are back up to two seconds after, and a leader that was just elected knows neither workers that are cut off nor how large workers were that have shrunk.

A job is failed as impossible only if the list is read regularly, no entries may be missing after an outage of the store, some worker is listed, and the leader has led for 15 s; before that it is refused with a time to return (it has not run). A job that no worker can run is still failed at once when all that holds.

Two tests asked a leader that was some ms old for the verdict, which was the fault: WorkerCapacityTest.jobThatFitsNoCapacityAnyWorkerHadFails and DomainDrainTest.jobThatOnlyDrainedWorkersCouldRunIsRefusedAndNotFailed now let it learn the workers first, and assert the same outcome. Cost, not measured: jobs that really are impossible are refused in the first 15 s of a term.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -314,7 +314,8 @@
     }
     if (job.isComplete()) {
       end(job, JobOutcome.SUCCEEDED, "completed under a previous leader", now, out);
-    } else if (!job.started && workerRegistry.canNeverRun(job.description(), job.requestClass())) {
+    } else if (!job.started
+        && workerRegistry.fitsNoKnownWorker(job.description(), job.requestClass(), now)) {
       endImpossible(job, now, out);
     } else if (!refuseIfUnservable(job, now, out)) {
       workerLosses.reconsider(job, now, out);
@@ -329,15 +330,17 @@
   }
 
   /**
-   * Ends a job that no known worker could ever run. The leader of a failure domain does not know
-   * the workers of other domains, so it only refuses the job.
+   * Ends a job that no known worker could ever run: as failed if there are no others, otherwise as
+   * refused. The leader of a failure domain does not know the workers of other domains.
    */
   private void endImpossible(Job job, long now, List<DispatchAction> out) {
-    if (guard == null) {
-      String known = workerRegistry.describeKnown(now);
+    String known = workerRegistry.describeKnown(now);
+    if (guard != null) {
+      end(job, JobOutcome.REFUSED, "no worker of the failure domain can run it", now, out);
+    } else if (workerRegistry.areAllKnown(now)) {
       end(job, JobOutcome.FAILED, "no worker can run it: " + known, now, out);
     } else {
-      end(job, JobOutcome.REFUSED, "no worker of the failure domain can run it", now, out);
+      end(job, JobOutcome.REFUSED, "no worker known so far can run it: " + known, now, out);
     }
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
@@ -104,7 +104,7 @@
     if (durableJobs.isStalled(now)) {
       return "the store accepts no writes";
     }
-    if (workers.canNeverRun(record.job(), record.requestClass())) {
+    if (workers.fitsNoKnownWorker(record.job(), record.requestClass(), now)) {
       return "no worker can run it";
     }
     if (workers.requiresDrainedDomain(record.job(), record.requestClass())) {
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerRegistry.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerRegistry.java
@@ -34,11 +34,18 @@
   /** How long workers may take to be listed again once the store is available. */
   private static final long RELISTING_MICROS = 2_200_000;
 
+  /**
+   * How long after its start a leader may not know workers that are cut off, nor how large workers
+   * were that have shrunk.
+   */
+  private static final long LEARNING_MICROS = 15_000_000;
+
   private static final int MAX_LOGGED_IDS = 8;
 
   private final long termStart;
   private final long earlierRunsExpireAt;
   private final Map<String, Worker> workers = new LinkedHashMap<>();
+  private final FormerWorkers formerWorkers = new FormerWorkers();
   private final Roster roster = new Roster();
   private final DomainDrains drains = new DomainDrains();
   private boolean listRead;
@@ -92,6 +99,7 @@
       worker.listed = isListed;
       if (!isListed && !mustBeRetained(worker, now)) {
         workers.remove(worker.id());
+        formerWorkers.add(worker, now);
         forgotten.add(worker.id());
       }
     }
@@ -111,6 +119,7 @@
     Worker worker = new Worker(info);
     worker.inRoster = roster.contains(info.id());
     workers.put(info.id(), worker);
+    formerWorkers.remove(info.id());
     updateLimits(worker, now);
     return worker;
   }
@@ -200,32 +209,45 @@
   }
 
   /**
-   * Tells whether some step of a job could run on no known worker, listed or not, even if that were
-   * idle.
+   * Tells whether some step of a job could run on no known worker, listed, not listed or forgotten
+   * lately, even if that were idle.
+   */
+  boolean fitsNoKnownWorker(JobDescription job, RequestClass requestClass, long now) {
+    return anyStep(
+        job,
+        step -> {
+          Predicate<Worker> canRun =
+              worker -> WorkerSelector.canEverRun(requestClass, step, worker);
+          return workers.values().stream().noneMatch(canRun)
+              && !formerWorkers.anyMatch(canRun, now);
+        });
+  }
+
+  /**
+   * Tells whether the known workers are all that there are, and their largest capacities known.
+   * That is uncertain early in a term, while the list can't be read or may lack workers that could
+   * not reach the store, and while no worker is listed.
    */
-  boolean canNeverRun(JobDescription job, RequestClass requestClass) {
-    return cannotRunOn(worker -> true, job, requestClass);
+  boolean areAllKnown(long now) {
+    return now >= relistingEndsAt
+        && now - listReadAt <= MAX_LIST_AGE_MICROS
+        && now - termStart > LEARNING_MICROS
+        && workers.values().stream().anyMatch(worker -> worker.listed);
   }
 
   /** Tells whether some step of a job could run only on workers of drained failure domains. */
   boolean requiresDrainedDomain(JobDescription job, RequestClass requestClass) {
-    return !drains.isEmpty() && cannotRunOn(worker -> !worker.isDrained(), job, requestClass);
+    return !drains.isEmpty()
+        && anyStep(
+            job,
+            step ->
+                workers.values().stream()
+                    .filter(worker -> !worker.isDrained())
+                    .noneMatch(worker -> WorkerSelector.canEverRun(requestClass, step, worker)));
   }
 
-  private boolean cannotRunOn(
-      Predicate<Worker> condition, JobDescription job, RequestClass requestClass) {
-    if (!hasListAndRoster()) {
-      return false;
-    }
-    for (StepSpec step : job.steps()) {
-      boolean anyCan =
-          workers.values().stream()
-              .anyMatch(w -> condition.test(w) && WorkerSelector.canEverRun(requestClass, step, w));
-      if (!anyCan) {
-        return true;
-      }
-    }
-    return false;
+  private boolean anyStep(JobDescription job, Predicate<StepSpec> condition) {
+    return hasListAndRoster() && job.steps().stream().anyMatch(condition);
   }
 
   /**
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherFixture.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherFixture.java
@@ -81,6 +81,14 @@
     step(0, new DispatchEvent.WorkersListed(List.of(workers)));
   }
 
+  /** Lets the leader read the same list again and again until it takes it for complete. */
+  final void learnWorkers(WorkerInfo... workers) {
+    for (int i = 0; i < 17; i++) {
+      step(1_000, new DispatchEvent.WorkersListed(List.of(workers)));
+    }
+    takeActions(DispatchAction.Renew.class);
+  }
+
   final void report(
       String worker,
       List<WorkerReport.ActiveRun> activeRuns,
--- a/src/test/java/org/marjoramhoist/dispatch/DomainDrainTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DomainDrainTest.java
@@ -170,6 +170,7 @@
   /** Failure is final, but the drain will end. */
   @Test
   void jobThatOnlyDrainedWorkersCouldRunIsRefusedAndNotFailed() {
+    learnWorkers(NORTH, SOUTH);
     drain("north");
     submit(taskOn("n"));
     DispatchAction.Finish end = takeActions(DispatchAction.Finish.class).get(0);
--- a/src/test/java/org/marjoramhoist/dispatch/WorkerCapacityTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/WorkerCapacityTest.java
@@ -57,11 +57,46 @@
 
   @Test
   void jobThatFitsNoCapacityAnyWorkerHadFails() {
+    learnWorkers(worker("w", 8_000, false));
+    report("w", List.of());
+    assertThat(outcomeOfJobTooLarge()).isEqualTo(JobOutcome.FAILED);
+  }
+
+  private JobOutcome outcomeOfJobTooLarge() {
+    submit(new StepSpec(1, new Resources(9_000, 1, 0), 50, List.of(), "", "", 0));
+    DispatchAction.Finish end = takeActions(DispatchAction.Finish.class).get(0);
+    if (end.outcome() == JobOutcome.REFUSED) {
+      assertThat(end.retryAfterMillis()).isGreaterThan(0);
+    }
+    return end.outcome();
+  }
+
+  /** A leader that knew too few workers, or too small ones, failed jobs that others could run. */
+  @Test
+  void jobIsNotFailedAsImpossibleByNewLeader() {
     listWorkers(worker("w", 8_000, false));
     report("w", List.of());
+    assertThat(outcomeOfJobTooLarge()).isEqualTo(JobOutcome.REFUSED);
+  }
+
+  @Test
+  void jobIsNotFailedAsImpossibleSoonAfterTheStoreWasAway() {
+    learnWorkers(worker("w", 8_000, false));
+    step(3_000, new DispatchEvent.Tick());
+    assertThat(outcomeOfJobTooLarge()).isEqualTo(JobOutcome.REFUSED);
+    listWorkers(worker("w", 8_000, false));
+    assertThat(outcomeOfJobTooLarge()).isEqualTo(JobOutcome.REFUSED);
+    learnWorkers(worker("w", 8_000, false));
+    assertThat(outcomeOfJobTooLarge()).isEqualTo(JobOutcome.FAILED);
+  }
+
+  /** The entries of workers that are cut off lapse. */
+  @Test
+  void jobIsNotFailedAsImpossibleWhileTheWorkersForItAreNotListed() {
+    learnWorkers(worker("w", 8_000, false), worker("large", 9_000, false));
+    learnWorkers(worker("w", 8_000, false));
     submit(new StepSpec(1, new Resources(9_000, 1, 0), 50, List.of(), "", "", 0));
-    assertThat(takeActions(DispatchAction.Finish.class).get(0).outcome())
-        .isEqualTo(JobOutcome.FAILED);
+    assertThat(takeActions(DispatchAction.Finish.class)).isEmpty();
   }
 
   /** What runs beyond a smaller capacity was taken off the free capacity of other workers. */
