--- a/src/test/java/org/marjoramhoist/dispatch/SuspectTasksTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/SuspectTasksTest.java
@@ -260,6 +260,19 @@
     assertThat(confirmStarts()).hasSize(1);
   }
 
+  /** A job is failed after as many failed runs as its class allows, each of them counted once. */
+  @Test
+  void failedRunOfEarlierLeaderCountsOnceHoweverOftenItIsListed() {
+    submit(FIRST, 1);
+    RunRef present = confirmStarts().get(0).run();
+    RunRef earlier = new RunRef(present.task(), 1_000);
+    List<WorkerReport.ActiveRun> active = List.of(new WorkerReport.ActiveRun(present, 10));
+    for (int sequence = 1; sequence <= REQUEST_CLASS.attempts(); sequence++) {
+      report("w", active, new WorkerReport.Completion(sequence, earlier, RunOutcome.FAILED));
+    }
+    assertThat(outcomeOf(FIRST)).isEqualTo(Optional.empty());
+  }
+
   @Test
   void workersThatAnswerAgainHaveNotCrashed() {
     submit(FIRST, 2);
