--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -23,10 +23,13 @@
   private static final long MIN_PAUSE_MICROS = 1_000_000;
   private static final long MAX_PAUSE_MICROS = 16_000_000;
   private static final int FAILURES_BEFORE_PAUSE = 3;
+
+  /** Covers two missed heartbeats. */
+  private static final long MAX_CAPACITY_AGE_MILLIS = 4_000;
+
   private static final int FAILED_CALLS_BEFORE_UNREACHABLE = 2;
 
   private WorkerInfo info;
-  private Resources largestCapacity;
   private int failureStreak;
   private long pauseMicros = MIN_PAUSE_MICROS;
   private long pausedUntil;
@@ -138,14 +141,18 @@
     if (info != null) {
       freeResources = freeResources.plus(next.capacity().minus(info.capacity()));
     }
-    boolean isSameProcess = info != null && info.bornMillis() == next.bornMillis();
-    largestCapacity = isSameProcess ? largestCapacity.max(next.capacity()) : next.capacity();
+    WorkerInfo last = info;
     info = next;
+    if (last != null) {
+      recordEarlierCapacity(last);
+    }
   }
 
-  /** Returns the most that it has had of each resource; a smaller capacity may grow again. */
-  Resources largestCapacity() {
-    return largestCapacity;
+  /** Records what an earlier entry tells of its capacity, unless that is of another incarnation. */
+  void recordEarlierCapacity(WorkerInfo earlier) {
+    if (earlier.bornMillis() == info.bornMillis()) {
+      info = info.withEarlierCapacity(earlier.largestCapacity());
+    }
   }
 
   String id() {
@@ -350,6 +357,14 @@
         : WorkerLoss.Evidence.SILENT;
   }
 
+  /** Tells whether its capacity is what its entry says, or was until a moment ago. */
+  boolean isCapacityKnown(long now) {
+    boolean tellsClock = info.clockMillis() > 0 && clock.isKnown();
+    return !tellsClock
+        || info.bornMillis() == reportedBornMillis
+            && clock.estimate(now) - info.clockMillis() <= MAX_CAPACITY_AGE_MILLIS;
+  }
+
   /** Returns the predicted time until its runs have ended. */
   double remainingMicros(long now) {
     return runs.values().stream().mapToDouble(run -> run.remainingMicros(now)).max().orElse(0);
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
@@ -13,14 +13,17 @@
  * @param address {@code host:port} of its interface
  * @param failureDomain its failure domain
  * @param capacity its resources for tasks
+ * @param largestCapacity the most that it is known to have had of each resource since its start; it
+ *     covers {@code capacity}
  * @param kind its hardware kind; workers of one kind run at about the same speed
  * @param rack its rack
  * @param labels its labels, including its kind and its rack
  * @param draining whether it is shutting down and must be assigned no new work
  * @param bornMillis when it started, in milliseconds since the epoch; identifies its incarnation
- * @param warmUpMillis the remaining warm-up time that it reported last. Entries that differ in it
- *     alone are equal, so that a worker that warms up is not stored or sent again each time the
- *     remaining time changes.
+ * @param warmUpMillis the remaining warm-up time that it reported last
+ * @param clockMillis its steady clock when it wrote the entry, in milliseconds; 0 if unknown.
+ *     Entries that differ in this or the warm-up time alone are equal, so that a worker is not
+ *     stored or sent again each time it writes its entry.
  */
 public record WorkerInfo(
     String id,
@@ -28,19 +31,22 @@
     String address,
     String failureDomain,
     Resources capacity,
+    Resources largestCapacity,
     String kind,
     String rack,
     Set<String> labels,
     boolean draining,
     long bornMillis,
-    long warmUpMillis) {
+    long warmUpMillis,
+    long clockMillis) {
 
-  /** Creates an entry with a copy of the labels. */
+  /** Creates an entry with a copy of the labels; a missing largest capacity is the present one. */
   public WorkerInfo {
+    largestCapacity = largestCapacity == null ? capacity : largestCapacity.max(capacity);
     labels = Set.copyOf(labels);
   }
 
-  /** Creates the entry of a worker that is not warming up. */
+  /** Creates the entry of a worker that is not warming up and had no larger capacity. */
   public WorkerInfo(
       String id,
       String upstream,
@@ -58,14 +64,37 @@
         address,
         failureDomain,
         capacity,
+        capacity,
         kind,
         rack,
         labels,
         draining,
         bornMillis,
+        0,
         0);
   }
 
+  /** Returns an entry whose largest capacity covers an earlier one too. */
+  WorkerInfo withEarlierCapacity(Resources earlier) {
+    if (largestCapacity.covers(earlier)) {
+      return this;
+    }
+    return new WorkerInfo(
+        id,
+        upstream,
+        address,
+        failureDomain,
+        capacity,
+        largestCapacity.max(earlier),
+        kind,
+        rack,
+        labels,
+        draining,
+        bornMillis,
+        warmUpMillis,
+        clockMillis);
+  }
+
   /** Returns the same entry with another capacity. */
   public WorkerInfo withCapacity(Resources newCapacity) {
     return new WorkerInfo(
@@ -74,12 +103,32 @@
         address,
         failureDomain,
         newCapacity,
+        newCapacity,
         kind,
         rack,
         labels,
         draining,
         bornMillis,
-        warmUpMillis);
+        warmUpMillis,
+        clockMillis);
+  }
+
+  /** Returns the same entry, written by an incarnation at a time on its steady clock. */
+  public WorkerInfo writtenBy(long newBornMillis, long newClockMillis) {
+    return new WorkerInfo(
+        id,
+        upstream,
+        address,
+        failureDomain,
+        capacity,
+        largestCapacity,
+        kind,
+        rack,
+        labels,
+        draining,
+        newBornMillis,
+        warmUpMillis,
+        newClockMillis);
   }
 
   /** Returns the same entry with another id. */
@@ -90,18 +139,32 @@
         address,
         failureDomain,
         capacity,
+        largestCapacity,
         kind,
         rack,
         labels,
         draining,
         bornMillis,
-        warmUpMillis);
+        warmUpMillis,
+        clockMillis);
   }
 
-  /** Returns the same entry without a warm-up time. */
+  /** Returns the same entry without a warm-up time and a clock. */
   public WorkerInfo withoutWarmUp() {
     return new WorkerInfo(
-        id, upstream, address, failureDomain, capacity, kind, rack, labels, draining, bornMillis);
+        id,
+        upstream,
+        address,
+        failureDomain,
+        capacity,
+        largestCapacity,
+        kind,
+        rack,
+        labels,
+        draining,
+        bornMillis,
+        0,
+        0);
   }
 
   // Written by hand: linking the generated methods takes milliseconds of a process's start.
@@ -114,6 +177,7 @@
         && address.equals(that.address)
         && failureDomain.equals(that.failureDomain)
         && capacity.equals(that.capacity)
+        && largestCapacity.equals(that.largestCapacity)
         && kind.equals(that.kind)
         && rack.equals(that.rack)
         && labels.equals(that.labels)
--- a/src/main/java/org/marjoramhoist/job/RequestClass.java
+++ b/src/main/java/org/marjoramhoist/job/RequestClass.java
@@ -1,5 +1,6 @@
 package org.marjoramhoist.job;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 
 /**
@@ -19,6 +20,7 @@
  *     milliseconds
  * @param needsPlacementAdvice whether only an external service can decide which workers may run a
  *     step
+ * @param startsBeyondCapacity whether the upstream's workers start tasks that exceed their capacity
  */
 public record RequestClass(
     String name,
@@ -29,4 +31,30 @@
     int attempts,
     double stretch,
     long objectiveMillis,
-    @JsonProperty("advised") boolean needsPlacementAdvice) {}
+    @JsonProperty("advised") boolean needsPlacementAdvice,
+    @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean startsBeyondCapacity) {
+
+  /** Creates a class of an upstream whose workers reject tasks that exceed their capacity. */
+  public RequestClass(
+      String name,
+      String authority,
+      String pathPrefix,
+      String upstream,
+      int priority,
+      int attempts,
+      double stretch,
+      long objectiveMillis,
+      boolean needsPlacementAdvice) {
+    this(
+        name,
+        authority,
+        pathPrefix,
+        upstream,
+        priority,
+        attempts,
+        stretch,
+        objectiveMillis,
+        needsPlacementAdvice,
+        false);
+  }
+}
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -18,6 +18,8 @@
   DRAIN_INCOMPLETE(1006),
   /** The settings were read again. */
   SETTINGS_READ(1007),
+  /** What became of the requests since the stop began, and of those open as the listener closed. */
+  REQUESTS_AT_STOP(1008),
   /** A host was heard for the first time. */
   PEER_JOINED(2001),
   /** A host was not heard for the suspicion time. */
@@ -126,6 +128,8 @@
   WORKER_UNREACHABLE(4207),
   /** A worker's process has ended: another one reports for it, or answers at its address. */
   WORKER_REPLACED(4208),
+  /** An entry among those of the workers names no worker to use; logged once for each content. */
+  WORKER_ENTRY_INVALID(4209),
   /** A configuration revision is in force at this host. */
   CONFIG_APPLIED(5001),
   /** An older configuration revision was refused. */
--- a/src/main/java/org/marjoramhoist/platform/StoreDocuments.java
+++ b/src/main/java/org/marjoramhoist/platform/StoreDocuments.java
@@ -3,18 +3,16 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.regex.Pattern;
-import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.job.RequestClass;
-import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.job.RouteTable;
 import org.marjoramhoist.json.JsonText;
 
 /**
- * Parses the documents that the operator and the workers write to the platform's store.
+ * Parses the documents that the operator writes to the platform's store.
  *
  * <p>Stateless and safe for use by several threads.
  */
@@ -29,11 +27,6 @@
   /** The prefix of the keys that each request the drain of a failure domain. */
   private static final String DRAIN_PREFIX = OPERATOR_PREFIX + "evacuate/";
 
-  /** The prefix under which workers register. */
-  public static final String WORKERS_PREFIX = "servers/";
-
-  private static final Pattern ADDRESS = Pattern.compile("[0-9.]+:[0-9]{1,5}");
-
   private StoreDocuments() {}
 
   /**
@@ -46,14 +39,26 @@
     if (root == null || !root.path("version").isIntegralNumber()) {
       throw new IOException("the configuration has no version");
     }
+    Set<String> unguarded = parseUnguardedUpstreams(root.path("services"));
     List<RequestClass> classes = new ArrayList<>();
     for (JsonNode route : root.path("routes")) {
-      classes.add(parseRequestClass(route));
+      classes.add(parseRequestClass(route, unguarded));
     }
     return new RouteTable(root.path("version").asLong(), classes);
   }
 
-  private static RequestClass parseRequestClass(JsonNode route) {
+  /** Returns the upstreams whose workers start whatever they are told to. */
+  private static Set<String> parseUnguardedUpstreams(JsonNode services) {
+    Set<String> unguarded = new HashSet<>();
+    for (JsonNode service : services) {
+      if (!service.path("rejectsOverload").asBoolean(true)) {
+        unguarded.add(service.path("name").asText());
+      }
+    }
+    return unguarded;
+  }
+
+  private static RequestClass parseRequestClass(JsonNode route, Set<String> unguarded) {
     return new RequestClass(
         route.path("name").asText(),
         // The host name in the requests, not a machine.
@@ -65,7 +70,8 @@
         route.path("stretch").asDouble(1),
         // Not a run time, but the time that the objective allows beyond the stretched run time.
         route.path("targetRuntimeMs").asLong(),
-        route.hasNonNull("advice"));
+        route.hasNonNull("advice"),
+        unguarded.contains(route.path("service").asText()));
   }
 
   /** Returns the failure domain whose drain a key requests; empty if it is not a drain key. */
@@ -74,57 +80,4 @@
         ? Optional.of(key.substring(DRAIN_PREFIX.length()))
         : Optional.empty();
   }
-
-  /**
-   * Parses a worker's registration.
-   *
-   * @param key the key of the registration
-   * @param text the registration
-   * @return the worker; empty if the registration is invalid
-   */
-  public static Optional<WorkerInfo> parseWorker(String key, String text) {
-    JsonNode root;
-    try {
-      root = JsonText.MAPPER.readTree(text);
-    } catch (IOException e) {
-      return Optional.empty();
-    }
-    if (root == null || !isValidWorker(root)) {
-      return Optional.empty();
-    }
-    JsonNode capacityNode = root.path("capacity");
-    Resources capacity =
-        new Resources(
-            capacityNode.path("cpu").asLong(),
-            capacityNode.path("memMb").asLong(),
-            capacityNode.path("gpu").asLong());
-    // The first label is the kind and the second the rack.
-    List<String> labels = new ArrayList<>();
-    root.path("labels").forEach(label -> labels.add(label.asText()));
-    return Optional.of(
-        new WorkerInfo(
-            key.substring(WORKERS_PREFIX.length()),
-            root.path("service").asText(),
-            root.path("address").asText(),
-            root.path("zone").asText(),
-            capacity,
-            labels.isEmpty() ? "" : labels.get(0),
-            labels.size() < 2 ? "" : labels.get(1),
-            Set.copyOf(labels),
-            root.path("state").asText().equals("draining"),
-            root.path("born").asLong(),
-            Math.max(0, root.path("warmupLeftMs").asLong())));
-  }
-
-  private static boolean isValidWorker(JsonNode root) {
-    String state = root.path("state").asText();
-    JsonNode capacityNode = root.path("capacity");
-    return root.path("service").isTextual()
-        && root.path("address").isTextual()
-        && ADDRESS.matcher(root.path("address").asText()).matches()
-        && (state.equals("ready") || state.equals("draining"))
-        && capacityNode.path("cpu").isNumber()
-        && capacityNode.path("memMb").isNumber()
-        && root.path("labels").isArray();
-  }
 }
--- a/src/test/java/org/marjoramhoist/entry/RosterStoreTest.java
+++ b/src/test/java/org/marjoramhoist/entry/RosterStoreTest.java
@@ -2,11 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramhoist.dispatch.DispatchEvent;
 import org.marjoramhoist.dispatch.RosterChange;
 import org.marjoramhoist.dispatch.WorkerInfo;
@@ -41,16 +44,55 @@
             "10.0.0.1:80",
             "north",
             new Resources(16_000, 65_536, 2),
+            new Resources(32_000, 65_536, 4),
             "a",
             "r-1",
             Set.of("a", "r-1", "ssd"),
             true,
-            1_700_000_000_123L);
+            1_700_000_000_123L,
+            0,
+            0);
     assertThat(StoredWorker.read(StoredWorker.write(worker))).isEqualTo(worker);
     // The format that earlier versions wrote.
     assertThat(StoredWorker.read(JsonText.of(worker))).isEqualTo(worker);
   }
 
+  /** Its runs may still be running on a worker whose stored entry can't be used. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "null",
+        "7",
+        "[]",
+        "{",
+        "{}",
+        "{\"id\":\"other\",\"address\":\"127.0.0.1:1\"}",
+        "{\"address\":\"127.0.0.1:99999\",\"capacity\":{\"cpuMillis\":1e400}}",
+        "{\"capacity\":{\"cpuMillis\":99999999999999999999999999}}"
+      })
+  void oddItemIsWorkerThatCannotBeCalled(String value) throws InterruptedException {
+    store.put("marjoramhoist.roster/0/odd", value);
+    store.put("marjoramhoist.roster/0/w", StoredWorker.write(WORKER));
+    loop.execute(roster::start);
+    Thread.sleep(WAIT_MILLIS);
+    assertThat(events).hasSize(1);
+    List<WorkerInfo> workers = ((DispatchEvent.RosterLoaded) events.poll()).workers();
+    assertThat(workers).hasSize(2);
+    assertThat(workers).contains(WORKER);
+    WorkerInfo odd = workers.get(workers.indexOf(WORKER) == 0 ? 1 : 0);
+    assertThat(odd.id()).isEqualTo("odd");
+    assertThat(odd.address()).isEmpty();
+    assertThat(odd.capacity()).isEqualTo(new Resources(0, 0, 0));
+  }
+
+  @Test
+  void readsWorkerThatVersionWithoutLargestCapacityWrote() throws Exception {
+    ObjectNode stored = (ObjectNode) JsonText.MAPPER.readTree(StoredWorker.write(WORKER));
+    stored.remove("largestCapacity");
+    assertThat(StoredWorker.read(stored.toString())).isEqualTo(WORKER);
+  }
+
   /**
    * After a store outage the leader record may be missing because its lease expired. The term must
    * not end, as no other leader is named and the record may be written again.
