--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -75,6 +75,7 @@
   private final TaskAllocator allocator;
   private final JobRegistry jobs = new JobRegistry();
   private final SuspectTasks suspects = new SuspectTasks();
+  private final ProcessEnds processEnds = new ProcessEnds();
   private final WorkerLossHandler workerLosses;
   private final ExclusiveStarts exclusiveStarts;
 
@@ -120,7 +121,8 @@
         new WorkerSelector(policy, durations, placementStrategy(policy), slowWorkers);
     this.runController = new RunController(policy, new RunEventHandler());
     this.exclusiveStarts =
-        new ExclusiveStarts(suspects, jobs, workerRegistry, runController, workerSelector);
+        new ExclusiveStarts(
+            suspects, jobs, workerRegistry, runController, workerSelector, processEnds);
     this.allocator =
         new TaskAllocator(
             termStart,
@@ -132,7 +134,7 @@
             exclusiveStarts);
     this.workerLosses =
         new WorkerLossHandler(
-            suspects, jobs, workerRegistry, runController, durableJobs, this::end);
+            suspects, jobs, workerRegistry, runController, durableJobs, this::end, processEnds);
     this.jobCalls =
         new JobCallHandler(
             jobs,
@@ -313,7 +315,8 @@
     }
     if (job.isComplete()) {
       end(job, JobOutcome.SUCCEEDED, "completed under a previous leader", now, out);
-    } else if (!job.started && workerRegistry.canNeverRun(job.description(), job.requestClass())) {
+    } else if (!job.started
+        && workerRegistry.fitsNoKnownWorker(job.description(), job.requestClass(), now)) {
       endImpossible(job, now, out);
     } else if (!refuseIfUnservable(job, now, out)) {
       workerLosses.reconsider(job, now, out);
@@ -328,15 +331,17 @@
   }
 
   /**
-   * Ends a job that no known worker could ever run. The leader of a failure domain does not know
-   * the workers of other domains, so it only refuses the job.
+   * Ends a job that no known worker could ever run: as failed if there are no others, otherwise as
+   * refused. The leader of a failure domain does not know the workers of other domains.
    */
   private void endImpossible(Job job, long now, List<DispatchAction> out) {
-    if (guard == null) {
-      String known = workerRegistry.describeKnown(now);
+    String known = workerRegistry.describeKnown(now);
+    if (guard != null) {
+      end(job, JobOutcome.REFUSED, "no worker of the failure domain can run it", now, out);
+    } else if (workerRegistry.areAllKnown(now)) {
       end(job, JobOutcome.FAILED, "no worker can run it: " + known, now, out);
     } else {
-      end(job, JobOutcome.REFUSED, "no worker of the failure domain can run it", now, out);
+      end(job, JobOutcome.REFUSED, "no worker known so far can run it: " + known, now, out);
     }
   }
 
@@ -635,7 +640,7 @@
     @Override
     public void workerExplained(
         Worker worker, boolean crashed, long now, List<DispatchAction> out) {
-      allocationDue |= workerLosses.explain(worker.id(), crashed, now, out);
+      allocationDue |= workerLosses.workerExplained(worker, crashed, now, out);
     }
 
     private String describeLoss(Run run, LossCause cause, long now) {
