Load the other stored jobs beside one that can't be worked with

Seen: a stored record of 2,000,000,000 tasks ended the process that loaded it with "Java heap space", as it would each later leader's. Nine of 49 other cases of OddJobRecordsTest ended in an exception within Dispatcher.step: a record without job, class or needs, a step after one that doesn't exist, progress of tasks that don't exist or of a loss without its worker. The event with all jobs was lost with it, so that this leader, and each later one, knew no stored job. Cause: a record was taken if it could be bound to its type.

StoredJobCheck now says whether a record is that of its key and can be worked with, within the limits of an accepted job, and whether progress is that of the job. As before for what can't be read, STORED_JOB_INVALID names the key, a record is left out, and a job whose progress is unusable is halted. All 49 cases pass, the one of 2,000,000,000 tasks included.

--- a/src/main/java/org/marjoramhoist/entry/JobRecords.java
+++ b/src/main/java/org/marjoramhoist/entry/JobRecords.java
@@ -86,11 +86,20 @@
     List<LoadedJob> jobs = new ArrayList<>();
     for (Item item : records) {
       String id = item.key().substring(RECORDS.length());
-      read(item, StoredJob.class).ifPresent(found -> jobs.add(loaded(found, progressById.get(id))));
+      read(item, StoredJob.class)
+          .filter(found -> checkUsable(StoredJobCheck.isUsable(found, id), item.key()))
+          .ifPresent(found -> jobs.add(loaded(found, progressById.get(id))));
     }
     return jobs;
   }
 
+  private static boolean checkUsable(boolean isUsable, String key) {
+    if (!isUsable) {
+      EventLog.warn(LogEvent.STORED_JOB_INVALID, "key={} reason=values out of range", key);
+    }
+    return isUsable;
+  }
+
   /**
    * Returns a job with its progress, which is null if none is stored and empty if it is invalid.
    */
@@ -98,7 +107,12 @@
     if (progress == null) {
       return new LoadedJob(record, Optional.empty());
     }
-    return new LoadedJob(record, progress, progress.isPresent());
+    Optional<JobProgress> usable =
+        progress.filter(
+            found ->
+                checkUsable(
+                    StoredJobCheck.isUsable(found, record.job()), PROGRESS + record.job().id()));
+    return new LoadedJob(record, usable, usable.isPresent());
   }
 
   /** Reads the jobs that have ended; an invalid one is logged and skipped. */
