Refuse a configuration whose version is out of range; test entries that turn odd

A version of 26 digits wrapped; if it wraps to a large number, all later configurations are refused as older, and a host passes it on to others. The store accepts only valid configurations, so that this was read, not seen; the new line of PlatformFormatsTest was not run against the earlier parser.

OddWorkerEntryClusterTest#runsGoOnWhereTheEntriesTurnOdd: 24 runs of 2.5 s go on to their end, none is started twice, while the entries of all four workers are odd, and the workers serve again when their entries are right.

--- a/src/main/java/org/marjoramhoist/platform/StoreDocuments.java
+++ b/src/main/java/org/marjoramhoist/platform/StoreDocuments.java
@@ -36,8 +36,8 @@
    */
   public static RouteTable parseConfig(String text) throws IOException {
     JsonNode root = JsonText.MAPPER.readTree(text);
-    if (root == null || !root.path("version").isIntegralNumber()) {
-      throw new IOException("the configuration has no version");
+    if (root == null || !isVersion(root.path("version"))) {
+      throw new IOException("the configuration has no version that can be compared");
     }
     Set<String> unguarded = parseUnguardedUpstreams(root.path("services"));
     List<RequestClass> classes = new ArrayList<>();
@@ -58,6 +58,10 @@
     return unguarded;
   }
 
+  private static boolean isVersion(JsonNode version) {
+    return version.isIntegralNumber() && version.canConvertToLong();
+  }
+
   private static RequestClass parseRequestClass(JsonNode route, Set<String> unguarded) {
     return new RequestClass(
         route.path("name").asText(),
--- a/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
+++ b/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
@@ -193,6 +193,9 @@
     assertThat(table.find("b.example", "/p/00")).isEmpty();
     assertThat(table.version()).isEqualTo(7);
     assertThrows(IOException.class, () -> StoreDocuments.parseConfig("{\"routes\":[]}"));
+    // It would be the largest or the smallest version if it wrapped, and newer ones be refused.
+    String large = "{\"version\":99999999999999999999999999,\"routes\":[]}";
+    assertThrows(IOException.class, () -> StoreDocuments.parseConfig(large));
   }
 
   @Test
--- a/src/test/java/org/marjoramhoist/trial/OddWorkerEntryClusterTest.java
+++ b/src/test/java/org/marjoramhoist/trial/OddWorkerEntryClusterTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
@@ -90,6 +91,30 @@
     assertJobsAreServed();
   }
 
+  /** Such a worker is as one that is not listed: it keeps its runs and gets no new ones. */
+  @Test
+  void runsGoOnWhereTheEntriesTurnOdd() throws InterruptedException {
+    assertThat(cluster.awaitReady(READY_MILLIS)).isTrue();
+    String id = String.format(Locale.ROOT, "%016x", ++sent);
+    CompletableFuture<HttpReply> reply =
+        cluster.send(0, "POST", id, PlatformCluster.job(24, 2_500));
+    while (observer.startedTasks().size() < 24) {
+      Thread.sleep(5);
+    }
+    for (int i = 0; i < 4; i++) {
+      cluster.store().put(WORKERS + "worker-" + i, "{}");
+    }
+    assertThat(reply.join()).isEqualTo(new HttpReply(200, "{\"state\":\"succeeded\"}"));
+    assertThat(observer.startCounts().values()).containsExactlyElementsIn(Collections.nCopies(24, 1));
+    for (int i = 0; i < 4; i++) {
+      String entry = cluster.workers().get(i).registration(false);
+      cluster.store().put(WORKERS + "worker-" + i, entry);
+    }
+    assertThat(cluster.awaitReady(READY_MILLIS)).isTrue();
+    Thread.sleep(READY_MILLIS / 10);
+    assertJobsAreServed();
+  }
+
   @Test
   void jobsAreServedBesideEachOddEntry() throws InterruptedException, IOException {
     assertThat(cluster.awaitReady(READY_MILLIS)).isTrue();
