Parse no worker entry, host entry or roster item of more than 64 Ki characters

An entry of 1 MB of empty lists, objects or small numbers under a field that isn't used was parsed into a tree twice a second, and named a worker (OddWorkerEntryTest#longEntryTakesLittleMemory, five of five failed: a worker was returned). A tree takes many times the memory of its text; a process that lacks memory ends, and so does each later leader's. No process was seen to end of this; the peak was not measured.

Such a text is now refused by its length, before it is parsed: parsing takes less memory than the text has characters. The largest entry that is in range has under 64 Ki characters in the roster (WorkerListTest).

--- a/src/main/java/org/marjoramhoist/json/CheckedObject.java
+++ b/src/main/java/org/marjoramhoist/json/CheckedObject.java
@@ -13,6 +13,9 @@
  */
 public final class CheckedObject {
 
+  /** The longest text that is read, in characters; its tree takes many times that in memory. */
+  private static final int MAX_CHARS = 64 * 1024;
+
   private final JsonNode node;
 
   private CheckedObject(JsonNode node) {
@@ -23,10 +26,13 @@
    * Parses a text.
    *
    * @param text the text; may be null
-   * @throws IOException if the text is not a JSON object that can be read
+   * @throws IOException if the text is too long or not a JSON object that can be read
    */
   public static CheckedObject parse(String text) throws IOException {
-    return of(text == null ? null : JsonText.MAPPER.readTree(text), "the text");
+    if (text == null || text.length() > MAX_CHARS) {
+      throw new IOException(text == null ? "there is no text" : "the text is too long");
+    }
+    return of(JsonText.MAPPER.readTree(text), "the text");
   }
 
   private static CheckedObject of(JsonNode node, String what) throws IOException {
--- a/src/test/java/org/marjoramhoist/entry/WorkerListTest.java
+++ b/src/test/java/org/marjoramhoist/entry/WorkerListTest.java
@@ -62,7 +62,7 @@
             .replace("[]", "[" + labels + "]");
     List<WorkerInfo> workers = list.read(List.of(item(id, entry)));
     assertThat(workers).hasSize(1);
-    assertThat(StoredWorker.write(workers.get(0)).length()).isLessThan((1 << 20) / 4);
+    assertThat(StoredWorker.write(workers.get(0)).length()).isLessThan(64 * 1024);
     assertThat(StoredWorker.read(StoredWorker.write(workers.get(0)))).isEqualTo(workers.get(0));
     assertThat(("marjoramhoist.roster/0/" + id).length()).isAtMost(200);
   }
--- a/src/test/java/org/marjoramhoist/platform/OddWorkerEntryTest.java
+++ b/src/test/java/org/marjoramhoist/platform/OddWorkerEntryTest.java
@@ -4,7 +4,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.management.ThreadMXBean;
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -174,6 +176,19 @@
     assertThat(parse(null)).isEmpty();
   }
 
+  /** A process of a host has little memory, and a tree takes many times that of its text. */
+  @ParameterizedTest
+  @ValueSource(strings = {"[]", "{}", "{\"\":0}", "0", "\"\""})
+  void longEntryTakesLittleMemory(String item) throws IOException {
+    String items = "[" + (item + ",").repeat(1_000_000 / (item.length() + 1)) + item + "]";
+    String entry = entryWith(new Odd("other", items));
+    assertThat(parse(entry)).isEmpty();
+    ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+    long before = threads.getCurrentThreadAllocatedBytes();
+    parse(entry);
+    assertThat(threads.getCurrentThreadAllocatedBytes() - before).isLessThan(entry.length());
+  }
+
   /** An id is sent to the worker in a header, and is part of a key that the store limits. */
   @Test
   void oddIdNamesNoWorker() {
