--- a/src/main/java/org/marjoramhoist/entry/CallerListener.java
+++ b/src/main/java/org/marjoramhoist/entry/CallerListener.java
@@ -30,7 +30,7 @@
 
   private final HttpOpenListener connections;
   private final AcceptingChannel<StreamConnection> socket;
-  private volatile boolean accepting = true;
+  private volatile boolean closed;
 
   /**
    * Starts to listen.
@@ -67,25 +67,31 @@
     connections.setRootHandler(handler);
   }
 
-  /** Accepts connections that wait, no more than the socket may hold, and then no more. */
+  /** Accepts connections that wait, no more than the socket may hold, and closes the socket. */
   void stopAccepting() {
     socket.suspendAccepts();
     int left = ACCEPT_BACKLOG;
     while (left > 0 && acceptNext(socket)) {
       left--;
     }
-    accepting = false;
     IoUtils.safeClose(socket);
   }
 
-  /** Accepts a connection that waits and returns whether there was one. */
+  /**
+   * Takes a connection that waits, also after the socket was closed, as the I/O thread would call
+   * this again and again otherwise. Returns whether there was one.
+   */
   private boolean acceptNext(AcceptingChannel<StreamConnection> channel) {
     try {
-      StreamConnection accepted = accepting ? channel.accept() : null;
+      StreamConnection accepted = channel.accept();
       if (accepted == null) {
         return false;
       }
-      connections.handleEvent(accepted);
+      if (closed) {
+        IoUtils.safeClose(accepted);
+      } else {
+        connections.handleEvent(accepted);
+      }
       return true;
     } catch (ClosedChannelException e) {
       return false;
@@ -95,14 +101,14 @@
     }
   }
 
-  /** Closes all connections before anything more is read from them. */
+  /** Closes all connections before anything more is read from them, and those that still wait. */
   void closeConnections() {
+    closed = true;
     connections.closeConnections();
   }
 
   @Override
   public void close() {
-    accepting = false;
     IoUtils.safeClose(socket);
     closeConnections();
   }
