Answer a resubmitted job truthfully while its host stops

A refusal says that the job has not run. A stopping host refused each new request by its head, also the second submission of a job that was open at this host, or that it had given up. Such a caller now gets the job's result, or 504 where it may have run. Found by reading; OpenJobsTest has both cases. The stop of a host with a half-read body is tested with the real handler, too.

--- a/src/main/java/org/marjoramhoist/entry/JobHttpHandler.java
+++ b/src/main/java/org/marjoramhoist/entry/JobHttpHandler.java
@@ -97,15 +97,31 @@
     route(exchange, found.get(), path.substring(found.get().pathPrefix().length()));
   }
 
-  /** Refuses a request, which has not run, because this host stops. */
+  /**
+   * Refuses a request because this host stops; a job that was submitted here before is answered
+   * truthfully.
+   */
   void refuseStopping(HttpServerExchange exchange) {
     String path = exchange.getRequestPath();
-    EventLog.info(
-        LogEvent.JOB_ANSWERED,
-        "job={} outcome=REFUSED reason=the host stops retryAfterMillis={}",
-        path.substring(path.lastIndexOf('/') + 1),
-        STOP_RETRY_MILLIS);
-    replyRefused(exchange, STOP_RETRY_MILLIS);
+    JobId id;
+    try {
+      id = new JobId(path.substring(path.lastIndexOf('/') + 1));
+    } catch (IllegalArgumentException e) {
+      replyRefused(exchange, STOP_RETRY_MILLIS);
+      return;
+    }
+    if (exchange.getRequestMethod().equals(Methods.POST)) {
+      exchange.dispatch(
+          SameThreadExecutor.INSTANCE,
+          () ->
+              jobs.refuse(
+                  id,
+                  "the host stops",
+                  STOP_RETRY_MILLIS,
+                  result -> replyResult(exchange, result)));
+    } else {
+      replyRefused(exchange, STOP_RETRY_MILLIS);
+    }
   }
 
   private void route(HttpServerExchange exchange, RequestClass requestClass, String jobPath) {
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -119,6 +119,22 @@
     send(openJob);
   }
 
+  /**
+   * Refuses a job without sending it to a leader. A caller of a job that is open or has a result
+   * gets that result instead, as the job has run or may run.
+   */
+  void refuse(JobId id, String reason, long retryAfterMillis, Consumer<Finished> caller) {
+    OpenJob existing = open.get(id);
+    if (existing != null) {
+      existing.callers.add(caller);
+      return;
+    }
+    long now = EventLoop.now();
+    Finished previous = recentResults.findFinal(id, now);
+    Finished refusal = new Finished(id, JobOutcome.REFUSED, reason, retryAfterMillis);
+    caller.accept(previous != null ? previous : recentResults.reconcile(refusal, now));
+  }
+
   private static boolean isUnsent(OpenJob openJob) {
     return openJob.sentTerm == 0 && openJob.domainLeader == null;
   }
--- a/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
@@ -57,6 +57,33 @@
     return new Finished(ID, outcome, "test", 0);
   }
 
+  private void refuse() {
+    jobs.refuse(ID, "the host stops", 1_000, result -> outcomes.add(result.outcome()));
+  }
+
+  @Test
+  void refusedJobThatRunsGetsItsResult() {
+    refuse();
+    assertThat(outcomes).containsExactly(JobOutcome.REFUSED);
+    leaderTracker.leaderFound(leaderChannel("partition", 7));
+    submit(ID);
+    refuse();
+    assertThat(outcomes).hasSize(1);
+    jobs.finished(result(JobOutcome.SUCCEEDED));
+    refuse();
+    assertThat(outcomes.subList(1, 4))
+        .containsExactly(JobOutcome.SUCCEEDED, JobOutcome.SUCCEEDED, JobOutcome.SUCCEEDED);
+  }
+
+  @Test
+  void refusedJobThatWasAbandonedIsNotCalledUnrun() {
+    leaderTracker.leaderFound(leaderChannel("partition", 7));
+    submit(ID);
+    jobs.abandonAll();
+    refuse();
+    assertThat(outcomes).containsExactly(JobOutcome.ABANDONED, JobOutcome.ABANDONED);
+  }
+
   @Test
   void unsentJobGoesToDomainLeader() {
     submit(ID);
--- a/src/test/java/org/marjoramhoist/trial/PlannedStopClusterTest.java
+++ b/src/test/java/org/marjoramhoist/trial/PlannedStopClusterTest.java
@@ -148,7 +148,10 @@
   void jobThatCannotEndBeforeTheHostIsRefusedUnstarted() throws IOException, InterruptedException {
     int host = (leader() + 1) % HOSTS;
     try (RawCaller caller = new RawCaller(cluster.address(host));
-        RawCaller open = new RawCaller(cluster.address(host))) {
+        RawCaller open = new RawCaller(cluster.address(host));
+        RawCaller halfRead = new RawCaller(cluster.address(host))) {
+      byte[] request = SteadyCallers.submission("00000000000000c3", PlatformCluster.job(1, 30));
+      halfRead.send(request, 0, request.length - 1);
       open.send(SteadyCallers.submission("00000000000000c1", PlatformCluster.job(1, 9_000)));
       Thread.sleep(100);
       final CompletableFuture<Long> stopped = stopLater(host);
@@ -159,6 +162,7 @@
       assertThat(response.headers()).containsKey("retry-after");
       assertThat(startedJobs()).doesNotContain("00000000000000c2");
       assertThat(open.receive().status()).isEqualTo(504);
+      assertThat(halfRead.receive().status()).isEqualTo(503);
       assertThat(stopped.join()).isLessThan(DRAIN_MILLIS);
     }
   }
