--- a/src/main/java/org/marjoramhoist/entry/JobHttpHandler.java
+++ b/src/main/java/org/marjoramhoist/entry/JobHttpHandler.java
@@ -97,14 +97,30 @@
     route(exchange, found.get(), path.substring(found.get().pathPrefix().length()));
   }
 
-  /** Refuses a request because this host stops, unless its job may have run. */
+  /**
+   * Refuses a request because this host stops; a job that was submitted here before is answered
+   * truthfully.
+   */
   void refuseStopping(HttpServerExchange exchange) {
     String path = exchange.getRequestPath();
+    JobId id;
     try {
-      JobId id = new JobId(path.substring(path.lastIndexOf('/') + 1));
-      replyResult(exchange, jobs.refusal(id, "the host stops", STOP_RETRY_MILLIS));
+      id = new JobId(path.substring(path.lastIndexOf('/') + 1));
     } catch (IllegalArgumentException e) {
       replyRefused(exchange, STOP_RETRY_MILLIS);
+      return;
+    }
+    if (exchange.getRequestMethod().equals(Methods.POST)) {
+      exchange.dispatch(
+          SameThreadExecutor.INSTANCE,
+          () ->
+              jobs.refuse(
+                  id,
+                  "the host stops",
+                  STOP_RETRY_MILLIS,
+                  result -> replyResult(exchange, result)));
+    } else {
+      replyRefused(exchange, STOP_RETRY_MILLIS);
     }
   }
 
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -119,6 +119,22 @@
     send(openJob);
   }
 
+  /**
+   * Refuses a job without sending it to a leader. A caller of a job that is open or has a result
+   * gets that result instead, as the job has run or may run.
+   */
+  void refuse(JobId id, String reason, long retryAfterMillis, Consumer<Finished> caller) {
+    OpenJob existing = open.get(id);
+    if (existing != null) {
+      existing.callers.add(caller);
+      return;
+    }
+    long now = EventLoop.now();
+    Finished previous = recentResults.findFinal(id, now);
+    Finished refusal = new Finished(id, JobOutcome.REFUSED, reason, retryAfterMillis);
+    caller.accept(previous != null ? previous : recentResults.reconcile(refusal, now));
+  }
+
   private static boolean isUnsent(OpenJob openJob) {
     return openJob.sentTerm == 0 && openJob.domainLeader == null;
   }
@@ -295,17 +311,6 @@
     }
   }
 
-  /**
-   * Returns the result for a request that this host takes no more. A job that is open here, or that
-   * may have run before, isn't refused.
-   */
-  Finished refusal(JobId id, String reason, long retryAfterMillis) {
-    Finished refused = new Finished(id, JobOutcome.REFUSED, reason, retryAfterMillis);
-    return isOpen(id)
-        ? new Finished(id, JobOutcome.ABANDONED, reason, 0)
-        : recentResults.reconcile(refused, EventLoop.now());
-  }
-
   /** Withdraws all open jobs and completes them without their results before the host stops. */
   void abandonAll() {
     for (OpenJob openJob : List.copyOf(open.values())) {
--- a/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
@@ -57,6 +57,33 @@
     return new Finished(ID, outcome, "test", 0);
   }
 
+  private void refuse() {
+    jobs.refuse(ID, "the host stops", 1_000, result -> outcomes.add(result.outcome()));
+  }
+
+  @Test
+  void refusedJobThatRunsGetsItsResult() {
+    refuse();
+    assertThat(outcomes).containsExactly(JobOutcome.REFUSED);
+    leaderTracker.leaderFound(leaderChannel("partition", 7));
+    submit(ID);
+    refuse();
+    assertThat(outcomes).hasSize(1);
+    jobs.finished(result(JobOutcome.SUCCEEDED));
+    refuse();
+    assertThat(outcomes.subList(1, 4))
+        .containsExactly(JobOutcome.SUCCEEDED, JobOutcome.SUCCEEDED, JobOutcome.SUCCEEDED);
+  }
+
+  @Test
+  void refusedJobThatWasAbandonedIsNotCalledUnrun() {
+    leaderTracker.leaderFound(leaderChannel("partition", 7));
+    submit(ID);
+    jobs.abandonAll();
+    refuse();
+    assertThat(outcomes).containsExactly(JobOutcome.ABANDONED, JobOutcome.ABANDONED);
+  }
+
   @Test
   void unsentJobGoesToDomainLeader() {
     submit(ID);
@@ -105,17 +132,6 @@
     assertThat(outcomes).isEmpty();
   }
 
-  /** A stopping host told a caller that its job had not run while it was running for another. */
-  @Test
-  void openJobIsNotRefused() {
-    assertThat(jobs.refusal(ID, "test", 1).outcome()).isEqualTo(JobOutcome.REFUSED);
-    leaderTracker.leaderFound(leaderChannel("partition", 7));
-    submit(ID);
-    assertThat(jobs.refusal(ID, "test", 1).outcome()).isEqualTo(JobOutcome.ABANDONED);
-    jobs.finished(result(JobOutcome.ABANDONED));
-    assertThat(jobs.refusal(ID, "test", 1).outcome()).isEqualTo(JobOutcome.ABANDONED);
-  }
-
   @Test
   void resubmittedJobGetsSameResultUnderLaterLeader() {
     leaderTracker.leaderFound(leaderChannel("partition", 7));
