--- a/src/test/java/org/marjoramhoist/trial/OddWorkerEntryClusterTest.java
+++ b/src/test/java/org/marjoramhoist/trial/OddWorkerEntryClusterTest.java
@@ -105,7 +105,8 @@
       cluster.store().put(WORKERS + "worker-" + i, "{}");
     }
     assertThat(reply.join()).isEqualTo(new HttpReply(200, "{\"state\":\"succeeded\"}"));
-    assertThat(observer.startCounts().values()).containsExactlyElementsIn(Collections.nCopies(24, 1));
+    assertThat(observer.startCounts().values())
+        .containsExactlyElementsIn(Collections.nCopies(24, 1));
     for (int i = 0; i < 4; i++) {
       String entry = cluster.workers().get(i).registration(false);
       cluster.store().put(WORKERS + "worker-" + i, entry);
