Count refusals of other hosts only while the store responds

A refused connection counts as an answer of a host without a process, so a host that all others refuse has a majority; its write of the leader record was under way as the store came back. Evidence: in front-thrissur-9 suspects the leader at 20.734 s, behind the cut, and is elected at 20.752 s, just after the heal, with earlierLeaderGone=true, while front-kottayam-1 leads. Test: LeaderPollTest.refusalsDoNotCountWhileTheStoreIsCutOffToo, of the new method; before, the poll's answers were passed on whatever the store did. Fix: while the store does not respond only replies count. Hosts that start again after a loss of all have just heard the store, so that they are elected as soon as before.

--- a/src/main/java/org/marjoramhoist/entry/LeaderPoll.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderPoll.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.marjoramhoist.lead.ElectionEvent;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.LeaderQuery;
 import org.marjoramhoist.message.HostMessage.LeaderQueryReply;
@@ -51,7 +52,20 @@
       int replied,
       boolean leaderAlive,
       boolean leaderRefuses,
-      boolean leaderStopped) {}
+      boolean leaderStopped) {
+
+    /**
+     * Returns the result for the election. Refusals count only while the store responds: a cut that
+     * refuses connections to other hosts usually cuts the store off too.
+     */
+    ElectionEvent.HostsPolled toEvent(boolean storeResponds) {
+      return new ElectionEvent.HostsPolled(
+          storeResponds ? answered : replied,
+          leaderAlive,
+          leaderRefuses && storeResponds,
+          leaderStopped);
+    }
+  }
 
   private LeaderPoll(String self, String leader, int requiredAnswers, Consumer<Result> result) {
     this.self = self;
--- a/src/main/java/org/marjoramhoist/entry/PartitionMember.java
+++ b/src/main/java/org/marjoramhoist/entry/PartitionMember.java
@@ -215,12 +215,7 @@
     if (isolated && election.knownTerm() != 0) {
       domain.domainIsolated();
     }
-    handle(
-        new ElectionEvent.HostsPolled(
-            result.answered(),
-            result.leaderAlive(),
-            result.leaderRefuses(),
-            result.leaderStopped()));
+    handle(result.toEvent(health.isAvailable()));
   }
 
   /** Handles the list of workers that this host has read as leader. */
--- a/src/test/java/org/marjoramhoist/entry/LeaderPollTest.java
+++ b/src/test/java/org/marjoramhoist/entry/LeaderPollTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.http.HostPort;
 import org.marjoramhoist.http.LoopbackServer;
+import org.marjoramhoist.lead.ElectionEvent;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.LeaderQuery;
 import org.marjoramhoist.message.HostMessage.LeaderQueryReply;
@@ -61,4 +62,17 @@
         () -> LeaderPoll.start("self", hosts, "leader", 2, network, loop, result::complete));
     return result.get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
   }
+
+  /**
+   * As a cut healed, a host behind it that all others had just refused took itself for elected by
+   * them, while they followed the leader.
+   */
+  @Test
+  void refusalsDoNotCountWhileTheStoreIsCutOffToo() {
+    LeaderPoll.Result result = new LeaderPoll.Result(32, 8, false, true, false);
+    assertThat(result.toEvent(false))
+        .isEqualTo(new ElectionEvent.HostsPolled(8, false, false, false));
+    assertThat(result.toEvent(true))
+        .isEqualTo(new ElectionEvent.HostsPolled(32, false, true, false));
+  }
 }
