Say after 5 s of a term, not 15 s, that no worker can run a job

The stored roster carries the largest capacities since, so the rest of the 15 s had lost its reason. RefusingCutTest, WorkerCapacityTest, ChangingCapacityTest and DomainDrainTest pass with 5 s.

--- a/src/main/java/org/marjoramhoist/dispatch/WorkerRegistry.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerRegistry.java
@@ -38,7 +38,7 @@
    * How long after its start a leader may not know workers that are cut off, nor how large workers
    * were that have shrunk.
    */
-  private static final long LEARNING_MICROS = 15_000_000;
+  private static final long LEARNING_MICROS = 5_000_000;
 
   private static final int MAX_LOGGED_IDS = 8;
 
