Write the copies of a worker's entry once

Behaviour as before; withoutWarmUp, which leaves out the clock too, is withoutTimes. RosterTest, RosterStoreTest, WorkerCapacityTest, DomainDispatchTest and HostMessageVersionsTest pass.

--- a/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerInfo.java
@@ -79,92 +79,50 @@
     if (largestCapacity.covers(earlier)) {
       return this;
     }
-    return new WorkerInfo(
-        id,
-        upstream,
-        address,
-        failureDomain,
-        capacity,
-        largestCapacity.max(earlier),
-        kind,
-        rack,
-        labels,
-        draining,
-        bornMillis,
-        warmUpMillis,
-        clockMillis);
+    return copy(id, capacity, largestCapacity.max(earlier), bornMillis, warmUpMillis, clockMillis);
   }
 
   /** Returns the same entry with another capacity. */
   public WorkerInfo withCapacity(Resources newCapacity) {
-    return new WorkerInfo(
-        id,
-        upstream,
-        address,
-        failureDomain,
-        newCapacity,
-        newCapacity,
-        kind,
-        rack,
-        labels,
-        draining,
-        bornMillis,
-        warmUpMillis,
-        clockMillis);
+    return copy(id, newCapacity, newCapacity, bornMillis, warmUpMillis, clockMillis);
   }
 
   /** Returns the same entry, written by an incarnation at a time on its steady clock. */
   public WorkerInfo writtenBy(long newBornMillis, long newClockMillis) {
-    return new WorkerInfo(
-        id,
-        upstream,
-        address,
-        failureDomain,
-        capacity,
-        largestCapacity,
-        kind,
-        rack,
-        labels,
-        draining,
-        newBornMillis,
-        warmUpMillis,
-        newClockMillis);
+    return copy(id, capacity, largestCapacity, newBornMillis, warmUpMillis, newClockMillis);
   }
 
   /** Returns the same entry with another id. */
   public WorkerInfo withId(String newId) {
-    return new WorkerInfo(
-        newId,
-        upstream,
-        address,
-        failureDomain,
-        capacity,
-        largestCapacity,
-        kind,
-        rack,
-        labels,
-        draining,
-        bornMillis,
-        warmUpMillis,
-        clockMillis);
+    return copy(newId, capacity, largestCapacity, bornMillis, warmUpMillis, clockMillis);
   }
 
   /** Returns the same entry without a warm-up time and a clock. */
-  public WorkerInfo withoutWarmUp() {
+  public WorkerInfo withoutTimes() {
+    return copy(id, capacity, largestCapacity, bornMillis, 0, 0);
+  }
+
+  private WorkerInfo copy(
+      String newId,
+      Resources newCapacity,
+      Resources newLargestCapacity,
+      long newBornMillis,
+      long newWarmUpMillis,
+      long newClockMillis) {
     return new WorkerInfo(
-        id,
+        newId,
         upstream,
         address,
         failureDomain,
-        capacity,
-        largestCapacity,
+        newCapacity,
+        newLargestCapacity,
         kind,
         rack,
         labels,
         draining,
-        bornMillis,
-        0,
-        0);
+        newBornMillis,
+        newWarmUpMillis,
+        newClockMillis);
   }
 
   // Written by hand: linking the generated methods takes milliseconds of a process's start.
--- a/src/main/java/org/marjoramhoist/entry/DomainWorkerLists.java
+++ b/src/main/java/org/marjoramhoist/entry/DomainWorkerLists.java
@@ -25,7 +25,7 @@
     Map<String, List<WorkerInfo>> next = new HashMap<>();
     for (WorkerInfo worker : workers) {
       next.computeIfAbsent(worker.failureDomain(), domain -> new ArrayList<>())
-          .add(worker.withoutWarmUp());
+          .add(worker.withoutTimes());
     }
     byDomain.keySet().retainAll(next.keySet());
     // Keeps the same object for an unchanged list; pendingUpdate compares by identity.
