--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -164,6 +164,16 @@
     throw new IOException("no free port");
   }
 
+  /**
+   * Whether single hosts can be cut off from the other hosts and the store, and not failure domains
+   * with their workers.
+   */
+  boolean cutsHosts;
+
+  private String netZone(String host, String zone) {
+    return cutsHosts ? host : zone;
+  }
+
   /** Lets all that is started from now on reach each other through a network that can be cut. */
   Network useNetwork() throws IOException {
     network = new Network();
@@ -179,6 +189,9 @@
     return network == null ? store.address() : "127.0.0.1:" + storePort;
   }
 
+  /** Whether the workers reject what does not fit. */
+  boolean guards = true;
+
   /** Writes a configuration with one queue. */
   void configure(int version, int attempts) {
     store.put(
@@ -193,7 +206,9 @@
             + "\"service\":\"limitsvc\",\"attempts\":"
             + attempts
             + ",\"stretch\":1.6}],\"services\":[{\"name\":\"limitsvc\",\"healthPath\":\"/health\","
-            + "\"maxConns\":64,\"protocol\":\"h1\",\"tls\":false,\"rejectsOverload\":true,"
+            + "\"maxConns\":64,\"protocol\":\"h1\",\"tls\":false,\"rejectsOverload\":"
+            + guards
+            + ","
             + "\"spare\":false}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"
             + "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
   }
@@ -222,11 +237,12 @@
             String.valueOf(taskCpu),
             storeAddress(),
             String.valueOf(HEARTBEAT_MILLIS),
-            String.valueOf(network == null ? port : network.expose(port, zone)));
+            String.valueOf(
+                network == null || cutsHosts ? port : network.expose(port, zone)));
     WorkerProcess worker = new WorkerProcess(id, port, command);
     workers.put(id, worker);
     startProcess(worker);
-    if (network != null) {
+    if (network != null && !cutsHosts) {
       network.register(worker.process, zone);
     }
   }
@@ -330,11 +346,11 @@
         word -> word.equals("/etc/marjoramhoist/local.yaml") ? settings.toString() : word);
     if (network != null) {
       // Hosts register the address that they listen on. The others have to reach it by the proxy.
-      store.translate("127.0.0.1:" + peers, "127.0.0.1:" + network.expose(peers, zone));
+      store.translate("127.0.0.1:" + peers, "127.0.0.1:" + network.expose(peers, netZone(name, zone)));
     }
     Host host = new Host(name, zone, front, ready, startHostProcess(name, command), command);
     if (network != null) {
-      network.register(host.process(), zone);
+      network.register(host.process(), netZone(name, zone));
     }
     hosts.add(host);
     return host;
--- a/review/lab/Network.java
+++ b/review/lab/Network.java
@@ -20,7 +20,7 @@
  *
  * <p>All processes share one address, so a proxy finds the process at the other end of a connection
  * by its port, among the processes that were registered here. Others, such as clients, are never
- * cut off.
+ * cut off, nor are servers that are not exposed here.
  */
 final class Network implements AutoCloseable {
 
--- a/review/lab/Worker.java
+++ b/review/lab/Worker.java
@@ -19,7 +19,8 @@
  * <p>Arguments: port, id, zone, kind, rack, cpu, cpu of a task, store, heartbeatMs, the
  * port that others reach it at. Commands on
  * standard input: `fail N` (the next N runs end failed, by the worker's fault), `refuse` and
- * `accept` (starts are answered with 503), `drain`, `late X` (a share X of the orders gets no answer
+ * `accept` (starts are answered with 503), `unguarded` (starts whatever it is told to), `drain`,
+ * `late X` (a share X of the orders gets no answer
  * and is carried out 2 to 12 s later).
  */
 final class Worker {
@@ -58,6 +59,7 @@
   private long seq;
   private int runsToFail;
   private boolean refuses;
+  private boolean guards = true;
   private boolean draining;
   private double lateShare;
 
@@ -102,6 +104,7 @@
       case "fail" -> runsToFail = Integer.parseInt(words[1]);
       case "refuse" -> refuses = true;
       case "accept" -> refuses = false;
+      case "unguarded" -> guards = false;
       case "drain" -> draining = true;
       case "late" -> lateShare = Double.parseDouble(words[1]);
       default -> throw new IllegalArgumentException(words[0]);
@@ -265,7 +268,8 @@
     if (present != null || highestOver.getOrDefault(task, 0L) >= number) {
       return rejected("old");
     }
-    if ((running.size() + 1) * taskCpu > cpu) {
+    boolean over = (running.size() + 1) * taskCpu > cpu;
+    if (over && guards) {
       return rejected("room");
     }
     Run run = new Run();
@@ -279,6 +283,9 @@
     }
     running.put(task, run);
     print("start", task + " run=" + number + " fence=" + fence);
+    if (over) {
+      print("over", task + " run=" + number + " cpu=" + running.size() * taskCpu);
+    }
     return reply(200, Map.of());
   }
 
