Review case 5: a single host that is cut off leads workers that are in use

Cause: a host that is the only one of its failure domain takes itself for a cut domain, and leads workers that the partition's leader goes on using, with the same fencing token. Change: a script case with its claim.

--- a/review/5/Case5.java
+++ b/review/5/Case5.java
@@ -1,71 +1,68 @@
 import java.util.List;
-import java.util.stream.IntStream;
 
-/** The only worker that may run some jobs rejects orders for a time, as it is unhealthy. */
+/** A host that is cut off from the other hosts leads workers that the partition's leader uses. */
 final class Case5 {
 
-  private static final int WORKERS = 13;
-  private static final int JOBS = 20;
-  private static final long UNHEALTHY_MILLIS = 6_500;
+  private static final int ZONES = 4;
+  private static final int WORKERS = 8;
+  private static final int PLACES = 8;
+  private static final long CUT_MILLIS = 5_000;
 
   public static void main(String[] args) {
     Lab.run(args[0], Case5::run);
   }
 
-  private static String id(int number) {
-    return String.format("%016x", 0xb500 + number);
-  }
-
   private static boolean run(Lab lab) throws Exception {
+    lab.cutsHosts = true;
+    lab.guards = false;
+    Network network = lab.useNetwork();
     lab.configure(1, 3);
-    for (int i = 0; i < WORKERS; i++) {
-      lab.startWorker(
-          "w" + i,
-          "osl-" + (char) ('a' + i % 3),
-          i % 3 == 2 ? "b" : "a",
-          "r1-" + (1 + i / 6),
-          16_000,
-          500);
+    for (int i = 0; i < ZONES; i++) {
+      lab.startHost("front-" + (char) ('a' + i) + "-1", "osl-" + (char) ('a' + i));
     }
-    lab.startHosts(3);
-    String worker = "w" + (WORKERS - 1);
-    if (lab.trouble) {
-      lab.command(worker, "refuse");
+    lab.await("a leader", 20_000, () -> lab.leader() != null);
+    lab.sleep(2_000);
+    Lab.Host cutOff = lab.follower(ZONES - 2);
+    List<String> others =
+        lab.hosts.stream().map(Lab.Host::zone).filter(z -> !z.equals(cutOff.zone())).toList();
+    for (int i = 0; i < WORKERS; i++) {
+      String zone = i < 2 ? cutOff.zone() : others.get(i % others.size());
+      lab.startWorker("w" + i, zone, "a", "r1-" + (1 + i / 6), 16_000, 16_000 / PLACES);
     }
-    final long unhealthySince = lab.now();
-    String body =
-        "{\"spec\":\"300\",\"steps\":[{\"count\":1,\"cpu\":500,\"memMb\":64,\"estimateMs\":300,"
-            + "\"requiredLabel\":\"r1-3\"}]}";
-    for (int i = 0; i < JOBS; i++) {
-      Lab.Answer answer = lab.call(lab.follower(i % 2), "POST", Lab.PREFIX + id(i), body, 5_000);
-      if (answer.status() != 200) {
-        throw new IllegalStateException("a job was not accepted");
-      }
+    lab.awaitReady();
+    for (String worker : lab.workers.keySet()) {
+      lab.command(worker, "unguarded");
     }
-    long acceptedAt = lab.now();
-    // visible_ms + 2 s after the last acknowledgement each job that has not begun has to count.
-    lab.sleep(acceptedAt + Lab.VISIBLE_MILLIS + 2_000 + 300 - lab.now());
-    boolean held = true;
-    for (Lab.Host host : lab.hosts) {
-      long waitingJobs =
-          IntStream.range(0, JOBS).filter(i -> lab.of(id(i), "start").isEmpty()).count();
-      Lab.Answer answer = lab.call(host, "GET", Lab.PREFIX, null, 5_000);
-      long shown = Json.number(Json.object(answer.body()), "waiting");
-      lab.log(
-          host.name() + ": accepted jobs that have not begun " + waitingJobs + ", shown " + shown);
-      held &= 2 * shown >= waitingJobs;
+    Lab.Host leader = lab.leader();
+    if (leader == cutOff) {
+      throw new IllegalStateException("the leader has changed");
     }
-    lab.sleep(unhealthySince + UNHEALTHY_MILLIS - lab.now());
     if (lab.trouble) {
-      lab.command(worker, "accept");
+      lab.log("CUT of " + cutOff.name());
+      network.cut(cutOff.name());
+    }
+    final long cutAt = lab.now();
+    for (int i = 0; lab.now() < cutAt + CUT_MILLIS; i++) {
+      String effort = String.format("%016x", 0xd600 + i);
+      lab.callLater(cutOff, "POST", Lab.PREFIX + effort, job(PLACES, true), 10_000);
+      lab.sleep(300);
+      String stored = String.format("%016x", 0xc600 + i);
+      lab.callLater(leader, "POST", Lab.PREFIX + stored, job(WORKERS * PLACES, false), 10_000);
+      lab.sleep(700);
     }
+    network.cut(null);
+    lab.log("HEALED");
     lab.sleep(4_000);
-    List<String> states =
-        IntStream.range(0, JOBS)
-            .mapToObj(i -> lab.call(lab.hosts.get(0), "GET", Lab.PREFIX + id(i), null, 5_000).body())
-            .distinct()
-            .toList();
-    lab.log("states at the end: " + states);
-    return held;
+    int over = lab.find(event -> event.what().equals("over")).size();
+    lab.log("starts that brought a worker over its capacity: " + over);
+    return over == 0;
+  }
+
+  private static String job(int tasks, boolean bestEffort) {
+    return "{\"spec\":\"1500\","
+        + (bestEffort ? "\"bestEffort\":true," : "")
+        + "\"steps\":[{\"count\":"
+        + tasks
+        + ",\"cpu\":2000,\"memMb\":64,\"estimateMs\":1500}]}";
   }
 }
