Review case 2: clients with the site's deadline too

Cause: the case used a client that waits 10 s only; those of the site wait 1.5 s. Change: both clients, over a connection each.

--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -1,5 +1,7 @@
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 /** A client behind a cut loses its connection and sends its job again, to a host outside the cut. */
 final class Case2 {
@@ -8,7 +10,8 @@
   private static final int WORKERS = 8;
   private static final long CUT_MILLIS = 5_500;
   private static final long RESEND_MILLIS = 1_300;
-  private static final String JOB = "00000000000000a2";
+  private static final String USUAL_JOB = "00000000000000a2";
+  private static final String PATIENT_JOB = "00000000000000b2";
 
   public static void main(String[] args) {
     Lab.run(args[0], Case2::run);
@@ -36,50 +39,79 @@
     }
     Lab.Host outside =
         lab.hosts.stream().filter(h -> h != cutOff && h != leader).findFirst().orElseThrow();
-    String path = Lab.PREFIX + JOB;
+    if (lab.trouble) {
+      lab.log("CUT of " + cutOff.zone());
+      network.cut(cutOff.zone());
+    }
+    final long cutAt = lab.now();
+    lab.sleep(1_500);
+    // The deadline of this site's clients, and one of clients that wait longer.
+    CompletableFuture<Void> usual =
+        CompletableFuture.runAsync(
+            () -> sendTwice(lab, cutOff, outside, USUAL_JOB, 1_800, 1_200, 1_500, 100));
+    CompletableFuture<Void> patient =
+        CompletableFuture.runAsync(
+            () -> sendTwice(lab, cutOff, outside, PATIENT_JOB, 3_000, 3_000, 10_000, 700));
+    usual.get();
+    patient.get();
+    lab.sleep(cutAt + CUT_MILLIS - lab.now());
+    network.cut(null);
+    lab.log("HEALED");
+    lab.sleep(5_000);
+    boolean usualHeld = judge(lab, USUAL_JOB);
+    boolean patientHeld = judge(lab, PATIENT_JOB);
+    return usualHeld && patientHeld;
+  }
+
+  /** Sends a job to one host, resets the connection, and sends it to another resendMs later. */
+  private static void sendTwice(
+      Lab lab,
+      Lab.Host first,
+      Lab.Host second,
+      String job,
+      long taskMillis,
+      long estimateMillis,
+      long deadlineMillis,
+      long resetAfterMillis) {
+    String path = Lab.PREFIX + job;
     String body =
-        "{\"spec\":\"3000\",\"bestEffort\":true,\"steps\":[{\"count\":2,\"cpu\":500,\"memMb\":64,"
-            + "\"estimateMs\":3000}]}";
-    try (Proxy proxy = new Proxy(cutOff.front())) {
+        "{\"spec\":\""
+            + taskMillis
+            + "\",\"bestEffort\":true,\"steps\":[{\"count\":2,\"cpu\":500,\"memMb\":64,"
+            + "\"estimateMs\":"
+            + estimateMillis
+            + "}]}";
+    try (Proxy proxy = new Proxy(first.front())) {
       Lab.Host viaProxy =
           new Lab.Host(
-              cutOff.name(),
-              cutOff.zone(),
+              first.name(),
+              first.zone(),
               proxy.port(),
-              cutOff.ready(),
-              cutOff.process(),
-              cutOff.command());
-      if (lab.trouble) {
-        lab.log("CUT of " + cutOff.zone());
-        network.cut(cutOff.zone());
-      }
-      final long cutAt = lab.now();
-      lab.sleep(1_500);
-      lab.callLater(viaProxy, "POST", path, body, 10_000);
-      lab.sleep(700);
+              first.ready(),
+              first.process(),
+              first.command());
+      lab.callLater(viaProxy, "POST", path, body, deadlineMillis);
+      lab.sleep(resetAfterMillis);
       // With and without the cut the connection is reset and the job sent again resendMs later.
-      lab.log("RESET of the client's connection to " + cutOff.name());
+      lab.log("RESET of the connection of the client of " + job + " to " + first.name());
       proxy.resetAll();
       lab.sleep(RESEND_MILLIS);
-      lab.callLater(outside, "POST", path, body, 10_000);
-      lab.sleep(cutAt + CUT_MILLIS - lab.now());
-      network.cut(null);
-      lab.log("HEALED");
-      lab.sleep(5_000);
+      lab.callLater(second, "POST", path, body, deadlineMillis);
+    } catch (IOException | InterruptedException e) {
+      throw new IllegalStateException(e);
     }
-    return judge(lab);
   }
 
   /** Returns whether no two runs of a task were at work at the same time. */
-  private static boolean judge(Lab lab) {
-    List<Lab.Event> starts = lab.of(JOB, "start");
+  private static boolean judge(Lab lab, String job) {
+    List<Lab.Event> starts = lab.of(job, "start");
     if (starts.isEmpty()) {
       throw new IllegalStateException("the job did not run");
     }
     List<String> found = new ArrayList<>();
     for (Lab.Event first : starts) {
       long endedAt =
-          lab.of(JOB, "end").stream()
+          lab.of(job, "end").stream()
               .filter(e -> e.worker().equals(first.worker()) && e.run().equals(first.run()))
               .mapToLong(Lab.Event::at)
               .min()
