A best-effort job ends when its last caller leaves

Cause: a host read nothing from a connection while a request waited for its response, so it kept the job of a caller that had gone until its deadline. That no job is with two leaders rests on callers that come back later than a lease, which holds only if the first run ends.

Change: DisconnectWatch reads the connection while a best-effort job waits; if it has ended, OpenJobs.callerLeft withdraws the job from its leader, unless another caller waits for it.

--- /dev/null
+++ b/src/main/java/org/marjoramhoist/entry/DisconnectWatch.java
@@ -0,0 +1,113 @@
+package org.marjoramhoist.entry;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.ExchangeCompletionListener;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * Watches the connection of a caller that waits for a response, and tells when the caller has left.
+ *
+ * <p>A caller that closes its side of the connection counts as gone, as it can't be told from one
+ * that has closed both; it is still sent a response. Bytes of a request that the caller has
+ * pipelined are kept for the connection, up to one buffer; beyond that the caller is not watched,
+ * as it is at work.
+ *
+ * <p>Invariant: reports the departure at most once, and never after the exchange is complete.
+ * Confined to the connection's I/O thread.
+ */
+final class DisconnectWatch {
+
+  private final HttpServerConnection connection;
+  private final StreamSourceConduit source;
+  private final Runnable onDisconnect;
+  private boolean ended;
+
+  private DisconnectWatch(HttpServerConnection connection, Runnable onDisconnect) {
+    this.connection = connection;
+    this.source = connection.getOriginalSourceConduit();
+    this.onDisconnect = onDisconnect;
+  }
+
+  /**
+   * Watches the connection of an exchange, whose request was read, until the exchange is complete.
+   *
+   * @param onDisconnect is run on the I/O thread if the caller leaves
+   */
+  static void start(HttpServerExchange exchange, Runnable onDisconnect) {
+    if (exchange.isComplete()
+        || !(exchange.getConnection() instanceof HttpServerConnection connection)) {
+      return;
+    }
+    DisconnectWatch watch = new DisconnectWatch(connection, onDisconnect);
+    exchange.addExchangeCompleteListener(watch::exchangeCompleted);
+    channel(connection).setReadListener(ready -> watch.readable(exchange));
+    watch.source.resumeReads();
+  }
+
+  private static ConduitStreamSourceChannel channel(HttpServerConnection connection) {
+    return connection.getChannel().getSourceChannel();
+  }
+
+  private void exchangeCompleted(
+      HttpServerExchange exchange, ExchangeCompletionListener.NextListener next) {
+    end();
+    next.proceed();
+  }
+
+  /** Leaves the connection as it was, for the next request. */
+  private void end() {
+    if (!ended) {
+      ended = true;
+      source.suspendReads();
+      channel(connection).setReadListener(null);
+    }
+  }
+
+  private void readable(HttpServerExchange exchange) {
+    if (ended) {
+      return;
+    }
+    if (hasLeft()) {
+      end();
+      exchange.setPersistent(false);
+      onDisconnect.run();
+    }
+  }
+
+  /** Reads what has arrived and returns whether the connection has ended. */
+  private boolean hasLeft() {
+    PooledByteBuffer pooled = connection.getExtraBytes();
+    boolean isNew = pooled == null;
+    if (isNew) {
+      pooled = connection.getByteBufferPool().allocate();
+    }
+    ByteBuffer buffer = pooled.getBuffer();
+    if (isNew) {
+      buffer.clear();
+    } else {
+      buffer.compact();
+    }
+    int read = 0;
+    try {
+      if (buffer.hasRemaining()) {
+        read = source.read(buffer);
+      } else {
+        source.suspendReads();
+      }
+    } catch (IOException e) {
+      read = -1;
+    }
+    buffer.flip();
+    if (isNew && buffer.hasRemaining()) {
+      connection.setExtraBytes(pooled);
+    } else if (isNew) {
+      pooled.close();
+    }
+    return read < 0;
+  }
+}
--- a/src/main/java/org/marjoramhoist/entry/JobHttpHandler.java
+++ b/src/main/java/org/marjoramhoist/entry/JobHttpHandler.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
 import org.marjoramhoist.dispatch.JobCallKind;
 import org.marjoramhoist.dispatch.JobCallResult;
@@ -111,19 +112,24 @@
       return;
     }
     if (exchange.getRequestMethod().equals(Methods.POST)) {
-      exchange.dispatch(
-          SameThreadExecutor.INSTANCE,
-          () ->
-              jobs.refuse(
-                  id,
-                  "the host stops",
-                  STOP_RETRY_MILLIS,
-                  result -> replyResult(exchange, result)));
+      exchange.dispatch(SameThreadExecutor.INSTANCE, () -> refuseOrJoin(exchange, id));
     } else {
       replyRefused(exchange, STOP_RETRY_MILLIS);
     }
   }
 
+  private void refuseOrJoin(HttpServerExchange exchange, JobId id) {
+    Consumer<Finished> caller = result -> replyResult(exchange, result);
+    jobs.refuse(id, "the host stops", STOP_RETRY_MILLIS, caller);
+    watch(exchange, id, caller);
+  }
+
+  private void watch(HttpServerExchange exchange, JobId id, Consumer<Finished> caller) {
+    if (jobs.isOpen(id)) {
+      DisconnectWatch.start(exchange, () -> jobs.callerLeft(id, caller));
+    }
+  }
+
   private void route(HttpServerExchange exchange, RequestClass requestClass, String jobPath) {
     if (exchange.getRequestMethod().equals(Methods.GET) && jobPath.isEmpty()) {
       reply(exchange, OK, JobBodies.waitingJobsBody(waitingJobs.applyAsInt(requestClass.name())));
@@ -249,15 +255,13 @@
       refuseStopping(exchange);
       return;
     }
-    jobs.submit(
-        job,
-        requestClass,
-        arrivedAt,
-        deadline,
+    Consumer<Finished> caller =
         result -> {
           metrics.recordJob(requestClass.name(), result.outcome(), EventLoop.now() - arrivedAt);
           replyResult(exchange, result);
-        });
+        };
+    jobs.submit(job, requestClass, arrivedAt, deadline, caller);
+    watch(exchange, id, caller);
   }
 
   private void replyResult(HttpServerExchange exchange, Finished result) {
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -28,6 +28,8 @@
   /** How long after its deadline a job still waits for the leader's result. */
   private static final long DEADLINE_GRACE_MICROS = 30_000;
 
+  private static final String CALLER_LEFT_REASON = "its caller has left";
+
   private static final class OpenJob {
     private final JobDescription job;
     private final RequestClass requestClass;
@@ -234,6 +236,24 @@
     return true;
   }
 
+  /**
+   * Handles the departure of a caller, which gets a result all the same. Its job is withdrawn at
+   * once if no other caller waits for it: the caller may submit it again to another host, whose
+   * leader may be another one, and must then not find it running.
+   */
+  void callerLeft(JobId id, Consumer<Finished> caller) {
+    OpenJob openJob = open.get(id);
+    if (openJob == null || !openJob.callers.contains(caller)) {
+      return;
+    }
+    if (openJob.callers.size() == 1) {
+      abandon(openJob, CALLER_LEFT_REASON);
+    } else {
+      openJob.callers.remove(caller);
+      caller.accept(new Finished(id, JobOutcome.ABANDONED, CALLER_LEFT_REASON, 0));
+    }
+  }
+
   private void withdraw(OpenJob openJob) {
     LeaderChannel leader =
         openJob.domainLeader != null ? openJob.domainLeader : leaderTracker.partitionLeader();
--- a/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.dispatch.RetryForecast;
 import org.marjoramhoist.job.JobDescription;
@@ -17,6 +18,7 @@
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.Finished;
 import org.marjoramhoist.message.HostMessage.Submit;
+import org.marjoramhoist.message.HostMessage.Withdraw;
 
 /** Tests which leader an entry host sends its jobs to, and which results its callers receive. */
 class OpenJobsTest {
@@ -29,6 +31,7 @@
   private final LeaderTracker leaderTracker = new LeaderTracker();
   private final OpenJobs jobs = new OpenJobs(leaderTracker);
   private final List<String> sent = new ArrayList<>();
+  private final List<String> withdrawn = new ArrayList<>();
   private final List<JobOutcome> outcomes = new ArrayList<>();
 
   private LeaderChannel leaderChannel(String name, long term) {
@@ -42,6 +45,8 @@
       public void send(HostMessage message) {
         if (message instanceof Submit submit) {
           sent.add(name + " " + submit.job().id());
+        } else if (message instanceof Withdraw withdrawal) {
+          withdrawn.add(name + " " + withdrawal.job());
         }
       }
     };
@@ -61,6 +66,56 @@
     jobs.refuse(ID, "the host stops", 1_000, result -> outcomes.add(result.outcome()));
   }
 
+  private Consumer<Finished> submitFor(List<JobOutcome> received) {
+    JobDescription job = new JobDescription(ID, "p", List.of(), Set.<JobFeature>of());
+    Consumer<Finished> caller = result -> received.add(result.outcome());
+    long now = EventLoop.now();
+    jobs.submit(job, CLASS, now, now + TIMEOUT_MICROS, caller);
+    return caller;
+  }
+
+  /** Guards against a job that runs here while its caller submits it again to another leader. */
+  @Test
+  void jobIsWithdrawnFromLeaderOfDomainWhenItsOnlyCallerLeaves() {
+    leaderTracker.domainElectionStarted();
+    leaderTracker.setDomainLeader(leaderChannel("domain", 0));
+    Consumer<Finished> caller = submitFor(outcomes);
+    jobs.callerLeft(ID, caller);
+    assertThat(withdrawn).containsExactly("domain " + ID);
+    assertThat(outcomes).containsExactly(JobOutcome.ABANDONED);
+    refuse();
+    assertThat(outcomes).containsExactly(JobOutcome.ABANDONED, JobOutcome.ABANDONED);
+  }
+
+  @Test
+  void jobIsWithdrawnFromFormerLeaderOfDomainWhenItsOnlyCallerLeaves() {
+    leaderTracker.domainElectionStarted();
+    leaderTracker.setDomainLeader(leaderChannel("former", 0));
+    Consumer<Finished> caller = submitFor(outcomes);
+    leaderTracker.domainLeaderHandedOver();
+    leaderTracker.setDomainLeader(leaderChannel("successor", 0));
+    jobs.callerLeft(ID, caller);
+    assertThat(withdrawn).containsExactly("former " + ID);
+  }
+
+  /** Guards against a caller that is sent nothing, as another one of the same job has left. */
+  @Test
+  void jobIsKeptForOtherCallerWhenOneLeaves() {
+    leaderTracker.leaderFound(leaderChannel("partition", 7));
+    List<JobOutcome> others = new ArrayList<>();
+    final Consumer<Finished> first = submitFor(outcomes);
+    final Consumer<Finished> second = submitFor(others);
+    jobs.callerLeft(ID, first);
+    assertThat(withdrawn).isEmpty();
+    assertThat(outcomes).containsExactly(JobOutcome.ABANDONED);
+    jobs.callerLeft(ID, first);
+    assertThat(withdrawn).isEmpty();
+    jobs.finished(result(JobOutcome.SUCCEEDED));
+    assertThat(others).containsExactly(JobOutcome.SUCCEEDED);
+    jobs.callerLeft(ID, second);
+    assertThat(withdrawn).isEmpty();
+  }
+
   @Test
   void refusedJobThatRunsGetsItsResult() {
     refuse();
--- a/src/test/java/org/marjoramhoist/http/RawCaller.java
+++ b/src/test/java/org/marjoramhoist/http/RawCaller.java
@@ -95,6 +95,17 @@
         new String(body, StandardCharsets.UTF_8));
   }
 
+  /** Ends the direction to the server; responses can still be received. */
+  public void closeOutput() throws IOException {
+    socket.shutdownOutput();
+  }
+
+  /** Resets the connection. */
+  public void reset() throws IOException {
+    socket.setSoLinger(true, 0);
+    socket.close();
+  }
+
   private String readHead() throws IOException {
     ByteArrayOutputStream head = new ByteArrayOutputStream();
     while (!head.toString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
