No worker is excluded for ever from a task that only it can run

Cause: "not on the worker that failed it last" was a condition without an end. Only another failure elsewhere, or another leader, ended it.

Change: a task avoids that worker for 2 s if another worker could run it, and for 0.5 s, the pause between tries, if none could.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -52,6 +52,12 @@
    */
   private static final long PREDECESSOR_RUN_MICROS = 2_300_000;
 
+  /** How long a task avoids a worker that failed it while others could run it. */
+  private static final long AVOIDANCE_MICROS = 2_000_000;
+
+  /** How long a task waits for the only worker that could run it and that failed it. */
+  private static final long RETRY_PAUSE_MICROS = 500_000;
+
   private static final long MIN_RETRY_AFTER_MILLIS = 1_000;
 
   private static final double MICROS_PER_MILLI = 1_000.0;
@@ -582,7 +588,7 @@
     private void taskFailed(Task task, int run, String worker, long now, List<DispatchAction> out) {
       Job job = task.job;
       task.recordFailure(run);
-      task.lastFailedWorker = worker;
+      avoid(task, worker, now);
       if (jobs.find(job.id()) != job) {
         return;
       }
@@ -595,6 +601,12 @@
       }
     }
 
+    /** Avoids a worker for a time, which is short if no other one could run the task. */
+    private void avoid(Task task, String worker, long now) {
+      boolean hasAlternative = workerRegistry.canRunElsewhere(task, worker, now);
+      task.avoid(worker, now + (hasAlternative ? AVOIDANCE_MICROS : RETRY_PAUSE_MICROS));
+    }
+
     @Override
     public void earlierRunFailed(
         Task task, RunRef run, String worker, long now, List<DispatchAction> out) {
@@ -627,7 +639,7 @@
 
     @Override
     public void runStalled(Run run, long now, List<DispatchAction> out) {
-      run.task.lastFailedWorker = run.worker.id();
+      avoid(run.task, run.worker.id(), now);
       if (run.worker.recordFailure(now)) {
         out.add(new Log(LogEvent.WORKER_EJECTED, "worker=" + run.worker.id() + " stalls"));
       }
--- a/src/main/java/org/marjoramhoist/dispatch/ExclusiveStarts.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ExclusiveStarts.java
@@ -169,7 +169,7 @@
         && task.isWaiting()
         && task.handling(now) == Handling.EXCLUSIVE
         && worker.isAvailable(now)
-        && WorkerSelector.canRun(task, worker)
+        && WorkerSelector.canRun(task, worker, now)
         && workers.find(worker.id()) == worker;
   }
 
@@ -232,7 +232,7 @@
     for (Worker worker : workers.all()) {
       if (worker.isUsable(now)
           && worker.info().capacity().covers(task.spec().need())
-          && WorkerSelector.canRun(task, worker)) {
+          && WorkerSelector.canRun(task, worker, now)) {
         candidates.add(worker);
       }
     }
--- a/src/main/java/org/marjoramhoist/dispatch/SlackPlacementStrategy.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SlackPlacementStrategy.java
@@ -136,7 +136,7 @@
       double bestLocalFactor = Double.MAX_VALUE;
       for (Worker worker : workers.all()) {
         if (!WorkerSelector.isFar(task.spec(), worker)
-            && WorkerSelector.canRun(task, worker)
+            && WorkerSelector.canRun(task, worker, now)
             && worker.isUsable(now)) {
           addWaits(worker, waitingTasks, waits);
           bestLocalFactor = Math.min(bestLocalFactor, durations.workerFactor(worker));
--- a/src/main/java/org/marjoramhoist/dispatch/Task.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Task.java
@@ -31,8 +31,8 @@
   /** The workers that were lost with a run of this task; null if there are none. */
   TaskLosses losses;
 
-  /** The worker of the most recent failed run; null if no run failed. */
-  String lastFailedWorker;
+  private String avoidedWorker;
+  private long avoidedUntil;
 
   Task(Job job, int step, int index, int lastRunNumber) {
     this.job = job;
@@ -51,6 +51,22 @@
     failedRuns = updated;
   }
 
+  /** Avoids a worker, on which a run failed or made no progress, until a time. */
+  void avoid(String worker, long until) {
+    avoidedWorker = worker;
+    avoidedUntil = until;
+  }
+
+  /** Tells whether it is not to be started on a worker now. */
+  boolean avoids(Worker worker, long now) {
+    return now < avoidedUntil && worker.id().equals(avoidedWorker);
+  }
+
+  /** Tells whether there is a worker that it is not to be started on now. */
+  boolean avoidsAnyWorker(long now) {
+    return now < avoidedUntil;
+  }
+
   /** Tells whether the run with the given number is known to have failed. */
   boolean hasFailedRun(int number) {
     return failedRuns.contains(number);
--- a/src/main/java/org/marjoramhoist/dispatch/TaskAllocator.java
+++ b/src/main/java/org/marjoramhoist/dispatch/TaskAllocator.java
@@ -115,6 +115,7 @@
     Predicate<Job> mayStart = job -> mayStart(job, settled, now);
     exclusiveStarts.startUnlikelyCauses(mayStart, now, out);
     startQueuedTasks(settled, now, out);
+    startOnEjectedWorkers(now, out);
     exclusiveStarts.startLikelyCauses(mayStart, now, out);
   }
 
@@ -149,6 +150,48 @@
         && !jobs.isBlockedByEarlierRun(job);
   }
 
+  /**
+   * Tries the waiting tasks that only ejected workers can run, one at a time on each of these.
+   * Ejection is a preference: it must not keep a task from the last worker that could run it.
+   */
+  void startOnEjectedWorkers(long now, List<DispatchAction> out) {
+    List<Worker> ejected =
+        workers.all().stream().filter(worker -> worker.mayBeProbed(now)).toList();
+    if (ejected.isEmpty()) {
+      return;
+    }
+    boolean settled = workers.isSettled(now);
+    for (Job job : queue) {
+      if (mayStart(job, settled, now)) {
+        startOnEjected(job, ejected, now, out);
+      }
+    }
+  }
+
+  private void startOnEjected(Job job, List<Worker> ejected, long now, List<DispatchAction> out) {
+    int step = -1;
+    for (Task task : job.waitingTasks()) {
+      boolean mayShare = task.handling(now) == TaskLosses.Handling.SHARED;
+      if (task.ref.step() == step || !mayShare || !runs.window().isOpen()) {
+        continue;
+      }
+      step = task.ref.step();
+      List<Worker> idle = ejected.stream().filter(worker -> worker.runs.isEmpty()).toList();
+      if (!workers.canRunElsewhere(task, "", now)) {
+        start(selector.selectWorker(task, idle, now), task, now, out);
+      }
+    }
+  }
+
+  /** Starts a task on a selected worker; returns whether there was one. */
+  private boolean start(
+      WorkerSelector.Choice choice, Task task, long now, List<DispatchAction> out) {
+    if (choice != null) {
+      runs.start(task, choice.worker(), choice.predictedMicros(), now, out);
+    }
+    return choice != null;
+  }
+
   /**
    * Starts as many tasks of a job as possible. All tasks of a step have the same requirements, so
    * the rest of a step is skipped once one of its tasks can't be placed, unless a failed run
@@ -166,12 +209,11 @@
         continue;
       }
       WorkerSelector.Choice choice = selector.selectWorker(task, candidates, now);
-      if (choice != null) {
-        runs.start(task, choice.worker(), choice.predictedMicros(), now, out);
+      if (start(choice, task, now, out)) {
         if (!WorkerSelector.hasFreeCapacity(choice.worker(), minimum, now)) {
           candidates.remove(choice.worker());
         }
-      } else if (task.lastFailedWorker == null) {
+      } else if (!task.avoidsAnyWorker(now)) {
         unplaceableStep = task.ref.step();
       }
     }
--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -33,6 +33,8 @@
   private int failureStreak;
   private long pauseMicros = MIN_PAUSE_MICROS;
   private long pausedUntil;
+  private long ejectedUntil;
+  private long probeFrom;
   private int failedCalls;
   private long failingSince;
   private long lastHeardAt;
@@ -312,6 +314,24 @@
 
   /** Tells whether tasks can be started on it now, if only the one that it is reserved for. */
   boolean isAvailable(long now) {
+    return now >= ejectedUntil && isUsableUnlessEjected(now);
+  }
+
+  /** Tells whether it is assigned no work because runs on it failed. */
+  boolean isEjected(long now) {
+    return now < ejectedUntil;
+  }
+
+  /** Tells whether a task that no other worker can run may be tried on it though it is ejected. */
+  boolean mayBeProbed(long now) {
+    return isEjected(now)
+        && now >= probeFrom
+        && runs.isEmpty()
+        && reservedFor == null
+        && isUsableUnlessEjected(now);
+  }
+
+  private boolean isUsableUnlessEjected(long now) {
     boolean known = listed && inRoster && synced && clock.isKnown() && isReachable();
     if (!known || info.draining() || now < pausedUntil) {
       return false;
@@ -334,6 +354,7 @@
     failureStreak = 0;
     pauseMicros = MIN_PAUSE_MICROS;
     pausedUntil = 0;
+    ejectedUntil = 0;
   }
 
   /**
@@ -346,7 +367,8 @@
     if (failureStreak < FAILURES_BEFORE_PAUSE) {
       return false;
     }
-    pausedUntil = now + pauseMicros;
+    ejectedUntil = now + pauseMicros;
+    probeFrom = now + MIN_PAUSE_MICROS;
     pauseMicros = Math.min(MAX_PAUSE_MICROS, 2 * pauseMicros);
     return true;
   }
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerRegistry.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerRegistry.java
@@ -71,6 +71,13 @@
     return workers.get(id);
   }
 
+  /** Returns whether a worker other than the given one can run a task now or soon. */
+  boolean canRunElsewhere(Task task, String worker, long now) {
+    return workers.values().stream()
+        .filter(other -> !other.id().equals(worker) && !other.isEjected(now))
+        .anyMatch(other -> other.isSchedulable() && WorkerSelector.canEverRun(task, other));
+  }
+
   Collection<Worker> all() {
     return Collections.unmodifiableCollection(workers.values());
   }
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerSelector.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerSelector.java
@@ -54,7 +54,7 @@
       if (worker.freeResources.covers(task.spec().need())
           && selection.isEligible(worker)
           && isCapacityKnown(task, worker, now)
-          && canRun(task, worker)) {
+          && canRun(task, worker, now)) {
         double slowdown = slowdownOn(task, worker);
         if (!avoidance.avoids(task, worker, micros * slowdown, now)) {
           selection.addCandidate(worker, slowdown);
@@ -91,10 +91,10 @@
     return new DispatchSnapshot.Starts(starts, fastStarts, farStarts, window.limit());
   }
 
-  /** Returns whether a worker with enough free capacity can run a task. */
-  static boolean canRun(Task task, Worker worker) {
+  /** Returns whether a worker with enough free capacity can run a task now. */
+  static boolean canRun(Task task, Worker worker, long now) {
     return satisfiesConstraints(task.job.requestClass(), task.spec(), worker)
-        && !worker.id().equals(task.lastFailedWorker)
+        && !task.avoids(worker, now)
         && isBelowStepLimit(task, worker);
   }
 
@@ -109,6 +109,11 @@
         && satisfiesConstraints(requestClass, step, worker);
   }
 
+  /** Returns whether a worker could run a task if it were idle and had its largest capacity. */
+  static boolean canEverRun(Task task, Worker worker) {
+    return canEverRun(task.job.requestClass(), task.spec(), worker);
+  }
+
   private static boolean satisfiesConstraints(
       RequestClass requestClass, StepSpec step, Worker worker) {
     return worker.info().upstream().equals(requestClass.upstream())
