Only a leader that can exclude another fills workers that don't guard their capacity

Cause: neither leader can see what the other orders at the same moment, and a fresh report doesn't change that. Both concluded "idle, so free".

Change: the hosts of a domain decide, as they do on its leader. The partition's leader excludes another one while half of them have confirmed a heartbeat within the start timeout, and once the other's orders are over; the domain's leader does so a lease after its election, and never if it is the only host. A report since then must show what runs. Until then such jobs wait for other domains' workers, or are refused at once by the domain's leader with when to come back.

--- a/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -87,6 +87,19 @@
     }
   }
 
+  /**
+   * The failure domains whose workers another leader may be using have changed. No task may be
+   * started there on a worker that would start it beyond its capacity.
+   *
+   * @param domains the names of these failure domains
+   */
+  record DomainsShared(Set<String> domains) implements DispatchEvent {
+    /** Creates an event with a copy of the set. */
+    public DomainsShared {
+      domains = Set.copyOf(domains);
+    }
+  }
+
   /** A response from a worker, or a missing response. */
   sealed interface WorkerEvent extends DispatchEvent {
     /** Returns the id of the worker. */
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -8,6 +8,7 @@
 import org.marjoramhoist.dispatch.DispatchAction.Log;
 import org.marjoramhoist.dispatch.DispatchEvent.BatchStored;
 import org.marjoramhoist.dispatch.DispatchEvent.DomainsDrained;
+import org.marjoramhoist.dispatch.DispatchEvent.DomainsShared;
 import org.marjoramhoist.dispatch.DispatchEvent.EntryHostLost;
 import org.marjoramhoist.dispatch.DispatchEvent.HandOverStarted;
 import org.marjoramhoist.dispatch.DispatchEvent.JobCallReceived;
@@ -243,6 +244,9 @@
       workerRegistry.setDrainedDomains(drained.domains(), now);
       refuseUnservable(now, out);
       tick(now, out);
+    } else if (event instanceof DomainsShared shared) {
+      workerRegistry.setSharedDomains(shared.domains(), now);
+      allocationDue = true;
     } else if (event instanceof RosterLoaded roster) {
       workerRegistry.loadRoster(roster.workers(), now, out);
       refuseUnservable(now, out);
@@ -320,6 +324,10 @@
       end(job, JobOutcome.ABANDONED, "the previous leader may be running it", now, out);
       return;
     }
+    if (guard != null && mayFillWorkersOfOtherLeader(job)) {
+      end(job, JobOutcome.REFUSED, "another leader may use the workers", now, out);
+      return;
+    }
     suspects.attach(job, List.of(), now);
     runController.adoptEarlierRuns(job, workerRegistry.all(), now, out);
     if (sheddingState != null) {
@@ -336,6 +344,11 @@
     }
   }
 
+  /** Returns whether workers would start the job's tasks beyond what another leader left free. */
+  private boolean mayFillWorkersOfOtherLeader(Job job) {
+    return job.requestClass().startsBeyondCapacity() && workerRegistry.isAnyShared();
+  }
+
   private void recordProgress(Job job, long now) {
     if (job.isDurable()) {
       durableJobs.recordProgress(job, now);
@@ -622,6 +635,11 @@
       return predecessorJobs.contains(id);
     }
 
+    @Override
+    public boolean hasHandedOver() {
+      return handOverReason != null;
+    }
+
     @Override
     public Job findEndingJob(JobId id) {
       return durableJobs.findEnding(id);
--- a/src/main/java/org/marjoramhoist/dispatch/EarlierRuns.java
+++ b/src/main/java/org/marjoramhoist/dispatch/EarlierRuns.java
@@ -60,6 +60,7 @@
    */
   private boolean mayBeKeptAliveHere(Worker worker, RunRef ref, long now) {
     return worker.leaseUntilMillis > 0
+        && !listener.hasHandedOver()
         && !worker.clock.hasCertainlyPassed(worker.leaseUntilMillis, now)
         && !listener.isOfPredecessor(ref.task().job());
   }
--- a/src/main/java/org/marjoramhoist/dispatch/RunController.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunController.java
@@ -206,6 +206,7 @@
     worker.hasMoreCompletions = !report.hasAllCompletions();
     worker.mayHaveRestarted = false;
     worker.lastReportAt = now;
+    worker.lastReportRequestedAt = sentAt;
     boolean restarted = worker.isRestartedIn(report);
     if (restarted) {
       worker.restartedAt = now;
@@ -452,6 +453,10 @@
             && worker.acknowledged() > worker.acknowledgementSent
             && (worker.acknowledgementDeferred
                 || now - worker.lastReportAt > ACKNOWLEDGEMENT_DELAY_MICROS);
+    if (worker.needsReportOfRuns()) {
+      requestReportIfDue(worker, ACTIVE_RETRY_MICROS, now, out);
+      return;
+    }
     boolean pollDue = worker.isFailing() || now - worker.lastReportAt > IDLE_POLL_MICROS;
     boolean mustPoll = worker.runs.isEmpty() && pollDue;
     if (mustAcknowledge || mustPoll) {
--- a/src/main/java/org/marjoramhoist/dispatch/RunListener.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunListener.java
@@ -38,6 +38,9 @@
   /** Tells whether a job is one that the predecessor of this leader of a domain may be running. */
   boolean isOfPredecessor(JobId id);
 
+  /** Tells whether this leader has handed over, so that others may use its workers. */
+  boolean hasHandedOver();
+
   /** Returns the job if it has ended and its end is not stored yet; null otherwise. */
   Job findEndingJob(JobId id);
 
--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -94,6 +94,11 @@
   long lastRenewalAt;
 
   long lastReportAt;
+
+  /** When its latest report was requested. */
+  long lastReportRequestedAt;
+
+  private long exclusiveSince;
   long acknowledgementSent;
 
   /**
@@ -396,6 +401,30 @@
             && clock.estimate(now) - info.clockMillis() <= MAX_CAPACITY_AGE_MILLIS;
   }
 
+  /** Sets whether another leader may be using it. */
+  void setShared(boolean shared, long now) {
+    if (shared) {
+      exclusiveSince = Long.MAX_VALUE;
+    } else if (isShared()) {
+      exclusiveSince = now;
+    }
+  }
+
+  /** Tells whether another leader may be using it. */
+  boolean isShared() {
+    return exclusiveSince == Long.MAX_VALUE;
+  }
+
+  /** Tells whether it has not reported since no other leader can be using it. */
+  boolean needsReportOfRuns() {
+    return !isShared() && lastReportRequestedAt < exclusiveSince;
+  }
+
+  /** Tells whether no other leader can be using it, and all that runs on it is known. */
+  boolean isExclusive() {
+    return !isShared() && !needsReportOfRuns();
+  }
+
   /** Returns the predicted time until its runs have ended. */
   double remainingMicros(long now) {
     return runs.values().stream().mapToDouble(run -> run.remainingMicros(now)).max().orElse(0);
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerRegistry.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerRegistry.java
@@ -49,6 +49,7 @@
   private final FormerWorkers formerWorkers = new FormerWorkers();
   private final Roster roster = new Roster();
   private final DomainDrains drains = new DomainDrains();
+  private Set<String> sharedDomains = Set.of();
   private boolean listRead;
   private boolean settledLogged;
   private long listReadAt;
@@ -150,6 +151,7 @@
   /** Updates the drain state and the warm-up limit of a worker. */
   private void updateLimits(Worker worker, long now) {
     worker.setDrained(drains.covers(worker.info()), now);
+    updateShared(worker, now);
     worker.warmUp.update(worker.info().bornMillis(), worker.info().warmUpMillis(), now);
   }
 
@@ -159,6 +161,21 @@
     workers.values().forEach(worker -> updateLimits(worker, now));
   }
 
+  /** Sets the failure domains whose workers another leader may be using. */
+  void setSharedDomains(Set<String> domains, long now) {
+    sharedDomains = domains;
+    workers.values().forEach(worker -> updateShared(worker, now));
+  }
+
+  private void updateShared(Worker worker, long now) {
+    worker.setShared(sharedDomains.contains(worker.info().failureDomain()), now);
+  }
+
+  /** Returns whether another leader may be using any of the workers. */
+  boolean isAnyShared() {
+    return workers.values().stream().anyMatch(Worker::isShared);
+  }
+
   DomainDrains drains() {
     return drains;
   }
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerSelector.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerSelector.java
@@ -53,7 +53,7 @@
     for (Worker worker : workers) {
       if (worker.freeResources.covers(task.spec().need())
           && selection.isEligible(worker)
-          && isCapacityKnown(task, worker, now)
+          && isFreeCapacityKnown(task, worker, now)
           && canRun(task, worker, now)) {
         double slowdown = slowdownOn(task, worker);
         if (!avoidance.avoids(task, worker, micros * slowdown, now)) {
@@ -69,11 +69,12 @@
   }
 
   /**
-   * Tells whether the capacity of a worker is known, as it must be if the worker starts tasks
-   * beyond it.
+   * Tells whether the free capacity of a worker is known, as it must be if the worker starts tasks
+   * beyond it. An idle worker may be used by another leader at the same moment.
    */
-  private static boolean isCapacityKnown(Task task, Worker worker, long now) {
-    return !task.job.requestClass().startsBeyondCapacity() || worker.isCapacityKnown(now);
+  private static boolean isFreeCapacityKnown(Task task, Worker worker, long now) {
+    return !task.job.requestClass().startsBeyondCapacity()
+        || worker.isExclusive() && worker.isCapacityKnown(now);
   }
 
   private void recordStart(Task task, Worker worker) {
--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -12,6 +12,7 @@
 import org.marjoramhoist.http.HostPort;
 import org.marjoramhoist.http.HttpCaller;
 import org.marjoramhoist.lead.DomainElection;
+import org.marjoramhoist.lead.DomainExclusivity;
 import org.marjoramhoist.lead.Election;
 import org.marjoramhoist.lead.ElectionEvent;
 import org.marjoramhoist.lead.ElectionTimeouts;
@@ -123,6 +124,7 @@
             jobs,
             drainedDomains,
             new SuspensionDetector(),
+            runMicros(),
             handedOver ->
                 new DomainLeadership(
                     election.knownTerm(),
@@ -133,7 +135,9 @@
                     workerClient,
                     metrics,
                     new Leadership.Permissions(
-                        domainMemberRef[0]::mayOrder, domainMemberRef[0]::mayStart),
+                        domainMemberRef[0]::mayOrder,
+                        domainMemberRef[0]::mayStart,
+                        domainMemberRef[0]::sharedDomains),
                     (host, reply) -> domainMemberRef[0].deliver(host, reply),
                     reason -> domainMemberRef[0].requestStepDown(reason)));
     domainMemberRef[0] = domainMember;
@@ -150,6 +154,7 @@
             jobs,
             this.calls,
             domainMember,
+            () -> new DomainExclusivity(settings.host(), timeouts, runMicros()),
             lead ->
                 new PartitionLeadership(
                     lead.term(),
@@ -162,7 +167,10 @@
                     health,
                     workerClient,
                     metrics,
-                    new Leadership.Permissions(memberRef[0]::mayOrder, memberRef[0]::mayStart),
+                    new Leadership.Permissions(
+                        memberRef[0]::mayOrder,
+                        memberRef[0]::mayStart,
+                        memberRef[0]::sharedDomains),
                     (host, reply) -> memberRef[0].deliver(host, reply),
                     workers -> memberRef[0].workersListed(workers),
                     registration::domainOf,
@@ -213,8 +221,12 @@
    * renew them until it steps down, at the latest when its contact timeout expires.
    */
   private long previousRunsEndAt(boolean previousLeaderStopped) {
-    long lease = EventLoop.millisToMicros(settings.leaseMillis()) + LEASE_MARGIN_MICROS;
-    return EventLoop.now() + lease + (previousLeaderStopped ? 0 : CONTACT_TIMEOUT_MICROS);
+    return EventLoop.now() + runMicros() + (previousLeaderStopped ? 0 : CONTACT_TIMEOUT_MICROS);
+  }
+
+  /** Returns how long a run may go on after the last order of its leader. */
+  private long runMicros() {
+    return EventLoop.millisToMicros(settings.leaseMillis()) + LEASE_MARGIN_MICROS;
   }
 
   private static XnioWorker createWorker() throws IOException {
--- a/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
+++ b/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
@@ -59,6 +59,7 @@
   private final DrainedDomains drained;
   private final Function<Boolean, DomainLeadership> leaderships;
   private final SuspensionDetector suspension;
+  private final long runMicros;
   private FrameNetwork network;
   private List<WorkerInfo> workers = List.of();
   private FollowerLinks followers;
@@ -79,6 +80,7 @@
    * @param stateTransfer passes state to hosts that started during the isolation
    * @param drained the drained failure domains, as far as this host knows
    * @param suspension detects that the process was suspended
+   * @param runMicros how long a run may go on after the last order of its leader
    * @param leaderships creates a leadership of the domain; its argument is whether a leader that
    *     used the workers has handed over
    */
@@ -92,6 +94,7 @@
       OpenJobs jobs,
       DrainedDomains drained,
       SuspensionDetector suspension,
+      long runMicros,
       Function<Boolean, DomainLeadership> leaderships) {
     this.self = self;
     this.loop = loop;
@@ -102,6 +105,7 @@
     this.jobs = jobs;
     this.drained = drained;
     this.suspension = suspension;
+    this.runMicros = runMicros;
     this.leaderships = leaderships;
     election.setKnowsWorkers(false);
   }
@@ -193,6 +197,13 @@
     return election.mayStart(EventLoop.now());
   }
 
+  /** Returns the failure domains whose workers another leader may be using. */
+  Set<String> sharedDomains() {
+    return election.isExclusive(EventLoop.now(), runMicros)
+        ? Set.of()
+        : Set.of(registration.failureDomain());
+  }
+
   private void tick() {
     election.tick(EventLoop.now()).forEach(this::execute);
     if (leaderLink != null && EventLoop.now() - leaderHeartbeatAt > LEADER_TIMEOUT_MICROS) {
--- a/src/main/java/org/marjoramhoist/entry/Leadership.java
+++ b/src/main/java/org/marjoramhoist/entry/Leadership.java
@@ -4,14 +4,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.marjoramhoist.dispatch.DispatchAction;
 import org.marjoramhoist.dispatch.DispatchEvent;
 import org.marjoramhoist.dispatch.Dispatcher;
 import org.marjoramhoist.dispatch.RetryForecast;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.Faults;
+import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.Finished;
 import org.marjoramhoist.message.HostMessage.Submit;
@@ -42,8 +45,10 @@
    *
    * @param mayOrder whether it may send orders to workers
    * @param mayStart whether it may start new runs
+   * @param sharedDomains the failure domains whose workers another leader may be using
    */
-  record Permissions(BooleanSupplier mayOrder, BooleanSupplier mayStart) {}
+  record Permissions(
+      BooleanSupplier mayOrder, BooleanSupplier mayStart, Supplier<Set<String>> sharedDomains) {}
 
   final EventLoop loop;
   final Dispatcher dispatcher;
@@ -58,6 +63,7 @@
   private final List<DispatchEvent> events = new ArrayList<>();
   private boolean decisionScheduled;
   private boolean reportedMayStart = true;
+  private Set<String> reportedSharedDomains = Set.of();
   private boolean closed;
   private Runnable cancelDrainSubscription = () -> {};
 
@@ -187,6 +193,12 @@
       reportedMayStart = mayStart;
       events.add(0, new DispatchEvent.StartsAllowed(mayStart));
     }
+    Set<String> sharedDomains = permissions.sharedDomains().get();
+    if (!sharedDomains.equals(reportedSharedDomains)) {
+      reportedSharedDomains = Set.copyOf(sharedDomains);
+      EventLog.info(LogEvent.DOMAINS_SHARED, "term={} domains={}", term, sharedDomains);
+      events.add(0, new DispatchEvent.DomainsShared(sharedDomains));
+    }
     List<DispatchEvent> batch = List.copyOf(events);
     events.clear();
     long now = EventLoop.now();
--- a/src/main/java/org/marjoramhoist/entry/PartitionMember.java
+++ b/src/main/java/org/marjoramhoist/entry/PartitionMember.java
@@ -1,14 +1,18 @@
 package org.marjoramhoist.entry;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.marjoramhoist.dispatch.RetryForecast;
 import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.lead.AdmissionRateController;
+import org.marjoramhoist.lead.DomainExclusivity;
 import org.marjoramhoist.lead.Election;
 import org.marjoramhoist.lead.ElectionAction;
 import org.marjoramhoist.lead.ElectionEvent;
@@ -53,6 +57,7 @@
   private final JobCalls calls;
   private final Function<ElectionAction.BecomeLeader, PartitionLeadership> leaderships;
   private final IsolatedDomainMember domain;
+  private final Supplier<DomainExclusivity> exclusivities;
   private final IsolationDetector isolationDetector;
   private final DomainIsolationCheck isolationCheck;
   private final DomainWorkerLists workerLists = new DomainWorkerLists();
@@ -61,6 +66,7 @@
   private volatile PartitionLeadership leadership;
   private LeaderChannel localChannel;
   private FollowerLinks followers;
+  private DomainExclusivity exclusivity;
   private RemoteLeaderChannel leaderChannel;
   private boolean shuttingDown;
 
@@ -102,6 +108,7 @@
       OpenJobs jobs,
       JobCalls calls,
       IsolatedDomainMember domain,
+      Supplier<DomainExclusivity> exclusivities,
       Function<ElectionAction.BecomeLeader, PartitionLeadership> leaderships) {
     this.self = self;
     this.successorSelector = new SuccessorSelector(registration.capacity());
@@ -115,6 +122,7 @@
     this.jobs = jobs;
     this.calls = calls;
     this.domain = domain;
+    this.exclusivities = exclusivities;
     this.isolationDetector = new IsolationDetector(health::hasRespondedSince);
     this.isolationCheck =
         new DomainIsolationCheck(
@@ -245,6 +253,8 @@
     domain.partitionLeaderActive();
     leadership = leaderships.apply(lead);
     successorSelector.startTerm(EventLoop.now());
+    exclusivity = exclusivities.get();
+    exclusivity.hostsListed(EventLoop.now(), domainsOfHosts());
     admissionRate = new AdmissionRateController();
     followers =
         new FollowerLinks(
@@ -260,6 +270,21 @@
     leaders.leaderFound(localChannel);
   }
 
+  private Map<String, String> domainsOfHosts() {
+    Map<String, String> domains = new HashMap<>();
+    registration
+        .reachable()
+        .keySet()
+        .forEach(host -> domains.put(host, registration.domainOf(host)));
+    domains.put(self, registration.failureDomain());
+    return domains;
+  }
+
+  /** Returns the failure domains whose workers a leader of their own may be using. */
+  Set<String> sharedDomains() {
+    return exclusivity.sharedDomains(EventLoop.now());
+  }
+
   private void entryHostLost(String host) {
     if (leadership != null) {
       EventLog.info(LogEvent.PEER_DEAD, "host={}", host);
@@ -303,6 +328,7 @@
     if (leadership == null) {
       return;
     }
+    exclusivity.hostsListed(EventLoop.now(), domainsOfHosts());
     waitingByClass = waitingJobs();
     double admittedShare = admissionRate.update(leadership.meanResponseMicros());
     jobs.setAdmittedShare(admittedShare);
@@ -381,6 +407,7 @@
         return;
       }
       successorSelector.followerReplied(host, reply.mayLead(), EventLoop.now());
+      exclusivity.heartbeatConfirmed(EventLoop.now(), host, reply.heartbeatSentAt());
       handle(new ElectionEvent.HeartbeatConfirmed(host, reply.heartbeatSentAt()));
       requestConfigIfNewer(reply.configVersion(), answer -> followers.send(host, answer));
       drained.requestIfNewer(reply.drainRevision(), query -> followers.send(host, query));
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -127,6 +127,8 @@
     private final long token;
     private final Dispatcher dispatcher;
     private final Deque<DispatchEvent> held = new ArrayDeque<>();
+    private final long began = time.now();
+    private Set<String> shared = Set.of();
     private boolean over;
     private boolean paused;
 
@@ -139,6 +141,7 @@
       this.led = led;
       this.dispatcher = new Dispatcher(policy, time.now(), time.now(), 0);
       tellDrains();
+      tellShared();
       take(new DispatchEvent.RosterLoaded(listedWorkers()));
       take(new DispatchEvent.JobsLoaded(0, List.of(), List.of()));
     }
@@ -149,6 +152,7 @@
       final int ordinal = jobStore.claim(token);
       this.dispatcher = new Dispatcher(policy, time.now(), time.now() + EARLIER_RUNS, 0);
       tellDrains();
+      tellShared();
       time.after(STORE_ANSWER, () -> load(ordinal));
       time.after(STORE_ANSWER, this::loadRoster);
     }
@@ -161,6 +165,15 @@
       return !led.isEmpty();
     }
 
+    /** Tells the dispatcher in which failure domains another leader may use the workers. */
+    private void tellShared() {
+      Set<String> domains = isLocal() ? sharing.forDomain(led, began) : sharing.forPartition(began);
+      if (!domains.equals(shared)) {
+        shared = domains;
+        take(new DispatchEvent.DomainsShared(domains));
+      }
+    }
+
     private boolean reaches(String worker) {
       return isLocal() ? led.contains(worker) : !cut.contains(worker);
     }
@@ -222,6 +235,7 @@
 
     private void tick() {
       if (!over) {
+        tellShared();
         take(new DispatchEvent.Tick());
         usage.note(dispatcher.snapshot(time.now()));
         time.after(TICK, this::tick);
@@ -247,6 +261,7 @@
   private final DurableCallers callers = new DurableCallers(jobStore);
   private final CrashingTasks crashingTasks = new CrashingTasks();
   private final CapacityLimits capacityLimits = new CapacityLimits();
+  private final DomainSharing sharing = new DomainSharing(time, this::domainOf);
   private final Map<JobId, Ended> ends = new LinkedHashMap<>();
   private final Map<JobId, Integer> generations = new HashMap<>();
   private final Map<TaskRef, Set<RunRef>> atWork = new HashMap<>();
@@ -286,6 +301,10 @@
     return worker;
   }
 
+  private String domainOf(String worker) {
+    return workers.get(worker).info().failureDomain();
+  }
+
   List<LeasedWorker> workers() {
     return List.copyOf(workers.values());
   }
@@ -353,6 +372,7 @@
    */
   void cutHostsOff(Set<String> workerIds) {
     domain = Set.copyOf(workerIds);
+    sharing.cut(domain);
     List<JobId> mine = openJobs().stream().filter(this::isWithPartition).toList();
     time.after(LOST_AFTER, () -> mine.forEach(id -> term.take(withdrawal(id))));
     mine.forEach(id -> handAgainAfter(LOST_AFTER + RESENT_AFTER, id));
@@ -384,10 +404,19 @@
   }
 
   private void handAgain(JobId id) {
+    recordHandedAgain(id);
+    hand(offered.get(id));
+  }
+
+  private void handAgainTo(Term leader, JobId id) {
+    recordHandedAgain(id);
+    handTo(leader, offered.get(id));
+  }
+
+  private void recordHandedAgain(JobId id) {
     ends.remove(id);
     // Its host remembers that it was given up, and never says that it has not run.
     handedAgain.add(id);
-    hand(offered.get(id));
   }
 
   /** Lets hosts that are cut off have a leader of their own, with the last token. */
@@ -443,6 +472,7 @@
   void heal(long micros) {
     cut = Set.of();
     domain = Set.of();
+    sharing.healed();
     Term ending = local;
     if (ending != null) {
       time.after(micros, () -> endLocal(ending));
@@ -627,7 +657,7 @@
     finished(finish);
     boolean refused = finish.outcome() == JobOutcome.REFUSED;
     if (refused && domain.isEmpty()) {
-      handAgain(id);
+      handAgainTo(term, id);
     } else if (finish.outcome() == JobOutcome.ABANDONED) {
       handAgainAfter(RESENT_AFTER, id);
     }
--- a/src/main/java/org/marjoramhoist/lead/DomainElection.java
+++ b/src/main/java/org/marjoramhoist/lead/DomainElection.java
@@ -58,6 +58,7 @@
   private boolean candidacyActive;
   private long candidateSince;
   private boolean leading;
+  private long leadingSince;
   private boolean handingOver;
   private long handOverUntil;
   private long nextCandidacyAt;
@@ -155,6 +156,18 @@
     return leading && now <= majorityConfirmedAt(now) + timeouts.startTimeoutMicros();
   }
 
+  /**
+   * Returns whether no other leader can be using the domain's workers. The hosts that elected this
+   * one had confirmed no heartbeat of the partition's leader for longer than it may start runs
+   * without (see {@link DomainExclusivity}); what it had ordered until then must be over too. A
+   * single host has nobody to confirm that its whole domain is isolated.
+   *
+   * @param runMicros how long a run may go on after the last order of its leader
+   */
+  public boolean isExclusive(long now, long runMicros) {
+    return leading && !otherMembers().isEmpty() && now - leadingSince > runMicros;
+  }
+
   /**
    * Hands over to a host that accepts this one. From now on this host starts no runs, and manages
    * its active runs for {@link #HAND_OVER_MICROS}.
@@ -288,6 +301,7 @@
     }
     candidacyActive = false;
     leading = true;
+    leadingSince = now;
     return List.of(new DomainAction.BecomeLeader());
   }
 
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -70,6 +70,8 @@
   DOMAIN_LEADER_HANDS_OVER(3115),
   /** This host found its failure domain cut off from the other hosts and the store. */
   DOMAIN_CUT_OFF(3116),
+  /** The failure domains whose workers another leader may be using have changed. */
+  DOMAINS_SHARED(3117),
   /** What share of their entitlement groups of callers lately got, about once a second. */
   SERVED_SHARES(3120),
   /** A submission was accepted. */
--- a/src/test/java/org/marjoramhoist/dispatch/DomainDispatchTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DomainDispatchTest.java
@@ -14,6 +14,7 @@
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
+import org.marjoramhoist.job.RequestClass;
 import org.marjoramhoist.job.RunRef;
 import org.marjoramhoist.job.TaskRef;
 
@@ -26,6 +27,9 @@
   private static final List<WorkerInfo> WORKERS =
       List.of(worker("w", 4_000, false), worker("x", 4_000, false));
 
+  private static final RequestClass UNGUARDED =
+      new RequestClass("fill", "h", "/f/", "reviews", 0, 3, 1.6, 60, false, true);
+
   private int jobCount;
 
   @BeforeEach
@@ -140,6 +144,20 @@
         .forEach(renew -> assertThat(renew.leaseUntilMillis()).isEqualTo(0));
   }
 
+  /** A leader that has handed over leaves the runs of its successor alone. */
+  @Test
+  void stopsNoRunOfItsSuccessor() {
+    report("w", List.of());
+    report("x", List.of());
+    submit(1);
+    RunRef own = takeActions(DispatchAction.Start.class).get(0).run();
+    confirmStart("w", own);
+    step(0, new DispatchEvent.HandOverStarted("test"));
+    takeActions(DispatchAction.Stop.class);
+    report("w", List.of(new ActiveRun(own, 10), new ActiveRun(FOREIGN_RUN, 10)));
+    assertThat(takeActions(DispatchAction.Stop.class)).isEmpty();
+  }
+
   /**
    * Guards against a task that was done behind the cut and starts again outside: the lease of its
    * worker must lapse before this leader extends it.
@@ -184,6 +202,47 @@
     assertThat(startedOn()).containsExactly("x");
   }
 
+  private JobId submitUnguarded() {
+    JobId id = new JobId(String.format(Locale.ROOT, "%016x", ++jobCount));
+    JobDescription job = new JobDescription(id, "p", List.of(tasks(1, List.of())), Set.of());
+    step(
+        1,
+        new DispatchEvent.JobSubmitted(
+            job, UNGUARDED, "e", now, now + 5_000 * MICROS_PER_MILLI, 0));
+    return id;
+  }
+
+  /** Guards against workers that two leaders fill beyond their capacity. */
+  @Test
+  void refusesJobAtOnceWhoseWorkersAnotherLeaderMayFill() {
+    step(0, new DispatchEvent.DomainsShared(Set.of("d")));
+    report("w", List.of());
+    report("x", List.of());
+    submitUnguarded();
+    assertThat(startedOn()).isEmpty();
+    DispatchAction.Finish finish = takeActions(DispatchAction.Finish.class).get(0);
+    assertThat(finish.outcome()).isEqualTo(JobOutcome.REFUSED);
+    assertThat(finish.retryAfterMillis()).isGreaterThan(0);
+    submit(1);
+    assertThat(startedOn()).hasSize(1);
+  }
+
+  /** What ran there while another leader used the worker must be known. */
+  @Test
+  void usesUnguardedWorkerOnlyAfterReportSinceItIsExclusive() {
+    step(0, new DispatchEvent.DomainsShared(Set.of("d")));
+    report("w", List.of());
+    report("x", List.of());
+    step(10, new DispatchEvent.DomainsShared(Set.of()));
+    submitUnguarded();
+    tick(200);
+    assertThat(startedOn()).isEmpty();
+    assertThat(takeActions(DispatchAction.Renew.class)).isNotEmpty();
+    report("x", List.of());
+    tick(20);
+    assertThat(startedOn()).containsExactly("x");
+  }
+
   private Set<String> startedOn() {
     return takeActions(DispatchAction.Start.class).stream()
         .map(start -> start.worker().id())
--- a/src/test/java/org/marjoramhoist/entry/IsolatedDomainMemberTest.java
+++ b/src/test/java/org/marjoramhoist/entry/IsolatedDomainMemberTest.java
@@ -58,6 +58,7 @@
         new OpenJobs(leaders),
         drained,
         new SuspensionDetector(wallMillis::get, () -> 0),
+        1_300_000,
         handedOver ->
             new DomainLeadership(
                 5,
@@ -67,7 +68,7 @@
                 loop,
                 null,
                 new NodeMetrics(),
-                new Leadership.Permissions(() -> false, () -> false),
+                new Leadership.Permissions(() -> false, () -> false, Set::of),
                 (host, answer) -> {},
                 reason -> {}));
   }
--- a/src/test/java/org/marjoramhoist/experiment/DomainCutHistoryTest.java
+++ b/src/test/java/org/marjoramhoist/experiment/DomainCutHistoryTest.java
@@ -123,6 +123,38 @@
     assertThat(fleet.callers().unfinished()).isEmpty();
   }
 
+  /**
+   * Guards against two leaders that fill the same workers: hosts that only are cut off from the
+   * others find the workers of their domain idle, and so does the partition's leader.
+   */
+  @Property(tries = 40, shrinking = ShrinkingMode.OFF, seed = "20261205")
+  void noLeaderFillsUnguardedWorkersOfAnother(@ForAll long seed) {
+    DispatchFleet fleet = Fleets.dispatching(seed);
+    fleet.workers().forEach(worker -> worker.unguarded = true);
+    SplittableRandom random = new SplittableRandom(seed);
+    long end = fleet.time().now() + 16 * SECOND;
+    new DispatchLoad(fleet, unguarded(0.2), List.of(), seed).offerUntil(end);
+    while (fleet.time().now() < end) {
+      fleet.runFor(random.nextLong(500_000, 2_500_000));
+      Set<String> some = firstWorkers(fleet, random.nextInt(1, fleet.workers().size()));
+      if (random.nextBoolean()) {
+        fleet.cutOff(some);
+      } else {
+        fleet.cutHostsOff(some);
+      }
+      fleet.runFor(random.nextLong(450_000, 900_000));
+      fleet.electLocal();
+      fleet.runFor(random.nextLong(4 * SECOND));
+      fleet.heal(random.nextLong(400_000));
+    }
+    fleet.runFor(LONGEST_PATIENCE);
+    assertWithMessage("seed %s", seed).that(fleet.breaches()).isEmpty();
+  }
+
+  private static List<DispatchLoad.Kind> unguarded(double factor) {
+    return DispatchLoad.reviews(factor).stream().map(DispatchLoad.Kind::unguarded).toList();
+  }
+
   @Property(tries = 60, shrinking = ShrinkingMode.OFF, seed = "20261206")
   void noStoredTaskRunsTwiceAroundCuts(@ForAll long seed) {
     DispatchFleet fleet = Fleets.dispatching(seed);
--- a/src/test/java/org/marjoramhoist/lead/DomainElectionTest.java
+++ b/src/test/java/org/marjoramhoist/lead/DomainElectionTest.java
@@ -38,6 +38,26 @@
     return election;
   }
 
+  /** What the partition's leader ordered before its hosts fell silent may go on for so long. */
+  @Test
+  void leaderIsExclusiveOnceRunsOfThePartitionsLeaderAreOver() {
+    DomainElection election = leaderOfThree();
+    long runMicros = 1_300 * MICROS_PER_MILLI;
+    assertThat(election.isExclusive(now + runMicros, runMicros)).isFalse();
+    assertThat(election.isExclusive(now + runMicros + 1, runMicros)).isTrue();
+    election.requestStepDown(now + runMicros + 1, "test");
+    assertThat(election.isExclusive(now + 2 * runMicros, runMicros)).isFalse();
+  }
+
+  /** A single host that is cut off from the others can't tell that from a cut of its domain. */
+  @Test
+  void singleHostIsNeverExclusive() {
+    DomainElection election = host("a", Map.of("a", EQUAL));
+    election.markIsolated(now);
+    assertThat(election.tick(now)).containsExactly(new DomainAction.BecomeLeader());
+    assertThat(election.isExclusive(now + 60_000 * MICROS_PER_MILLI, 0)).isFalse();
+  }
+
   @Test
   void hostThatIsNotIsolatedIsNoCandidateAndAcceptsNone() {
     DomainElection election = host("a", THREE);
