Only workers that unguarded jobs need are asked for a report once they are exclusive

Cause: asked each worker for a report when its domain was no longer shared, also those that guard their capacity, which needs no proof.

Change: a report is asked for once a job has told that the worker starts beyond its capacity. The test passes again, as the guarded path is as it was.

--- a/src/main/java/org/marjoramhoist/dispatch/Worker.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Worker.java
@@ -98,6 +98,9 @@
   /** When its latest report was requested. */
   long lastReportRequestedAt;
 
+  /** Whether it starts tasks beyond its capacity, as jobs for it have told. */
+  boolean startsBeyondCapacity;
+
   private long exclusiveSince;
   long acknowledgementSent;
 
@@ -415,14 +418,14 @@
     return exclusiveSince == Long.MAX_VALUE;
   }
 
-  /** Tells whether it has not reported since no other leader can be using it. */
-  boolean needsReportOfRuns() {
-    return !isShared() && lastReportRequestedAt < exclusiveSince;
-  }
-
   /** Tells whether no other leader can be using it, and all that runs on it is known. */
   boolean isExclusive() {
-    return !isShared() && !needsReportOfRuns();
+    return !isShared() && lastReportRequestedAt >= exclusiveSince;
+  }
+
+  /** Tells whether a report is needed before a task can be started that it would not reject. */
+  boolean needsReportOfRuns() {
+    return startsBeyondCapacity && !isShared() && !isExclusive();
   }
 
   /** Returns the predicted time until its runs have ended. */
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerSelector.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerSelector.java
@@ -73,8 +73,11 @@
    * beyond it. An idle worker may be used by another leader at the same moment.
    */
   private static boolean isFreeCapacityKnown(Task task, Worker worker, long now) {
-    return !task.job.requestClass().startsBeyondCapacity()
-        || worker.isExclusive() && worker.isCapacityKnown(now);
+    if (!task.job.requestClass().startsBeyondCapacity()) {
+      return true;
+    }
+    worker.startsBeyondCapacity = true;
+    return worker.isExclusive() && worker.isCapacityKnown(now);
   }
 
   private void recordStart(Task task, Worker worker) {
