Renewals of leases in a class of their own

RunController had grown to 563 lines with two jobs: runs and their outcomes, and when to renew leases, acknowledge and ask for reports. The latter is LeaseRenewals now (432 and 171 lines).

--- a/src/main/java/org/marjoramhoist/dispatch/ExclusiveStarts.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ExclusiveStarts.java
@@ -123,7 +123,7 @@
       idle.stream()
           .filter(worker -> worker.pendingRenewals == 0)
           .max(Comparator.comparingLong(Worker::lastHeardAt))
-          .ifPresent(worker -> runs.requestReport(worker, now, out));
+          .ifPresent(worker -> runs.renewals().requestReport(worker, now, out));
     }
     return heard;
   }
--- a/src/main/java/org/marjoramhoist/dispatch/RunController.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunController.java
@@ -12,7 +12,7 @@
 import org.marjoramhoist.log.LogEvent;
 
 /**
- * Starts and stops runs, renews their leases, and determines their outcomes.
+ * Starts and stops runs, and determines their outcomes.
  *
  * <p>Invariant: a run is considered over only if the worker reported its completion, if the worker
  * rejected it, if it is missing from a complete report that was requested after its start or its
@@ -23,21 +23,6 @@
   /** How long after its expiry a lease is still considered valid. */
   private static final long LEASE_EXPIRY_MARGIN_MILLIS = 60;
 
-  /** How long after the last report completions are acknowledged if no lease must be renewed. */
-  private static final long ACKNOWLEDGEMENT_DELAY_MICROS = 60_000;
-
-  /** How long after its last report a worker without runs is asked for another one. */
-  private static final long IDLE_POLL_MICROS = 4_000_000;
-
-  /** How long a worker with a stopped run may wait for a completion before it reports. */
-  private static final long STOP_REPORT_WAIT_MILLIS = 10;
-
-  /** The interval of renewals to a worker with runs whose reports are missing or incomplete. */
-  private static final long ACTIVE_RETRY_MICROS = 100_000;
-
-  /** The interval of renewals to a worker without runs whose reports are missing or incomplete. */
-  private static final long IDLE_RETRY_MICROS = 500_000;
-
   private static final long NO_ROOM_PAUSE_MICROS = 50_000;
   private static final long UNHEALTHY_PAUSE_MICROS = 500_000;
 
@@ -47,19 +32,18 @@
    */
   private static final int STALE_RUN_INCREMENT = 8;
 
-  /** The maximum number of unanswered renewals to a worker. */
-  private static final int MAX_PENDING_RENEWALS = 2;
-
   private final DispatchPolicy policy;
   private final RunListener listener;
   private final EarlierRuns earlierRuns;
   private final StartWindow window;
+  private final LeaseRenewals renewals;
 
   RunController(DispatchPolicy policy, RunListener listener) {
     this.policy = policy;
     this.listener = listener;
     this.window = new StartWindow(policy.usesSlackPlacement());
     this.earlierRuns = new EarlierRuns(policy, listener);
+    this.renewals = new LeaseRenewals(policy, earlierRuns);
   }
 
   /** Returns the window of unanswered start orders. */
@@ -67,10 +51,15 @@
     return window;
   }
 
+  /** Returns the renewals of the workers' leases. */
+  LeaseRenewals renewals() {
+    return renewals;
+  }
+
   /** Orders a worker to start a run of a task. */
   void start(Task task, Worker worker, double predictedMicros, long now, List<DispatchAction> out) {
     task.lastRunNumber++;
-    long lease = leaseExpiryMillis(worker, now);
+    long lease = renewals.leaseExpiryMillis(worker, now);
     RunRef ref = new RunRef(task.ref, task.lastRunNumber);
     Run run = new Run(ref, task, worker, now, lease, predictedMicros);
     task.run = run;
@@ -92,11 +81,6 @@
     }
   }
 
-  /** Returns when a lease that is granted now expires, in milliseconds on the worker's clock. */
-  private long leaseExpiryMillis(Worker worker, long now) {
-    return worker.clock.estimate(now) + policy.leaseMillis();
-  }
-
   /** Handles the reply to a start order. */
   void startAnswered(
       Worker worker,
@@ -118,7 +102,7 @@
     }
     if (reply.verdict() == StartReply.Verdict.STARTED) {
       run.startConfirmed(now);
-      renewIfDue(worker, now, out);
+      renewals.renewIfDue(worker, now, out);
       return;
     }
     startRejected(worker, run, reply.verdict(), now, out);
@@ -129,7 +113,7 @@
    * leases to the maximum.
    */
   private void limitLeases(Worker worker, long now) {
-    long latest = leaseExpiryMillis(worker, now);
+    long latest = renewals.leaseExpiryMillis(worker, now);
     worker.leaseUntilMillis = Math.min(worker.leaseUntilMillis, latest);
     worker.runs.values().forEach(run -> run.limitStartLease(latest));
   }
@@ -170,7 +154,7 @@
       removeRun(run);
       listener.runLost(run, LossCause.NOT_SENT, now, out);
     }
-    renewIfDue(worker, now, out);
+    renewals.renewIfDue(worker, now, out);
   }
 
   /** Handles the confirmation or the failure of a stop order. */
@@ -183,7 +167,7 @@
       worker.recordCallSuccess(now);
       run.phase = Run.Phase.STOPPED;
       run.answeredAt = now;
-      renewIfDue(worker, now, out);
+      renewals.renewIfDue(worker, now, out);
     } else {
       worker.recordCallFailure(now);
       run.phase = Run.Phase.RUNNING;
@@ -199,7 +183,7 @@
     worker.lastFailure = null;
     worker.replaced = false;
     if (isOutdated(worker, report)) {
-      renewIfDue(worker, now, out);
+      renewals.renewIfDue(worker, now, out);
       return;
     }
     worker.synced |= report.hasAllCompletions();
@@ -219,7 +203,7 @@
     worker.clock.update(report.clockMillis(), sentAt, now);
     if (restarted) {
       // What was granted before counts on a clock that is gone; orders may still be on their way.
-      worker.leaseUntilMillis = leaseExpiryMillis(worker, now);
+      worker.leaseUntilMillis = renewals.leaseExpiryMillis(worker, now);
     }
     final boolean hadNoForeignLease = worker.foreignLease.hasLapsed();
     for (Completion completion : report.completions()) {
@@ -248,7 +232,7 @@
     listener.workerExplained(worker, restarted, now, out);
     stopStalled(worker, now, out);
     worker.updateSlowness(now);
-    renewIfDue(worker, now, out);
+    renewals.renewIfDue(worker, now, out);
   }
 
   private void recordForeignCompletion(Worker worker, Completion completion, long clockMillis) {
@@ -329,7 +313,7 @@
   /** Adopts the reported active and completed runs of a resubmitted job. */
   void adoptEarlierRuns(Job job, Iterable<Worker> workers, long now, List<DispatchAction> out) {
     for (Worker worker : earlierRuns.adoptRuns(job, workers, now)) {
-      renewIfDue(worker, now, out);
+      renewals.renewIfDue(worker, now, out);
     }
   }
 
@@ -371,7 +355,7 @@
     worker.recordCallFailure(now);
     worker.lastFailure = failure;
     if (worker.isReachable()) {
-      renewIfDue(worker, now, out);
+      renewals.renewIfDue(worker, now, out);
     } else if (wasReachable) {
       out.add(new Log(LogEvent.WORKER_UNREACHABLE, describe(worker)));
     }
@@ -414,122 +398,7 @@
       }
     }
     worker.updateSlowness(now);
-    renewIfDue(worker, now, out);
-  }
-
-  private void renewIfDue(Worker worker, long now, List<DispatchAction> out) {
-    if (worker.pendingRenewals > 0 && !needsImmediateReport(worker)) {
-      return;
-    }
-    if (worker.isReachable() && worker.hasMoreCompletions) {
-      renewForMoreCompletions(worker, now, out);
-      return;
-    }
-    if (!worker.isReachable() || !worker.synced) {
-      requestReportIfDue(
-          worker, worker.runs.isEmpty() ? IDLE_RETRY_MICROS : ACTIVE_RETRY_MICROS, now, out);
-      return;
-    }
-    boolean hasAcceptedRuns = false;
-    boolean stopped = false;
-    for (Run run : worker.runs.values()) {
-      hasAcceptedRuns |= run.phase != Run.Phase.STARTING;
-      stopped |= run.phase == Run.Phase.STOPPED || run.phase == Run.Phase.STOPPING;
-    }
-    boolean mustRenewForeignRuns = !worker.foreignRuns.isEmpty() && earlierRuns.mayBelongToJob(now);
-    boolean sharedWithOtherLeader = policy.leadsDomain() && !worker.foreignRuns.isEmpty();
-    if (hasAcceptedRuns && !sharedWithOtherLeader || mustRenewForeignRuns) {
-      long wait = stopped ? STOP_REPORT_WAIT_MILLIS : policy.renewWaitMillis();
-      renew(worker, leaseExpiryMillis(worker, now), wait, now, out);
-      return;
-    }
-    if (!worker.foreignRuns.isEmpty() || !worker.foreignLease.hasLapsed()) {
-      // A lease would also extend the leases of the foreign runs.
-      requestReportIfDue(worker, ACTIVE_RETRY_MICROS, now, out);
-      return;
-    }
-    boolean mustAcknowledge =
-        !policy.leadsDomain()
-            && worker.acknowledged() > worker.acknowledgementSent
-            && (worker.acknowledgementDeferred
-                || now - worker.lastReportAt > ACKNOWLEDGEMENT_DELAY_MICROS);
-    if (worker.needsReportOfRuns()) {
-      requestReportIfDue(worker, ACTIVE_RETRY_MICROS, now, out);
-      return;
-    }
-    boolean pollDue = worker.isFailing() || now - worker.lastReportAt > IDLE_POLL_MICROS;
-    boolean mustPoll = worker.runs.isEmpty() && pollDue;
-    if (mustAcknowledge || mustPoll) {
-      renew(worker, 0, 0, now, out);
-    }
-  }
-
-  /**
-   * Tells whether to request a report while another renewal waits for a completion: the task of a
-   * stopped run cannot be started again before a report shows the outcome of that run.
-   */
-  private static boolean needsImmediateReport(Worker worker) {
-    if (worker.pendingRenewals >= MAX_PENDING_RENEWALS || !worker.isReachable() || !worker.synced) {
-      return false;
-    }
-    for (Run run : worker.runs.values()) {
-      if (run.phase == Run.Phase.STOPPED && run.answeredAt > worker.lastRenewalAt) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  /**
-   * Requests the next completions immediately if the worker can report them; otherwise renews the
-   * leases at a fixed interval.
-   */
-  private void renewForMoreCompletions(Worker worker, long now, List<DispatchAction> out) {
-    if (worker.canReportMoreCompletions() || now - worker.lastRenewalAt > ACTIVE_RETRY_MICROS) {
-      boolean mustRenewForeignRuns =
-          !worker.foreignRuns.isEmpty() && earlierRuns.mayBelongToJob(now);
-      boolean mustRenewLeases = !worker.runs.isEmpty() || mustRenewForeignRuns;
-      renew(worker, mustRenewLeases ? leaseExpiryMillis(worker, now) : 0, 0, now, out);
-    }
-  }
-
-  /** Requests a report without extending any lease, unless one was requested recently. */
-  private void requestReportIfDue(
-      Worker worker, long intervalMicros, long now, List<DispatchAction> out) {
-    if (worker.lastRenewalAt == 0 || now - worker.lastRenewalAt > intervalMicros) {
-      renew(worker, 0, 0, now, out);
-    }
-  }
-
-  /** Requests a report at once without extending any lease, unless a report is awaited. */
-  void requestReport(Worker worker, long now, List<DispatchAction> out) {
-    if (worker.pendingRenewals == 0) {
-      renew(worker, 0, 0, now, out);
-    }
-  }
-
-  /**
-   * Sends a renewal, which acknowledges completions and requests a report.
-   *
-   * @param lease the new lease expiry in milliseconds on the worker's clock; 0 to extend no lease
-   * @param wait how long the worker may wait for a completion before it reports, in milliseconds
-   */
-  private void renew(Worker worker, long lease, long wait, long now, List<DispatchAction> out) {
-    worker.pendingRenewals++;
-    worker.lastRenewalAt = now;
-    worker.leaseUntilMillis = Math.max(worker.leaseUntilMillis, lease);
-    worker.acknowledgementDeferred = worker.mayHaveRestarted;
-    long acknowledged = mayAcknowledge(worker) ? worker.acknowledged() : 0;
-    worker.acknowledgementSent = Math.max(worker.acknowledgementSent, acknowledged);
-    out.add(new DispatchAction.Renew(worker.info(), acknowledged, lease, wait));
-  }
-
-  /**
-   * The leader of a failure domain acknowledges nothing, as the partition's leader must see all
-   * completions.
-   */
-  private boolean mayAcknowledge(Worker worker) {
-    return !worker.acknowledgementDeferred && !policy.leadsDomain();
+    renewals.renewIfDue(worker, now, out);
   }
 
   /** Describes a worker and its runs; the latest of them is the last. */
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerLossHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerLossHandler.java
@@ -80,7 +80,7 @@
     long count = lost.lostWithOthers ? Long.MAX_VALUE : few;
     workers.unheardNear(lost).stream()
         .limit(count)
-        .forEach(each -> runs.requestReport(each, now, out));
+        .forEach(each -> runs.renewals().requestReport(each, now, out));
   }
 
   /** Withdraws the losses of a worker if it was lost with others near it. */
