Ends of best-effort runs don't hold back a domain's leader

Cause: waits for a lease on each worker with an unacknowledged end of another leader's run. The rule that it keeps (no start after an end that is noted later) holds for stored jobs only; best-effort jobs may run again from the start, not beside a run.

Change: ends count only of runs whose number says that the job may be stored: these begin above 64, in the first term that stores jobs. A best-effort run that got such a number by rejections is waited for, which costs service only. DomainDispatchTest has both; DomainCutHistoryTest passes.

--- a/src/main/java/org/marjoramhoist/dispatch/ForeignLease.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ForeignLease.java
@@ -7,8 +7,9 @@
  * What a worker's reports tell about the lease that another leader may have granted it.
  *
  * <p>The other leader takes its run for lost once the lease that it granted has expired, and starts
- * the task again. It must not find out later that the run had ended by itself while the worker's
- * lease never lapsed. Whoever extends that lease meanwhile would cause just this.
+ * the task again. If the job is durable, it must not find out later that the run had ended by
+ * itself while the worker's lease never lapsed. Whoever extends that lease meanwhile would cause
+ * just this.
  *
  * <p>Invariant: {@link #hasLapsed} is true only if the worker's lease has lapsed since the last run
  * of another leader ended on it, if that end is still to be acknowledged. Orders that are executed
@@ -28,23 +29,24 @@
   void runCompleted(Completion completion, boolean isOwn, long clockMillis) {
     if (completion.outcome() == RunOutcome.LAPSED) {
       mayBeValid = false;
-    } else if (!isOwn && isDecisive(completion.outcome())) {
-      recordUse(clockMillis);
+    } else if (!isOwn && isDecisive(completion)) {
+      mayBeValid = true;
+      lastUsedMillis = clockMillis;
     }
   }
 
-  /** Tells whether the other leader must not learn of an outcome after it has repeated the run. */
-  private static boolean isDecisive(RunOutcome outcome) {
-    return outcome == RunOutcome.DONE || outcome == RunOutcome.FAILED;
+  /** Tells whether the other leader must not learn of an end after it has repeated the run. */
+  private static boolean isDecisive(Completion completion) {
+    boolean endedByItself =
+        completion.outcome() == RunOutcome.DONE || completion.outcome() == RunOutcome.FAILED;
+    return endedByItself && Job.mayBeDurable(completion.run().number());
   }
 
-  /** Handles a report that contains an active run of another leader. */
+  /**
+   * Handles a report that contains an active run of another leader, which may have extended the
+   * lease until then.
+   */
   void runIsActive(long clockMillis) {
-    recordUse(clockMillis);
-  }
-
-  private void recordUse(long clockMillis) {
-    mayBeValid = true;
     lastUsedMillis = clockMillis;
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -22,6 +22,11 @@
   private static final int RUNS_PER_GENERATION = 32;
   private static final int RUNS_PER_TERM = 64;
 
+  /** Tells whether a run with a number may be of a durable job; those start in the first term. */
+  static boolean mayBeDurable(int runNumber) {
+    return runNumber > RUNS_PER_TERM;
+  }
+
   private final JobDescription description;
   private final RequestClass requestClass;
   private final List<List<Task>> steps = new ArrayList<>();
