The shared domains are computed only when a confirmation changes or ends

Cause: the leader asks for them before each of its decisions, and each time all hosts were looked at. Change: the result stands until a host that had fallen silent confirms, until the next confirmation ends, or the hosts are listed. The cost before was read, not measured.

--- a/src/main/java/org/marjoramhoist/lead/DomainExclusivity.java
+++ b/src/main/java/org/marjoramhoist/lead/DomainExclusivity.java
@@ -4,7 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 /**
  * Tells the partition's leader in which failure domains no other leader can be using the workers.
@@ -38,6 +38,10 @@
   private final long ordersOverMicros;
   private final Map<String, Long> confirmedAt = new HashMap<>();
   private final Map<String, Domain> domains = new HashMap<>();
+  private Set<String> shared = Set.of();
+
+  /** Until when no passing of time changes anything. */
+  private long unchangedUntil;
 
   /**
    * Creates the state of a term.
@@ -66,38 +70,64 @@
     }
     domainOfHost.forEach(
         (host, name) -> domains.computeIfAbsent(name, key -> new Domain()).hosts.add(host));
-    update(now);
+    recompute(now);
   }
 
   /** Handles a host's confirmation of a heartbeat that was sent at a time. */
   public void heartbeatConfirmed(long now, String host, long sentAt) {
     update(now);
+    boolean wasConfirmed = isConfirmed(host, now);
     confirmedAt.merge(host, sentAt, Math::max);
-    update(now);
+    if (!wasConfirmed) {
+      recompute(now);
+    }
   }
 
   /** Returns the failure domains whose workers another leader may be using. */
   public Set<String> sharedDomains(long now) {
     update(now);
-    Set<String> shared = new TreeSet<>();
-    domains.forEach(
-        (name, domain) -> {
-          if (domain.isShared(now)) {
-            shared.add(name);
-          }
-        });
     return shared;
   }
 
   private void update(long now) {
+    if (now >= unchangedUntil) {
+      recompute(now);
+    }
+  }
+
+  private void recompute(long now) {
+    domains.values().forEach(domain -> updateContact(domain, now));
+    shared =
+        domains.entrySet().stream()
+            .filter(each -> each.getValue().isShared(now))
+            .map(Map.Entry::getKey)
+            .collect(Collectors.toUnmodifiableSet());
+    unchangedUntil = nextChange(now);
+  }
+
+  private void updateContact(Domain domain, long now) {
+    long confirmed = domain.hosts.stream().filter(host -> isConfirmed(host, now)).count();
+    if (2 * confirmed < domain.hosts.size()) {
+      domain.exclusiveFrom = null;
+    } else if (domain.exclusiveFrom == null) {
+      domain.exclusiveFrom = now + ordersOverMicros;
+    }
+  }
+
+  /** Returns when a confirmation or the wait for another leader's orders ends next. */
+  private long nextChange(long now) {
+    long next = Long.MAX_VALUE;
+    for (long sentAt : confirmedAt.values()) {
+      next = earlier(next, sentAt + confirmationMicros + 1, now);
+    }
     for (Domain domain : domains.values()) {
-      long confirmed = domain.hosts.stream().filter(host -> isConfirmed(host, now)).count();
-      if (2 * confirmed < domain.hosts.size()) {
-        domain.exclusiveFrom = null;
-      } else if (domain.exclusiveFrom == null) {
-        domain.exclusiveFrom = now + ordersOverMicros;
-      }
+      next = domain.exclusiveFrom == null ? next : earlier(next, domain.exclusiveFrom, now);
     }
+    return next;
+  }
+
+  private static long earlier(long next, long candidate, long now) {
+    return candidate > now ? Math.min(next, candidate) : next;
   }
 
   private boolean isConfirmed(String host, long now) {
