Ejected workers are looked at only while jobs wait

Cause: went through all workers in each allocation, also with an empty queue, which is most of the time. No behaviour changes; WorkerExclusionTest and DispatcherTest pass. The cost was read, not measured.

--- a/src/main/java/org/marjoramhoist/dispatch/TaskAllocator.java
+++ b/src/main/java/org/marjoramhoist/dispatch/TaskAllocator.java
@@ -155,6 +155,9 @@
    * Ejection is a preference: it must not keep a task from the last worker that could run it.
    */
   void startOnEjectedWorkers(long now, List<DispatchAction> out) {
+    if (queue.isEmpty()) {
+      return;
+    }
     List<Worker> ejected =
         workers.all().stream().filter(worker -> worker.mayBeProbed(now)).toList();
     if (ejected.isEmpty()) {
