--- a/src/main/java/org/marjoramhoist/dispatch/ForeignLease.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ForeignLease.java
@@ -12,8 +12,9 @@
  * just this.
  *
  * <p>Invariant: {@link #hasLapsed} is true only if the worker's lease has lapsed since the last run
- * of another leader ended on it, if that end is still to be acknowledged. Orders that are executed
- * late need no extra time: a worker rejects a start, and ignores an extension, whose deadline has
+ * of a durable job of another leader ended by itself on it, as far as it has reported such an end
+ * that is still to be acknowledged. An active run is not covered. Orders that are executed late
+ * need no extra time: a worker rejects a start, and ignores an extension, whose deadline has
  * passed, and each deadline is at most a lease after the order was sent. Confined to one thread.
  */
 final class ForeignLease {
