Log submissions at the leader and at the host, and name the links

What can be told now: - JOB_SUBMITTED (4019, debug, leader): each submission, with the host and whether the job was new, open, or complete and so answered. - JOB_SUBMITTED_AGAIN (4020, info, leader): a submission of a job that this leader ended recently makes a new job: outcome, how long ago, and whether the earlier one was started. At most one for each end of a job. - JOB_SENT (4021, debug, host): each sending of a job, with term, link and whether it is repeated. - JOBS_RESUBMITTED (4022, info, host): how many jobs or calls were sent again to a leader that was found; not if there were none. - HOST_LINK_OPENED (3121, info, leader), and a link in LEADER_CHANGED and DOMAIN_LEADER_FOUND. Both ends log the connection's two ports. A leader reads only the last link to a host, so a submission came over that one.

No change of logic. Not covered: single calls about durable jobs at the leader; a host whose failure domain's leader is lost sends open jobs to the partition's leader again with JOB_SENT only.

--- a/src/main/java/org/marjoramhoist/dispatch/JobRegistry.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobRegistry.java
@@ -83,6 +83,7 @@
     JobId id = event.job().id();
     Job openJob = open.get(id);
     if (openJob != null) {
+      out.add(new Log(LogEvent.JOB_SUBMITTED, describe(event, now) + " previous=OPEN"));
       openJob.entries.add(event.entry());
       openJob.deadline = Math.max(openJob.deadline, event.deadline());
       openJob.recordResubmission(event.generation());
@@ -90,11 +91,19 @@
     }
     Ended previous = ended.get(id);
     if (previous != null && isFinal(previous.outcome())) {
+      out.add(
+          new Log(
+              LogEvent.JOB_SUBMITTED, describe(event, now) + " previous=" + previous.outcome()));
       out.add(
           new DispatchAction.Finish(
               id, Set.of(event.entry()), previous.outcome(), previous.reason(), 0));
       return null;
     }
+    out.add(
+        previous == null
+            ? new Log(LogEvent.JOB_SUBMITTED, describe(event, now) + " previous=NONE")
+            : new Log(
+                LogEvent.JOB_SUBMITTED_AGAIN, describe(event, now) + describe(previous, now)));
     Job job =
         new Job(
             event.job(),
@@ -179,6 +188,28 @@
     };
   }
 
+  private static String describe(JobSubmitted event, long now) {
+    return "job="
+        + event.job().id()
+        + " entry="
+        + event.entry()
+        + " generation="
+        + event.generation()
+        + " ageMicros="
+        + (now - event.arrivedAt());
+  }
+
+  private static String describe(Ended previous, long now) {
+    return " previous="
+        + previous.outcome()
+        + " agoMicros="
+        + (now - previous.endedAt())
+        + " started="
+        + previous.started()
+        + " reason="
+        + previous.reason();
+  }
+
   private static String describe(Job job, String reason, long now) {
     return "job="
         + job.id()
--- a/src/main/java/org/marjoramhoist/entry/FollowerLinks.java
+++ b/src/main/java/org/marjoramhoist/entry/FollowerLinks.java
@@ -8,6 +8,8 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.peer.FrameLink;
 import org.marjoramhoist.peer.FrameNetwork;
@@ -128,6 +130,7 @@
           follower.link = link;
           follower.lastReceivedAt = EventLoop.now();
           follower.lost = false;
+          EventLog.info(LogEvent.HOST_LINK_OPENED, "host={} link={}", name, link.id());
           link.send(heartbeat);
           onOpened.accept(name);
         },
--- a/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
+++ b/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
@@ -447,7 +447,7 @@
   }
 
   private void follow(FrameLink link, String host) {
-    EventLog.info(LogEvent.DOMAIN_LEADER_FOUND, "leader={}", host);
+    EventLog.info(LogEvent.DOMAIN_LEADER_FOUND, "leader={} link={}", host, link.id());
     leaderLink = link;
     leaderName = host;
     leaderHeartbeatAt = EventLoop.now();
--- a/src/main/java/org/marjoramhoist/entry/JobCalls.java
+++ b/src/main/java/org/marjoramhoist/entry/JobCalls.java
@@ -9,6 +9,8 @@
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.message.HostMessage.JobCall;
 import org.marjoramhoist.message.HostMessage.JobCallReply;
 
@@ -67,7 +69,7 @@
    */
   JobCalls(LeaderTracker leaderTracker, long incarnation) {
     this.leaderTracker = leaderTracker;
-    leaderTracker.onLeaderFound(() -> List.copyOf(open.values()).forEach(this::send));
+    leaderTracker.onLeaderFound(this::leaderFound);
     this.lastCallId = incarnation << CALL_COUNT_BITS;
   }
 
@@ -104,6 +106,22 @@
     send(openCall);
   }
 
+  /** Sends the open calls to the leader, which was found or found again. */
+  private void leaderFound() {
+    LeaderChannel leader = leaderTracker.partitionLeader();
+    List<OpenCall> calls = List.copyOf(open.values());
+    long repeated = calls.stream().filter(each -> each.sent).count();
+    if (repeated > 0) {
+      EventLog.info(
+          LogEvent.JOBS_RESUBMITTED,
+          "calls={} term={} link={}",
+          repeated,
+          leader.term(),
+          leader.linkId());
+    }
+    calls.forEach(this::send);
+  }
+
   /**
    * Sends a call to the leader, if there is one; sending may detect that the connection is lost.
    */
--- a/src/main/java/org/marjoramhoist/entry/LeaderChannel.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderChannel.java
@@ -8,6 +8,11 @@
   /** Returns the leader's term. */
   long term();
 
+  /** Returns the ID of the link to the leader, for logs; {@code local} if it is this host. */
+  default String linkId() {
+    return "local";
+  }
+
   /** Sends a message to the leader; it may be lost with the connection. */
   void send(HostMessage message);
 }
--- a/src/main/java/org/marjoramhoist/entry/Leadership.java
+++ b/src/main/java/org/marjoramhoist/entry/Leadership.java
@@ -244,7 +244,7 @@
   private void log(DispatchAction.Log log) {
     metrics.countEvent(log.event());
     switch (log.event()) {
-      case JOB_COMPLETED -> EventLog.debug(log.event(), "{}", log.detail());
+      case JOB_COMPLETED, JOB_SUBMITTED -> EventLog.debug(log.event(), "{}", log.detail());
       case WORKER_EJECTED -> EventLog.warn(log.event(), "{}", log.detail());
       default -> EventLog.info(log.event(), "{}", log.detail());
     }
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -11,6 +11,8 @@
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.log.EventLog;
+import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.message.HostMessage.Finished;
 import org.marjoramhoist.message.HostMessage.Submit;
 import org.marjoramhoist.message.HostMessage.Withdraw;
@@ -69,7 +71,7 @@
   OpenJobs(LeaderTracker leaderTracker, SchedulingPolicy scheduling) {
     this.leaderTracker = leaderTracker;
     this.admission = new AdmissionGate(scheduling);
-    leaderTracker.onLeaderFound(() -> List.copyOf(open.values()).forEach(this::send));
+    leaderTracker.onLeaderFound(this::leaderFound);
     leaderTracker.onDomainLeaderChange(this::domainLeaderChanged);
   }
 
@@ -165,6 +167,23 @@
     return new Finished(id, JobOutcome.REFUSED, "the leader is overloaded", retryAfterMillis);
   }
 
+  /** Sends the open jobs to the partition's leader, which was found or found again. */
+  private void leaderFound() {
+    LeaderChannel leader = leaderTracker.partitionLeader();
+    List<OpenJob> jobs = List.copyOf(open.values());
+    long repeated =
+        jobs.stream().filter(each -> each.sentTerm != 0 && each.domainLeader == null).count();
+    if (repeated > 0) {
+      EventLog.info(
+          LogEvent.JOBS_RESUBMITTED,
+          "jobs={} term={} link={}",
+          repeated,
+          leader.term(),
+          leader.linkId());
+    }
+    jobs.forEach(this::send);
+  }
+
   /**
    * Sends a job to the leader, if there is one. Sending may detect a lost connection and change the
    * leader.
@@ -178,6 +197,7 @@
       sendToPartition(openJob, leader);
     } else if (openJob.sentTerm == 0 && leaderTracker.domainLeader() != null) {
       openJob.domainLeader = leaderTracker.domainLeader();
+      logSent(openJob, openJob.domainLeader, false);
       openJob.domainLeader.send(submitMessage(openJob));
     }
   }
@@ -186,10 +206,22 @@
     if (openJob.sentTerm != 0 && openJob.sentTerm != leader.term()) {
       openJob.generation++;
     }
+    logSent(openJob, leader, openJob.sentTerm != 0);
     openJob.sentTerm = leader.term();
     leader.send(submitMessage(openJob));
   }
 
+  private static void logSent(OpenJob openJob, LeaderChannel leader, boolean repeated) {
+    EventLog.debug(
+        LogEvent.JOB_SENT,
+        "job={} term={} link={} generation={} repeated={}",
+        openJob.job.id(),
+        leader.term(),
+        leader.linkId(),
+        openJob.generation,
+        repeated);
+  }
+
   private static Submit submitMessage(OpenJob openJob) {
     long now = EventLoop.now();
     return new Submit(
--- a/src/main/java/org/marjoramhoist/entry/PartitionMember.java
+++ b/src/main/java/org/marjoramhoist/entry/PartitionMember.java
@@ -472,7 +472,11 @@
       leaders.updateRetryForecast(heartbeat.returns());
       if (!isLeaderLink(link)) {
         EventLog.info(
-            LogEvent.LEADER_CHANGED, "leader={} term={}", heartbeat.host(), heartbeat.term());
+            LogEvent.LEADER_CHANGED,
+            "leader={} term={} link={}",
+            heartbeat.host(),
+            heartbeat.term(),
+            link.id());
         dropLeader();
         leaderChannel = new RemoteLeaderChannel(heartbeat.term(), link);
         leaders.leaderFound(leaderChannel);
--- a/src/main/java/org/marjoramhoist/entry/RemoteLeaderChannel.java
+++ b/src/main/java/org/marjoramhoist/entry/RemoteLeaderChannel.java
@@ -13,6 +13,11 @@
  */
 record RemoteLeaderChannel(long term, FrameLink link) implements LeaderChannel {
 
+  @Override
+  public String linkId() {
+    return link.id();
+  }
+
   @Override
   public void send(HostMessage message) {
     link.send(message);
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -74,6 +74,8 @@
   DOMAINS_SHARED(3117),
   /** What share of their entitlement groups of callers lately got, about once a second. */
   SERVED_SHARES(3120),
+  /** The leader opened a link to a host; its earlier links to that host are no longer read. */
+  HOST_LINK_OPENED(3121),
   /** A submission was accepted. */
   JOB_ACCEPTED(4001),
   /** A submission was refused. */
@@ -110,6 +112,14 @@
   TASK_SUSPECTED(4017),
   /** A run that had been given up, so that its task was started again, has succeeded. */
   RUN_DONE_LATE(4018),
+  /** A leader received a submission that makes a new job, or of a job that is open or complete. */
+  JOB_SUBMITTED(4019),
+  /** A leader received a submission of a job that it ended recently; it makes a new job. */
+  JOB_SUBMITTED_AGAIN(4020),
+  /** A host sent a job to a leader, for the first time or again. */
+  JOB_SENT(4021),
+  /** A host sent its open jobs or calls to a leader again. */
+  JOBS_RESUBMITTED(4022),
   /** An attempt ended without a known outcome. */
   ATTEMPT_UNKNOWN(4101),
   /** A worker refused an attempt. */
--- a/src/main/java/org/marjoramhoist/peer/FrameLink.java
+++ b/src/main/java/org/marjoramhoist/peer/FrameLink.java
@@ -1,6 +1,7 @@
 package org.marjoramhoist.peer;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -31,7 +32,11 @@
   private static final int READ_BYTES = 16 * 1024;
   private static final int MAX_QUEUED_BYTES = 8 << 20;
 
+  /** The port in the ID of a link whose connection was closed before the link was created. */
+  private static final int UNKNOWN_PORT = 0;
+
   private final StreamConnection connection;
+  private final String id;
   private final Listener listener;
   private final Deque<ByteBuffer> queue = new ArrayDeque<>();
   private ByteBuffer inbound = ByteBuffer.allocate(READ_BYTES);
@@ -47,9 +52,28 @@
    */
   public FrameLink(StreamConnection connection, Listener listener) {
     this.connection = connection;
+    this.id = idOf(connection);
     this.listener = listener;
   }
 
+  private static String idOf(StreamConnection connection) {
+    int local = portOf(connection.getLocalAddress(InetSocketAddress.class));
+    int peer = portOf(connection.getPeerAddress(InetSocketAddress.class));
+    return Math.min(local, peer) + "-" + Math.max(local, peer);
+  }
+
+  private static int portOf(InetSocketAddress address) {
+    return address == null ? UNKNOWN_PORT : address.getPort();
+  }
+
+  /**
+   * Returns an ID for logs: the connection's two ports, the lower one first, so that both ends log
+   * the same ID unless something between them maps ports.
+   */
+  public String id() {
+    return id;
+  }
+
   /** Starts to read. */
   public void start() {
     connection.getSourceChannel().setReadListener(channel -> read());
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
@@ -16,6 +16,7 @@
 import org.marjoramhoist.job.RunRef;
 import org.marjoramhoist.job.StepSpec;
 import org.marjoramhoist.job.TaskRef;
+import org.marjoramhoist.log.LogEvent;
 
 class DispatcherTest extends DispatcherFixture {
 
@@ -232,6 +233,53 @@
         .isAtLeast(10);
   }
 
+  private List<DispatchAction.Log> takeLogsOfSubmissions() {
+    return takeActions(DispatchAction.Log.class).stream()
+        .filter(log -> log.event().name().startsWith("JOB_SUBMITTED"))
+        .toList();
+  }
+
+  /** A leader that logs only ends of jobs can't tell why a refused job was started. */
+  @Test
+  void logsSubmissionThatMakesNewJobOfRefusedOne() {
+    listWorkers(worker("w", 64_000, true));
+    final JobId id = submit(1, 0);
+    final String first = "job=" + id + " entry=e generation=0 ageMicros=1000";
+    assertThat(takeLogsOfSubmissions())
+        .containsExactly(new DispatchAction.Log(LogEvent.JOB_SUBMITTED, first + " previous=NONE"));
+    jobCount--;
+    submit(1, 0);
+    assertThat(takeLogsOfSubmissions())
+        .containsExactly(new DispatchAction.Log(LogEvent.JOB_SUBMITTED, first + " previous=OPEN"));
+    step(3_000, new DispatchEvent.Tick());
+    assertThat(takeActions(DispatchAction.Finish.class).get(0).outcome())
+        .isEqualTo(JobOutcome.REFUSED);
+    listWorkers(worker("w", 64_000, false));
+    jobCount--;
+    submit(1, 0);
+    assertThat(takeActions(DispatchAction.Start.class)).hasSize(1);
+    DispatchAction.Log again = takeLogsOfSubmissions().get(0);
+    assertThat(again.event()).isEqualTo(LogEvent.JOB_SUBMITTED_AGAIN);
+    assertThat(again.detail())
+        .startsWith(first + " previous=REFUSED agoMicros=1000 started=false reason=");
+  }
+
+  @Test
+  void logsSubmissionOfCompleteJobAsAnsweredWithItsOutcome() {
+    final JobId id = submit(1, 0);
+    RunRef run = takeActions(DispatchAction.Start.class).get(0).run();
+    confirmStart("w", run);
+    report("w", List.of(), new WorkerReport.Completion(1, run, RunOutcome.DONE));
+    actions.clear();
+    jobCount--;
+    submit(1, 0);
+    assertThat(takeLogsOfSubmissions())
+        .containsExactly(
+            new DispatchAction.Log(
+                LogEvent.JOB_SUBMITTED,
+                "job=" + id + " entry=e generation=0 ageMicros=1000 previous=SUCCEEDED"));
+  }
+
   /** Returns the number of refused jobs when three of four workers are unreachable or draining. */
   private int refusedWithOneWorkerOfFour(boolean draining, int failedCalls) {
     listWorkers(
--- a/src/test/java/org/marjoramhoist/peer/FrameNetworkTest.java
+++ b/src/test/java/org/marjoramhoist/peer/FrameNetworkTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -76,6 +77,39 @@
     assertThat(refused.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isFalse();
   }
 
+  /** Logs of two hosts can only be compared if both call the link between them the same. */
+  @Test
+  void bothEndsOfLinkHaveTheSameId() throws Exception {
+    int port = LoopbackServer.freePorts(1).get(0);
+    CompletableFuture<String> acceptedId = new CompletableFuture<>();
+    CompletableFuture<String> openedId = new CompletableFuture<>();
+    FrameLink.Listener acceptor =
+        new FrameLink.Listener() {
+          @Override
+          public void received(FrameLink link, HostMessage message) {
+            acceptedId.complete(link.id());
+          }
+
+          @Override
+          public void closed(FrameLink link) {}
+        };
+    try (FrameNetwork other =
+        new FrameNetwork(worker, new InetSocketAddress("127.0.0.1", port), acceptor)) {
+      other.open(
+          "127.0.0.1:" + port,
+          PATIENCE_MILLIS,
+          listener,
+          link -> {
+            openedId.complete(link.id());
+            link.send(new LeaderQuery("one"));
+          },
+          refused -> openedId.completeExceptionally(new IllegalStateException("not opened")));
+      String id = openedId.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+      assertThat(acceptedId.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isEqualTo(id);
+      assertThat(List.of(id.split("-"))).contains(String.valueOf(port));
+    }
+  }
+
   @Test
   void faultInOneMessageLeavesTheLinkOpen() throws Exception {
     CompletableFuture<FrameLink> opened = new CompletableFuture<>();
