A refusal answers the last submission of a job, not an earlier one

Cause: a host submits its open jobs again whenever it finds its leader, the same one on a new link included. If the leader refuses the job before it has received the repeated submission, the host tells its caller that the job has not run, and the leader makes a new job of the submission that was still on its way, and starts it.

Change: each submission has a number of its own; the leader returns the number of the last one that it had from the host, and the host takes a refusal (or any result but done and failed) only as the answer to its last submission. The leader answers that one too, on the same link, so a refusal waits for one round trip at most, and nothing is remembered.

A test that had passed an id to releasedByDomainLeader passes the refusal now, as the job is matched by it.

--- a/src/main/java/org/marjoramhoist/dispatch/DispatchAction.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchAction.java
@@ -1,10 +1,11 @@
 package org.marjoramhoist.dispatch;
 
-import java.util.Set;
+import java.util.Map;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.JobStatus;
 import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.SubmissionNumber;
 import org.marjoramhoist.log.LogEvent;
 
 /** An action that a leader's dispatcher requests. Immutable and safe for use by several threads. */
@@ -40,14 +41,19 @@
    * Notifies entry hosts of a job's outcome.
    *
    * @param job the job
-   * @param entries the entry hosts waiting for the job
+   * @param entries the entry hosts waiting for the job, with the number of the last submission of
+   *     each one
    * @param outcome the outcome
    * @param reason the reason for the outcome, for logs and responses
    * @param retryAfterMillis the delay after which a refused caller may retry; 0 if there is no
    *     recommendation
    */
   record Finish(
-      JobId job, Set<String> entries, JobOutcome outcome, String reason, long retryAfterMillis)
+      JobId job,
+      Map<String, SubmissionNumber> entries,
+      JobOutcome outcome,
+      String reason,
+      long retryAfterMillis)
       implements DispatchAction {}
 
   /**
--- a/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -8,6 +8,7 @@
 import org.marjoramhoist.job.JobStatus;
 import org.marjoramhoist.job.RequestClass;
 import org.marjoramhoist.job.RunRef;
+import org.marjoramhoist.job.SubmissionNumber;
 
 /**
  * An input event of a leader's dispatcher. Immutable and safe for use by several threads.
@@ -26,6 +27,7 @@
    * @param deadline when the caller stops waiting
    * @param generation the number of previous leaders that the job was submitted to
    * @param origin the failure domain of the entry host; empty if unknown
+   * @param number the number of the submission, by which the entry host matches the outcome
    */
   record JobSubmitted(
       JobDescription job,
@@ -34,9 +36,23 @@
       long arrivedAt,
       long deadline,
       int generation,
-      String origin)
+      String origin,
+      SubmissionNumber number)
       implements DispatchEvent {
 
+    /** Creates an event of a submission without a number. */
+    public JobSubmitted(
+        JobDescription job,
+        RequestClass requestClass,
+        String entry,
+        long arrivedAt,
+        long deadline,
+        int generation,
+        String origin) {
+      this(
+          job, requestClass, entry, arrivedAt, deadline, generation, origin, SubmissionNumber.NONE);
+    }
+
     /** Creates an event for an entry host whose failure domain is unknown. */
     public JobSubmitted(
         JobDescription job,
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -385,7 +385,7 @@
   }
 
   private void withdrawJob(Job job, String entry, long now, List<DispatchAction> out) {
-    if (job != null && job.entries.remove(entry) && job.entries.isEmpty()) {
+    if (job != null && job.entries.remove(entry) != null && job.entries.isEmpty()) {
       end(job, JobOutcome.CANCELLED, "withdrawn", now, out);
     }
   }
--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -1,15 +1,16 @@
 package org.marjoramhoist.dispatch;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import org.marjoramhoist.dispatch.WorkerReport.RunOutcome;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobStatus;
 import org.marjoramhoist.job.RequestClass;
 import org.marjoramhoist.job.StepSpec;
+import org.marjoramhoist.job.SubmissionNumber;
 
 /**
  * A job that has not ended. Confined to one thread.
@@ -43,7 +44,9 @@
 
   private boolean endStored;
 
-  final Set<String> entries = new HashSet<>();
+  /** The entry hosts that wait for the outcome, with the number of their last submission. */
+  final Map<String, SubmissionNumber> entries = new HashMap<>();
+
   final long arrivedAt;
   long deadline;
 
--- a/src/main/java/org/marjoramhoist/dispatch/JobRegistry.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobRegistry.java
@@ -84,7 +84,7 @@
     Job openJob = open.get(id);
     if (openJob != null) {
       out.add(new Log(LogEvent.JOB_SUBMITTED, describe(event, now) + " previous=OPEN"));
-      openJob.entries.add(event.entry());
+      openJob.entries.put(event.entry(), event.number());
       openJob.deadline = Math.max(openJob.deadline, event.deadline());
       openJob.recordResubmission(event.generation());
       return null;
@@ -96,7 +96,7 @@
               LogEvent.JOB_SUBMITTED, describe(event, now) + " previous=" + previous.outcome()));
       out.add(
           new DispatchAction.Finish(
-              id, Set.of(event.entry()), previous.outcome(), previous.reason(), 0));
+              id, Map.of(event.entry(), event.number()), previous.outcome(), previous.reason(), 0));
       return null;
     }
     out.add(
@@ -111,7 +111,7 @@
             event.arrivedAt(),
             event.deadline(),
             event.generation());
-    job.entries.add(event.entry());
+    job.entries.put(event.entry(), event.number());
     job.origin = event.origin();
     if (previous != null) {
       job.raiseRunNumbers(previous.lastRunNumber());
@@ -173,7 +173,7 @@
       ended.put(job.id(), new Ended(outcome, reason, now, job.started, job.lastRunNumber()));
       out.add(
           new DispatchAction.Finish(
-              job.id(), Set.copyOf(job.entries), outcome, reason, retryAfterMillis));
+              job.id(), Map.copyOf(job.entries), outcome, reason, retryAfterMillis));
     }
     out.add(new Log(eventOf(outcome), describe(job, reason, now)));
     return runs;
--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -76,14 +76,15 @@
 
   private EntryNode(NodeSettings settings) throws IOException {
     this.settings = settings;
-    this.jobs = new OpenJobs(leaderTracker, settings.scheduling());
     this.worker = createWorker();
     this.loop = new EventLoop(worker.getIoThread());
+    long incarnation = System.currentTimeMillis();
+    this.jobs =
+        new OpenJobs(leaderTracker, settings.scheduling(), new SubmissionNumbers(incarnation));
+    this.calls = new JobCalls(leaderTracker, incarnation);
     HttpCaller caller = new HttpCaller(worker);
     KeyValueClient store = new KeyValueClient(settings.store(), caller, STORE_TIMEOUT_MILLIS);
     PlatformWorkerClient workerClient = new PlatformWorkerClient(caller);
-    long incarnation = System.currentTimeMillis();
-    this.calls = new JobCalls(leaderTracker, incarnation);
     ElectionTimeouts timeouts =
         new ElectionTimeouts(
             SUSPICION_TIMEOUT_MICROS,
--- a/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
+++ b/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
@@ -355,7 +355,7 @@
   private void handleAnswer(HostMessage answer) {
     if (answer instanceof Finished result) {
       if (result.outcome() == JobOutcome.REFUSED && result.reason().equals(HANDED_OVER_REASON)) {
-        jobs.releasedByDomainLeader(result.job());
+        jobs.releasedByDomainLeader(result);
       } else {
         jobs.finishedByDomainLeader(result);
       }
--- a/src/main/java/org/marjoramhoist/entry/Leadership.java
+++ b/src/main/java/org/marjoramhoist/entry/Leadership.java
@@ -138,7 +138,8 @@
               now - submit.ageMicros(),
               now + submit.patienceMicros(),
               submit.generation(),
-              failureDomainOf(host)));
+              failureDomainOf(host),
+              submit.number()));
     } else if (message instanceof Withdraw withdraw) {
       handle(new DispatchEvent.JobWithdrawn(withdraw.job(), host));
     }
@@ -236,9 +237,18 @@
   abstract void executeOther(DispatchAction action);
 
   private void finish(DispatchAction.Finish finish) {
-    Finished result =
-        new Finished(finish.job(), finish.outcome(), finish.reason(), finish.retryAfterMillis());
-    finish.entries().forEach(host -> delivery.deliver(host, result));
+    finish
+        .entries()
+        .forEach(
+            (host, number) ->
+                delivery.deliver(
+                    host,
+                    new Finished(
+                        finish.job(),
+                        finish.outcome(),
+                        finish.reason(),
+                        finish.retryAfterMillis(),
+                        number)));
   }
 
   private void log(DispatchAction.Log log) {
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -13,6 +13,7 @@
 import org.marjoramhoist.job.RequestClass;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
+import org.marjoramhoist.job.SubmissionNumber;
 import org.marjoramhoist.message.HostMessage.Finished;
 import org.marjoramhoist.message.HostMessage.Submit;
 import org.marjoramhoist.message.HostMessage.Withdraw;
@@ -21,9 +22,10 @@
  * The non-durable jobs whose callers wait at this host.
  *
  * <p>Invariants: each caller gets exactly one result. A job is reported as not run only if it was
- * sent to no leader, or if the current leader reports so. No job is sent to both the partition's
- * leader and the leader of an isolated failure domain, as neither knows what the other one runs.
- * Confined to the event loop's thread.
+ * sent to no leader, or if the leader reports so in answer to the last submission: an earlier
+ * answer doesn't hold for a submission that the leader has still to receive. No job is sent to both
+ * the partition's leader and the leader of an isolated failure domain, as neither knows what the
+ * other one runs. Confined to the event loop's thread.
  */
 final class OpenJobs {
 
@@ -47,6 +49,8 @@
     /** The number of previous leaders of the partition that the job was sent to. */
     private int generation;
 
+    private SubmissionNumber lastSubmission = SubmissionNumber.NONE;
+
     private final List<Consumer<Finished>> callers = new ArrayList<>();
 
     private OpenJob(JobDescription job, RequestClass requestClass, long arrivedAt, long deadline) {
@@ -61,14 +65,20 @@
   private final RecentResults recentResults = new RecentResults();
   private final LeaderTracker leaderTracker;
   private final AdmissionGate admission;
+  private final SubmissionNumbers numbers;
 
   /** Creates an empty set with the default scheduling policy. */
   OpenJobs(LeaderTracker leaderTracker) {
-    this(leaderTracker, SchedulingPolicy.DEFAULT);
+    this(leaderTracker, SchedulingPolicy.DEFAULT, new SubmissionNumbers(0));
   }
 
-  /** Creates an empty set of jobs, which are sent to each leader that is found. */
-  OpenJobs(LeaderTracker leaderTracker, SchedulingPolicy scheduling) {
+  /**
+   * Creates an empty set of jobs, which are sent to each leader that is found.
+   *
+   * @param numbers numbers the submissions
+   */
+  OpenJobs(LeaderTracker leaderTracker, SchedulingPolicy scheduling, SubmissionNumbers numbers) {
+    this.numbers = numbers;
     this.leaderTracker = leaderTracker;
     this.admission = new AdmissionGate(scheduling);
     leaderTracker.onLeaderFound(this::leaderFound);
@@ -222,14 +232,16 @@
         repeated);
   }
 
-  private static Submit submitMessage(OpenJob openJob) {
+  private Submit submitMessage(OpenJob openJob) {
     long now = EventLoop.now();
+    openJob.lastSubmission = numbers.next();
     return new Submit(
         openJob.job,
         openJob.requestClass,
         now - openJob.arrivedAt,
         openJob.deadline - now,
-        openJob.generation);
+        openJob.generation,
+        openJob.lastSubmission);
   }
 
   /**
@@ -296,18 +308,33 @@
 
   /** Handles a job's result from the current leader of the partition. */
   void finished(Finished result) {
-    OpenJob openJob = open.get(result.job());
+    OpenJob openJob = findAnswered(result);
     if (openJob != null && openJob.domainLeader == null) {
       complete(openJob, result);
     }
   }
 
+  /**
+   * Returns the job that a result is valid for; null if it is none that is open. A job that is done
+   * or has failed is, whichever submission the leader answers. Any other result is valid only if
+   * the leader had received the last submission, since it starts what it receives afterwards.
+   */
+  private OpenJob findAnswered(Finished result) {
+    OpenJob openJob = open.get(result.job());
+    boolean isValid =
+        openJob != null
+            && (RecentResults.isFinal(result)
+                || result.number().equals(SubmissionNumber.NONE)
+                || result.number().equals(openJob.lastSubmission));
+    return isValid ? openJob : null;
+  }
+
   /**
    * Handles a job's result from the leader of the failure domain. A job that it refused has not
    * run, so it is sent to the partition's leader if that one is reachable again.
    */
   void finishedByDomainLeader(Finished result) {
-    OpenJob openJob = open.get(result.job());
+    OpenJob openJob = findAnswered(result);
     if (openJob == null || openJob.domainLeader == null) {
       return;
     }
@@ -323,8 +350,8 @@
    * Handles a job that the leader of the failure domain returned unstarted while handing over
    * leadership; the job is sent to the next leader.
    */
-  void releasedByDomainLeader(JobId id) {
-    OpenJob openJob = open.get(id);
+  void releasedByDomainLeader(Finished result) {
+    OpenJob openJob = findAnswered(result);
     if (openJob != null && openJob.domainLeader != null) {
       openJob.domainLeader = null;
       send(openJob);
--- a/src/main/java/org/marjoramhoist/entry/RecentResults.java
+++ b/src/main/java/org/marjoramhoist/entry/RecentResults.java
@@ -43,10 +43,12 @@
   /** Returns a job's result if it is final, or null if none is known. */
   Finished findFinal(JobId id, long now) {
     Finished result = find(id, now);
-    boolean isFinal =
-        result != null
-            && (result.outcome() == JobOutcome.SUCCEEDED || result.outcome() == JobOutcome.FAILED);
-    return isFinal ? result : null;
+    return result != null && isFinal(result) ? result : null;
+  }
+
+  /** Returns whether a result stays valid even if the job is submitted again. */
+  static boolean isFinal(Finished result) {
+    return result.outcome() == JobOutcome.SUCCEEDED || result.outcome() == JobOutcome.FAILED;
   }
 
   /**
--- a/src/main/java/org/marjoramhoist/message/HostMessage.java
+++ b/src/main/java/org/marjoramhoist/message/HostMessage.java
@@ -14,6 +14,7 @@
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.JobStatus;
 import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.job.SubmissionNumber;
 
 /**
  * A message between a partition's leader and the other hosts.
@@ -103,14 +104,22 @@
    * @param ageMicros how long ago its request came in
    * @param patienceMicros how much longer its caller waits
    * @param generation how many leaders were given the job before this one
+   * @param number the number of this submission
    */
   record Submit(
       JobDescription job,
       RequestClass requestClass,
       long ageMicros,
       long patienceMicros,
-      int generation)
-      implements HostMessage {}
+      int generation,
+      SubmissionNumber number)
+      implements HostMessage {
+
+    /** Creates a message; one of an earlier version has no number. */
+    public Submit {
+      number = number == null ? SubmissionNumber.NONE : number;
+    }
+  }
 
   /** Tells the leader that the sender no longer waits for a job. */
   record Withdraw(JobId job) implements HostMessage {}
@@ -122,9 +131,22 @@
    * @param outcome how it ended
    * @param reason why, for logs and the answer
    * @param retryAfterMillis when a refused caller may come back; 0 if that says nothing
+   * @param number the last submission of the job that the leader had from the host as the job ended
    */
-  record Finished(JobId job, JobOutcome outcome, String reason, long retryAfterMillis)
-      implements HostMessage {}
+  record Finished(
+      JobId job, JobOutcome outcome, String reason, long retryAfterMillis, SubmissionNumber number)
+      implements HostMessage {
+
+    /** Creates a message; one of an earlier version has no number. */
+    public Finished {
+      number = number == null ? SubmissionNumber.NONE : number;
+    }
+
+    /** Creates a result that answers no submission in particular. */
+    public Finished(JobId job, JobOutcome outcome, String reason, long retryAfterMillis) {
+      this(job, outcome, reason, retryAfterMillis, SubmissionNumber.NONE);
+    }
+  }
 
   /**
    * Asks the leader for something about a durable job.
--- a/src/test/java/org/marjoramhoist/entry/HostShutdownTest.java
+++ b/src/test/java/org/marjoramhoist/entry/HostShutdownTest.java
@@ -46,7 +46,7 @@
             shutdown,
             listener,
             exchanges,
-            new OpenJobs(leaders, SchedulingPolicy.DEFAULT),
+            new OpenJobs(leaders, SchedulingPolicy.DEFAULT, new SubmissionNumbers(0)),
             new JobCalls(leaders, 1),
             this::refuse,
             () -> false,
--- a/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
@@ -15,6 +15,7 @@
 import org.marjoramhoist.job.RequestClass;
 import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.job.StepSpec;
+import org.marjoramhoist.job.SubmissionNumber;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.Finished;
 import org.marjoramhoist.message.HostMessage.Submit;
@@ -31,6 +32,7 @@
   private final LeaderTracker leaderTracker = new LeaderTracker();
   private final OpenJobs jobs = new OpenJobs(leaderTracker);
   private final List<String> sent = new ArrayList<>();
+  private final List<SubmissionNumber> numbers = new ArrayList<>();
   private final List<String> withdrawn = new ArrayList<>();
   private final List<JobOutcome> outcomes = new ArrayList<>();
 
@@ -45,6 +47,7 @@
       public void send(HostMessage message) {
         if (message instanceof Submit submit) {
           sent.add(name + " " + submit.job().id());
+          numbers.add(submit.number());
         } else if (message instanceof Withdraw withdrawal) {
           withdrawn.add(name + " " + withdrawal.job());
         }
@@ -74,6 +77,62 @@
     return caller;
   }
 
+  private static Finished answer(JobOutcome outcome, SubmissionNumber number) {
+    return new Finished(ID, outcome, "test", 0, number);
+  }
+
+  /** Guards against a start after a refusal: by a submission that the leader has yet to receive. */
+  @Test
+  void refusalIsNotReportedWhileLaterSubmissionIsOnItsWay() {
+    LeaderChannel lost = leaderChannel("lost link", 7);
+    leaderTracker.leaderFound(lost);
+    submit(ID);
+    leaderTracker.leaderLost(lost);
+    leaderTracker.leaderFound(leaderChannel("new link", 7));
+    assertThat(numbers).hasSize(2);
+    jobs.finished(answer(JobOutcome.REFUSED, numbers.get(0)));
+    assertThat(outcomes).isEmpty();
+    jobs.finished(answer(JobOutcome.REFUSED, numbers.get(1)));
+    assertThat(outcomes).containsExactly(JobOutcome.REFUSED);
+  }
+
+  /** Guards against an answer to an earlier try of the caller that is taken for one to the last. */
+  @Test
+  void refusalOfEarlierTryIsNotReportedForLaterOne() {
+    leaderTracker.leaderFound(leaderChannel("partition", 7));
+    jobs.callerLeft(ID, submitFor(outcomes));
+    outcomes.clear();
+    submit(ID);
+    jobs.finished(answer(JobOutcome.REFUSED, numbers.get(0)));
+    assertThat(outcomes).isEmpty();
+    jobs.finished(answer(JobOutcome.SUCCEEDED, numbers.get(1)));
+    assertThat(outcomes).containsExactly(JobOutcome.SUCCEEDED);
+  }
+
+  /** A result that is ready is delivered, whichever submission it answers. */
+  @Test
+  void resultIsReportedWhileLaterSubmissionIsOnItsWay() {
+    leaderTracker.leaderFound(leaderChannel("lost link", 7));
+    submit(ID);
+    leaderTracker.leaderFound(leaderChannel("new link", 7));
+    jobs.finished(answer(JobOutcome.SUCCEEDED, numbers.get(0)));
+    assertThat(outcomes).containsExactly(JobOutcome.SUCCEEDED);
+  }
+
+  /** Guards against a handed-over job that is sent to its next leader twice. */
+  @Test
+  void refusalOfFormerLeaderDoesNotReturnJobFromItsSuccessor() {
+    leaderTracker.setDomainLeader(leaderChannel("first", 0));
+    submit(ID);
+    leaderTracker.domainLeaderHandedOver();
+    jobs.releasedByDomainLeader(answer(JobOutcome.REFUSED, numbers.get(0)));
+    leaderTracker.setDomainLeader(leaderChannel("second", 0));
+    jobs.releasedByDomainLeader(answer(JobOutcome.REFUSED, numbers.get(0)));
+    jobs.finishedByDomainLeader(answer(JobOutcome.REFUSED, numbers.get(0)));
+    assertThat(sent).containsExactly("first " + ID, "second " + ID).inOrder();
+    assertThat(outcomes).isEmpty();
+  }
+
   /** Guards against a job that runs here while its caller submits it again to another leader. */
   @Test
   void jobIsWithdrawnFromLeaderOfDomainWhenItsOnlyCallerLeaves() {
@@ -241,7 +300,7 @@
     leaderTracker.setDomainLeader(leaderChannel("first", 0));
     submit(ID);
     leaderTracker.domainLeaderHandedOver();
-    jobs.releasedByDomainLeader(ID);
+    jobs.releasedByDomainLeader(result(JobOutcome.REFUSED));
     assertThat(sent).containsExactly("first " + ID);
     leaderTracker.setDomainLeader(leaderChannel("second", 0));
     assertThat(sent).containsExactly("first " + ID, "second " + ID).inOrder();
