A refusal of a durable job answers the last attempt of its call

What callers could see: 503 for a durable job that is stored and run.

Change: calls and replies carry the attempt; a refusal is taken only as the answer to the last one. Replies that are ready are delivered for any.

Evidence: with the check off (trial), JobCallsTest.refusalIsNotReportedWhileLaterAttemptIsOnItsWay fails; with it the class passes.

--- a/src/main/java/org/marjoramhoist/dispatch/DispatchAction.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchAction.java
@@ -76,10 +76,22 @@
    * @param status the status of the job; null if there is none to report
    * @param retryAfterMillis the delay after which a refused caller may retry; 0 if there is no
    *     recommendation
+   * @param attempt the attempt of the entry host that is answered
    */
   record Reply(
-      String entry, long call, JobCallResult result, JobStatus status, long retryAfterMillis)
-      implements DispatchAction {}
+      String entry,
+      long call,
+      JobCallResult result,
+      JobStatus status,
+      long retryAfterMillis,
+      int attempt)
+      implements DispatchAction {
+
+    /** Creates the reply to a call without a recommendation when to retry. */
+    Reply(DispatchEvent.JobCallReceived call, JobCallResult result, JobStatus status) {
+      this(call.entry(), call.call(), result, status, 0, call.attempt());
+    }
+  }
 
   /**
    * Requests that the leader step down, for example because a worker has seen a higher fencing
--- a/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -179,10 +179,24 @@
    * @param entry the entry host that sent the call
    * @param call the call number assigned by the entry host
    * @param arrivedAt when the caller's request arrived
+   * @param attempt how many times the entry host sent the call, this time included
    */
   record JobCallReceived(
-      JobCallKind kind, JobId job, StoredJob record, String entry, long call, long arrivedAt)
-      implements DispatchEvent {}
+      JobCallKind kind,
+      JobId job,
+      StoredJob record,
+      String entry,
+      long call,
+      long arrivedAt,
+      int attempt)
+      implements DispatchEvent {
+
+    /** Creates the event of a call that was sent once. */
+    public JobCallReceived(
+        JobCallKind kind, JobId job, StoredJob record, String entry, long call, long arrivedAt) {
+      this(kind, job, record, entry, call, arrivedAt, 1);
+    }
+  }
 
   /**
    * The durable jobs stored by previous leaders were loaded. No other leader can change them from
--- a/src/main/java/org/marjoramhoist/dispatch/DurableJobs.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DurableJobs.java
@@ -170,7 +170,7 @@
     if (known != null) {
       out.add(reply(call, known.status()));
     } else if (closing == null) {
-      out.add(new Reply(call.entry(), call.call(), JobCallResult.UNKNOWN_JOB, null, 0));
+      out.add(new Reply(call, JobCallResult.UNKNOWN_JOB, null));
     } else if (call.kind() == JobCallKind.SUBMIT) {
       out.add(reply(call, JobStatus.RUNNING));
     } else if (call.kind() == JobCallKind.STATUS) {
@@ -213,7 +213,7 @@
   }
 
   private static Reply reply(JobCallReceived call, JobStatus status) {
-    return new Reply(call.entry(), call.call(), JobCallResult.DONE, status, 0);
+    return new Reply(call, JobCallResult.DONE, status);
   }
 
   /** Records that tasks of a job completed. */
--- a/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
@@ -96,7 +96,8 @@
             call.call(),
             JobCallResult.REFUSED,
             null,
-            retryDelays.retryAfterMillis(call.record(), now)));
+            retryDelays.retryAfterMillis(call.record(), now),
+            call.attempt()));
   }
 
   /** Returns why a durable job cannot be accepted now; null if it can. */
@@ -117,9 +118,7 @@
     if (job.isDurable()) {
       durableJobs.awaitStored(call, job);
     } else {
-      out.add(
-          new DispatchAction.Reply(
-              call.entry(), call.call(), JobCallResult.DONE, JobStatus.CANCELLED, 0));
+      out.add(new DispatchAction.Reply(call, JobCallResult.DONE, JobStatus.CANCELLED));
     }
     jobFinisher.end(job, JobOutcome.CANCELLED, "cancelled by its caller", now, out);
   }
--- a/src/main/java/org/marjoramhoist/entry/JobCalls.java
+++ b/src/main/java/org/marjoramhoist/entry/JobCalls.java
@@ -19,23 +19,17 @@
  * each later leader, as all calls are idempotent.
  *
  * <p>Invariant: each caller gets exactly one reply. A job is reported as not accepted only if its
- * submission was sent to no leader, or if the current leader reports so. Confined to the event
- * loop's thread.
+ * submission was sent to no leader, or if the current leader reports so in answer to the last
+ * attempt to send it. Confined to the event loop's thread.
  */
 final class JobCalls {
 
-  /**
-   * The low bits of a call ID, which count the calls in each millisecond since the process started.
-   */
-  private static final int CALL_COUNT_BITS = 16;
-
   /** A call that has no reply yet. */
   private static final class OpenCall {
-    private final JobCall call;
+    private JobCall call;
     private final long arrivedAt;
     private final long deadline;
     private final Consumer<JobCallReply> caller;
-    private boolean sent;
 
     private OpenCall(JobCall call, long arrivedAt, long deadline, Consumer<JobCallReply> caller) {
       this.call = call;
@@ -44,9 +38,23 @@
       this.caller = caller;
     }
 
+    private boolean isSent() {
+      return call.attempt() > 0;
+    }
+
+    /**
+     * Returns whether a reply holds. A leader that refused an earlier attempt may still receive and
+     * accept the last one.
+     */
+    private boolean isAnsweredBy(JobCallReply reply) {
+      return reply.result() != JobCallResult.REFUSED
+          || reply.attempt() == 0
+          || reply.attempt() == call.attempt();
+    }
+
     /** Returns the reply to a caller whose call is given up. */
     private JobCallReply replyWhenGivenUp(LeaderTracker leaderTracker) {
-      return sent
+      return isSent()
           ? new JobCallReply(call.call(), JobCallResult.UNKNOWN, null, 0)
           : new JobCallReply(
               call.call(),
@@ -58,7 +66,7 @@
 
   private final Map<Long, OpenCall> open = new LinkedHashMap<>();
   private final LeaderTracker leaderTracker;
-  private long lastCallId;
+  private final SubmissionNumbers callIds;
 
   /**
    * Creates an empty set of calls, which are sent to each leader that is found.
@@ -70,7 +78,7 @@
   JobCalls(LeaderTracker leaderTracker, long incarnation) {
     this.leaderTracker = leaderTracker;
     leaderTracker.onLeaderFound(this::leaderFound);
-    this.lastCallId = incarnation << CALL_COUNT_BITS;
+    this.callIds = new SubmissionNumbers(incarnation);
   }
 
   /** Returns the number of open calls. */
@@ -85,16 +93,16 @@
       long arrivedAt,
       long deadline,
       Consumer<JobCallReply> caller) {
-    JobCall call = new JobCall(++lastCallId, JobCallKind.SUBMIT, job.id(), job, requestClass, 0);
+    JobCall call =
+        new JobCall(callIds.next().value(), JobCallKind.SUBMIT, job.id(), job, requestClass, 0, 0);
     add(new OpenCall(call, arrivedAt, deadline, caller));
   }
 
   /** Queries the status of a job or cancels it. */
   void request(
       JobCallKind kind, JobId id, long arrivedAt, long deadline, Consumer<JobCallReply> caller) {
-    add(
-        new OpenCall(
-            new JobCall(++lastCallId, kind, id, null, null, 0), arrivedAt, deadline, caller));
+    JobCall call = new JobCall(callIds.next().value(), kind, id, null, null, 0, 0);
+    add(new OpenCall(call, arrivedAt, deadline, caller));
   }
 
   private void add(OpenCall openCall) {
@@ -110,7 +118,7 @@
   private void leaderFound() {
     LeaderChannel leader = leaderTracker.partitionLeader();
     List<OpenCall> calls = List.copyOf(open.values());
-    long repeated = calls.stream().filter(each -> each.sent).count();
+    long repeated = calls.stream().filter(OpenCall::isSent).count();
     if (repeated > 0) {
       EventLog.info(
           LogEvent.JOBS_RESUBMITTED,
@@ -130,14 +138,15 @@
     if (leader == null) {
       return;
     }
-    openCall.sent = true;
-    leader.send(openCall.call.withAge(EventLoop.now() - openCall.arrivedAt));
+    openCall.call = openCall.call.resent(EventLoop.now() - openCall.arrivedAt);
+    leader.send(openCall.call);
   }
 
   /** Handles the reply of the current leader. */
   void replied(JobCallReply reply) {
-    OpenCall openCall = open.remove(reply.call());
-    if (openCall != null) {
+    OpenCall openCall = open.get(reply.call());
+    if (openCall != null && openCall.isAnsweredBy(reply)) {
+      open.remove(reply.call());
       openCall.caller.accept(reply);
     }
   }
@@ -146,7 +155,8 @@
   void tick() {
     long now = EventLoop.now();
     for (OpenCall openCall : List.copyOf(open.values())) {
-      if (now > openCall.deadline || !openCall.sent && !leaderTracker.isPartitionLeaderExpected()) {
+      if (now > openCall.deadline
+          || !openCall.isSent() && !leaderTracker.isPartitionLeaderExpected()) {
         giveUp(openCall);
       }
     }
--- a/src/main/java/org/marjoramhoist/entry/PartitionLeadership.java
+++ b/src/main/java/org/marjoramhoist/entry/PartitionLeadership.java
@@ -164,7 +164,7 @@
       record = new StoredJob(call.job(), call.requestClass(), acceptedMillis);
     }
     return new DispatchEvent.JobCallReceived(
-        call.kind(), call.id(), record, host, call.call(), arrivedAt);
+        call.kind(), call.id(), record, host, call.call(), arrivedAt, call.attempt());
   }
 
   private void listWorkers() {
@@ -199,7 +199,12 @@
     } else if (action instanceof DispatchAction.Reply reply) {
       delivery.deliver(
           reply.entry(),
-          new JobCallReply(reply.call(), reply.result(), reply.status(), reply.retryAfterMillis()));
+          new JobCallReply(
+              reply.call(),
+              reply.result(),
+              reply.status(),
+              reply.retryAfterMillis(),
+              reply.attempt()));
     }
   }
 
--- a/src/main/java/org/marjoramhoist/message/HostMessage.java
+++ b/src/main/java/org/marjoramhoist/message/HostMessage.java
@@ -157,6 +157,7 @@
    * @param job the job, if it is handed in; otherwise null
    * @param requestClass its class, as the sender's configuration has it, if it is handed in
    * @param ageMicros how long ago the caller's request came in
+   * @param attempt how many times the call was sent, this time included; 0 in an earlier version
    */
   record JobCall(
       long call,
@@ -164,12 +165,13 @@
       JobId id,
       JobDescription job,
       RequestClass requestClass,
-      long ageMicros)
+      long ageMicros,
+      int attempt)
       implements HostMessage {
 
-    /** Returns the same call at another age. */
-    public JobCall withAge(long micros) {
-      return new JobCall(call, kind, id, job, requestClass, micros);
+    /** Returns the same call as it is sent another time. */
+    public JobCall resent(long micros) {
+      return new JobCall(call, kind, id, job, requestClass, micros, attempt + 1);
     }
   }
 
@@ -180,9 +182,17 @@
    * @param result what became of it
    * @param status the job's status; null if there is no such job
    * @param retryAfterMillis when a refused caller may come back; 0 if that says nothing
+   * @param attempt the attempt that is answered; 0 in an earlier version
    */
-  record JobCallReply(long call, JobCallResult result, JobStatus status, long retryAfterMillis)
-      implements HostMessage {}
+  record JobCallReply(
+      long call, JobCallResult result, JobStatus status, long retryAfterMillis, int attempt)
+      implements HostMessage {
+
+    /** Creates a reply that answers no attempt in particular. */
+    public JobCallReply(long call, JobCallResult result, JobStatus status, long retryAfterMillis) {
+      this(call, result, status, retryAfterMillis, 0);
+    }
+  }
 
   /** Asks a host to follow the leader of a term, which stops in an orderly way. */
   record HandOver(long term) implements HostMessage {}
--- a/src/test/java/org/marjoramhoist/entry/JobCallsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/JobCallsTest.java
@@ -4,9 +4,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.dispatch.JobCallKind;
 import org.marjoramhoist.dispatch.JobCallResult;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobFeature;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobStatus;
 import org.marjoramhoist.message.HostMessage;
@@ -68,6 +71,25 @@
     assertThat(sent.get(1).call()).isEqualTo(sent.get(0).call());
   }
 
+  /** Guards against a job that is stored after its caller was told that it was refused. */
+  @Test
+  void refusalIsNotReportedWhileLaterAttemptIsOnItsWay() {
+    JobCalls calls = new JobCalls(leaderTracker, 1_000);
+    leaderTracker.leaderFound(leader(1));
+    long now = EventLoop.now();
+    JobDescription job = new JobDescription(ID, "p", List.of(), Set.<JobFeature>of());
+    calls.submit(job, null, now, now + TIMEOUT_MICROS, reply -> results.add(reply.result()));
+    leaderTracker.leaderFound(leader(1));
+    calls.replied(answer(JobCallResult.REFUSED, sent.get(0)));
+    assertThat(results).isEmpty();
+    calls.replied(answer(JobCallResult.REFUSED, sent.get(1)));
+    assertThat(results).containsExactly(JobCallResult.REFUSED);
+  }
+
+  private static JobCallReply answer(JobCallResult result, JobCall call) {
+    return new JobCallReply(call.call(), result, null, 0, call.attempt());
+  }
+
   @Test
   void leaderLostWhileCallsAreSentGetsNoMoreCalls() {
     JobCalls calls = new JobCalls(leaderTracker, 1_000);
