Submissions sent before a job was refused or cancelled don't start it

What callers could see: a job that two hosts have is refused, or cancelled and acknowledged, at one of them; a submission of the other one, sent before, makes a new job of it and starts it.

Cause: the leader told its decision to the hosts that it knew to wait, and took any submission that it received later for a new try.

Change: submissions and calls name the last heartbeat that the host had received on the link, by the leader's own clock. The answers of a leader precede its later heartbeats, so a submission that names an earlier heartbeat than the decision was sent without knowing it, and is answered alike. A withdrawn job counts as abandoned, no longer as cancelled: its caller may come back elsewhere.

--- a/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -28,6 +28,7 @@
    * @param generation the number of previous leaders that the job was submitted to
    * @param origin the failure domain of the entry host; empty if unknown
    * @param number the number of the submission, by which the entry host matches the outcome
+   * @param heardAt when this leader sent the last heartbeat that the entry host had received
    */
   record JobSubmitted(
       JobDescription job,
@@ -37,10 +38,11 @@
       long deadline,
       int generation,
       String origin,
-      SubmissionNumber number)
+      SubmissionNumber number,
+      long heardAt)
       implements DispatchEvent {
 
-    /** Creates an event of a submission without a number. */
+    /** Creates an event of a submission without a number that was sent after all heartbeats. */
     public JobSubmitted(
         JobDescription job,
         RequestClass requestClass,
@@ -50,7 +52,15 @@
         int generation,
         String origin) {
       this(
-          job, requestClass, entry, arrivedAt, deadline, generation, origin, SubmissionNumber.NONE);
+          job,
+          requestClass,
+          entry,
+          arrivedAt,
+          deadline,
+          generation,
+          origin,
+          SubmissionNumber.NONE,
+          Long.MAX_VALUE);
     }
 
     /** Creates an event for an entry host whose failure domain is unknown. */
@@ -180,6 +190,7 @@
    * @param call the call number assigned by the entry host
    * @param arrivedAt when the caller's request arrived
    * @param attempt how many times the entry host sent the call, this time included
+   * @param heardAt when this leader sent the last heartbeat that the entry host had received
    */
   record JobCallReceived(
       JobCallKind kind,
@@ -188,13 +199,14 @@
       String entry,
       long call,
       long arrivedAt,
-      int attempt)
+      int attempt,
+      long heardAt)
       implements DispatchEvent {
 
-    /** Creates the event of a call that was sent once. */
+    /** Creates the event of a call that was sent once, after all heartbeats. */
     public JobCallReceived(
         JobCallKind kind, JobId job, StoredJob record, String entry, long call, long arrivedAt) {
-      this(kind, job, record, entry, call, arrivedAt, 1);
+      this(kind, job, record, entry, call, arrivedAt, 1, Long.MAX_VALUE);
     }
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -386,7 +386,7 @@
 
   private void withdrawJob(Job job, String entry, long now, List<DispatchAction> out) {
     if (job != null && job.entries.remove(entry) != null && job.entries.isEmpty()) {
-      end(job, JobOutcome.CANCELLED, "withdrawn", now, out);
+      end(job, JobOutcome.ABANDONED, "withdrawn", now, out);
     }
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
@@ -4,6 +4,7 @@
 import org.marjoramhoist.dispatch.DispatchAction.Log;
 import org.marjoramhoist.dispatch.DispatchEvent.JobCallReceived;
 import org.marjoramhoist.dispatch.DispatchEvent.JobsLoaded;
+import org.marjoramhoist.dispatch.RecentOutcomes.Outcome;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.JobStatus;
 import org.marjoramhoist.log.LogEvent;
@@ -21,6 +22,9 @@
    */
   private static final double MAX_BACKLOG_MICROS = 5_000_000;
 
+  private static final long MICROS_PER_MILLI = 1_000;
+  private static final String CANCELLED_REASON = "cancelled by its caller";
+
   private final JobRegistry jobs;
   private final DurableJobs durableJobs;
   private final WorkerRegistry workers;
@@ -69,6 +73,7 @@
     }
     Job job = jobs.find(call.job());
     if (job == null && (call.kind() != JobCallKind.SUBMIT || durableJobs.hasEnded(call.job()))) {
+      recordCancel(call, now);
       durableJobs.answerEnded(call, now, out);
       return;
     }
@@ -79,24 +84,47 @@
     }
   }
 
+  /**
+   * Records that a job was cancelled that is not known, so that no earlier submission starts it.
+   */
+  private void recordCancel(JobCallReceived call, long now) {
+    if (call.kind() == JobCallKind.CANCEL && jobs.outcomes().find(call.job()) == null) {
+      jobs.outcomes()
+          .add(call.job(), Outcome.ofUnstarted(JobOutcome.CANCELLED, CANCELLED_REASON, now, now));
+    }
+  }
+
   private void submitDurable(JobCallReceived call, Job known, long now, List<DispatchAction> out) {
     if (known != null) {
       durableJobs.answerRepeatedSubmission(call, known, out);
       return;
     }
+    Outcome earlier = jobs.outcomes().findAnswer(call.job(), call.heardAt());
+    if (earlier != null) {
+      refuse(call, earlier.reason(), earlier.retryAfterMillis(now), out);
+      return;
+    }
     String refusal = refusalReason(call.record(), now);
     if (refusal == null) {
       jobs.add(durableJobs.accept(call));
       return;
     }
-    out.add(new Log(LogEvent.JOB_REFUSED, "job=" + call.job() + " reason=" + refusal));
+    long retryAfterMillis = retryDelays.retryAfterMillis(call.record(), now);
+    long retryAt = now + retryAfterMillis * MICROS_PER_MILLI;
+    jobs.outcomes().add(call.job(), Outcome.ofUnstarted(JobOutcome.REFUSED, refusal, retryAt, now));
+    refuse(call, refusal, retryAfterMillis, out);
+  }
+
+  private static void refuse(
+      JobCallReceived call, String reason, long retryAfterMillis, List<DispatchAction> out) {
+    out.add(new Log(LogEvent.JOB_REFUSED, "job=" + call.job() + " reason=" + reason));
     out.add(
         new DispatchAction.Reply(
             call.entry(),
             call.call(),
             JobCallResult.REFUSED,
             null,
-            retryDelays.retryAfterMillis(call.record(), now),
+            retryAfterMillis,
             call.attempt()));
   }
 
@@ -120,7 +148,7 @@
     } else {
       out.add(new DispatchAction.Reply(call, JobCallResult.DONE, JobStatus.CANCELLED));
     }
-    jobFinisher.end(job, JobOutcome.CANCELLED, "cancelled by its caller", now, out);
+    jobFinisher.end(job, JobOutcome.CANCELLED, CANCELLED_REASON, now, out);
   }
 
   /** Handles the stored jobs, and then the calls that were received before. */
--- a/src/main/java/org/marjoramhoist/dispatch/JobRegistry.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobRegistry.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
 import org.marjoramhoist.dispatch.DispatchEvent.JobSubmitted;
+import org.marjoramhoist.dispatch.RecentOutcomes.Outcome;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.log.LogEvent;
@@ -22,15 +23,11 @@
  */
 final class JobRegistry {
 
-  private static final long ENDED_RETENTION_MICROS = 15_000_000;
-  private static final int MAX_ENDED_JOBS = 20_000;
-
-  private record Ended(
-      JobOutcome outcome, String reason, long endedAt, boolean started, int lastRunNumber) {}
+  private static final long MICROS_PER_MILLI = 1_000;
 
   private final Map<JobId, Job> open = new LinkedHashMap<>();
   private final Map<JobId, Job> terminating = new HashMap<>();
-  private final Map<JobId, Ended> ended = new LinkedHashMap<>();
+  private final RecentOutcomes outcomes = new RecentOutcomes();
   private final Set<Job> waiting = new LinkedHashSet<>();
   private final List<Job> newlyWaiting = new ArrayList<>();
 
@@ -42,6 +39,11 @@
     return open.values();
   }
 
+  /** Returns the outcomes of jobs that ended recently. */
+  RecentOutcomes outcomes() {
+    return outcomes;
+  }
+
   /** Returns the open jobs and the ended jobs whose runs are possibly running. */
   Set<JobId> possiblyRunningJobs() {
     Set<JobId> ids = new LinkedHashSet<>(open.keySet());
@@ -76,8 +78,7 @@
   /**
    * Handles a submission.
    *
-   * @return the new job; null if the job is open already, or if it ended recently and the stored
-   *     outcome was returned
+   * @return the new job; null if the job is open already, or if an earlier outcome was returned
    */
   Job submit(JobSubmitted event, long now, List<DispatchAction> out) {
     JobId id = event.job().id();
@@ -89,16 +90,14 @@
       openJob.recordResubmission(event.generation());
       return null;
     }
-    Ended previous = ended.get(id);
-    if (previous != null && isFinal(previous.outcome())) {
-      out.add(
-          new Log(
-              LogEvent.JOB_SUBMITTED, describe(event, now) + " previous=" + previous.outcome()));
+    Outcome answer = outcomes.findAnswer(id, event.heardAt());
+    if (answer != null) {
       out.add(
-          new DispatchAction.Finish(
-              id, Map.of(event.entry(), event.number()), previous.outcome(), previous.reason(), 0));
+          new Log(LogEvent.JOB_SUBMITTED, describe(event, now) + " previous=" + answer.outcome()));
+      out.add(finish(event, answer, now));
       return null;
     }
+    Outcome previous = outcomes.find(id);
     out.add(
         previous == null
             ? new Log(LogEvent.JOB_SUBMITTED, describe(event, now) + " previous=NONE")
@@ -122,6 +121,24 @@
     return job;
   }
 
+  /**
+   * Returns the answer to a submission of a job that has ended. A job that a previous leader may
+   * have started is not reported as not run.
+   */
+  private static DispatchAction finish(JobSubmitted event, Outcome answer, long now) {
+    boolean mayHaveRun = answer.started() || event.generation() > 0;
+    JobOutcome outcome =
+        answer.outcome() == JobOutcome.REFUSED && mayHaveRun
+            ? JobOutcome.ABANDONED
+            : answer.outcome();
+    return new DispatchAction.Finish(
+        event.job().id(),
+        Map.of(event.entry(), event.number()),
+        outcome,
+        answer.reason(),
+        answer.retryAfterMillis(now));
+  }
+
   /** Adds a durable job. Its tasks may start only after the job is stored. */
   void add(Job job) {
     open.put(job.id(), job);
@@ -130,10 +147,6 @@
     }
   }
 
-  private static boolean isFinal(JobOutcome outcome) {
-    return outcome == JobOutcome.SUCCEEDED || outcome == JobOutcome.FAILED;
-  }
-
   /**
    * Returns whether runs of an earlier submission of the same job are possibly running. If there
    * are none left, the earlier submission is removed.
@@ -170,7 +183,9 @@
       if (!runs.isEmpty()) {
         terminating.put(job.id(), job);
       }
-      ended.put(job.id(), new Ended(outcome, reason, now, job.started, job.lastRunNumber()));
+      long retryAt = now + retryAfterMillis * MICROS_PER_MILLI;
+      outcomes.add(
+          job.id(), new Outcome(outcome, reason, retryAt, now, job.started, job.lastRunNumber()));
       out.add(
           new DispatchAction.Finish(
               job.id(), Map.copyOf(job.entries), outcome, reason, retryAfterMillis));
@@ -199,7 +214,7 @@
         + (now - event.arrivedAt());
   }
 
-  private static String describe(Ended previous, long now) {
+  private static String describe(Outcome previous, long now) {
     return " previous="
         + previous.outcome()
         + " agoMicros="
@@ -228,15 +243,7 @@
   /** Removes ended jobs that have no runs left, and outcomes that are too old or too many. */
   void prune(long now) {
     terminating.values().removeIf(job -> job.runs().isEmpty());
-    List<JobId> expired = new ArrayList<>();
-    for (Map.Entry<JobId, Ended> entry : ended.entrySet()) {
-      boolean tooMany = ended.size() - expired.size() > MAX_ENDED_JOBS;
-      if (!tooMany && now - entry.getValue().endedAt() < ENDED_RETENTION_MICROS) {
-        break;
-      }
-      expired.add(entry.getKey());
-    }
-    expired.forEach(ended::remove);
+    outcomes.prune(now);
   }
 
   /** Returns the number of jobs without a started task, by the name of the request class. */
--- a/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
+++ b/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
@@ -65,7 +65,7 @@
   private FollowerLinks followers;
   private DomainLeadership leadership;
   private final DomainSuccessorSelector successorSelector = new DomainSuccessorSelector();
-  private FrameLink leaderLink;
+  private RemoteLeaderChannel leader;
   private String leaderName = "";
   private long leaderHeartbeatAt;
   private RemoteLeaderChannel formerLeader;
@@ -206,7 +206,7 @@
 
   private void tick() {
     election.tick(EventLoop.now()).forEach(this::execute);
-    if (leaderLink != null && EventLoop.now() - leaderHeartbeatAt > LEADER_TIMEOUT_MICROS) {
+    if (leader != null && EventLoop.now() - leaderHeartbeatAt > LEADER_TIMEOUT_MICROS) {
       dropLeader();
     }
     if (formerLeader != null && EventLoop.now() > formerLeaderUntil) {
@@ -244,7 +244,7 @@
       openLinks();
     }
     EventLog.info(LogEvent.DOMAIN_LEADER_ELECTED, "workers={}", workers.size());
-    leaderLink = null;
+    leader = null;
     successorSelector.clear();
     boolean succeedsActiveLeader = hasValidHandOver() && receivedHandOver.usesWorkers();
     leadership = leaderships.apply(succeedsActiveLeader);
@@ -286,7 +286,7 @@
       EventLog.info(LogEvent.DOMAIN_LEADER_STEPPED_DOWN, "reason={}", reason);
       leadership.endTerm(reason);
       leadership = null;
-      if (leaderLink == null) {
+      if (leader == null) {
         leaders.setDomainLeader(null);
       }
       leaders.removeFormerDomainLeader();
@@ -372,14 +372,14 @@
       adoptState(state);
     } else if (message instanceof DomainHandOver handOver) {
       leaderHandedOver(link, handOver);
-    } else if (link == leaderLink || isFormerLeader(link)) {
+    } else if (isLeaderLink(link) || isFormerLeader(link)) {
       handleAnswer(message);
     }
   }
 
   /** Returns whether a message on a link is handled by this class. */
   boolean handles(FrameLink link, HostMessage message) {
-    return link == leaderLink
+    return isLeaderLink(link)
         || isFormerLeader(link)
         || message instanceof DomainState
         || message instanceof DomainHandOver
@@ -401,10 +401,11 @@
             sameDomain && (stateTransfer.needsState() || workers.isEmpty()),
             drained.revision(),
             heartbeat.sentAt()));
-    if (link == leaderLink) {
+    if (isLeaderLink(link)) {
+      leader.heartbeatReceived(heartbeat.sentAt());
       leaderHeartbeatAt = EventLoop.now();
     } else if (accepted && heartbeat.leads()) {
-      follow(link, heartbeat.host());
+      follow(link, heartbeat);
     }
   }
 
@@ -418,13 +419,13 @@
    * Handles the leader's hand-over; the leader still reports the results of the jobs that it has.
    */
   private void leaderHandedOver(FrameLink link, DomainHandOver handOver) {
-    if (link != leaderLink) {
+    if (!isLeaderLink(link)) {
       return;
     }
     dropFormerLeader();
-    formerLeader = (RemoteLeaderChannel) leaders.domainLeader();
+    formerLeader = leader;
     formerLeaderUntil = EventLoop.now() + FORMER_LEADER_TIMEOUT_MICROS;
-    leaderLink = null;
+    leader = null;
     leaders.domainLeaderHandedOver();
     if (handOver.successor().equals(self)) {
       receivedHandOver = handOver;
@@ -435,6 +436,10 @@
         .forEach(this::execute);
   }
 
+  private boolean isLeaderLink(FrameLink link) {
+    return leader != null && leader.link() == link;
+  }
+
   private boolean isFormerLeader(FrameLink link) {
     return formerLeader != null && formerLeader.link() == link;
   }
@@ -446,22 +451,22 @@
     }
   }
 
-  private void follow(FrameLink link, String host) {
-    EventLog.info(LogEvent.DOMAIN_LEADER_FOUND, "leader={} link={}", host, link.id());
-    leaderLink = link;
-    leaderName = host;
+  private void follow(FrameLink link, DomainHeartbeat heartbeat) {
+    EventLog.info(LogEvent.DOMAIN_LEADER_FOUND, "leader={} link={}", heartbeat.host(), link.id());
+    leader = new RemoteLeaderChannel(0, link, heartbeat.sentAt());
+    leaderName = heartbeat.host();
     leaderHeartbeatAt = EventLoop.now();
-    leaders.setDomainLeader(new RemoteLeaderChannel(0, link));
+    leaders.setDomainLeader(leader);
   }
 
   private void dropLeader() {
-    leaderLink = null;
+    leader = null;
     leaders.setDomainLeader(null);
   }
 
   @Override
   public void closed(FrameLink link) {
-    if (link == leaderLink) {
+    if (isLeaderLink(link)) {
       dropLeader();
     } else if (isFormerLeader(link)) {
       dropFormerLeader();
--- a/src/main/java/org/marjoramhoist/entry/JobCalls.java
+++ b/src/main/java/org/marjoramhoist/entry/JobCalls.java
@@ -94,14 +94,15 @@
       long deadline,
       Consumer<JobCallReply> caller) {
     JobCall call =
-        new JobCall(callIds.next().value(), JobCallKind.SUBMIT, job.id(), job, requestClass, 0, 0);
+        new JobCall(
+            callIds.next().value(), JobCallKind.SUBMIT, job.id(), job, requestClass, 0, 0, 0);
     add(new OpenCall(call, arrivedAt, deadline, caller));
   }
 
   /** Queries the status of a job or cancels it. */
   void request(
       JobCallKind kind, JobId id, long arrivedAt, long deadline, Consumer<JobCallReply> caller) {
-    JobCall call = new JobCall(callIds.next().value(), kind, id, null, null, 0, 0);
+    JobCall call = new JobCall(callIds.next().value(), kind, id, null, null, 0, 0, 0);
     add(new OpenCall(call, arrivedAt, deadline, caller));
   }
 
@@ -138,7 +139,8 @@
     if (leader == null) {
       return;
     }
-    openCall.call = openCall.call.resent(EventLoop.now() - openCall.arrivedAt);
+    openCall.call =
+        openCall.call.resent(EventLoop.now() - openCall.arrivedAt, leader.heartbeatSentAt());
     leader.send(openCall.call);
   }
 
--- a/src/main/java/org/marjoramhoist/entry/LeaderChannel.java
+++ b/src/main/java/org/marjoramhoist/entry/LeaderChannel.java
@@ -13,6 +13,14 @@
     return "local";
   }
 
+  /**
+   * Returns when the leader sent the last heartbeat that was received here, in microseconds on its
+   * steady clock. A leader on this host is heard all the time.
+   */
+  default long heartbeatSentAt() {
+    return EventLoop.now();
+  }
+
   /** Sends a message to the leader; it may be lost with the connection. */
   void send(HostMessage message);
 }
--- a/src/main/java/org/marjoramhoist/entry/Leadership.java
+++ b/src/main/java/org/marjoramhoist/entry/Leadership.java
@@ -139,7 +139,8 @@
               now + submit.patienceMicros(),
               submit.generation(),
               failureDomainOf(host),
-              submit.number()));
+              submit.number(),
+              submit.heartbeatSentAt()));
     } else if (message instanceof Withdraw withdraw) {
       handle(new DispatchEvent.JobWithdrawn(withdraw.job(), host));
     }
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -11,9 +11,9 @@
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.job.SubmissionNumber;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
-import org.marjoramhoist.job.SubmissionNumber;
 import org.marjoramhoist.message.HostMessage.Finished;
 import org.marjoramhoist.message.HostMessage.Submit;
 import org.marjoramhoist.message.HostMessage.Withdraw;
@@ -208,7 +208,7 @@
     } else if (openJob.sentTerm == 0 && leaderTracker.domainLeader() != null) {
       openJob.domainLeader = leaderTracker.domainLeader();
       logSent(openJob, openJob.domainLeader, false);
-      openJob.domainLeader.send(submitMessage(openJob));
+      submitTo(openJob.domainLeader, openJob);
     }
   }
 
@@ -218,7 +218,7 @@
     }
     logSent(openJob, leader, openJob.sentTerm != 0);
     openJob.sentTerm = leader.term();
-    leader.send(submitMessage(openJob));
+    submitTo(leader, openJob);
   }
 
   private static void logSent(OpenJob openJob, LeaderChannel leader, boolean repeated) {
@@ -232,16 +232,18 @@
         repeated);
   }
 
-  private Submit submitMessage(OpenJob openJob) {
+  private void submitTo(LeaderChannel leader, OpenJob openJob) {
     long now = EventLoop.now();
     openJob.lastSubmission = numbers.next();
-    return new Submit(
-        openJob.job,
-        openJob.requestClass,
-        now - openJob.arrivedAt,
-        openJob.deadline - now,
-        openJob.generation,
-        openJob.lastSubmission);
+    leader.send(
+        new Submit(
+            openJob.job,
+            openJob.requestClass,
+            now - openJob.arrivedAt,
+            openJob.deadline - now,
+            openJob.generation,
+            openJob.lastSubmission,
+            leader.heartbeatSentAt()));
   }
 
   /**
--- a/src/main/java/org/marjoramhoist/entry/PartitionLeadership.java
+++ b/src/main/java/org/marjoramhoist/entry/PartitionLeadership.java
@@ -164,7 +164,14 @@
       record = new StoredJob(call.job(), call.requestClass(), acceptedMillis);
     }
     return new DispatchEvent.JobCallReceived(
-        call.kind(), call.id(), record, host, call.call(), arrivedAt, call.attempt());
+        call.kind(),
+        call.id(),
+        record,
+        host,
+        call.call(),
+        arrivedAt,
+        call.attempt(),
+        call.heartbeatSentAt());
   }
 
   private void listWorkers() {
--- a/src/main/java/org/marjoramhoist/entry/PartitionMember.java
+++ b/src/main/java/org/marjoramhoist/entry/PartitionMember.java
@@ -470,7 +470,9 @@
       waitingByClass = heartbeat.waiting();
       jobs.setAdmittedShare(heartbeat.intake());
       leaders.updateRetryForecast(heartbeat.returns());
-      if (!isLeaderLink(link)) {
+      if (isLeaderLink(link)) {
+        leaderChannel.heartbeatReceived(heartbeat.sentAt());
+      } else {
         EventLog.info(
             LogEvent.LEADER_CHANGED,
             "leader={} term={} link={}",
@@ -478,7 +480,7 @@
             heartbeat.term(),
             link.id());
         dropLeader();
-        leaderChannel = new RemoteLeaderChannel(heartbeat.term(), link);
+        leaderChannel = new RemoteLeaderChannel(heartbeat.term(), link, heartbeat.sentAt());
         leaders.leaderFound(leaderChannel);
       }
       requestConfigIfNewer(heartbeat.configVersion(), link::send);
--- a/src/main/java/org/marjoramhoist/entry/RemoteLeaderChannel.java
+++ b/src/main/java/org/marjoramhoist/entry/RemoteLeaderChannel.java
@@ -6,12 +6,46 @@
 /**
  * A channel to a leader on another host.
  *
- * <p>Confined to the event loop's thread.
- *
- * @param term the leader's term; 0 for the leader of a failure domain
- * @param link the link to the leader
+ * <p>Invariant: what is sent names a heartbeat that was received on the same link before. Confined
+ * to the event loop's thread.
  */
-record RemoteLeaderChannel(long term, FrameLink link) implements LeaderChannel {
+final class RemoteLeaderChannel implements LeaderChannel {
+
+  private final long term;
+  private final FrameLink link;
+  private long heartbeatSentAt;
+
+  /**
+   * Creates a channel.
+   *
+   * @param term the leader's term; 0 for the leader of a failure domain
+   * @param link the link to the leader
+   * @param heartbeatSentAt the time that its first heartbeat on the link carried
+   */
+  RemoteLeaderChannel(long term, FrameLink link, long heartbeatSentAt) {
+    this.term = term;
+    this.link = link;
+    this.heartbeatSentAt = heartbeatSentAt;
+  }
+
+  @Override
+  public long term() {
+    return term;
+  }
+
+  FrameLink link() {
+    return link;
+  }
+
+  /** Records a heartbeat by the time that it carried. */
+  void heartbeatReceived(long sentAt) {
+    heartbeatSentAt = sentAt;
+  }
+
+  @Override
+  public long heartbeatSentAt() {
+    return heartbeatSentAt;
+  }
 
   @Override
   public String linkId() {
--- a/src/main/java/org/marjoramhoist/message/HostMessage.java
+++ b/src/main/java/org/marjoramhoist/message/HostMessage.java
@@ -105,6 +105,7 @@
    * @param patienceMicros how much longer its caller waits
    * @param generation how many leaders were given the job before this one
    * @param number the number of this submission
+   * @param heartbeatSentAt the time that the leader's last heartbeat carried
    */
   record Submit(
       JobDescription job,
@@ -112,12 +113,14 @@
       long ageMicros,
       long patienceMicros,
       int generation,
-      SubmissionNumber number)
+      SubmissionNumber number,
+      long heartbeatSentAt)
       implements HostMessage {
 
-    /** Creates a message; one of an earlier version has no number. */
+    /** Creates a message; one of an earlier version has no number, and names no heartbeat. */
     public Submit {
       number = number == null ? SubmissionNumber.NONE : number;
+      heartbeatSentAt = heartbeatSentAt == 0 ? Long.MAX_VALUE : heartbeatSentAt;
     }
   }
 
@@ -158,6 +161,7 @@
    * @param requestClass its class, as the sender's configuration has it, if it is handed in
    * @param ageMicros how long ago the caller's request came in
    * @param attempt how many times the call was sent, this time included; 0 in an earlier version
+   * @param heartbeatSentAt the time that the leader's last heartbeat carried
    */
   record JobCall(
       long call,
@@ -166,12 +170,19 @@
       JobDescription job,
       RequestClass requestClass,
       long ageMicros,
-      int attempt)
+      int attempt,
+      long heartbeatSentAt)
       implements HostMessage {
 
+    /** Creates a call; one of an earlier version names no heartbeat. */
+    public JobCall {
+      heartbeatSentAt = heartbeatSentAt == 0 ? Long.MAX_VALUE : heartbeatSentAt;
+    }
+
     /** Returns the same call as it is sent another time. */
-    public JobCall resent(long micros) {
-      return new JobCall(call, kind, id, job, requestClass, micros, attempt + 1);
+    public JobCall resent(long micros, long leaderHeartbeatSentAt) {
+      return new JobCall(
+          call, kind, id, job, requestClass, micros, attempt + 1, leaderHeartbeatSentAt);
     }
   }
 
