A host's new link withdraws the jobs that it has not submitted again

What callers could see: a job goes on, or starts, after its cancellation was acknowledged, its caller has left, its deadline has passed or its host has stopped, if the host reached no leader at that time. The withdrawal was not sent, and a link that is back within a second is no loss of the host.

Change: a host submits its open jobs again before it answers the first heartbeat on a new link. With that answer the leader withdraws the host from all jobs whose last submission names an earlier heartbeat.

--- a/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -78,6 +78,15 @@
   /** An entry host no longer waits for a job, or its caller cancelled the job. */
   record JobWithdrawn(JobId job, String entry) implements DispatchEvent {}
 
+  /**
+   * An entry host has answered the first heartbeat on a new link. It has submitted again all jobs
+   * that it still waits for; it has ended the others without being able to withdraw them.
+   *
+   * @param entry the entry host
+   * @param since when that heartbeat was sent
+   */
+  record EntryHostReconnected(String entry, long since) implements DispatchEvent {}
+
   /** An entry host was lost, together with the callers connected to it. */
   record EntryHostLost(String entry) implements DispatchEvent {}
 
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -10,6 +10,7 @@
 import org.marjoramhoist.dispatch.DispatchEvent.DomainsDrained;
 import org.marjoramhoist.dispatch.DispatchEvent.DomainsShared;
 import org.marjoramhoist.dispatch.DispatchEvent.EntryHostLost;
+import org.marjoramhoist.dispatch.DispatchEvent.EntryHostReconnected;
 import org.marjoramhoist.dispatch.DispatchEvent.HandOverStarted;
 import org.marjoramhoist.dispatch.DispatchEvent.JobCallReceived;
 import org.marjoramhoist.dispatch.DispatchEvent.JobSubmitted;
@@ -220,6 +221,8 @@
       submitJob(submitted, now, out);
     } else if (event instanceof JobWithdrawn withdrawn) {
       withdrawJob(jobs.find(withdrawn.job()), withdrawn.entry(), now, out);
+    } else if (event instanceof EntryHostReconnected host) {
+      withdrawForgottenJobs(host, now, out);
     } else if (event instanceof EntryHostLost lost) {
       for (Job job : List.copyOf(jobs.all())) {
         withdrawJob(job, lost.entry(), now, out);
@@ -390,6 +393,17 @@
     }
   }
 
+  /** Withdraws the jobs that a host has not submitted again on its new link. */
+  private void withdrawForgottenJobs(
+      EntryHostReconnected host, long now, List<DispatchAction> out) {
+    for (Job job : List.copyOf(jobs.all())) {
+      Job.Submission last = job.entries.get(host.entry());
+      if (last != null && last.heardAt() < host.since()) {
+        withdrawJob(job, host.entry(), now, out);
+      }
+    }
+  }
+
   private void updateWorkers(List<WorkerInfo> list, long now, List<DispatchAction> out) {
     workerRegistry.updateList(list, now, out);
     refuseUnservable(now, out);
--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -44,8 +44,16 @@
 
   private boolean endStored;
 
-  /** The entry hosts that wait for the outcome, with the number of their last submission. */
-  final Map<String, SubmissionNumber> entries = new HashMap<>();
+  /**
+   * A submission of the job.
+   *
+   * @param number its number
+   * @param heardAt when the last heartbeat was sent that the entry host had received
+   */
+  record Submission(SubmissionNumber number, long heardAt) {}
+
+  /** The last submission of each entry host that waits for the outcome. */
+  final Map<String, Submission> entries = new HashMap<>();
 
   final long arrivedAt;
   long deadline;
--- a/src/main/java/org/marjoramhoist/dispatch/JobRegistry.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobRegistry.java
@@ -13,6 +13,7 @@
 import org.marjoramhoist.dispatch.RecentOutcomes.Outcome;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
+import org.marjoramhoist.job.SubmissionNumber;
 import org.marjoramhoist.log.LogEvent;
 
 /**
@@ -85,7 +86,7 @@
     Job openJob = open.get(id);
     if (openJob != null) {
       out.add(new Log(LogEvent.JOB_SUBMITTED, describe(event, now) + " previous=OPEN"));
-      openJob.entries.put(event.entry(), event.number());
+      openJob.entries.put(event.entry(), submission(event));
       openJob.deadline = Math.max(openJob.deadline, event.deadline());
       openJob.recordResubmission(event.generation());
       return null;
@@ -110,7 +111,7 @@
             event.arrivedAt(),
             event.deadline(),
             event.generation());
-    job.entries.put(event.entry(), event.number());
+    job.entries.put(event.entry(), submission(event));
     job.origin = event.origin();
     if (previous != null) {
       job.raiseRunNumbers(previous.lastRunNumber());
@@ -121,6 +122,16 @@
     return job;
   }
 
+  private static Job.Submission submission(JobSubmitted event) {
+    return new Job.Submission(event.number(), event.heardAt());
+  }
+
+  private static Map<String, SubmissionNumber> lastNumbers(Job job) {
+    Map<String, SubmissionNumber> numbers = new HashMap<>();
+    job.entries.forEach((entry, submission) -> numbers.put(entry, submission.number()));
+    return numbers;
+  }
+
   /**
    * Returns the answer to a submission of a job that has ended. A job that a previous leader may
    * have started is not reported as not run.
@@ -187,8 +198,7 @@
       outcomes.add(
           job.id(), new Outcome(outcome, reason, retryAt, now, job.started, job.lastRunNumber()));
       out.add(
-          new DispatchAction.Finish(
-              job.id(), Map.copyOf(job.entries), outcome, reason, retryAfterMillis));
+          new DispatchAction.Finish(job.id(), lastNumbers(job), outcome, reason, retryAfterMillis));
     }
     out.add(new Log(eventOf(outcome), describe(job, reason, now)));
     return runs;
--- a/src/main/java/org/marjoramhoist/entry/FollowerLinks.java
+++ b/src/main/java/org/marjoramhoist/entry/FollowerLinks.java
@@ -30,6 +30,7 @@
     private String address;
     private FrameLink link;
     private boolean opening;
+    private boolean answered;
     private long lastReceivedAt = EventLoop.now();
     private boolean lost = true;
   }
@@ -128,6 +129,7 @@
             return;
           }
           follower.link = link;
+          follower.answered = false;
           follower.lastReceivedAt = EventLoop.now();
           follower.lost = false;
           EventLog.info(LogEvent.HOST_LINK_OPENED, "host={} link={}", name, link.id());
@@ -137,6 +139,14 @@
         failure -> follower.opening = false);
   }
 
+  /** Returns whether a host's answer to a heartbeat is the first on its link. */
+  boolean isFirstAnswer(String host) {
+    Follower follower = followers.get(host);
+    boolean isFirst = !follower.answered;
+    follower.answered = true;
+    return isFirst;
+  }
+
   /** Sends a message to a host if its link is open. */
   void send(String host, HostMessage message) {
     Follower follower = followers.get(host);
--- a/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
+++ b/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
@@ -316,6 +316,9 @@
       return;
     }
     if (message instanceof DomainHeartbeatReply reply) {
+      if (followers.isFirstAnswer(host) && leadership != null) {
+        leadership.entryHostReconnected(host, reply.heartbeatSentAt());
+      }
       drained.requestIfNewer(reply.drainRevision(), query -> sendTo(host, query));
       if (reply.lacksState()) {
         followers.send(host, stateTransfer.currentState(workers));
--- a/src/main/java/org/marjoramhoist/entry/Leadership.java
+++ b/src/main/java/org/marjoramhoist/entry/Leadership.java
@@ -151,6 +151,15 @@
     return "";
   }
 
+  /**
+   * Handles the first answer of an entry host on a new link.
+   *
+   * @param heartbeatSentAt when the heartbeat was sent that it answers
+   */
+  final void entryHostReconnected(String host, long heartbeatSentAt) {
+    handle(new DispatchEvent.EntryHostReconnected(host, heartbeatSentAt));
+  }
+
   /** Handles the loss of an entry host. */
   final void entryHostLost(String host) {
     handle(new DispatchEvent.EntryHostLost(host));
--- a/src/main/java/org/marjoramhoist/entry/PartitionMember.java
+++ b/src/main/java/org/marjoramhoist/entry/PartitionMember.java
@@ -406,6 +406,9 @@
         handle(new ElectionEvent.StepDownRequired("host " + host + " reported a later term"));
         return;
       }
+      if (followers.isFirstAnswer(host)) {
+        leadership.entryHostReconnected(host, reply.heartbeatSentAt());
+      }
       successorSelector.followerReplied(host, reply.mayLead(), EventLoop.now());
       exclusivity.heartbeatConfirmed(EventLoop.now(), host, reply.heartbeatSentAt());
       handle(new ElectionEvent.HeartbeatConfirmed(host, reply.heartbeatSentAt()));
