A host refuses no durable job that an earlier call may have stored

What callers could see: a first try at a host gets 504; the second, while no leader is reached or the host stops, is refused as not run, and the job, stored by the first, runs.

Evidence: with the check off (trial), JobCallsTest.laterTryIsNotRefusedWhileEarlierOneMayBeAccepted fails.

--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -79,9 +79,10 @@
     this.worker = createWorker();
     this.loop = new EventLoop(worker.getIoThread());
     long incarnation = System.currentTimeMillis();
-    this.jobs =
-        new OpenJobs(leaderTracker, settings.scheduling(), new SubmissionNumbers(incarnation));
-    this.calls = new JobCalls(leaderTracker, incarnation);
+    SubmissionNumbers numbers = new SubmissionNumbers(incarnation);
+    RecentResults results = new RecentResults();
+    this.jobs = new OpenJobs(leaderTracker, settings.scheduling(), numbers, results);
+    this.calls = new JobCalls(leaderTracker, incarnation, results);
     HttpCaller caller = new HttpCaller(worker);
     KeyValueClient store = new KeyValueClient(settings.store(), caller, STORE_TIMEOUT_MILLIS);
     PlatformWorkerClient workerClient = new PlatformWorkerClient(caller);
--- a/src/main/java/org/marjoramhoist/entry/JobCalls.java
+++ b/src/main/java/org/marjoramhoist/entry/JobCalls.java
@@ -19,8 +19,8 @@
  * each later leader, as all calls are idempotent.
  *
  * <p>Invariant: each caller gets exactly one reply. A job is reported as not accepted only if its
- * submission was sent to no leader, or if the current leader reports so in answer to the last
- * attempt to send it. Confined to the event loop's thread.
+ * submission was sent to no leader, nor an earlier one that is not answered, or if the current
+ * leader reports so in answer to the last attempt to send it. Confined to the event loop's thread.
  */
 final class JobCalls {
 
@@ -52,20 +52,14 @@
           || reply.attempt() == call.attempt();
     }
 
-    /** Returns the reply to a caller whose call is given up. */
-    private JobCallReply replyWhenGivenUp(LeaderTracker leaderTracker) {
-      return isSent()
-          ? new JobCallReply(call.call(), JobCallResult.UNKNOWN, null, 0)
-          : new JobCallReply(
-              call.call(),
-              JobCallResult.REFUSED,
-              null,
-              leaderTracker.retryAfterMillis(call.id(), LeaderTracker.DEFAULT_RETRY_MILLIS));
+    private boolean isSubmission() {
+      return call.kind() == JobCallKind.SUBMIT;
     }
   }
 
   private final Map<Long, OpenCall> open = new LinkedHashMap<>();
   private final LeaderTracker leaderTracker;
+  private final RecentResults recentResults;
   private final SubmissionNumbers callIds;
 
   /**
@@ -74,9 +68,11 @@
    * @param incarnation the start of the host's process in milliseconds since 1970; it makes call
    *     IDs unique across restarts, so that a reply to a call of an earlier process is not matched
    *     to a later call
+   * @param recentResults what this host knows of jobs that were submitted here
    */
-  JobCalls(LeaderTracker leaderTracker, long incarnation) {
+  JobCalls(LeaderTracker leaderTracker, long incarnation, RecentResults recentResults) {
     this.leaderTracker = leaderTracker;
+    this.recentResults = recentResults;
     leaderTracker.onLeaderFound(this::leaderFound);
     this.callIds = new SubmissionNumbers(incarnation);
   }
@@ -108,7 +104,7 @@
 
   private void add(OpenCall openCall) {
     if (!leaderTracker.isPartitionLeaderExpected()) {
-      openCall.caller.accept(openCall.replyWhenGivenUp(leaderTracker));
+      openCall.caller.accept(replyWhenGivenUp(openCall));
       return;
     }
     open.put(openCall.call.call(), openCall);
@@ -139,6 +135,9 @@
     if (leader == null) {
       return;
     }
+    if (openCall.isSubmission()) {
+      recentResults.addSubmitted(openCall.call.id(), EventLoop.now());
+    }
     openCall.call =
         openCall.call.resent(EventLoop.now() - openCall.arrivedAt, leader.heartbeatSentAt());
     leader.send(openCall.call);
@@ -149,6 +148,9 @@
     OpenCall openCall = open.get(reply.call());
     if (openCall != null && openCall.isAnsweredBy(reply)) {
       open.remove(reply.call());
+      if (openCall.isSubmission() && reply.result() == JobCallResult.REFUSED) {
+        recentResults.removeRefused(openCall.call.id());
+      }
       openCall.caller.accept(reply);
     }
   }
@@ -166,7 +168,20 @@
 
   private void giveUp(OpenCall openCall) {
     open.remove(openCall.call.call());
-    openCall.caller.accept(openCall.replyWhenGivenUp(leaderTracker));
+    openCall.caller.accept(replyWhenGivenUp(openCall));
+  }
+
+  /** Returns the reply to a caller whose call is given up. */
+  private JobCallReply replyWhenGivenUp(OpenCall openCall) {
+    JobCall call = openCall.call;
+    boolean mayBeAccepted =
+        openCall.isSubmission() && recentResults.mayHaveRun(call.id(), EventLoop.now());
+    if (openCall.isSent() || mayBeAccepted) {
+      return new JobCallReply(call.call(), JobCallResult.UNKNOWN, null, 0);
+    }
+    long retryAfterMillis =
+        leaderTracker.retryAfterMillis(call.id(), LeaderTracker.DEFAULT_RETRY_MILLIS);
+    return new JobCallReply(call.call(), JobCallResult.REFUSED, null, retryAfterMillis);
   }
 
   /** Gives up all open calls before the host stops. */
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -62,22 +62,28 @@
   }
 
   private final Map<JobId, OpenJob> open = new LinkedHashMap<>();
-  private final RecentResults recentResults = new RecentResults();
+  private final RecentResults recentResults;
   private final LeaderTracker leaderTracker;
   private final AdmissionGate admission;
   private final SubmissionNumbers numbers;
 
   /** Creates an empty set with the default scheduling policy. */
   OpenJobs(LeaderTracker leaderTracker) {
-    this(leaderTracker, SchedulingPolicy.DEFAULT, new SubmissionNumbers(0));
+    this(leaderTracker, SchedulingPolicy.DEFAULT, new SubmissionNumbers(0), new RecentResults());
   }
 
   /**
    * Creates an empty set of jobs, which are sent to each leader that is found.
    *
    * @param numbers numbers the submissions
+   * @param recentResults what this host knows of jobs that are not open
    */
-  OpenJobs(LeaderTracker leaderTracker, SchedulingPolicy scheduling, SubmissionNumbers numbers) {
+  OpenJobs(
+      LeaderTracker leaderTracker,
+      SchedulingPolicy scheduling,
+      SubmissionNumbers numbers,
+      RecentResults recentResults) {
+    this.recentResults = recentResults;
     this.numbers = numbers;
     this.leaderTracker = leaderTracker;
     this.admission = new AdmissionGate(scheduling);
--- a/src/main/java/org/marjoramhoist/entry/RecentResults.java
+++ b/src/main/java/org/marjoramhoist/entry/RecentResults.java
@@ -8,9 +8,10 @@
 import org.marjoramhoist.message.HostMessage.Finished;
 
 /**
- * The job results that this host recently sent to callers. A new leader does not know the results
- * of earlier ones. With this cache, a caller that lost a response and submits its job again gets
- * the same result, and a job that may have run is never reported as not run.
+ * The job results that this host recently sent to callers, and the durable jobs that it submitted.
+ * A new leader does not know the results of earlier ones. With this cache, a caller that lost a
+ * response and submits its job again gets the same result, and a job that may have run is never
+ * reported as not run.
  *
  * <p>Bounded by age and size. Confined to one thread.
  */
@@ -40,6 +41,21 @@
     }
   }
 
+  /** Records that a durable job is submitted to a leader, which may accept it. */
+  void addSubmitted(JobId id, long now) {
+    add(new Finished(id, JobOutcome.ABANDONED, "its acceptance is unknown", 0), now);
+  }
+
+  /** Records that the leader has refused a durable job. */
+  void removeRefused(JobId id) {
+    sentResults.remove(id);
+  }
+
+  /** Returns whether a job may have been accepted or run. */
+  boolean mayHaveRun(JobId id, long now) {
+    return find(id, now) != null;
+  }
+
   /** Returns a job's result if it is final, or null if none is known. */
   Finished findFinal(JobId id, long now) {
     Finished result = find(id, now);
@@ -56,8 +72,7 @@
    * may have run before is reported as abandoned.
    */
   Finished reconcile(Finished result, long now) {
-    boolean mayHaveRun = result.outcome() == JobOutcome.REFUSED && find(result.job(), now) != null;
-    return mayHaveRun
+    return result.outcome() == JobOutcome.REFUSED && mayHaveRun(result.job(), now)
         ? new Finished(
             result.job(), JobOutcome.ABANDONED, result.reason() + "; was submitted before", 0)
         : result;
--- a/src/test/java/org/marjoramhoist/entry/HostShutdownTest.java
+++ b/src/test/java/org/marjoramhoist/entry/HostShutdownTest.java
@@ -46,8 +46,9 @@
             shutdown,
             listener,
             exchanges,
-            new OpenJobs(leaders, SchedulingPolicy.DEFAULT, new SubmissionNumbers(0)),
-            new JobCalls(leaders, 1),
+            new OpenJobs(
+                leaders, SchedulingPolicy.DEFAULT, new SubmissionNumbers(0), new RecentResults()),
+            new JobCalls(leaders, 1, new RecentResults()),
             this::refuse,
             () -> false,
             () -> {});
--- a/src/test/java/org/marjoramhoist/entry/JobCallsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/JobCallsTest.java
@@ -24,6 +24,7 @@
   private final List<JobCall> sent = new ArrayList<>();
   private final List<JobCallResult> results = new ArrayList<>();
   private final LeaderTracker leaderTracker = new LeaderTracker();
+  private final RecentResults recentResults = new RecentResults();
 
   private LeaderChannel leader(long term) {
     return new LeaderChannel() {
@@ -47,11 +48,11 @@
 
   @Test
   void replyToCallOfEarlierProcessIsIgnored() {
-    JobCalls earlier = new JobCalls(leaderTracker, 1_000);
+    JobCalls earlier = new JobCalls(leaderTracker, 1_000, recentResults);
     leaderTracker.leaderFound(leader(1));
     cancelJob(earlier, TIMEOUT_MICROS);
     final long earlierCall = sent.get(0).call();
-    JobCalls later = new JobCalls(leaderTracker, 3_000);
+    JobCalls later = new JobCalls(leaderTracker, 3_000, recentResults);
     cancelJob(later, TIMEOUT_MICROS);
     later.replied(new JobCallReply(earlierCall, JobCallResult.DONE, JobStatus.CANCELLED, 0));
     assertThat(results).isEmpty();
@@ -61,7 +62,7 @@
 
   @Test
   void callsAreResentToLaterLeaders() {
-    JobCalls calls = new JobCalls(leaderTracker, 1_000);
+    JobCalls calls = new JobCalls(leaderTracker, 1_000, recentResults);
     LeaderChannel first = leader(1);
     leaderTracker.leaderFound(first);
     cancelJob(calls, TIMEOUT_MICROS);
@@ -74,11 +75,9 @@
   /** Guards against a job that is stored after its caller was told that it was refused. */
   @Test
   void refusalIsNotReportedWhileLaterAttemptIsOnItsWay() {
-    JobCalls calls = new JobCalls(leaderTracker, 1_000);
+    JobCalls calls = new JobCalls(leaderTracker, 1_000, recentResults);
     leaderTracker.leaderFound(leader(1));
-    long now = EventLoop.now();
-    JobDescription job = new JobDescription(ID, "p", List.of(), Set.<JobFeature>of());
-    calls.submit(job, null, now, now + TIMEOUT_MICROS, reply -> results.add(reply.result()));
+    submitJob(calls, TIMEOUT_MICROS);
     leaderTracker.leaderFound(leader(1));
     calls.replied(answer(JobCallResult.REFUSED, sent.get(0)));
     assertThat(results).isEmpty();
@@ -86,13 +85,46 @@
     assertThat(results).containsExactly(JobCallResult.REFUSED);
   }
 
+  /** Guards against a job that is stored after a later try of its caller was refused here. */
+  @Test
+  void laterTryIsNotRefusedWhileEarlierOneMayBeAccepted() {
+    JobCalls calls = new JobCalls(leaderTracker, 1_000, recentResults);
+    LeaderChannel lost = leader(1);
+    leaderTracker.leaderFound(lost);
+    submitJob(calls, -1);
+    calls.tick();
+    leaderTracker.leaderLost(lost);
+    submitJob(calls, -1);
+    calls.tick();
+    assertThat(results).containsExactly(JobCallResult.UNKNOWN, JobCallResult.UNKNOWN);
+  }
+
+  @Test
+  void laterTryIsRefusedOnceEarlierOneIs() {
+    JobCalls calls = new JobCalls(leaderTracker, 1_000, recentResults);
+    LeaderChannel lost = leader(1);
+    leaderTracker.leaderFound(lost);
+    submitJob(calls, TIMEOUT_MICROS);
+    calls.replied(answer(JobCallResult.REFUSED, sent.get(0)));
+    leaderTracker.leaderLost(lost);
+    submitJob(calls, -1);
+    calls.tick();
+    assertThat(results).containsExactly(JobCallResult.REFUSED, JobCallResult.REFUSED);
+  }
+
+  private void submitJob(JobCalls calls, long timeoutMicros) {
+    long now = EventLoop.now();
+    JobDescription job = new JobDescription(ID, "p", List.of(), Set.<JobFeature>of());
+    calls.submit(job, null, now, now + timeoutMicros, reply -> results.add(reply.result()));
+  }
+
   private static JobCallReply answer(JobCallResult result, JobCall call) {
     return new JobCallReply(call.call(), result, null, 0, call.attempt());
   }
 
   @Test
   void leaderLostWhileCallsAreSentGetsNoMoreCalls() {
-    JobCalls calls = new JobCalls(leaderTracker, 1_000);
+    JobCalls calls = new JobCalls(leaderTracker, 1_000, recentResults);
     cancelJob(calls, TIMEOUT_MICROS);
     cancelJob(calls, TIMEOUT_MICROS);
     leaderTracker.leaderFound(
@@ -115,7 +147,7 @@
 
   @Test
   void onlyUnsentCallsAreReportedAsRefused() {
-    JobCalls calls = new JobCalls(leaderTracker, 1_000);
+    JobCalls calls = new JobCalls(leaderTracker, 1_000, recentResults);
     cancelJob(calls, -1);
     calls.tick();
     leaderTracker.leaderFound(leader(1));
