A domain's leader reports no started job as not run

What callers could see: a job that was started and given up is submitted again while another leader may use the workers, and refused as not run.

Change: how a job ends that is given up is decided in one place, by whether a run was ever ordered; it stood three times and was missing here.

Evidence: on the parent, DomainDispatchTest.startedJobIsNotRefusedWhenItsWorkersAreShared fails.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -319,8 +319,7 @@
     }
     fairShareWeights.jobArrived(job, now);
     if (handOverReason != null) {
-      JobOutcome outcome = job.started ? JobOutcome.ABANDONED : JobOutcome.REFUSED;
-      end(job, outcome, handOverReason, now, out);
+      end(job, job.outcomeIfGivenUp(), handOverReason, now, out);
       return;
     }
     if (predecessorJobs.contains(job.id()) && now <= predecessorRunsUntil) {
@@ -328,7 +327,7 @@
       return;
     }
     if (guard != null && mayFillWorkersOfOtherLeader(job)) {
-      end(job, JobOutcome.REFUSED, "another leader may use the workers", now, out);
+      end(job, job.outcomeIfGivenUp(), "another leader may use the workers", now, out);
       return;
     }
     suspects.attach(job, List.of(), now);
@@ -453,8 +452,7 @@
 
   private void endTerm(String reason, long now, List<DispatchAction> out) {
     for (Job job : List.copyOf(jobs.all())) {
-      JobOutcome outcome = job.started ? JobOutcome.ABANDONED : JobOutcome.REFUSED;
-      end(job, outcome, reason, now, out);
+      end(job, job.outcomeIfGivenUp(), reason, now, out);
     }
   }
 
@@ -474,8 +472,7 @@
       return;
     }
     if (now > job.deadline) {
-      JobOutcome outcome = job.started ? JobOutcome.ABANDONED : JobOutcome.REFUSED;
-      end(job, outcome, "deadline passed", now, out);
+      end(job, job.outcomeIfGivenUp(), "deadline passed", now, out);
     } else if (!job.started && now > queueOrder.firmDeadline(job)) {
       end(job, JobOutcome.REFUSED, "no room in time", now, out);
     }
--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -7,6 +7,7 @@
 import org.marjoramhoist.dispatch.WorkerReport.RunOutcome;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.JobStatus;
 import org.marjoramhoist.job.RequestClass;
 import org.marjoramhoist.job.StepSpec;
@@ -151,6 +152,11 @@
     raiseRunNumbers(generation * RUNS_PER_GENERATION);
   }
 
+  /** Returns how the job ends if it is given up: as refused only if no run was ever ordered. */
+  JobOutcome outcomeIfGivenUp() {
+    return started ? JobOutcome.ABANDONED : JobOutcome.REFUSED;
+  }
+
   /**
    * Restores the progress stored by a previous leader.
    *
--- a/src/test/java/org/marjoramhoist/dispatch/DomainDispatchTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DomainDispatchTest.java
@@ -216,12 +216,31 @@
 
   private JobId submitUnguarded() {
     JobId id = new JobId(String.format(Locale.ROOT, "%016x", ++jobCount));
+    submitUnguarded(id);
+    return id;
+  }
+
+  private void submitUnguarded(JobId id) {
     JobDescription job = new JobDescription(id, "p", List.of(tasks(1, List.of())), Set.of());
     step(
         1,
         new DispatchEvent.JobSubmitted(
             job, UNGUARDED, "e", now, now + 5_000 * MICROS_PER_MILLI, 0));
-    return id;
+  }
+
+  /** Guards against a job that is reported as not run although it was started before. */
+  @Test
+  void startedJobIsNotRefusedWhenItsWorkersAreShared() {
+    report("w", List.of());
+    report("x", List.of());
+    JobId id = submitUnguarded();
+    assertThat(startedOn()).hasSize(1);
+    step(10, new DispatchEvent.JobWithdrawn(id, "e"));
+    step(10, new DispatchEvent.DomainsShared(Set.of("d")));
+    actions.clear();
+    submitUnguarded(id);
+    assertThat(takeActions(DispatchAction.Finish.class).get(0).outcome())
+        .isEqualTo(JobOutcome.ABANDONED);
   }
 
   /** Guards against workers that two leaders fill beyond their capacity. */
