Log of calls sent again allows for a leader that is lost meanwhile

Tests run, all green: JobCallsTest, OpenJobsTest, IsolatedDomainMemberTest, HostShutdownTest, PlatformClusterTest.

--- a/src/main/java/org/marjoramhoist/entry/JobCalls.java
+++ b/src/main/java/org/marjoramhoist/entry/JobCalls.java
@@ -111,12 +111,12 @@
     send(openCall);
   }
 
-  /** Sends the open calls to the leader, which was found or found again. */
+  /** Sends the open calls to the leader that was found, unless it has been lost since. */
   private void leaderFound() {
     LeaderChannel leader = leaderTracker.partitionLeader();
     List<OpenCall> calls = List.copyOf(open.values());
     long repeated = calls.stream().filter(OpenCall::isSent).count();
-    if (repeated > 0) {
+    if (leader != null && repeated > 0) {
       EventLog.info(
           LogEvent.JOBS_RESUBMITTED,
           "calls={} term={} link={}",
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -183,13 +183,16 @@
     return new Finished(id, JobOutcome.REFUSED, "the leader is overloaded", retryAfterMillis);
   }
 
-  /** Sends the open jobs to the partition's leader, which was found or found again. */
+  /**
+   * Sends the open jobs to the partition's leader, which was found or found again; it may have been
+   * lost since.
+   */
   private void leaderFound() {
     LeaderChannel leader = leaderTracker.partitionLeader();
     List<OpenJob> jobs = List.copyOf(open.values());
     long repeated =
         jobs.stream().filter(each -> each.sentTerm != 0 && each.domainLeader == null).count();
-    if (repeated > 0) {
+    if (leader != null && repeated > 0) {
       EventLog.info(
           LogEvent.JOBS_RESUBMITTED,
           "jobs={} term={} link={}",
--- a/src/test/java/org/marjoramhoist/entry/JobCallsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/JobCallsTest.java
@@ -145,6 +145,24 @@
     assertThat(sent).hasSize(3);
   }
 
+  /** Sending the open jobs, which comes first, may detect that the new link is lost again. */
+  @Test
+  void leaderLostBeforeCallsAreSentGetsNone() {
+    boolean[] losesLeader = {false};
+    leaderTracker.onLeaderFound(
+        () -> {
+          if (losesLeader[0]) {
+            leaderTracker.leaderLost(leaderTracker.partitionLeader());
+          }
+        });
+    JobCalls calls = new JobCalls(leaderTracker, 1_000, recentResults);
+    leaderTracker.leaderFound(leader(1));
+    cancelJob(calls, TIMEOUT_MICROS);
+    losesLeader[0] = true;
+    leaderTracker.leaderFound(leader(1));
+    assertThat(sent).hasSize(1);
+  }
+
   @Test
   void onlyUnsentCallsAreReportedAsRefused() {
     JobCalls calls = new JobCalls(leaderTracker, 1_000, recentResults);
