Calls say how often they were sent

"Attempt" is a try to run a task on a worker (docs/GLOSSARY.md); the count in calls and replies has a name of its own. No change of logic; JobCallsTest, OpenJobsTest, EarlierSubmissionTest and DocsTest pass.

--- a/src/main/java/org/marjoramhoist/dispatch/DispatchAction.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchAction.java
@@ -76,7 +76,7 @@
    * @param status the status of the job; null if there is none to report
    * @param retryAfterMillis the delay after which a refused caller may retry; 0 if there is no
    *     recommendation
-   * @param attempt the attempt of the entry host that is answered
+   * @param sentCount how many times the call was sent as it was received
    */
   record Reply(
       String entry,
@@ -84,12 +84,12 @@
       JobCallResult result,
       JobStatus status,
       long retryAfterMillis,
-      int attempt)
+      int sentCount)
       implements DispatchAction {
 
     /** Creates the reply to a call without a recommendation when to retry. */
     Reply(DispatchEvent.JobCallReceived call, JobCallResult result, JobStatus status) {
-      this(call.entry(), call.call(), result, status, 0, call.attempt());
+      this(call.entry(), call.call(), result, status, 0, call.sentCount());
     }
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -198,7 +198,7 @@
    * @param entry the entry host that sent the call
    * @param call the call number assigned by the entry host
    * @param arrivedAt when the caller's request arrived
-   * @param attempt how many times the entry host sent the call, this time included
+   * @param sentCount how many times the entry host sent the call, this time included
    * @param heardAt when this leader sent the last heartbeat that the entry host had received
    */
   record JobCallReceived(
@@ -208,7 +208,7 @@
       String entry,
       long call,
       long arrivedAt,
-      int attempt,
+      int sentCount,
       long heardAt)
       implements DispatchEvent {
 
--- a/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
@@ -125,7 +125,7 @@
             JobCallResult.REFUSED,
             null,
             retryAfterMillis,
-            call.attempt()));
+            call.sentCount()));
   }
 
   /** Returns why a durable job cannot be accepted now; null if it can. */
--- a/src/main/java/org/marjoramhoist/entry/JobCalls.java
+++ b/src/main/java/org/marjoramhoist/entry/JobCalls.java
@@ -20,7 +20,7 @@
  *
  * <p>Invariant: each caller gets exactly one reply. A job is reported as not accepted only if its
  * submission was sent to no leader, nor an earlier one that is not answered, or if the current
- * leader reports so in answer to the last attempt to send it. Confined to the event loop's thread.
+ * leader reports so in answer to the call as it was last sent. Confined to the event loop's thread.
  */
 final class JobCalls {
 
@@ -39,17 +39,17 @@
     }
 
     private boolean isSent() {
-      return call.attempt() > 0;
+      return call.sentCount() > 0;
     }
 
     /**
-     * Returns whether a reply holds. A leader that refused an earlier attempt may still receive and
-     * accept the last one.
+     * Returns whether a reply holds. A leader that refused the call as it was sent before may still
+     * receive and accept it as it was sent last.
      */
     private boolean isAnsweredBy(JobCallReply reply) {
       return reply.result() != JobCallResult.REFUSED
-          || reply.attempt() == 0
-          || reply.attempt() == call.attempt();
+          || reply.sentCount() == 0
+          || reply.sentCount() == call.sentCount();
     }
 
     private boolean isSubmission() {
--- a/src/main/java/org/marjoramhoist/entry/PartitionLeadership.java
+++ b/src/main/java/org/marjoramhoist/entry/PartitionLeadership.java
@@ -170,7 +170,7 @@
         host,
         call.call(),
         arrivedAt,
-        call.attempt(),
+        call.sentCount(),
         call.heartbeatSentAt());
   }
 
@@ -211,7 +211,7 @@
               reply.result(),
               reply.status(),
               reply.retryAfterMillis(),
-              reply.attempt()));
+              reply.sentCount()));
     }
   }
 
--- a/src/main/java/org/marjoramhoist/message/HostMessage.java
+++ b/src/main/java/org/marjoramhoist/message/HostMessage.java
@@ -160,7 +160,7 @@
    * @param job the job, if it is handed in; otherwise null
    * @param requestClass its class, as the sender's configuration has it, if it is handed in
    * @param ageMicros how long ago the caller's request came in
-   * @param attempt how many times the call was sent, this time included; 0 in an earlier version
+   * @param sentCount how many times the call was sent, this time included; 0 in an earlier version
    * @param heartbeatSentAt the time that the leader's last heartbeat carried
    */
   record JobCall(
@@ -170,7 +170,7 @@
       JobDescription job,
       RequestClass requestClass,
       long ageMicros,
-      int attempt,
+      int sentCount,
       long heartbeatSentAt)
       implements HostMessage {
 
@@ -182,7 +182,7 @@
     /** Returns the same call as it is sent another time. */
     public JobCall resent(long micros, long leaderHeartbeatSentAt) {
       return new JobCall(
-          call, kind, id, job, requestClass, micros, attempt + 1, leaderHeartbeatSentAt);
+          call, kind, id, job, requestClass, micros, sentCount + 1, leaderHeartbeatSentAt);
     }
   }
 
@@ -193,13 +193,14 @@
    * @param result what became of it
    * @param status the job's status; null if there is no such job
    * @param retryAfterMillis when a refused caller may come back; 0 if that says nothing
-   * @param attempt the attempt that is answered; 0 in an earlier version
+   * @param sentCount how many times the call was sent as the leader received it; 0 in an earlier
+   *     version
    */
   record JobCallReply(
-      long call, JobCallResult result, JobStatus status, long retryAfterMillis, int attempt)
+      long call, JobCallResult result, JobStatus status, long retryAfterMillis, int sentCount)
       implements HostMessage {
 
-    /** Creates a reply that answers no attempt in particular. */
+    /** Creates a reply that answers the call however often it was sent. */
     public JobCallReply(long call, JobCallResult result, JobStatus status, long retryAfterMillis) {
       this(call, result, status, retryAfterMillis, 0);
     }
--- a/src/test/java/org/marjoramhoist/entry/JobCallsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/JobCallsTest.java
@@ -74,7 +74,7 @@
 
   /** Guards against a job that is stored after its caller was told that it was refused. */
   @Test
-  void refusalIsNotReportedWhileLaterAttemptIsOnItsWay() {
+  void refusalIsNotReportedWhileCallSentAgainIsOnItsWay() {
     JobCalls calls = new JobCalls(leaderTracker, 1_000, recentResults);
     leaderTracker.leaderFound(leader(1));
     submitJob(calls, TIMEOUT_MICROS);
@@ -119,7 +119,7 @@
   }
 
   private static JobCallReply answer(JobCallResult result, JobCall call) {
-    return new JobCallReply(call.call(), result, null, 0, call.attempt());
+    return new JobCallReply(call.call(), result, null, 0, call.sentCount());
   }
 
   @Test
