An open job of a host in a class of its own

OpenJobsTest, JobCallsTest, HostShutdownTest, IsolatedDomainMemberTest, DepartingCallerClusterTest and DocsTest pass.

--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -1,6 +1,5 @@
 package org.marjoramhoist.entry;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,11 +10,9 @@
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.RequestClass;
-import org.marjoramhoist.job.SubmissionNumber;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.message.HostMessage.Finished;
-import org.marjoramhoist.message.HostMessage.Submit;
 import org.marjoramhoist.message.HostMessage.Withdraw;
 
 /**
@@ -34,33 +31,6 @@
 
   private static final String CALLER_LEFT_REASON = "its caller has left";
 
-  private static final class OpenJob {
-    private final JobDescription job;
-    private final RequestClass requestClass;
-    private final long arrivedAt;
-    private long deadline;
-
-    /** The term of the partition's leader that the job was last sent to; 0 if none. */
-    private long sentTerm;
-
-    /** The leader of the failure domain that the job was sent to; null if none. */
-    private LeaderChannel domainLeader;
-
-    /** The number of previous leaders of the partition that the job was sent to. */
-    private int generation;
-
-    private SubmissionNumber lastSubmission = SubmissionNumber.NONE;
-
-    private final List<Consumer<Finished>> callers = new ArrayList<>();
-
-    private OpenJob(JobDescription job, RequestClass requestClass, long arrivedAt, long deadline) {
-      this.job = job;
-      this.requestClass = requestClass;
-      this.arrivedAt = arrivedAt;
-      this.deadline = deadline;
-    }
-  }
-
   private final Map<JobId, OpenJob> open = new LinkedHashMap<>();
   private final RecentResults recentResults;
   private final LeaderTracker leaderTracker;
@@ -155,10 +125,6 @@
     caller.accept(previous != null ? previous : recentResults.reconcile(refusal, now));
   }
 
-  private static boolean isUnsent(OpenJob openJob) {
-    return openJob.sentTerm == 0 && openJob.domainLeader == null;
-  }
-
   /** Returns whether a job could not finish in time even if a leader were found now. */
   private boolean cannotFinishInTime(OpenJob openJob) {
     return !leaderTracker.hasLeader()
@@ -191,7 +157,7 @@
     LeaderChannel leader = leaderTracker.partitionLeader();
     List<OpenJob> jobs = List.copyOf(open.values());
     long repeated =
-        jobs.stream().filter(each -> each.sentTerm != 0 && each.domainLeader == null).count();
+        jobs.stream().filter(each -> !each.isUnsent() && each.domainLeader == null).count();
     if (leader != null && repeated > 0) {
       EventLog.info(
           LogEvent.JOBS_RESUBMITTED,
@@ -213,48 +179,12 @@
       return;
     }
     if (leader != null) {
-      sendToPartition(openJob, leader);
+      openJob.sendToPartition(leader, numbers.next());
     } else if (openJob.sentTerm == 0 && leaderTracker.domainLeader() != null) {
-      openJob.domainLeader = leaderTracker.domainLeader();
-      logSent(openJob, openJob.domainLeader, false);
-      submitTo(openJob.domainLeader, openJob);
+      openJob.sendToDomain(leaderTracker.domainLeader(), numbers.next());
     }
   }
 
-  private void sendToPartition(OpenJob openJob, LeaderChannel leader) {
-    if (openJob.sentTerm != 0 && openJob.sentTerm != leader.term()) {
-      openJob.generation++;
-    }
-    logSent(openJob, leader, openJob.sentTerm != 0);
-    openJob.sentTerm = leader.term();
-    submitTo(leader, openJob);
-  }
-
-  private static void logSent(OpenJob openJob, LeaderChannel leader, boolean repeated) {
-    EventLog.debug(
-        LogEvent.JOB_SENT,
-        "job={} term={} link={} generation={} repeated={}",
-        openJob.job.id(),
-        leader.term(),
-        leader.linkId(),
-        openJob.generation,
-        repeated);
-  }
-
-  private void submitTo(LeaderChannel leader, OpenJob openJob) {
-    long now = EventLoop.now();
-    openJob.lastSubmission = numbers.next();
-    leader.send(
-        new Submit(
-            openJob.job,
-            openJob.requestClass,
-            now - openJob.arrivedAt,
-            openJob.deadline - now,
-            openJob.generation,
-            openJob.lastSubmission,
-            leader.heartbeatSentAt()));
-  }
-
   /**
    * Handles a change of the failure domain's leader. The outcome of jobs sent to another leader
    * can't be determined here, so they are abandoned; unsent jobs go to the current leader.
@@ -325,19 +255,10 @@
     }
   }
 
-  /**
-   * Returns the job that a result is valid for; null if it is none that is open. A job that is done
-   * or has failed is, whichever submission the leader answers. Any other result is valid only if
-   * the leader had received the last submission, since it starts what it receives afterwards.
-   */
+  /** Returns the job that a result is valid for; null if it is none that is open. */
   private OpenJob findAnswered(Finished result) {
     OpenJob openJob = open.get(result.job());
-    boolean isValid =
-        openJob != null
-            && (RecentResults.isFinal(result)
-                || result.number().equals(SubmissionNumber.NONE)
-                || result.number().equals(openJob.lastSubmission));
-    return isValid ? openJob : null;
+    return openJob != null && openJob.isAnsweredBy(result) ? openJob : null;
   }
 
   /**
@@ -391,10 +312,10 @@
     long now = EventLoop.now();
     for (OpenJob openJob : List.copyOf(open.values())) {
       if (now > openJob.deadline + DEADLINE_GRACE_MICROS) {
-        JobOutcome outcome = outcomeWithoutResult(openJob);
+        JobOutcome outcome = openJob.outcomeWithoutResult();
         withdraw(openJob);
         complete(openJob, new Finished(openJob.job.id(), outcome, "deadline passed", 0));
-      } else if (isUnsent(openJob)
+      } else if (openJob.isUnsent()
           && (!leaderTracker.isAnyLeaderExpected() || cannotFinishInTime(openJob))) {
         complete(openJob, unreachableResult(openJob.job.id()));
       }
@@ -404,7 +325,7 @@
   /** Withdraws all open jobs and completes them without their results before the host stops. */
   void abandonAll() {
     for (OpenJob openJob : List.copyOf(open.values())) {
-      JobOutcome outcome = outcomeWithoutResult(openJob);
+      JobOutcome outcome = openJob.outcomeWithoutResult();
       long retryAfterMillis =
           outcome == JobOutcome.REFUSED ? LeaderTracker.DEFAULT_RETRY_MILLIS : 0;
       withdraw(openJob);
@@ -412,10 +333,4 @@
           openJob, new Finished(openJob.job.id(), outcome, "the host stops", retryAfterMillis));
     }
   }
-
-  /** Returns the outcome of a job whose result was not received. */
-  private static JobOutcome outcomeWithoutResult(OpenJob openJob) {
-    boolean wasSent = openJob.sentTerm != 0 || openJob.domainLeader != null;
-    return wasSent ? JobOutcome.ABANDONED : JobOutcome.REFUSED;
-  }
 }
