Withdrawals of jobs in a class of their own

The dispatcher's three ways to end a job that no host waits for stand side by side now. No change of logic; DispatcherTest, ReconnectedHostTest, EarlierSubmissionTest, DomainDispatchTest and DocsTest pass.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -93,6 +93,7 @@
   private final RunController runController;
   private final DurableJobs durableJobs;
   private final JobCallHandler jobCalls;
+  private final Withdrawals withdrawals;
   private final AllocationRound allocationRound;
   private Set<JobId> predecessorJobs = Set.of();
   private long predecessorRunsUntil;
@@ -143,6 +144,7 @@
     this.workerLosses =
         new WorkerLossHandler(
             suspects, jobs, workerRegistry, runController, durableJobs, this::end, processEnds);
+    this.withdrawals = new Withdrawals(jobs, this::end);
     this.jobCalls =
         new JobCallHandler(
             jobs,
@@ -220,13 +222,11 @@
     if (event instanceof JobSubmitted submitted) {
       submitJob(submitted, now, out);
     } else if (event instanceof JobWithdrawn withdrawn) {
-      withdrawJob(jobs.find(withdrawn.job()), withdrawn.entry(), now, out);
+      withdrawals.jobWithdrawn(withdrawn, now, out);
     } else if (event instanceof EntryHostReconnected host) {
-      withdrawForgottenJobs(host, now, out);
+      withdrawals.hostReconnected(host, now, out);
     } else if (event instanceof EntryHostLost lost) {
-      for (Job job : List.copyOf(jobs.all())) {
-        withdrawJob(job, lost.entry(), now, out);
-      }
+      withdrawals.hostLost(lost, now, out);
     } else if (event instanceof WorkersListed list) {
       updateWorkers(list.workers(), now, out);
     } else if (event instanceof JobCallReceived call) {
@@ -386,23 +386,6 @@
     List.copyOf(jobs.all()).forEach(job -> refuseIfUnservable(job, now, out));
   }
 
-  private void withdrawJob(Job job, String entry, long now, List<DispatchAction> out) {
-    if (job != null && job.entries.remove(entry) != null && job.entries.isEmpty()) {
-      end(job, JobOutcome.ABANDONED, "withdrawn", now, out);
-    }
-  }
-
-  /** Withdraws the jobs that a host has not submitted again on its new link. */
-  private void withdrawForgottenJobs(
-      EntryHostReconnected host, long now, List<DispatchAction> out) {
-    for (Job job : List.copyOf(jobs.all())) {
-      Job.Submission last = job.entries.get(host.entry());
-      if (last != null && last.heardAt() < host.since()) {
-        withdrawJob(job, host.entry(), now, out);
-      }
-    }
-  }
-
   private void updateWorkers(List<WorkerInfo> list, long now, List<DispatchAction> out) {
     workerRegistry.updateList(list, now, out);
     refuseUnservable(now, out);
--- /dev/null
+++ b/src/main/java/org/marjoramhoist/dispatch/Withdrawals.java
@@ -0,0 +1,57 @@
+package org.marjoramhoist.dispatch;
+
+import java.util.List;
+import java.util.function.Predicate;
+import org.marjoramhoist.dispatch.DispatchEvent.EntryHostLost;
+import org.marjoramhoist.dispatch.DispatchEvent.EntryHostReconnected;
+import org.marjoramhoist.dispatch.DispatchEvent.JobWithdrawn;
+import org.marjoramhoist.job.JobOutcome;
+
+/**
+ * Ends the jobs that no entry host waits for any more.
+ *
+ * <p>Invariant: a job for which another entry host waits goes on. Confined to one thread.
+ */
+final class Withdrawals {
+
+  private final JobRegistry jobs;
+  private final JobFinisher jobFinisher;
+
+  Withdrawals(JobRegistry jobs, JobFinisher jobFinisher) {
+    this.jobs = jobs;
+    this.jobFinisher = jobFinisher;
+  }
+
+  void jobWithdrawn(JobWithdrawn event, long now, List<DispatchAction> out) {
+    Job job = jobs.find(event.job());
+    if (job != null) {
+      withdraw(job, event.entry(), now, out);
+    }
+  }
+
+  void hostLost(EntryHostLost event, long now, List<DispatchAction> out) {
+    withdrawJobs(event.entry(), submission -> true, now, out);
+  }
+
+  /** Withdraws the jobs that a host has not submitted again on its new link. */
+  void hostReconnected(EntryHostReconnected event, long now, List<DispatchAction> out) {
+    withdrawJobs(event.entry(), submission -> submission.heardAt() < event.since(), now, out);
+  }
+
+  private void withdrawJobs(
+      String entry, Predicate<Job.Submission> withdrawn, long now, List<DispatchAction> out) {
+    for (Job job : List.copyOf(jobs.all())) {
+      Job.Submission last = job.entries.get(entry);
+      if (last != null && withdrawn.test(last)) {
+        withdraw(job, entry, now, out);
+      }
+    }
+  }
+
+  private void withdraw(Job job, String entry, long now, List<DispatchAction> out) {
+    boolean waited = job.entries.remove(entry) != null;
+    if (waited && job.entries.isEmpty()) {
+      jobFinisher.end(job, JobOutcome.ABANDONED, "withdrawn", now, out);
+    }
+  }
+}
