A host withdraws what it has ended each time that it finds the leader

What callers could see: a job goes on after its cancellation was acknowledged, or its caller has left.

Change: the reply to a heartbeat names the heartbeat by which the host has found the leader; whenever that changes, the leader withdraws what the host has not submitted since. A heartbeat that is no later than the last one on the current link is outdated, and leads to no other link.

--- a/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -79,11 +79,11 @@
   record JobWithdrawn(JobId job, String entry) implements DispatchEvent {}
 
   /**
-   * An entry host has answered the first heartbeat on a new link. It has submitted again all jobs
-   * that it still waits for; it has ended the others without being able to withdraw them.
+   * An entry host has found the leader anew. It has submitted again all jobs that it still waits
+   * for; it may have ended others without being able to withdraw them.
    *
    * @param entry the entry host
-   * @param since when that heartbeat was sent
+   * @param since when the heartbeat was sent by which it found the leader
    */
   record EntryHostReconnected(String entry, long since) implements DispatchEvent {}
 
--- a/src/main/java/org/marjoramhoist/dispatch/Withdrawals.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Withdrawals.java
@@ -33,7 +33,7 @@
     withdrawJobs(event.entry(), submission -> true, now, out);
   }
 
-  /** Withdraws the jobs that a host has not submitted again on its new link. */
+  /** Withdraws the jobs that a host has not submitted since it found the leader anew. */
   void hostReconnected(EntryHostReconnected event, long now, List<DispatchAction> out) {
     withdrawJobs(event.entry(), submission -> submission.heardAt() < event.since(), now, out);
   }
--- a/src/main/java/org/marjoramhoist/entry/FollowerLinks.java
+++ b/src/main/java/org/marjoramhoist/entry/FollowerLinks.java
@@ -30,7 +30,7 @@
     private String address;
     private FrameLink link;
     private boolean opening;
-    private boolean answered;
+    private long leaderFoundBy;
     private long lastReceivedAt = EventLoop.now();
     private boolean lost = true;
   }
@@ -129,7 +129,6 @@
             return;
           }
           follower.link = link;
-          follower.answered = false;
           follower.lastReceivedAt = EventLoop.now();
           follower.lost = false;
           EventLog.info(LogEvent.HOST_LINK_OPENED, "host={} link={}", name, link.id());
@@ -139,12 +138,17 @@
         failure -> follower.opening = false);
   }
 
-  /** Returns whether a host's answer to a heartbeat is the first on its link. */
-  boolean isFirstAnswer(String host) {
+  /**
+   * Records by which heartbeat a host has found this leader, as its reply says; returns whether the
+   * host has found it anew.
+   */
+  boolean isFoundAnew(String host, long leaderFoundBy) {
     Follower follower = followers.get(host);
-    boolean isFirst = !follower.answered;
-    follower.answered = true;
-    return isFirst;
+    if (follower == null || leaderFoundBy == 0 || leaderFoundBy == follower.leaderFoundBy) {
+      return false;
+    }
+    follower.leaderFoundBy = leaderFoundBy;
+    return true;
   }
 
   /** Sends a message to a host if its link is open. */
--- a/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
+++ b/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
@@ -316,8 +316,8 @@
       return;
     }
     if (message instanceof DomainHeartbeatReply reply) {
-      if (followers.isFirstAnswer(host) && leadership != null) {
-        leadership.entryHostReconnected(host, reply.heartbeatSentAt());
+      if (leadership != null && followers.isFoundAnew(host, reply.leaderFoundBy())) {
+        leadership.entryHostReconnected(host, reply.leaderFoundBy());
       }
       drained.requestIfNewer(reply.drainRevision(), query -> sendTo(host, query));
       if (reply.lacksState()) {
@@ -403,7 +403,8 @@
             election.mayLead(),
             sameDomain && (stateTransfer.needsState() || workers.isEmpty()),
             drained.revision(),
-            heartbeat.sentAt()));
+            heartbeat.sentAt(),
+            isLeaderLink(link) ? leader.foundBy() : 0));
     if (isLeaderLink(link)) {
       leader.heartbeatReceived(heartbeat.sentAt());
       leaderHeartbeatAt = EventLoop.now();
--- a/src/main/java/org/marjoramhoist/entry/Leadership.java
+++ b/src/main/java/org/marjoramhoist/entry/Leadership.java
@@ -152,12 +152,12 @@
   }
 
   /**
-   * Handles the first answer of an entry host on a new link.
+   * Handles that an entry host has found this leader anew.
    *
-   * @param heartbeatSentAt when the heartbeat was sent that it answers
+   * @param leaderFoundBy when the heartbeat was sent by which it was found
    */
-  final void entryHostReconnected(String host, long heartbeatSentAt) {
-    handle(new DispatchEvent.EntryHostReconnected(host, heartbeatSentAt));
+  final void entryHostReconnected(String host, long leaderFoundBy) {
+    handle(new DispatchEvent.EntryHostReconnected(host, leaderFoundBy));
   }
 
   /** Handles the loss of an entry host. */
--- a/src/main/java/org/marjoramhoist/entry/PartitionMember.java
+++ b/src/main/java/org/marjoramhoist/entry/PartitionMember.java
@@ -406,8 +406,8 @@
         handle(new ElectionEvent.StepDownRequired("host " + host + " reported a later term"));
         return;
       }
-      if (followers.isFirstAnswer(host)) {
-        leadership.entryHostReconnected(host, reply.heartbeatSentAt());
+      if (followers.isFoundAnew(host, reply.leaderFoundBy())) {
+        leadership.entryHostReconnected(host, reply.leaderFoundBy());
       }
       successorSelector.followerReplied(host, reply.mayLead(), EventLoop.now());
       exclusivity.heartbeatConfirmed(EventLoop.now(), host, reply.heartbeatSentAt());
@@ -461,6 +461,9 @@
   }
 
   private void heartbeatReceived(FrameLink link, Heartbeat heartbeat) {
+    if (isOutdated(link, heartbeat)) {
+      return;
+    }
     if (leadership != null && heartbeat.term() > leadership.term()) {
       handle(
           new ElectionEvent.StepDownRequired(
@@ -496,7 +499,19 @@
             config.current().version(),
             drained.revision(),
             health.isAvailable() && !shuttingDown,
-            heartbeat.sentAt()));
+            heartbeat.sentAt(),
+            isLeaderLink(link) ? leaderChannel.foundBy() : 0));
+  }
+
+  /**
+   * Returns whether the leader has sent a heartbeat before the last one that was received on its
+   * current link: it has replaced the link and reads nothing more from it.
+   */
+  private boolean isOutdated(FrameLink link, Heartbeat heartbeat) {
+    return leaderChannel != null
+        && !isLeaderLink(link)
+        && heartbeat.term() == leaderChannel.term()
+        && heartbeat.sentAt() <= leaderChannel.heartbeatSentAt();
   }
 
   private void dropLeader() {
--- a/src/main/java/org/marjoramhoist/entry/RemoteLeaderChannel.java
+++ b/src/main/java/org/marjoramhoist/entry/RemoteLeaderChannel.java
@@ -13,6 +13,7 @@
 
   private final long term;
   private final FrameLink link;
+  private final long foundBy;
   private long heartbeatSentAt;
 
   /**
@@ -20,11 +21,12 @@
    *
    * @param term the leader's term; 0 for the leader of a failure domain
    * @param link the link to the leader
-   * @param heartbeatSentAt the time that its first heartbeat on the link carried
+   * @param heartbeatSentAt the time that the heartbeat carried by which the leader was found
    */
   RemoteLeaderChannel(long term, FrameLink link, long heartbeatSentAt) {
     this.term = term;
     this.link = link;
+    this.foundBy = heartbeatSentAt;
     this.heartbeatSentAt = heartbeatSentAt;
   }
 
@@ -37,6 +39,11 @@
     return link;
   }
 
+  /** Returns the time that the heartbeat carried by which the leader was found. */
+  long foundBy() {
+    return foundBy;
+  }
+
   /** Records a heartbeat by the time that it carried. */
   void heartbeatReceived(long sentAt) {
     heartbeatSentAt = sentAt;
--- a/src/main/java/org/marjoramhoist/message/HostMessage.java
+++ b/src/main/java/org/marjoramhoist/message/HostMessage.java
@@ -86,6 +86,8 @@
    *     domains; 0 if it does not
    * @param mayLead whether the sender could lead: the store answers it, and it is not stopping
    * @param heartbeatSentAt the time that the heartbeat carried
+   * @param leaderFoundBy the time that the heartbeat carried by which the sender found the leader;
+   *     it has submitted all its open jobs again since. 0 if it doesn't follow the leader
    */
   record HeartbeatReply(
       long term,
@@ -93,8 +95,21 @@
       long configVersion,
       long drainRevision,
       boolean mayLead,
-      long heartbeatSentAt)
-      implements HostMessage {}
+      long heartbeatSentAt,
+      long leaderFoundBy)
+      implements HostMessage {
+
+    /** Creates a reply of a host that doesn't follow the leader. */
+    public HeartbeatReply(
+        long term,
+        String host,
+        long configVersion,
+        long drainRevision,
+        boolean mayLead,
+        long heartbeatSentAt) {
+      this(term, host, configVersion, drainRevision, mayLead, heartbeatSentAt, 0);
+    }
+  }
 
   /**
    * Hands a job to the leader.
@@ -266,13 +281,16 @@
    * @param drainRevision the store revision as of which the sender knows the drained failure
    *     domains; 0 if it does not
    * @param heartbeatSentAt the time that the heartbeat carried
+   * @param leaderFoundBy the time that the heartbeat carried by which the sender found the leader;
+   *     it has ended all earlier jobs since. 0 if it doesn't follow the leader
    */
   record DomainHeartbeatReply(
       boolean accepts,
       boolean mayLead,
       boolean lacksState,
       long drainRevision,
-      long heartbeatSentAt)
+      long heartbeatSentAt,
+      long leaderFoundBy)
       implements HostMessage {}
 
   /**
--- a/src/test/java/org/marjoramhoist/dispatch/ReconnectedHostTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/ReconnectedHostTest.java
@@ -12,8 +12,8 @@
 import org.marjoramhoist.job.SubmissionNumber;
 
 /**
- * Jobs of an entry host whose link was replaced. Guards against a job that goes on although its
- * host has cancelled it, or given it up, while it reached no leader.
+ * Jobs of an entry host that has lost its leader and found it again. Guards against a job that goes
+ * on although its host has cancelled it, or given it up, while it reached no leader.
  */
 class ReconnectedHostTest extends DispatcherFixture {
 
