A domain's leader receives nothing on the links of an earlier candidacy

Found by the review, by reading: the links of a candidacy or term that has ended stay open for 50 ms, so that the last messages sent on them arrive. What was received on them meanwhile went to a leader elected within that time, whose hosts have ended those jobs (work for nobody), or ran into a missing set of links (a fault that was logged and skipped the reply).

Change: such links are written, no longer read. FollowerLinksTest shows that nothing is received once a leader has stopped; the order of events itself was not run.

--- a/src/main/java/org/marjoramhoist/entry/FollowerLinks.java
+++ b/src/main/java/org/marjoramhoist/entry/FollowerLinks.java
@@ -42,6 +42,7 @@
   private Consumer<String> onOpened = host -> {};
   private final Consumer<String> onLost;
   private final Map<String, Follower> followers = new HashMap<>();
+  private boolean receiving = true;
   private boolean closed;
 
   /**
@@ -169,7 +170,7 @@
     @Override
     public void received(FrameLink link, HostMessage message) {
       Follower follower = followers.get(name);
-      if (!closed && follower != null && follower.link == link) {
+      if (receiving && follower != null && follower.link == link) {
         follower.lastReceivedAt = EventLoop.now();
         onMessage.accept(name, message);
       }
@@ -184,9 +185,15 @@
     }
   }
 
+  /** Ignores what the hosts send from now on; what was sent to them may still arrive. */
+  void stopReceiving() {
+    receiving = false;
+  }
+
   @Override
   public void close() {
     closed = true;
+    receiving = false;
     for (Follower follower : followers.values()) {
       if (follower.link != null) {
         follower.link.close();
--- a/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
+++ b/src/main/java/org/marjoramhoist/entry/IsolatedDomainMember.java
@@ -294,6 +294,7 @@
     FollowerLinks links = followers;
     followers = null;
     if (links != null) {
+      links.stopReceiving();
       loop.schedule(CLOSE_DELAY_MILLIS, links::close);
     }
   }
@@ -321,7 +322,7 @@
       }
       drained.requestIfNewer(reply.drainRevision(), query -> sendTo(host, query));
       if (reply.lacksState()) {
-        followers.send(host, stateTransfer.currentState(workers));
+        sendTo(host, stateTransfer.currentState(workers));
       }
       successorSelector.followerReplied(host, reply.accepts() && reply.mayLead(), EventLoop.now());
       if (reply.accepts()) {
