What a leader remembers of an end keeps what earlier ends prevented

A cancelled job could be started by a host that was not told of the cancellation and submits on a new link; a later end of a job made an earlier refusal forgotten; and a job that had started was reported as not run once its end was forgotten (over 20,000 ends within the delay of a submission, or one that is 15 s late).

Change: a cancellation answers all later submissions, for 15 s; an end keeps the time up to which earlier ends prevent starts; what is older than all that is remembered is answered as unknown (504).

--- a/src/main/java/org/marjoramhoist/dispatch/RecentOutcomes.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RecentOutcomes.java
@@ -9,10 +9,11 @@
  * The outcomes of jobs that ended recently, and of those that were refused or cancelled before they
  * were accepted.
  *
- * <p>Invariant: once a job has been refused or cancelled, a submission that an entry host sent
- * before doesn't start it. A host states the last heartbeat that it had received; the answers of
- * the leader that precede a heartbeat are received before it. What is older than the outcomes that
- * are remembered is refused. Bounded by age and size. Confined to one thread.
+ * <p>Invariant: once a job has been refused, a submission that an entry host sent before doesn't
+ * start it, and once it has been cancelled, none does. A host states the last heartbeat that it had
+ * received; the answers of the leader that precede a heartbeat are received before it. What is
+ * older than the outcomes that are remembered is not started. Bounded by age and size. Confined to
+ * one thread.
  */
 final class RecentOutcomes {
 
@@ -29,6 +30,8 @@
    * @param endedAt when the job ended
    * @param started whether a run of the job was ever ordered
    * @param lastRunNumber the highest number of its runs
+   * @param preventsUntil when the job was refused or cancelled last; no submission that was sent
+   *     before starts it
    */
   record Outcome(
       JobOutcome outcome,
@@ -36,7 +39,28 @@
       long retryAt,
       long endedAt,
       boolean started,
-      int lastRunNumber) {
+      int lastRunNumber,
+      long preventsUntil) {
+
+    /** Creates the outcome of a job that was not refused or cancelled before. */
+    Outcome(
+        JobOutcome outcome,
+        String reason,
+        long retryAt,
+        long endedAt,
+        boolean started,
+        int lastRunNumber) {
+      this(
+          outcome,
+          reason,
+          retryAt,
+          endedAt,
+          started,
+          lastRunNumber,
+          outcome == JobOutcome.REFUSED || outcome == JobOutcome.CANCELLED
+              ? endedAt
+              : Long.MIN_VALUE);
+    }
 
     /** Creates the outcome of a job that this leader has not started. */
     static Outcome ofUnstarted(JobOutcome outcome, String reason, long retryAt, long endedAt) {
@@ -48,13 +72,23 @@
       return Math.max(0, retryAt - now) / MICROS_PER_MILLI;
     }
 
+    /** Returns whether the outcome answers all later submissions. */
     private boolean isFinal() {
-      return outcome == JobOutcome.SUCCEEDED || outcome == JobOutcome.FAILED;
+      return outcome == JobOutcome.SUCCEEDED
+          || outcome == JobOutcome.FAILED
+          || outcome == JobOutcome.CANCELLED;
     }
 
-    /** Returns whether the outcome promises that no earlier submission starts the job. */
-    private boolean preventsStarts() {
-      return outcome == JobOutcome.REFUSED || outcome == JobOutcome.CANCELLED;
+    /** Returns this outcome, which still prevents what an earlier one does. */
+    private Outcome after(Outcome earlier) {
+      return new Outcome(
+          outcome,
+          reason,
+          retryAt,
+          endedAt,
+          started || earlier.started,
+          Math.max(lastRunNumber, earlier.lastRunNumber),
+          Math.max(preventsUntil, earlier.preventsUntil));
     }
   }
 
@@ -64,8 +98,16 @@
   private long forgottenUntil = Long.MIN_VALUE;
 
   void add(JobId id, Outcome outcome) {
-    outcomes.remove(id);
-    outcomes.put(id, outcome);
+    Outcome earlier = outcomes.remove(id);
+    outcomes.put(id, earlier == null ? outcome : outcome.after(earlier));
+  }
+
+  /** Records that a job that is not open was cancelled, unless it has completed before. */
+  void addCancelled(JobId id, String reason, long now) {
+    Outcome earlier = outcomes.get(id);
+    if (earlier == null || !earlier.isFinal()) {
+      add(id, Outcome.ofUnstarted(JobOutcome.CANCELLED, reason, now, now));
+    }
   }
 
   /** Returns the outcome of a job; null if it is not known. */
@@ -84,10 +126,9 @@
     if (known == null) {
       return heardAt > forgottenUntil
           ? null
-          : Outcome.ofUnstarted(JobOutcome.REFUSED, "submitted too long ago", 0, forgottenUntil);
+          : Outcome.ofUnstarted(JobOutcome.ABANDONED, "submitted too long ago", 0, forgottenUntil);
     }
-    boolean isEarlier = heardAt <= known.endedAt();
-    return known.isFinal() || isEarlier && known.preventsStarts() ? known : null;
+    return known.isFinal() || heardAt <= known.preventsUntil() ? known : null;
   }
 
   /** Removes the outcomes that are too old or too many. */
@@ -100,9 +141,7 @@
         return;
       }
       oldest.remove();
-      if (outcome.preventsStarts()) {
-        forgottenUntil = Math.max(forgottenUntil, outcome.endedAt());
-      }
+      forgottenUntil = Math.max(forgottenUntil, outcome.preventsUntil());
     }
   }
 }
