A cancellation at a host ends the job for all hosts

Cause: the host that had the job open only withdrew itself.

Change: a withdrawal says whether the caller has cancelled the job. The leader then ends it for all hosts, and remembers that also if it doesn't know the job, or had refused it before.

Left: a host that reaches no leader acknowledges a cancellation, of which the leader learns only that this host no longer waits; and a later leader knows of no cancellation.

--- a/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -75,8 +75,20 @@
     }
   }
 
-  /** An entry host no longer waits for a job, or its caller cancelled the job. */
-  record JobWithdrawn(JobId job, String entry) implements DispatchEvent {}
+  /**
+   * An entry host no longer waits for a job.
+   *
+   * @param job the job
+   * @param entry the entry host
+   * @param cancelled whether the caller cancelled the job, at whichever host
+   */
+  record JobWithdrawn(JobId job, String entry, boolean cancelled) implements DispatchEvent {
+
+    /** Creates an event of a job that was not cancelled. */
+    public JobWithdrawn(JobId job, String entry) {
+      this(job, entry, false);
+    }
+  }
 
   /**
    * An entry host has found the leader anew. It has submitted again all jobs that it still waits
--- a/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
@@ -23,7 +23,6 @@
   private static final double MAX_BACKLOG_MICROS = 5_000_000;
 
   private static final long MICROS_PER_MILLI = 1_000;
-  private static final String CANCELLED_REASON = "cancelled by its caller";
 
   private final JobRegistry jobs;
   private final DurableJobs durableJobs;
@@ -73,7 +72,9 @@
     }
     Job job = jobs.find(call.job());
     if (job == null && (call.kind() != JobCallKind.SUBMIT || durableJobs.hasEnded(call.job()))) {
-      recordCancel(call, now);
+      if (call.kind() == JobCallKind.CANCEL) {
+        jobs.outcomes().addCancelled(call.job(), Withdrawals.CANCELLED_REASON, now);
+      }
       durableJobs.answerEnded(call, now, out);
       return;
     }
@@ -84,16 +85,6 @@
     }
   }
 
-  /**
-   * Records that a job was cancelled that is not known, so that no earlier submission starts it.
-   */
-  private void recordCancel(JobCallReceived call, long now) {
-    if (call.kind() == JobCallKind.CANCEL && jobs.outcomes().find(call.job()) == null) {
-      jobs.outcomes()
-          .add(call.job(), Outcome.ofUnstarted(JobOutcome.CANCELLED, CANCELLED_REASON, now, now));
-    }
-  }
-
   private void submitDurable(JobCallReceived call, Job known, long now, List<DispatchAction> out) {
     if (known != null) {
       durableJobs.answerRepeatedSubmission(call, known, out);
@@ -148,7 +139,7 @@
     } else {
       out.add(new DispatchAction.Reply(call, JobCallResult.DONE, JobStatus.CANCELLED));
     }
-    jobFinisher.end(job, JobOutcome.CANCELLED, CANCELLED_REASON, now, out);
+    jobFinisher.end(job, JobOutcome.CANCELLED, Withdrawals.CANCELLED_REASON, now, out);
   }
 
   /** Handles the stored jobs, and then the calls that were received before. */
--- a/src/main/java/org/marjoramhoist/entry/Leadership.java
+++ b/src/main/java/org/marjoramhoist/entry/Leadership.java
@@ -142,7 +142,7 @@
               submit.number(),
               submit.heartbeatSentAt()));
     } else if (message instanceof Withdraw withdraw) {
-      handle(new DispatchEvent.JobWithdrawn(withdraw.job(), host));
+      handle(new DispatchEvent.JobWithdrawn(withdraw.job(), host, withdraw.cancelled()));
     }
   }
 
--- a/src/main/java/org/marjoramhoist/entry/OpenJobs.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenJobs.java
@@ -206,7 +206,7 @@
   }
 
   private void abandon(OpenJob openJob, String reason) {
-    withdraw(openJob);
+    withdraw(openJob, false);
     complete(openJob, new Finished(openJob.job.id(), JobOutcome.ABANDONED, reason, 0));
   }
 
@@ -216,7 +216,7 @@
     if (openJob == null) {
       return false;
     }
-    withdraw(openJob);
+    withdraw(openJob, true);
     complete(openJob, new Finished(id, JobOutcome.CANCELLED, "cancelled by its caller", 0));
     return true;
   }
@@ -239,11 +239,11 @@
     }
   }
 
-  private void withdraw(OpenJob openJob) {
+  private void withdraw(OpenJob openJob, boolean cancelled) {
     LeaderChannel leader =
         openJob.domainLeader != null ? openJob.domainLeader : leaderTracker.partitionLeader();
     if (leader != null) {
-      leader.send(new Withdraw(openJob.job.id()));
+      leader.send(new Withdraw(openJob.job.id(), cancelled));
     }
   }
 
@@ -313,7 +313,7 @@
     for (OpenJob openJob : List.copyOf(open.values())) {
       if (now > openJob.deadline + DEADLINE_GRACE_MICROS) {
         JobOutcome outcome = openJob.outcomeWithoutResult();
-        withdraw(openJob);
+        withdraw(openJob, false);
         complete(openJob, new Finished(openJob.job.id(), outcome, "deadline passed", 0));
       } else if (openJob.isUnsent()
           && (!leaderTracker.isAnyLeaderExpected() || cannotFinishInTime(openJob))) {
@@ -328,7 +328,7 @@
       JobOutcome outcome = openJob.outcomeWithoutResult();
       long retryAfterMillis =
           outcome == JobOutcome.REFUSED ? LeaderTracker.DEFAULT_RETRY_MILLIS : 0;
-      withdraw(openJob);
+      withdraw(openJob, false);
       complete(
           openJob, new Finished(openJob.job.id(), outcome, "the host stops", retryAfterMillis));
     }
--- a/src/main/java/org/marjoramhoist/message/HostMessage.java
+++ b/src/main/java/org/marjoramhoist/message/HostMessage.java
@@ -139,8 +139,13 @@
     }
   }
 
-  /** Tells the leader that the sender no longer waits for a job. */
-  record Withdraw(JobId job) implements HostMessage {}
+  /**
+   * Tells the leader that the sender no longer waits for a job.
+   *
+   * @param job the job
+   * @param cancelled whether its caller has cancelled it, so that no host waits for it any more
+   */
+  record Withdraw(JobId job, boolean cancelled) implements HostMessage {}
 
   /**
    * Tells a host how a job ended.
--- a/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
@@ -34,6 +34,7 @@
   private final List<String> sent = new ArrayList<>();
   private final List<SubmissionNumber> numbers = new ArrayList<>();
   private final List<String> withdrawn = new ArrayList<>();
+  private final List<Boolean> cancelled = new ArrayList<>();
   private final List<JobOutcome> outcomes = new ArrayList<>();
 
   private LeaderChannel leaderChannel(String name, long term) {
@@ -50,6 +51,7 @@
           numbers.add(submit.number());
         } else if (message instanceof Withdraw withdrawal) {
           withdrawn.add(name + " " + withdrawal.job());
+          cancelled.add(withdrawal.cancelled());
         }
       }
     };
@@ -109,6 +111,16 @@
     assertThat(outcomes).containsExactly(JobOutcome.SUCCEEDED);
   }
 
+  /** A caller that has left may submit the job elsewhere; one that has cancelled it may not. */
+  @Test
+  void leaderIsToldWhetherWithdrawnJobWasCancelled() {
+    leaderTracker.leaderFound(leaderChannel("partition", 7));
+    jobs.callerLeft(ID, submitFor(outcomes));
+    submit(ID);
+    jobs.cancel(ID);
+    assertThat(cancelled).containsExactly(false, true).inOrder();
+  }
+
   /** A result that is ready is delivered, whichever submission it answers. */
   @Test
   void resultIsReportedWhileLaterSubmissionIsOnItsWay() {
