A refusal that is told again prevents what was sent before that

Change: an answer that repeats a refusal renews its time. A caller that comes back names a later heartbeat and is let in all the same.

Evidence: with the renewal off (trial) EarlierSubmissionTest fails in submissionSentBeforeRefusalWasToldAgainIsRefused; with it the class passes.

--- a/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
@@ -90,7 +90,7 @@
       durableJobs.answerRepeatedSubmission(call, known, out);
       return;
     }
-    Outcome earlier = jobs.outcomes().findAnswer(call.job(), call.heardAt());
+    Outcome earlier = jobs.outcomes().takeAnswer(call.job(), call.heardAt(), now);
     if (earlier != null) {
       refuse(call, earlier.reason(), earlier.retryAfterMillis(now), out);
       return;
--- a/src/main/java/org/marjoramhoist/dispatch/JobRegistry.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobRegistry.java
@@ -91,7 +91,7 @@
       openJob.recordResubmission(event.generation());
       return null;
     }
-    Outcome answer = outcomes.findAnswer(id, event.heardAt());
+    Outcome answer = outcomes.takeAnswer(id, event.heardAt(), now);
     if (answer != null) {
       out.add(
           new Log(LogEvent.JOB_SUBMITTED, describe(event, now) + " previous=" + answer.outcome()));
--- a/src/main/java/org/marjoramhoist/dispatch/RecentOutcomes.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RecentOutcomes.java
@@ -79,6 +79,11 @@
           || outcome == JobOutcome.CANCELLED;
     }
 
+    /** Returns this outcome as it is told again; it prevents what was sent before that. */
+    private Outcome toldAgain(long now) {
+      return new Outcome(outcome, reason, retryAt, now, started, lastRunNumber);
+    }
+
     /** Returns this outcome, which still prevents what an earlier one does. */
     private Outcome after(Outcome earlier) {
       return new Outcome(
@@ -116,12 +121,21 @@
   }
 
   /**
-   * Returns the outcome that answers a submission; null if the job may be started.
+   * Returns the outcome that answers a submission, and that is told at this time; null if the job
+   * may be started.
    *
    * @param heardAt when the last heartbeat was sent that the entry host had received from this
    *     leader
    */
-  Outcome findAnswer(JobId id, long heardAt) {
+  Outcome takeAnswer(JobId id, long heardAt, long now) {
+    Outcome answer = findAnswer(id, heardAt);
+    if (answer != null && answer.outcome() == JobOutcome.REFUSED) {
+      add(id, answer.toldAgain(now));
+    }
+    return answer;
+  }
+
+  private Outcome findAnswer(JobId id, long heardAt) {
     Outcome known = outcomes.get(id);
     if (known == null) {
       return heardAt > forgottenUntil
--- a/src/test/java/org/marjoramhoist/dispatch/EarlierSubmissionTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/EarlierSubmissionTest.java
@@ -99,6 +99,19 @@
     assertThat(takeActions(DispatchAction.Start.class)).hasSize(1);
   }
 
+  /** The refusal that is told to the second host is a promise as well. */
+  @Test
+  void submissionSentBeforeRefusalWasToldAgainIsRefused() {
+    refuseJobOf("first");
+    step(100, new DispatchEvent.Tick());
+    final long heardAt = now;
+    submit("second", refusedAt - 1);
+    assertThat(takeOnlyFinish().outcome()).isEqualTo(JobOutcome.REFUSED);
+    submit("third", heardAt);
+    assertThat(takeOnlyFinish().outcome()).isEqualTo(JobOutcome.REFUSED);
+    assertNothingStarted();
+  }
+
   /** A job that a previous leader may have started is never reported as not run. */
   @Test
   void submissionThatPreviousLeaderHadIsAbandoned() {
--- a/src/test/java/org/marjoramhoist/dispatch/RecentOutcomesTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/RecentOutcomesTest.java
@@ -20,8 +20,8 @@
   void laterEndPreventsWhatEarlierRefusalPrevented() {
     outcomes.add(ID, Outcome.ofUnstarted(JobOutcome.REFUSED, "", 0, 1_000));
     outcomes.add(ID, Outcome.ofUnstarted(JobOutcome.ABANDONED, "withdrawn", 0, 2_000));
-    assertThat(outcomes.findAnswer(ID, 900)).isNotNull();
-    assertThat(outcomes.findAnswer(ID, 1_001)).isNull();
+    assertThat(outcomes.takeAnswer(ID, 900, 30_000)).isNotNull();
+    assertThat(outcomes.takeAnswer(ID, 1_001, 30_000)).isNull();
   }
 
   /** Guards against a job that is reported as not run although it was started before. */
@@ -34,6 +34,6 @@
     }
     outcomes.prune(30_000);
     assertThat(outcomes.find(ID)).isNull();
-    assertThat(outcomes.findAnswer(ID, 900).outcome()).isEqualTo(JobOutcome.ABANDONED);
+    assertThat(outcomes.takeAnswer(ID, 900, 30_000).outcome()).isEqualTo(JobOutcome.ABANDONED);
   }
 }
