--- a/src/main/java/org/marjoramhoist/platform/standin/PlatformStoreStandIn.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/PlatformStoreStandIn.java
@@ -9,8 +9,10 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -53,6 +55,7 @@
   private final ScheduledExecutorService timer = DaemonTimer.create("store-stand-in");
   private final LoopbackServer server;
   private final Set<String> blockedKeys = new HashSet<>();
+  private final Map<String, String> routes = new HashMap<>();
   private boolean isDown;
   private int repliesToLose;
 
@@ -100,6 +103,21 @@
     replyToWatchers();
   }
 
+  /**
+   * Stores another address wherever a host or a worker writes a given one, so that others reach it
+   * there.
+   *
+   * @param address {@code host:port} as written
+   * @param route {@code host:port} as stored
+   */
+  public synchronized void setRoute(String address, String route) {
+    routes.put(quote(address), quote(route));
+  }
+
+  private static String quote(String text) {
+    return '"' + text + '"';
+  }
+
   /** Sets a key unconditionally, as the operator or a worker does. */
   public synchronized void put(String key, String value) {
     model.apply(List.of(new Put(key, value, 0)), List.of());
@@ -226,7 +244,7 @@
     body.path("expectedRev")
         .forEach(c -> conditions.add(new Condition(c.path("key").asText(), revisionOf(c))));
     List<Put> puts = new ArrayList<>();
-    body.path("puts").forEach(put -> puts.add(parsePut(put)));
+    body.path("puts").forEach(put -> puts.add(applyRoutes(parsePut(put))));
     List<String> deletes = new ArrayList<>();
     body.path("deletes").forEach(key -> deletes.add(key.asText()));
     List<Item> failed = model.conflicts(conditions);
@@ -263,6 +281,14 @@
     return new Put(put.path("key").asText(), text, put.path("lease").asLong());
   }
 
+  private Put applyRoutes(Put put) {
+    String value = put.value();
+    for (Map.Entry<String, String> route : routes.entrySet()) {
+      value = value.replace(route.getKey(), route.getValue());
+    }
+    return new Put(put.key(), value, put.lease());
+  }
+
   private void replyCommitted(HttpServerExchange exchange) {
     String body = "{\"revision\":" + model.revision() + "}";
     replyToWatchers();
--- a/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
+++ b/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.marjoramhoist.config.NodeSettings;
 import org.marjoramhoist.dispatch.WorkerInfo;
 import org.marjoramhoist.entry.EntryNode;
@@ -109,6 +110,26 @@
   public PlatformCluster(
       List<Host> entryHosts, List<String> workerDomains, LeasedWorker.Observer observer)
       throws IOException {
+    this(entryHosts, workerDomains, observer, address -> address);
+  }
+
+  /**
+   * Starts a cluster whose hosts reach each other at other addresses than those that they listen
+   * on.
+   *
+   * @param entryHosts the entry hosts
+   * @param workerDomains the failure domain of each worker
+   * @param observer is notified of the workers' runs
+   * @param peerRoute returns the address at which the other hosts reach a host, of the one that it
+   *     listens on
+   * @throws IOException if a host can't be started
+   */
+  public PlatformCluster(
+      List<Host> entryHosts,
+      List<String> workerDomains,
+      LeasedWorker.Observer observer,
+      UnaryOperator<String> peerRoute)
+      throws IOException {
     putConfig(1);
     for (int i = 0; i < workerDomains.size(); i++) {
       addWorker("worker-" + i, workerDomains.get(i), observer);
@@ -117,6 +138,8 @@
     for (int i = 0; i < entryHosts.size(); i++) {
       List<Integer> hostPorts = ports.subList(i * PORTS_PER_HOST, ports.size());
       settings.add(parseSettings("host-" + i, entryHosts.get(i), hostPorts));
+      String peers = settings.get(i).listen().peers();
+      store.setRoute(peers, peerRoute.apply(peers));
       hosts.add(EntryNode.start(settings.get(i)));
     }
   }
@@ -184,6 +207,11 @@
     return hosts;
   }
 
+  /** Returns the address on which a host listens for the other hosts. */
+  public String peerAddress(int host) {
+    return settings.get(host).listen().peers();
+  }
+
   /** Returns the address at which a host takes requests of callers. */
   public String address(int host) {
     return settings.get(host).listen().callers();
--- a/src/test/java/org/marjoramhoist/trial/RecordingObserver.java
+++ b/src/test/java/org/marjoramhoist/trial/RecordingObserver.java
@@ -1,11 +1,13 @@
 package org.marjoramhoist.trial;
 
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.marjoramhoist.dispatch.WorkerReport.RunOutcome;
 import org.marjoramhoist.experiment.LeasedWorker;
+import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.RunRef;
 import org.marjoramhoist.job.TaskRef;
 
@@ -24,12 +26,18 @@
   final Map<TaskRef, Integer> runningCounts = new HashMap<>();
 
   private final Map<TaskRef, Integer> starts = new HashMap<>();
+  private final Map<JobId, Instant> lastStarts = new HashMap<>();
 
   /** Returns how many runs of each task have started. */
   synchronized Map<TaskRef, Integer> startCounts() {
     return Map.copyOf(starts);
   }
 
+  /** Returns when a task of each job was last started. */
+  synchronized Map<JobId, Instant> lastStarts() {
+    return Map.copyOf(lastStarts);
+  }
+
   /** Returns the tasks of which a run has started. */
   synchronized Set<TaskRef> startedTasks() {
     return Set.copyOf(runningCounts.keySet());
@@ -38,6 +46,7 @@
   @Override
   public synchronized void runStarted(LeasedWorker worker, RunRef run) {
     starts.merge(run.task(), 1, Integer::sum);
+    lastStarts.put(run.task().job(), Instant.now());
     usedDomains.add(worker.info().failureDomain());
     if (runningCounts.merge(run.task(), 1, Integer::sum) > 1) {
       concurrentRuns.add(run.toString());
