--- /dev/null
+++ b/review/lab-2/Cases.java
@@ -0,0 +1,181 @@
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The scripts of the cases. Arguments: case, record file; the variable TROUBLE=0 leaves the disruption out. */
+public final class Cases {
+
+  private static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
+
+  private Cases() {}
+
+  public static void main(String[] args) throws Exception {
+    Path record = Path.of(args[1]);
+    try {
+      switch (args[0]) {
+        case "restarted-kind" -> restartedKind(record);
+        case "cancelled-again" -> cancelledAgain(record);
+        case "many-tasks" -> manyTasks(record, Integer.parseInt(args[2]), Integer.parseInt(args[3]));
+        default -> throw new IllegalArgumentException(args[0]);
+      }
+    } catch (Throwable e) {
+      e.printStackTrace();
+      System.out.flush();
+      Runtime.getRuntime().halt(2);
+    }
+  }
+
+  /**
+   * Two of 15 workers crash and are back after 0.4 s under the ids that they had, as machines of another
+   * kind, while jobs for workers of the first kind come.
+   */
+  private static void restartedKind(Path record) throws Exception {
+    Lab lab = new Lab(3, 1);
+    for (int i = 0; i < 15; i++) {
+      lab.addWorker("zone-a", i < 7 ? "a" : "b", "r-" + i / 6, 16000).beat();
+    }
+    lab.putConfig(7, true);
+    lab.startHosts();
+    long end = Judge.now() + 15_000;
+    List<Thread> clients = new ArrayList<>();
+    for (int c = 0; c < 8; c++) {
+      int number = c;
+      clients.add(Net.thread("client", () -> {
+        while (Judge.now() < end) {
+          Judge.Job job = lab.newJob(List.of(new Judge.Step(8, 2000, 150, 0, List.of(), "a", 0)), false);
+          lab.post(lab.hosts.get(number % 3), job, 1500);
+          Net.sleep(100);
+        }
+      }));
+    }
+    if (TROUBLE) {
+      Net.sleep(4000);
+      List<Worker> lost = lab.workers.subList(0, 2);
+      for (Worker w : lost) {
+        w.crash();
+      }
+      Net.sleep(400);
+      for (Worker w : lost) {
+        w.kind = "b";
+        w.restart();
+      }
+    }
+    for (Thread each : clients) {
+      each.join();
+    }
+    Net.sleep(1000);
+    lab.finish(record, List.of("ROUTE"));
+  }
+
+  /** A job that needn't be kept is cancelled; then the leader is killed, and the job's request arrives once more. */
+  private static void cancelledAgain(Path record) throws Exception {
+    Lab lab = new Lab(3, 1);
+    for (int i = 0; i < 6; i++) {
+      lab.addWorker("zone-a", "a", "r-1", 16000).beat();
+    }
+    lab.putConfig(7, true);
+    lab.startHosts();
+    Host leader = lab.leader();
+    List<Host> others = lab.hosts.stream().filter(h -> h != leader).toList();
+    List<Judge.Job> jobs = new ArrayList<>();
+    List<Thread> posts = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      Judge.Job job = lab.newJob(List.of(new Judge.Step(4, 1000, 900, 0, List.of(), "", 0)), true);
+      jobs.add(job);
+      posts.add(Net.thread("post", () -> lab.post(others.get(0), job, 1500)));
+    }
+    Net.sleep(300);
+    for (Judge.Job job : jobs) {
+      lab.delete(others.get(1), job);
+    }
+    for (Thread each : posts) {
+      each.join();
+    }
+    Net.sleep(500);
+    if (TROUBLE) {
+      leader.kill();
+    }
+    Net.sleep(4000);
+    for (Judge.Job job : jobs) {
+      lab.post(others.get(1), job, 1500);
+    }
+    Net.sleep(1500);
+    lab.finish(record, List.of("UNASKED"));
+  }
+
+  /**
+   * For 45 s, stored jobs come steadily; with the disruption each has 10,000 short tasks in place of 10. A
+   * process that ends is started again 0.5 s later.
+   */
+  private static void manyTasks(Path record, int perSecond, int tasks) throws Exception {
+    Lab lab = new Lab(3, 1);
+    for (int i = 0; i < 32; i++) {
+      lab.addWorker("zone-a", "a", "r-" + i / 6, 16000).beat();
+    }
+    lab.putConfig(7, true);
+    lab.startHosts();
+    int[] ends = new int[lab.hosts.size()];
+    java.util.concurrent.atomic.AtomicBoolean over = new java.util.concurrent.atomic.AtomicBoolean();
+    for (int i = 0; i < ends.length; i++) {
+      int number = i;
+      Net.thread("supervisor", () -> {
+        Host host = lab.hosts.get(number);
+        try {
+          while (true) {
+            int code = host.process.waitFor();
+            if (over.get()) {
+              return;
+            }
+            ends[number]++;
+            lab.judge.log("host " + host.name + " ended by itself, exit " + code);
+            Net.sleep(500);
+            host.start();
+          }
+        } catch (Exception e) {
+          throw new IllegalStateException(e);
+        }
+      });
+    }
+    List<Judge.Job> jobs = new ArrayList<>();
+    List<Thread> posts = new ArrayList<>();
+    long begin = System.nanoTime();
+    for (int i = 0; i < 45 * perSecond; i++) {
+      Net.sleep((begin - System.nanoTime()) / 1_000_000 + i * 1000L / perSecond);
+      Judge.Job job = lab.newJob(List.of(new Judge.Step(TROUBLE ? tasks : 10, 50, 20, 0, List.of(), "", 0)), false);
+      jobs.add(job);
+      Host host = lab.hosts.get(i % 3);
+      posts.add(Net.thread("post", () -> lab.post(host, job, 1500)));
+    }
+    for (Thread each : posts) {
+      each.join();
+    }
+    lab.judge.log("traffic ends; accepted: " + jobs.stream().filter(j -> j.acceptedAt > 0).count() + " of " + jobs.size());
+    Net.sleep(14_000);
+    List<Judge.Job> asked = jobs.stream().filter(j -> j.acceptedAt > 0).limit(30).toList();
+    List<Thread> asks = new ArrayList<>();
+    for (Judge.Job job : asked) {
+      asks.add(Net.thread("ask", () -> {
+        for (int i = 0; i < 6; i++) {
+          if (lab.get(lab.hosts.get(i % 3), job).status() == 200) {
+            return;
+          }
+          Net.sleep(500);
+        }
+        lab.judge.breaks("LOST", job.id + " was accepted and isn't known, or nobody answers, 14 s after the end of the traffic");
+      }));
+    }
+    for (Thread each : asks) {
+      each.join();
+    }
+    over.set(true);
+    for (int i = 0; i < ends.length; i++) {
+      String text = lab.hosts.get(i).name + " ended by itself " + ends[i] + " times";
+      lab.judge.log(text);
+      System.out.println(text);
+    }
+    if (java.util.Arrays.stream(ends).filter(n -> n >= 3).count() >= 2) {
+      lab.judge.breaks("Fault", "two processes or more ended by themselves three times");
+    }
+    lab.finish(record, List.of("LOST", "Fault"));
+  }
+}
