--- a/review/lab-2/Cases.java
+++ b/review/lab-2/Cases.java
@@ -15,6 +15,7 @@
       switch (args[0]) {
         case "restarted-kind" -> restartedKind(record);
         case "cancelled-again" -> cancelledAgain(record);
+        case "long-tasks" -> longTasks(record);
         case "many-tasks" -> manyTasks(record, Integer.parseInt(args[2]), Integer.parseInt(args[3]));
         default -> throw new IllegalArgumentException(args[0]);
       }
@@ -178,4 +179,48 @@
     }
     lab.finish(record, List.of("LOST", "Fault"));
   }
+
+  /** 120 jobs of one task come in 2 s; with the disruption each task takes 55 s in place of 0.9 s. */
+  private static void longTasks(Path record) throws Exception {
+    Lab lab = new Lab(3, 1);
+    for (int i = 0; i < 32; i++) {
+      lab.addWorker("zone-a", "a", "r-" + i / 6, 16000).beat();
+    }
+    lab.putConfig(7, true);
+    lab.startHosts();
+    List<Judge.Job> jobs = new ArrayList<>();
+    for (int i = 0; i < 120; i++) {
+      Judge.Job job = lab.newJob(List.of(new Judge.Step(1, 500, TROUBLE ? 55_000 : 900, 0, List.of(), "", 0)), false);
+      jobs.add(job);
+      lab.post(lab.hosts.get(i % 3), job, 1500);
+      Net.sleep(15);
+    }
+    long trafficEnd = Judge.now();
+    lab.judge.log("traffic ends; accepted: " + jobs.stream().filter(j -> j.acceptedAt > 0).count() + " of " + jobs.size());
+    Net.sleep(14_000);
+    long from = Judge.now();
+    Net.sleep(10_000);
+    long to = Judge.now();
+    int idle = 0;
+    List<Judge.Job> asked = jobs.subList(0, 30);
+    for (Judge.Job job : asked) {
+      if (job.acceptedAt > 0 && !lab.await(job, 1).equals("succeeded")) {
+        long span = lab.judge.longestIdle(job, from, to, 32 * 16_000);
+        if (span > 3000) {
+          idle++;
+          lab.judge.breaks("LOST", job.id + " has nothing running for " + span + " ms, from " + (from - trafficEnd) + " ms after the end of the traffic on");
+        }
+      }
+    }
+    // A task of 55 s that was started with its job and left alone has ended by now.
+    Net.sleep(TROUBLE ? 64_000 - (Judge.now() - trafficEnd) : 0);
+    long ended = 0;
+    for (Judge.Job job : asked) {
+      ended += lab.await(job, 1).equals("succeeded") ? 1 : 0;
+    }
+    String text = "of " + asked.size() + " jobs asked for: " + idle + " idle for 3 s; " + ended + " succeeded " + (Judge.now() - trafficEnd) / 1000 + " s after the end of the traffic";
+    lab.judge.log(text);
+    System.out.println(text);
+    lab.finish(record, List.of("LOST"));
+  }
 }
--- a/review/lab-2/Judge.java
+++ b/review/lab-2/Judge.java
@@ -211,6 +211,33 @@
     }
   }
 
+  /**
+   * Looks for a span in which a job that hasn't ended has nothing running, with more than twice its room free all the time.
+   *
+   * @param cpu the capacity of all workers, of which less than half must be in use
+   */
+  synchronized long longestIdle(Job job, long from, long to, long cpu) {
+    long idleSince = from;
+    long longest = 0;
+    for (long t = from; t <= to; t += 20) {
+      long at = t;
+      long used = 0;
+      boolean runs = false;
+      for (Run run : this.runs) {
+        if (run.startedAt <= at && (run.endedAt == 0 || run.endedAt > at)) {
+          String[] parts = run.task.split("\\.");
+          used += jobs.get(parts[0]).steps.get(Integer.parseInt(parts[2])).cpu();
+          runs |= parts[0].equals(job.id);
+        }
+      }
+      if (runs || used * 2 >= cpu) {
+        idleSince = t;
+      }
+      longest = Math.max(longest, t - idleSince);
+    }
+    return longest;
+  }
+
   synchronized long running(String job) {
     return runs.stream().filter(r -> r.task.startsWith(job) && r.endedAt == 0).count();
   }
