--- a/review/lab-2/Judge.java
+++ b/review/lab-2/Judge.java
@@ -142,6 +142,14 @@
     if (failed >= job.attempts && !job.bestEffort) {
       breaks("BUDGET", task + "#" + number + " started after " + failed + " failed runs");
     }
+    List<Run> crashed = runs.stream().filter(r -> r.task.equals(task) && r.how.equals("crashed")).toList();
+    if (crashed.stream().map(r -> r.worker).distinct().count() >= 3) {
+      long third = crashed.get(2).endedAt;
+      long since = runs.stream().filter(r -> r.task.equals(task) && r.startedAt >= third).count();
+      if (since >= 3) {
+        breaks("BUDGET", task + "#" + number + " is start " + since + " after three workers have crashed under it");
+      }
+    }
     for (int before : step.after()) {
       for (int i = 0; i < job.steps.get(before).count(); i++) {
         String needed = parts[0] + ".0." + before + "." + i;
@@ -201,8 +209,12 @@
       if (job.lastState.equals("failed") && !job.bestEffort) {
         Map<String, Integer> failed = new TreeMap<>();
         runs.stream().filter(r -> r.task.startsWith(job.id) && r.how.equals("failed")).forEach(r -> failed.merge(r.task, 1, Integer::sum));
-        if (failed.values().stream().noneMatch(n -> n >= job.attempts)) {
-          breaks("LOST", job.id + " is shown as failed; failed runs: " + failed);
+        // A task under which two workers have crashed may be given up.
+        Map<String, java.util.Set<String>> crashed = new TreeMap<>();
+        runs.stream().filter(r -> r.task.startsWith(job.id) && r.how.equals("crashed"))
+            .forEach(r -> crashed.computeIfAbsent(r.task, t -> new java.util.TreeSet<>()).add(r.worker));
+        if (failed.values().stream().noneMatch(n -> n >= job.attempts) && crashed.values().stream().noneMatch(w -> w.size() >= 2)) {
+          breaks("LOST", job.id + " is shown as failed; failed runs: " + failed + ", workers that crashed under its tasks: " + crashed);
         }
       }
       if (job.lastState.equals("cancelled") && job.cancelSentAt == 0) {
--- a/review/lab-2/Net.java
+++ b/review/lab-2/Net.java
@@ -125,7 +125,50 @@
       resetAll();
     }
 
+    private final List<Socket> fillers = new ArrayList<>();
+
+    /**
+     * Is no more heard of: open connections stay silent, and new ones aren't answered, as the queue of the listener is
+     * full.
+     */
+    void goDark() throws IOException {
+      socket.close();
+      ServerSocket deaf = null;
+      for (int i = 0; deaf == null; i++) {
+        ServerSocket made = new ServerSocket();
+        try {
+          made.setReuseAddress(true);
+          made.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 1);
+          deaf = made;
+        } catch (IOException e) {
+          made.close();
+          if (i == 50) {
+            throw e;
+          }
+          sleep(2);
+        }
+      }
+      socket = deaf;
+      for (int i = 0; i < 3; i++) {
+        Socket filler = new Socket();
+        try {
+          filler.connect(new InetSocketAddress("127.0.0.1", port), 100);
+        } catch (IOException e) {
+          // The queue is full.
+        }
+        fillers.add(filler);
+      }
+    }
+
     void resetAll() {
+      for (Socket each : fillers) {
+        try {
+          each.close();
+        } catch (IOException e) {
+          // Closed already.
+        }
+      }
+      fillers.clear();
       for (Socket each : open) {
         try {
           each.setSoLinger(true, 0);
--- a/review/lab-2/Scenarios.java
+++ b/review/lab-2/Scenarios.java
@@ -15,6 +15,8 @@
       switch (args[0]) {
         case "restarted-kind" -> restartedKind(record);
         case "cancelled-again" -> cancelledAgain(record);
+        case "deadly-task" -> deadlyTask(record);
+        case "one-crash" -> oneCrash(record);
         case "long-tasks" -> longTasks(record);
         case "many-tasks" -> manyTasks(record, Integer.parseInt(args[2]), Integer.parseInt(args[3]));
         default -> throw new IllegalArgumentException(args[0]);
@@ -223,4 +225,139 @@
     System.out.println(text);
     lab.finish(record, List.of("LOST"));
   }
+
+  /**
+   * Three stored jobs have a task that ends each worker that starts it, 0.15 s after its start; the worker is back after
+   * 3.2 s under its id. With the disruption the hosts are stopped and started in turn, one each 2 s.
+   */
+  private static void deadlyTask(Path record) throws Exception {
+    Lab lab = new Lab(7, 1);
+    for (int i = 0; i < 32; i++) {
+      lab.addWorker("zone-a", "a", "r-" + i / 6, 16000).beat();
+    }
+    lab.putConfig(7, true);
+    lab.startHosts();
+    long end = Judge.now() + 32_000;
+    List<Thread> clients = new ArrayList<>();
+    for (int c = 0; c < 4; c++) {
+      int number = c;
+      clients.add(Net.thread("client", () -> {
+        while (Judge.now() < end) {
+          lab.post(lab.hosts.get(number), lab.newJob(List.of(new Judge.Step(4, 2000, 200, 0, List.of(), "", 0)), false), 1500);
+          Net.sleep(100);
+        }
+      }));
+    }
+    Net.sleep(1000);
+    List<Judge.Job> jobs = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      Judge.Job job = new Judge.Job(lab.newId(), "3000,2000,0,150", List.of(new Judge.Step(1, 2000, 3000, 0, List.of(), "", 0)), false, Lab.ATTEMPTS);
+      lab.judge.add(job);
+      jobs.add(job);
+      lab.post(lab.hosts.get(6), job, 1500);
+    }
+    if (TROUBLE) {
+      Net.sleep(500);
+      List<Host> order = new ArrayList<>(lab.hosts);
+      for (int i = 0; i < order.size(); i++) {
+        long at = Judge.now();
+        Host host = order.get(i);
+        Net.thread("roll", () -> {
+          try {
+            host.terminate();
+            if (!host.process.waitFor(6, java.util.concurrent.TimeUnit.SECONDS)) {
+              host.kill();
+            }
+            Net.sleep(300);
+            host.start();
+          } catch (Exception e) {
+            throw new IllegalStateException(e);
+          }
+        });
+        Net.sleep(2000 - (Judge.now() - at));
+      }
+    }
+    for (Thread each : clients) {
+      each.join();
+    }
+    Net.sleep(6000);
+    for (Judge.Job job : jobs) {
+      String text = job.id + " is " + lab.await(job, 1000) + " after " + lab.judge.runsOf(job.id).size() + " starts";
+      lab.judge.log(text);
+      System.out.println(text);
+    }
+    lab.finish(record, List.of("BUDGET"));
+  }
+
+  /**
+   * An idle worker loses its power; a stored job comes whose tasks go to its rack and fill a worker each; then the worker crashes that
+   * runs the task which was ordered on the dark one. Both are back after 3.2 s under their ids.
+   */
+  private static void oneCrash(Path record) throws Exception {
+    Lab lab = new Lab(3, 1);
+    for (int i = 0; i < 32; i++) {
+      lab.addWorker("zone-a", "a", "r-" + i / 6, 16000).beat();
+    }
+    lab.putConfig(7, true);
+    lab.startHosts();
+    Judge.Job first = lab.newJob(List.of(new Judge.Step(6, 16000, 200, 0, List.of(), "r-0", 0)), false);
+    lab.post(lab.follower(), first, 1500);
+    lab.await(first, 5000);
+    Net.sleep(1000);
+    if (TROUBLE) {
+      Worker dark = lab.workers.get(0);
+      dark.goDark();
+      Net.thread("back", () -> {
+        Net.sleep(3200);
+        try {
+          dark.restartAfterDark();
+        } catch (java.io.IOException e) {
+          throw new IllegalStateException(e);
+        }
+      });
+      Net.sleep(300);
+    }
+    Judge.Job job = lab.newJob(List.of(new Judge.Step(6, 16000, 4000, 0, List.of(), "r-0", 0)), false);
+    lab.post(lab.follower(), job, 1500);
+    Net.sleep(400);
+    if (TROUBLE) {
+      List<String> begun = lab.judge.runsOf(job.id).stream().map(r -> r.task).toList();
+      String task = null;
+      for (int i = 0; i < 6; i++) {
+        String each = job.id + ".0.0." + i;
+        task = begun.contains(each) ? task : each;
+      }
+      lab.judge.log("not begun: " + task);
+      if (task == null) {
+        throw new IllegalStateException("all tasks have begun");
+      }
+      long until = Judge.now() + 15_000;
+      Judge.Run run = null;
+      while (run == null && Judge.now() < until) {
+        Net.sleep(20);
+        List<Judge.Run> found = lab.judge.runsOf(task);
+        run = found.isEmpty() ? null : found.get(0);
+      }
+      Judge.Run begunRun = run;
+      Net.sleep(500);
+      crashFor(lab.workers.stream().filter(w -> w.id.equals(begunRun.worker)).findFirst().orElseThrow(), 3200);
+    }
+    String state = lab.await(job, 40_000);
+    String text = job.id + " is " + state + "; its runs: " + lab.judge.runsOf(job.id);
+    lab.judge.log(text);
+    System.out.println(text);
+    lab.finish(record, List.of("LOST"));
+  }
+
+  private static void crashFor(Worker worker, long millis) {
+    worker.crash();
+    Net.thread("back", () -> {
+      Net.sleep(millis);
+      try {
+        worker.restart();
+      } catch (java.io.IOException e) {
+        throw new IllegalStateException(e);
+      }
+    });
+  }
 }
--- a/review/lab-2/Worker.java
+++ b/review/lab-2/Worker.java
@@ -132,6 +132,24 @@
     }
   }
 
+  /** Loses its process and its power: nothing is heard of it, and no connection is closed. */
+  void goDark() throws IOException {
+    synchronized (this) {
+      up = false;
+      running.values().forEach(a -> judge.ended(a.run, "crashed"));
+      running.clear();
+      judge.log("worker " + id + " goes dark");
+      notifyAll();
+    }
+    server.goDark();
+  }
+
+  /** Has power again and starts a new process; connections from before are reset. */
+  void restartAfterDark() throws IOException {
+    server.stop();
+    restart();
+  }
+
   /** Starts a new process under the same id, at the same address, and registers. */
   void restart() throws IOException {
     begin();
@@ -282,12 +300,34 @@
     active.endNanos = active.startedNanos + (long) (Double.parseDouble(step[0]) * 1_000_000 * slowness);
     active.fails = random.nextDouble() < Double.parseDouble(step[2]);
     running.put(task, active);
+    if (step.length > 3) {
+      crashLater(task, active, Integer.parseInt(step[3]));
+    }
     if (!guards && used + need > cpu) {
       judge.breaks("LIMIT", task + " brings " + id + " to " + (used + need) + " of " + cpu);
     }
     return new Net.Resp(200, "{\"clockMs\":" + clock() + ",\"born\":" + born + "}");
   }
 
+  /** The task ends this worker's process a while after its start; the worker is back 3.2 s later. */
+  private void crashLater(String task, Active active, int millis) {
+    Net.thread("deadly", () -> {
+      Net.sleep(millis);
+      synchronized (this) {
+        if (running.get(task) != active) {
+          return;
+        }
+      }
+      crash();
+      Net.sleep(3200);
+      try {
+        restart();
+      } catch (IOException e) {
+        throw new IllegalStateException(e);
+      }
+    });
+  }
+
   private Net.Resp rejected(String reason) {
     return new Net.Resp(409, "{\"clockMs\":" + clock() + ",\"born\":" + born + ",\"reason\":\"" + reason + "\"}");
   }
@@ -307,8 +347,8 @@
     while (ended.isEmpty() && System.nanoTime() < until && up && born == inLife) {
       wait(Math.max(1, (until - System.nanoTime()) / 1_000_000));
     }
-    if (born != inLife) {
-      return Net.RESET;
+    if (born != inLife || !up) {
+      return Net.HANG;
     }
     StringBuilder out = new StringBuilder("{\"clockMs\":" + clock() + ",\"born\":" + born + ",\"running\":[");
     String comma = "";
