--- a/review/lab-2/Host.java
+++ b/review/lab-2/Host.java
@@ -11,6 +11,17 @@
 /** An entry host, run as a process of its own with the line of the deploy file. */
 final class Host {
 
+  private static final List<Process> STARTED = new ArrayList<>();
+  private static boolean over;
+
+  /** Ends all processes that were started, and lets none start any more. */
+  static void endAll() {
+    synchronized (STARTED) {
+      over = true;
+      STARTED.forEach(Process::destroyForcibly);
+    }
+  }
+
   final String name;
   final String zone;
   final int front = Net.freePort();
@@ -76,10 +87,16 @@
     Path settings = folder.resolve(name + ".jsonc");
     Files.writeString(settings, settings());
     File log = folder.resolve(name + ".log").toFile();
-    process = new ProcessBuilder(command(settings))
-        .redirectErrorStream(true)
-        .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
-        .start();
+    synchronized (STARTED) {
+      if (over) {
+        throw new IOException("the case is over");
+      }
+      process = new ProcessBuilder(command(settings))
+          .redirectErrorStream(true)
+          .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+          .start();
+      STARTED.add(process);
+    }
     stopped = false;
     downSince = 0;
     judge.disturbedAt.put(name, Judge.now());
--- a/review/lab-2/Lab.java
+++ b/review/lab-2/Lab.java
@@ -160,11 +160,7 @@
 
   @Override
   public void close() {
-    for (Host host : hosts) {
-      if (host.process != null && host.process.isAlive()) {
-        host.process.destroyForcibly();
-      }
-    }
+    Host.endAll();
   }
 
   private void deleteFolder() {
--- a/review/lab-2/Scenarios.java
+++ b/review/lab-2/Scenarios.java
@@ -24,6 +24,7 @@
     } catch (Throwable e) {
       e.printStackTrace();
       System.out.flush();
+      Host.endAll();
       Runtime.getRuntime().halt(2);
     }
   }
