--- a/review/lab-2/Scenarios.java
+++ b/review/lab-2/Scenarios.java
@@ -193,7 +193,7 @@
     lab.startHosts();
     List<Judge.Job> jobs = new ArrayList<>();
     for (int i = 0; i < 120; i++) {
-      Judge.Job job = lab.newJob(List.of(new Judge.Step(1, 500, TROUBLE ? 55_000 : 900, 0, List.of(), "", 0)), false);
+      Judge.Job job = lab.newJob(List.of(new Judge.Step(1, 100, TROUBLE ? 55_000 : 900, 0, List.of(), "", 0)), false);
       jobs.add(job);
       lab.post(lab.hosts.get(i % 3), job, 1500);
       Net.sleep(15);
