The lines of events that clients cause are bounded

What callers saw: nothing; their operators' host wrote 24,000 lines in 8 s beside 400 clients, each line processor time of the thread that serves ordinary callers.

Cause: JOB_REFUSED, JOB_ANSWERED and others are written once a request, however many come. Change: of each event that comes with requests at most 100 lines are written in a second; the next one says how many were left out.

--- a/src/main/java/org/marjoramhoist/log/EventLog.java
+++ b/src/main/java/org/marjoramhoist/log/EventLog.java
@@ -19,6 +19,11 @@
 
   private static final Logger LOGGER = LogManager.getLogger(Logging.LOGGER);
 
+  /** The most lines of one event that clients cause, in a second, unless it is set. */
+  public static final int DEFAULT_LINES_PER_SECOND = 100;
+
+  private static final LineLimit LIMIT = new LineLimit(DEFAULT_LINES_PER_SECOND);
+
   /** UTC with milliseconds; needs no locale, whose data take long to load. */
   private static final DateTimeFormatter TIME =
       new DateTimeFormatterBuilder().appendInstant(3).toFormatter(Locale.ROOT);
@@ -46,12 +51,31 @@
   }
 
   private static void write(Level level, LogEvent event, String pattern, Object... fields) {
-    if (LOGGER.isEnabled(level)) {
+    if (!LOGGER.isEnabled(level)) {
+      return;
+    }
+    long leftOut = event.isAtEachRequest() ? LIMIT.admit(event, System.nanoTime()) : 0;
+    if (leftOut >= 0) {
       String detail = new ParameterizedMessage(pattern, fields).getFormattedMessage();
-      LOGGER.log(level, messageOf(event, detail));
+      String suffix = leftOut == 0 ? "" : " leftOut=" + leftOut;
+      LOGGER.log(level, messageOf(event, detail + suffix));
     }
   }
 
+  /**
+   * Bounds the lines of each event that clients cause.
+   *
+   * @param lines the most lines of an event in a second
+   */
+  public static void setLinesPerSecond(int lines) {
+    LIMIT.setLinesPerSecond(lines);
+  }
+
+  /** Returns how many lines were left out for that bound. */
+  public static long leftOutLines() {
+    return LIMIT.leftOut();
+  }
+
   private static StringMapMessage messageOf(LogEvent event, String detail) {
     return new StringMapMessage()
         .with("time", TIME.format(Instant.now()))
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -18,6 +18,10 @@
   DRAIN_INCOMPLETE(1006),
   /** The settings were read again. */
   SETTINGS_READ(1007),
+  /** How many connections of clients were closed and requests refused, once a second at most. */
+  CLIENTS_REFUSED(1009),
+  /** No connection can be accepted for want of descriptors; tried again a little later. */
+  ACCEPT_FAILED(1010),
   /** What became of the requests since the stop began, and of those open as the listener closed. */
   REQUESTS_AT_STOP(1008),
   /** A host was heard for the first time. */
@@ -77,17 +81,17 @@
   /** The leader opened a link to a host; its earlier links to that host are no longer read. */
   HOST_LINK_OPENED(3121),
   /** A submission was accepted. */
-  JOB_ACCEPTED(4001),
+  JOB_ACCEPTED(4001, true),
   /** A submission was refused. */
-  JOB_REFUSED(4002),
+  JOB_REFUSED(4002, true),
   /** A job is complete. */
-  JOB_COMPLETED(4003),
+  JOB_COMPLETED(4003, true),
   /** A job failed. */
-  JOB_FAILED(4004),
+  JOB_FAILED(4004, true),
   /** A job was withdrawn, or given up with tasks started. */
-  JOB_ABANDONED(4005),
+  JOB_ABANDONED(4005, true),
   /** A caller was told that its job did not succeed. */
-  JOB_ANSWERED(4006),
+  JOB_ANSWERED(4006, true),
   /** The stored durable jobs are known to a new leader. */
   JOBS_LOADED(4007),
   /** A stored job can't be read; it does not go on. */
@@ -113,11 +117,11 @@
   /** A run that had been given up, so that its task was started again, has succeeded. */
   RUN_DONE_LATE(4018),
   /** A leader received a submission that makes a new job, or of a job that is open or complete. */
-  JOB_SUBMITTED(4019),
+  JOB_SUBMITTED(4019, true),
   /** A leader received a submission of a job that it ended recently; it makes a new job. */
-  JOB_SUBMITTED_AGAIN(4020),
+  JOB_SUBMITTED_AGAIN(4020, true),
   /** A host sent a job to a leader, for the first time or again. */
-  JOB_SENT(4021),
+  JOB_SENT(4021, true),
   /** A host sent its open jobs or calls to a leader again. */
   JOBS_RESUBMITTED(4022),
   /** An attempt ended without a known outcome. */
@@ -170,9 +174,20 @@
   INTERNAL_FAULT(9001);
 
   private final int code;
+  private final boolean atEachRequest;
 
   LogEvent(int code) {
+    this(code, false);
+  }
+
+  LogEvent(int code, boolean atEachRequest) {
     this.code = code;
+    this.atEachRequest = atEachRequest;
+  }
+
+  /** Returns whether clients decide how often the event is logged. */
+  boolean isAtEachRequest() {
+    return atEachRequest;
   }
 
   /** Returns the event's number, which never changes. */
