A leader holds a bounded number of tasks

Cause: what is accepted was bounded by predicted processor time only, not by the number of tasks, and best-effort jobs not at all; a leader makes an object for each task at once. Change: scheduling.maxOpenTasks (60,000): one half is for any job, of the rest a job may take an eighth of what is free, so that ordinary jobs find room beside a crowd of the largest. A job beyond it is refused unstarted, with the truth of Job.outcomeIfGivenUp; a durable one before it is stored.

--- a/src/main/java/org/marjoramhoist/config/SchedulingSettings.java
+++ b/src/main/java/org/marjoramhoist/config/SchedulingSettings.java
@@ -9,6 +9,7 @@
 import org.marjoramhoist.dispatch.SchedulingPolicy.Overload;
 import org.marjoramhoist.dispatch.SchedulingPolicy.Placement;
 import org.marjoramhoist.json.StrictObject;
+import org.marjoramhoist.platform.JobBodies;
 
 /**
  * Reads the {@code scheduling} part of a host's settings.
@@ -20,6 +21,11 @@
   private static final int MAX_PRIORITY = 1_000;
   private static final double MAX_VALUE = 1_000_000;
 
+  /** Leaves room for the largest job. */
+  private static final int MIN_OPEN_TASKS = 2 * JobBodies.MAX_TASKS;
+
+  private static final int MAX_OPEN_TASKS = 10_000_000;
+
   private SchedulingSettings() {}
 
   /** Reads the settings; what is absent has the default policy's value. */
@@ -31,7 +37,10 @@
           choice(scheduling, "overload", Overload.class, fallback.overload()),
           scheduling.flag("fairShares", fallback.fairShares()),
           readValues(scheduling),
-          scheduling.decimal("lateValue", 0, 1, fallback.lateValue()));
+          scheduling.decimal("lateValue", 0, 1, fallback.lateValue()),
+          (int)
+              scheduling.number(
+                  "maxOpenTasks", MIN_OPEN_TASKS, MAX_OPEN_TASKS, fallback.maxOpenTasks()));
     }
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -81,7 +81,7 @@
 
   private final WorkerRegistry workerRegistry;
   private final TaskAllocator allocator;
-  private final JobRegistry jobs = new JobRegistry();
+  private final JobRegistry jobs;
   private final SuspectTasks suspects = new SuspectTasks();
   private final ProcessEnds processEnds = new ProcessEnds();
   private final WorkerLossHandler workerLosses;
@@ -118,6 +118,7 @@
     boolean succeedsLeader = policy.scope() == DispatchPolicy.Scope.DOMAIN_SUCCESSOR;
     this.guard = policy.leadsDomain() ? new DomainWorkerGuard(now, succeedsLeader) : null;
     this.fairShareWeights = new FairShareWeights(policy.scheduling().fairShares(), now);
+    this.jobs = new JobRegistry(policy.scheduling().maxOpenTasks());
     boolean shedsLoad = policy.scheduling().overload() == SchedulingPolicy.Overload.SHED;
     this.durations = new DurationModel(shedsLoad);
     this.queueOrder = new QueueOrder(durations, fairShareWeights, policy.scheduling());
@@ -322,6 +323,10 @@
       end(job, job.outcomeIfGivenUp(), handOverReason, now, out);
       return;
     }
+    if (!job.started && !jobs.hasRoomFor(job)) {
+      end(job, job.outcomeIfGivenUp(), JobRegistry.TOO_MANY_TASKS, now, out);
+      return;
+    }
     if (predecessorJobs.contains(job.id()) && now <= predecessorRunsUntil) {
       end(job, JobOutcome.ABANDONED, "the previous leader may be running it", now, out);
       return;
--- a/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
@@ -130,6 +130,9 @@
     if (workers.requiresDrainedDomain(record.job(), record.requestClass())) {
       return DomainDrains.ONLY_DRAINED_DOMAINS;
     }
+    if (!jobs.hasRoomFor(record.job())) {
+      return JobRegistry.TOO_MANY_TASKS;
+    }
     return backlog.totalMicros() > MAX_BACKLOG_MICROS ? "too much waits" : null;
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/JobRegistry.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobRegistry.java
@@ -11,10 +11,12 @@
 import org.marjoramhoist.dispatch.DispatchAction.Log;
 import org.marjoramhoist.dispatch.DispatchEvent.JobSubmitted;
 import org.marjoramhoist.dispatch.RecentOutcomes.Outcome;
+import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.SubmissionNumber;
 import org.marjoramhoist.log.LogEvent;
+import org.marjoramhoist.model.SharedBound;
 
 /**
  * The open jobs and the outcomes of recently ended jobs.
@@ -24,13 +26,44 @@
  */
 final class JobRegistry {
 
+  /** Why a job is refused for which there is no room. */
+  static final String TOO_MANY_TASKS = "too many tasks are open";
+
   private static final long MICROS_PER_MILLI = 1_000;
 
+  private final SharedBound taskBound;
   private final Map<JobId, Job> open = new LinkedHashMap<>();
   private final Map<JobId, Job> terminating = new HashMap<>();
   private final RecentOutcomes outcomes = new RecentOutcomes();
   private final Set<Job> waiting = new LinkedHashSet<>();
   private final List<Job> newlyWaiting = new ArrayList<>();
+  private long openTasks;
+
+  /**
+   * Creates a registry without jobs.
+   *
+   * @param maxOpenTasks the most tasks of open jobs
+   */
+  JobRegistry(int maxOpenTasks) {
+    this.taskBound = new SharedBound(maxOpenTasks);
+  }
+
+  /** Returns whether there is room for the tasks of a job, which is not open yet. */
+  boolean hasRoomFor(JobDescription job) {
+    return taskBound.admits(openTasks, job.taskCount());
+  }
+
+  /** Returns whether there is room for the tasks of an open job beside those of the others. */
+  boolean hasRoomFor(Job job) {
+    int tasks = job.description().taskCount();
+    return taskBound.admits(openTasks - tasks, tasks);
+  }
+
+  private void open(Job job) {
+    Job replaced = open.put(job.id(), job);
+    openTasks += job.description().taskCount();
+    openTasks -= replaced == null ? 0 : replaced.description().taskCount();
+  }
 
   Job find(JobId id) {
     return open.get(id);
@@ -117,7 +150,7 @@
       job.raiseRunNumbers(previous.lastRunNumber());
       job.started |= previous.started();
     }
-    open.put(id, job);
+    open(job);
     addWaiting(job);
     return job;
   }
@@ -152,7 +185,7 @@
 
   /** Adds a durable job. Its tasks may start only after the job is stored. */
   void add(Job job) {
-    open.put(job.id(), job);
+    open(job);
     if (job.stored) {
       addWaiting(job);
     }
@@ -187,7 +220,8 @@
       long retryAfterMillis,
       long now,
       List<DispatchAction> out) {
-    open.remove(job.id());
+    Job removed = open.remove(job.id());
+    openTasks -= removed == null ? 0 : removed.description().taskCount();
     waiting.remove(job);
     List<Run> runs = job.runs();
     if (!job.isDurable()) {
--- a/src/main/java/org/marjoramhoist/dispatch/SchedulingPolicy.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SchedulingPolicy.java
@@ -14,13 +14,15 @@
  * @param jobValues the relative value of a job of average size, by the priority of its request
  *     class
  * @param lateValue the value of a job that misses its objective, as a fraction of its full value
+ * @param maxOpenTasks the most tasks of the jobs that a leader holds, which take memory
  */
 public record SchedulingPolicy(
     Placement placement,
     Overload overload,
     boolean fairShares,
     Map<Integer, Double> jobValues,
-    double lateValue) {
+    double lateValue,
+    int maxOpenTasks) {
 
   /** The value of a job of average size whose priority has no configured value. */
   private static final double DEFAULT_JOB_VALUE = 1;
@@ -28,6 +30,9 @@
   /** The default value of a late job, as a fraction of its full value. */
   public static final double DEFAULT_LATE_VALUE = 0.2;
 
+  /** The default bound on the tasks of open jobs. */
+  public static final int DEFAULT_MAX_OPEN_TASKS = 60_000;
+
   /** Strategies for choosing a worker for a task. */
   public enum Placement {
     /** Chooses the worker on which the task finishes first. */
@@ -51,7 +56,23 @@
 
   /** The default policy. */
   public static final SchedulingPolicy DEFAULT =
-      new SchedulingPolicy(Placement.FASTEST, Overload.QUEUE, false, Map.of(), DEFAULT_LATE_VALUE);
+      new SchedulingPolicy(
+          Placement.FASTEST,
+          Overload.QUEUE,
+          false,
+          Map.of(),
+          DEFAULT_LATE_VALUE,
+          DEFAULT_MAX_OPEN_TASKS);
+
+  /** Creates a policy with the default bound on the tasks of open jobs. */
+  public SchedulingPolicy(
+      Placement placement,
+      Overload overload,
+      boolean fairShares,
+      Map<Integer, Double> jobValues,
+      double lateValue) {
+    this(placement, overload, fairShares, jobValues, lateValue, DEFAULT_MAX_OPEN_TASKS);
+  }
 
   /** Creates a policy with a copy of the job values. */
   public SchedulingPolicy {
@@ -60,7 +81,8 @@
 
   /** Returns a copy of this policy with the given placement. */
   public SchedulingPolicy withPlacement(Placement newPlacement) {
-    return new SchedulingPolicy(newPlacement, overload, fairShares, jobValues, lateValue);
+    return new SchedulingPolicy(
+        newPlacement, overload, fairShares, jobValues, lateValue, maxOpenTasks);
   }
 
   /** Returns the value of a job of average size with the given priority. */
