One door for all HTTP listeners of a host, with bounds that hold in sum

What callers saw: clients ended a host's process or kept it from answering: heads without end or over the limit, heads of many odd lines, bodies, chunks and trailers without end, responses that nobody read, more connections than descriptors. Heads of more than 200 lines were refused although the limits allow them.

Cause: the listeners took the library's bounds, 1 MiB for a head, none for trailers, chunk extensions, connections or time, each for a client alone; pipelined requests were run one after the other without a look at other connections, and their responses kept. The limits in op/config were read nowhere.

Change: RequestConduit, below the HTTP server, reads a whole request and then hands it on, one of a connection at a time and in a turn of the I/O thread. So no handler sees a request of which a byte is missing, and nothing of a refused one runs. HeadParser keeps only the headers that a handler reads, ChunkParser drops extensions and trailers as it reads them. ConnectionTable (pure, under ArchUnit) holds deadlines and the bounds in sum: connections, bytes of unfinished and of open requests; large requests leave room for small ones, and connections that wait for their clients make way. The four limits of op/config hold for each request, for open connections too; a host without a configuration has the same figures. Callers, readiness and metrics use one listener class. A refusal at the door has no status that says that the job never runs (429, 503), since an earlier submission may have; while a host stops, a half read request is refused by the handler as before, by its head alone.

Evidence: RequestReaderTest, ListenerLimitsTest, ConnectionTableTest, HeldBytesTest.

--- a/src/main/java/org/marjoramhoist/cli/EntryCommand.java
+++ b/src/main/java/org/marjoramhoist/cli/EntryCommand.java
@@ -54,6 +54,7 @@
           arguments.getString("log_format"),
           settings.logLevel(),
           Logging.Target.STANDARD_OUTPUT_QUEUED);
+      EventLog.setLinesPerSecond(settings.logLinesPerSecond());
       EntryNode node = start(settings);
       inForce.complete(settings);
       hook.started(() -> stop(node));
--- a/src/main/java/org/marjoramhoist/config/NodeSettings.java
+++ b/src/main/java/org/marjoramhoist/config/NodeSettings.java
@@ -3,10 +3,12 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.marjoramhoist.connection.ConnectionLimits;
 import org.marjoramhoist.dispatch.SchedulingPolicy;
 import org.marjoramhoist.json.InvalidDocumentException;
 import org.marjoramhoist.json.Problems;
 import org.marjoramhoist.json.StrictObject;
+import org.marjoramhoist.log.EventLog;
 
 /**
  * The settings of an entry host that uses the platform's store and workers.
@@ -22,8 +24,10 @@
  * @param keepMillis how long callers may ask for a durable job that has ended
  * @param drainMillis how long a graceful shutdown may take
  * @param limits what the host's machine can do
+ * @param clients what the connections of clients may use in sum
  * @param scheduling how a leader uses the room of its workers
  * @param logLevel the least level of log events
+ * @param logLinesPerSecond the most lines of an event that clients cause, in a second
  */
 public record NodeSettings(
     String host,
@@ -35,8 +39,10 @@
     long keepMillis,
     long drainMillis,
     Limits limits,
+    ConnectionLimits clients,
     SchedulingPolicy scheduling,
-    String logLevel) {
+    String logLevel,
+    int logLinesPerSecond) {
 
   private static final long MINUTE_MILLIS = 60_000;
   private static final double SECOND_MILLIS = 1_000;
@@ -44,6 +50,7 @@
   private static final double MAX_DRAIN_SECONDS = 600;
   private static final double MAX_KEEP_SECONDS = 7 * 24 * 3_600;
   private static final double MAX_CORES = 1_024;
+  private static final int MAX_LOG_LINES = 1_000_000;
   private static final double MAX_LINK_MBPS = 1_000_000;
 
   /**
@@ -92,6 +99,7 @@
 
   private static NodeSettings read(StrictObject root) {
     Limits limits = readLimits(root);
+    ConnectionLimits clients = ClientSettings.read(root);
     try (StrictObject listen = root.object("listen")) {
       Listen addresses =
           new Listen(
@@ -111,8 +119,12 @@
           (long) (keepSeconds * SECOND_MILLIS),
           (long) (drainSeconds * SECOND_MILLIS),
           limits,
+          clients,
           SchedulingSettings.read(root),
-          root.text("logLevel", "info"));
+          root.text("logLevel", "info"),
+          (int)
+              root.number(
+                  "logLinesPerSecond", 1, MAX_LOG_LINES, EventLog.DEFAULT_LINES_PER_SECOND));
     }
   }
 
--- a/src/main/java/org/marjoramhoist/entry/DisconnectWatch.java
+++ b/src/main/java/org/marjoramhoist/entry/DisconnectWatch.java
@@ -1,11 +1,9 @@
 package org.marjoramhoist.entry;
 
-import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.ExchangeCompletionListener;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
-import java.io.IOException;
-import java.nio.ByteBuffer;
+import org.marjoramhoist.listener.HttpListener;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.conduits.StreamSourceConduit;
 
@@ -14,8 +12,8 @@
  *
  * <p>A caller that closes its side of the connection counts as gone, as it can't be told from one
  * that has closed both; it is still sent a response. Bytes of a request that the caller has
- * pipelined are kept for the connection, up to one buffer; beyond that the caller is not watched,
- * as it is at work.
+ * pipelined are kept for the connection, up to a bound; beyond that the caller is not watched, as
+ * it is at work.
  *
  * <p>Invariant: reports the departure at most once, and never after the exchange is complete.
  * Confined to the connection's I/O thread.
@@ -72,42 +70,10 @@
     if (ended) {
       return;
     }
-    if (hasLeft()) {
+    if (HttpListener.hasLeft(exchange)) {
       end();
       exchange.setPersistent(false);
       onDisconnect.run();
     }
   }
-
-  /** Reads what has arrived and returns whether the connection has ended. */
-  private boolean hasLeft() {
-    PooledByteBuffer pooled = connection.getExtraBytes();
-    boolean isNew = pooled == null;
-    if (isNew) {
-      pooled = connection.getByteBufferPool().allocate();
-    }
-    ByteBuffer buffer = pooled.getBuffer();
-    if (isNew) {
-      buffer.clear();
-    } else {
-      buffer.compact();
-    }
-    int read = 0;
-    try {
-      if (buffer.hasRemaining()) {
-        read = source.read(buffer);
-      } else {
-        source.suspendReads();
-      }
-    } catch (IOException e) {
-      read = -1;
-    }
-    buffer.flip();
-    if (isNew && buffer.hasRemaining()) {
-      connection.setExtraBytes(pooled);
-    } else if (isNew) {
-      pooled.close();
-    }
-    return read < 0;
-  }
 }
--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -1,13 +1,13 @@
 package org.marjoramhoist.entry;
 
-import io.undertow.Undertow;
-import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
 import java.io.IOException;
-import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.marjoramhoist.config.NodeSettings;
+import org.marjoramhoist.connection.ConnectionGroup;
 import org.marjoramhoist.dispatch.DispatchPolicy;
 import org.marjoramhoist.http.HostPort;
 import org.marjoramhoist.http.HttpCaller;
@@ -18,9 +18,13 @@
 import org.marjoramhoist.lead.ElectionTimeouts;
 import org.marjoramhoist.lead.GracefulShutdown;
 import org.marjoramhoist.lead.HostCapacity;
+import org.marjoramhoist.listener.Connections;
+import org.marjoramhoist.listener.HeadForm;
+import org.marjoramhoist.listener.HttpListener;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
 import org.marjoramhoist.peer.FrameNetwork;
+import org.marjoramhoist.platform.JobBodies;
 import org.marjoramhoist.platform.KeyValueClient;
 import org.marjoramhoist.platform.PlatformWorkerClient;
 import org.marjoramhoist.platform.StoreDocuments;
@@ -40,6 +44,10 @@
   private static final long STORE_TIMEOUT_MILLIS = 500;
   private static final long MAX_RENEW_WAIT_MILLIS = 250;
   private static final long TICK_INTERVAL_MILLIS = 50;
+  private static final long CONNECTIONS_TICK_MILLIS = 250;
+  private static final HeadForm CALLERS_FORM =
+      new HeadForm(Set.of(JobBodies.DEADLINE_HEADER_NAME), false);
+  private static final HeadForm CHECKS_FORM = new HeadForm(Set.of(), false);
   private static final long SUSPICION_TIMEOUT_MICROS = 450_000;
   private static final long CONTACT_TIMEOUT_MICROS = 600_000;
   private static final long START_TIMEOUT_MICROS = 400_000;
@@ -60,12 +68,14 @@
   private final XnioWorker worker;
   private final EventLoop loop;
   private final FrameNetwork network;
-  private final Undertow http;
+  private final Connections connections;
+  private final HttpListener readiness;
+  private final Optional<HttpListener> metricsListener;
   private final LeaderTracker leaderTracker = new LeaderTracker();
   private final OpenJobs jobs;
   private final JobCalls calls;
   private final GracefulShutdown shutdown = new GracefulShutdown();
-  private final CallerListener callers;
+  private final HttpListener callers;
   private final HostShutdown hostShutdown;
   private final ConfigWatch config = new ConfigWatch();
   private final DrainedDomains drainedDomains = new DrainedDomains();
@@ -184,14 +194,24 @@
     metrics.gauge("marjoramhoist.config.version", () -> config.current().version());
     metrics.gauge("marjoramhoist.drain.revision", drainedDomains::revision);
     metrics.gauge("marjoramhoist.store.up", () -> health.isAvailable() ? 1 : 0);
-    this.network = new FrameNetwork(worker, HostPort.parse(settings.listen().peers()), member);
+    this.connections = new Connections(settings.clients(), () -> config.current().limits());
+    ClientMetrics.register(metrics, connections);
+    metrics.gauge("marjoramhoist.log.lines.left.out", EventLog::leftOutLines);
+    this.network =
+        new FrameNetwork(worker, HostPort.parse(settings.listen().peers()), member);
     OpenExchanges exchanges = new OpenExchanges();
     metrics.gauge("marjoramhoist.exchanges.open", exchanges::count);
     JobHttpHandler jobHandler =
         new JobHttpHandler(config, jobs, calls, metrics, member::waitingJobs, shutdown);
     this.callers =
-        new CallerListener(
-            worker, HostPort.parse(settings.listen().callers()), exchanges.counting(jobHandler));
+        new HttpListener(
+            worker,
+            connections,
+            ConnectionGroup.CALLERS,
+            settings.clients().maxCallers(),
+            CALLERS_FORM,
+            HostPort.parse(settings.listen().callers()),
+            exchanges.counting(jobHandler));
     this.hostShutdown =
         new HostShutdown(
             loop,
@@ -203,7 +223,20 @@
             jobHandler::refuseStopping,
             member::awaitsSuccessor,
             registration::deregister);
-    this.http = startHttpServer();
+    this.readiness =
+        checkListener(
+            settings.listen().ready(),
+            exchange -> {
+              exchange.setStatusCode(isReady() ? 200 : 503);
+              exchange.endExchange();
+            });
+    this.metricsListener =
+        settings.listen().metrics().isEmpty()
+            ? Optional.empty()
+            : Optional.of(
+                checkListener(
+                    settings.listen().metrics(),
+                    exchange -> exchange.getResponseSender().send(metrics.scrape())));
     PrefixWatch operatorWatch =
         new PrefixWatch(
             store, StoreDocuments.OPERATOR_PREFIX, loop, health, drainedDomains, config);
@@ -214,6 +247,7 @@
           registration.start();
           operatorWatch.start();
           loop.scheduleWithFixedDelay(TICK_INTERVAL_MILLIS, this::tick);
+          loop.scheduleWithFixedDelay(CONNECTIONS_TICK_MILLIS, connections::tick);
         });
   }
 
@@ -244,32 +278,15 @@
                 .getMap());
   }
 
-  private Undertow startHttpServer() {
-    HttpHandler readinessHandler =
-        exchange -> {
-          exchange.setStatusCode(isReady() ? 200 : 503);
-          exchange.endExchange();
-        };
-    InetSocketAddress readinessAddress = HostPort.parse(settings.listen().ready());
-    Undertow.Builder builder =
-        Undertow.builder()
-            .setWorker(worker)
-            .setBufferSize(CallerListener.BUFFER_BYTES)
-            .setDirectBuffers(true)
-            .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-            .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
-            .addHttpListener(
-                readinessAddress.getPort(), readinessAddress.getHostString(), readinessHandler);
-    if (!settings.listen().metrics().isEmpty()) {
-      InetSocketAddress metricsAddress = HostPort.parse(settings.listen().metrics());
-      builder.addHttpListener(
-          metricsAddress.getPort(),
-          metricsAddress.getHostString(),
-          exchange -> exchange.getResponseSender().send(metrics.scrape()));
-    }
-    Undertow server = builder.build();
-    server.start();
-    return server;
+  private HttpListener checkListener(String address, HttpHandler handler) throws IOException {
+    return new HttpListener(
+        worker,
+        connections,
+        ConnectionGroup.CHECKS,
+        settings.clients().maxChecks(),
+        CHECKS_FORM,
+        HostPort.parse(address),
+        handler);
   }
 
   /**
@@ -333,7 +350,8 @@
     loop.close();
     callers.close();
     network.close();
-    http.stop();
+    readiness.close();
+    metricsListener.ifPresent(HttpListener::close);
     worker.shutdownNow();
     EventLog.info(LogEvent.PROCESS_STOPPED, "host={}", settings.host());
   }
--- a/src/main/java/org/marjoramhoist/entry/HostShutdown.java
+++ b/src/main/java/org/marjoramhoist/entry/HostShutdown.java
@@ -8,6 +8,7 @@
 import org.marjoramhoist.lead.GracefulShutdown;
 import org.marjoramhoist.lead.ShutdownAction;
 import org.marjoramhoist.lead.ShutdownEvent;
+import org.marjoramhoist.listener.HttpListener;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
 
@@ -23,7 +24,7 @@
 
   private final EventLoop loop;
   private final GracefulShutdown shutdown;
-  private final CallerListener listener;
+  private final HttpListener listener;
   private final OpenExchanges exchanges;
   private final OpenJobs jobs;
   private final JobCalls calls;
@@ -43,7 +44,7 @@
   HostShutdown(
       EventLoop loop,
       GracefulShutdown shutdown,
-      CallerListener listener,
+      HttpListener listener,
       OpenExchanges exchanges,
       OpenJobs jobs,
       JobCalls calls,
@@ -78,7 +79,7 @@
   }
 
   private void countOpen() {
-    int open = Math.max(exchanges.count(), jobs.count() + calls.count());
+    int open = Math.max(exchanges.count(), jobs.count() + calls.count()) + listener.halfReadCount();
     ShutdownEvent event = new ShutdownEvent.OpenCounted(open, awaitsSuccessor.getAsBoolean());
     List<ShutdownAction> actions = shutdown.step(EventLoop.now(), event);
     if (!shutdown.hasEnded()) {
@@ -107,12 +108,17 @@
   private void abandonOpen() {
     loop.execute(jobs::abandonAll);
     loop.execute(calls::abandonAll);
-    exchanges.halfRead().forEach(exchange -> loop.execute(() -> refusal.accept(exchange)));
+    loop.execute(() -> listener.endHalfRead(exchanges.counting(refusal::accept)));
   }
 
   private void closeConnections() {
     long micros = EventLoop.now() - startedAt;
-    EventLog.info(LogEvent.REQUESTS_AT_STOP, "micros={} {}", micros, exchanges);
+    EventLog.info(
+        LogEvent.REQUESTS_AT_STOP,
+        "micros={} {} halfRead={}",
+        micros,
+        exchanges,
+        listener.halfReadCount());
     try {
       listener.closeConnections();
     } finally {
--- a/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
+++ b/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
@@ -1,6 +1,7 @@
 package org.marjoramhoist.entry;
 
 import io.micrometer.core.instrument.DistributionSummary;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MultiGauge;
 import io.micrometer.core.instrument.Tags;
@@ -15,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.function.ToDoubleFunction;
 import org.marjoramhoist.dispatch.DispatchSnapshot;
 import org.marjoramhoist.dispatch.ServedShares;
 import org.marjoramhoist.job.JobOutcome;
@@ -201,6 +203,16 @@
     Gauge.builder(name, value).strongReference(true).register(registry);
   }
 
+  /** Registers a gauge with a tag. */
+  void gauge(String name, String tag, String tagValue, Supplier<Number> value) {
+    registerGauge(name, Tags.of(tag, tagValue), value);
+  }
+
+  /** Registers a counter with a tag, whose count is read from its source at each scrape. */
+  <T> void counter(String name, String tag, String tagValue, T source, ToDoubleFunction<T> count) {
+    FunctionCounter.builder(name, source, count).tags(Tags.of(tag, tagValue)).register(registry);
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   String scrape() {
     return registry.scrape();
--- a/src/main/java/org/marjoramhoist/entry/OpenExchanges.java
+++ b/src/main/java/org/marjoramhoist/entry/OpenExchanges.java
@@ -4,13 +4,12 @@
 import io.undertow.server.HttpServerExchange;
 import java.util.Collections;
 import java.util.IdentityHashMap;
-import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
 
 /**
- * The exchanges with callers that are open: from the head of a request that was read to the last
- * byte of its response, or the loss of its connection.
+ * The exchanges with callers that are open: from a request that was read to the last byte of its
+ * response, or the loss of its connection.
  *
  * <p>Confined to the listener's only I/O thread, except for {@link #count}.
  */
@@ -73,15 +72,6 @@
     broken = 0;
   }
 
-  /** Returns the exchanges whose request was read in part and that have no response. */
-  List<HttpServerExchange> halfRead() {
-    return open.stream().filter(OpenExchanges::isHalfRead).toList();
-  }
-
-  private static boolean isHalfRead(HttpServerExchange exchange) {
-    return !exchange.isRequestComplete() && !exchange.isResponseStarted();
-  }
-
   private long countIf(Predicate<HttpServerExchange> predicate) {
     return open.stream().filter(predicate).count();
   }
@@ -99,10 +89,8 @@
         + broken
         + " open="
         + open.size()
-        + " halfRead="
-        + countIf(OpenExchanges::isHalfRead)
         + " waiting="
-        + countIf(exchange -> exchange.isRequestComplete() && !exchange.isResponseStarted())
+        + countIf(exchange -> !exchange.isResponseStarted())
         + " unwritten="
         + countIf(HttpServerExchange::isResponseStarted);
   }
--- a/src/main/java/org/marjoramhoist/job/RouteTable.java
+++ b/src/main/java/org/marjoramhoist/job/RouteTable.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.marjoramhoist.model.RequestLimits;
 
 /**
  * One version of the declared request classes, looked up by host name and longest path prefix.
@@ -20,15 +21,23 @@
 
   private final long version;
   private final Map<String, List<RequestClass>> byAuthority;
+  private final RequestLimits limits;
+
+  /** Creates a table with the default limits of requests. */
+  public RouteTable(long version, List<RequestClass> classes) {
+    this(version, classes, RequestLimits.DEFAULT);
+  }
 
   /**
    * Creates a table.
    *
    * @param version the version; later tables have higher versions
    * @param classes the request classes
+   * @param limits what a single request may cost
    */
-  public RouteTable(long version, List<RequestClass> classes) {
+  public RouteTable(long version, List<RequestClass> classes, RequestLimits limits) {
     this.version = version;
+    this.limits = limits;
     this.byAuthority = new HashMap<>();
     for (RequestClass requestClass : classes) {
       String authority = requestClass.authority().toLowerCase(Locale.ROOT);
@@ -45,6 +54,11 @@
     return version;
   }
 
+  /** Returns what a single request may cost. */
+  public RequestLimits limits() {
+    return limits;
+  }
+
   /**
    * Returns the request class of a request; empty if none matches.
    *
--- a/src/main/java/org/marjoramhoist/platform/JobBodies.java
+++ b/src/main/java/org/marjoramhoist/platform/JobBodies.java
@@ -26,7 +26,10 @@
  */
 public final class JobBodies {
 
-  private static final HttpString DEADLINE_HEADER = new HttpString("X-Marjoramhoist-Deadline-Ms");
+  /** The header in which callers say how long they wait. */
+  public static final String DEADLINE_HEADER_NAME = "X-Marjoramhoist-Deadline-Ms";
+
+  private static final HttpString DEADLINE_HEADER = new HttpString(DEADLINE_HEADER_NAME);
   private static final int MAX_STEPS = 1_000;
 
   /** The most tasks of a job: its progress must fit into one value of the store. */
--- a/src/main/java/org/marjoramhoist/platform/StoreDocuments.java
+++ b/src/main/java/org/marjoramhoist/platform/StoreDocuments.java
@@ -10,6 +10,7 @@
 import org.marjoramhoist.job.RequestClass;
 import org.marjoramhoist.job.RouteTable;
 import org.marjoramhoist.json.JsonText;
+import org.marjoramhoist.model.RequestLimits;
 
 /**
  * Parses the documents that the operator writes to the platform's store.
@@ -27,6 +28,10 @@
   /** The prefix of the keys that each request the drain of a failure domain. */
   private static final String DRAIN_PREFIX = OPERATOR_PREFIX + "evacuate/";
 
+  private static final int MAX_HEAD_BYTES = 1 << 20;
+  private static final int MAX_BODY_BYTES = 8 << 20;
+  private static final long MAX_TIMEOUT_MILLIS = 3_600_000;
+
   private StoreDocuments() {}
 
   /**
@@ -44,7 +49,25 @@
     for (JsonNode route : root.path("routes")) {
       classes.add(parseRequestClass(route, unguarded));
     }
-    return new RouteTable(root.path("version").asLong(), classes);
+    return new RouteTable(
+        root.path("version").asLong(), classes, parseRequestLimits(root.path("limits")));
+  }
+
+  /** Returns the limits of requests; those that are missing or not usable have their defaults. */
+  private static RequestLimits parseRequestLimits(JsonNode limits) {
+    RequestLimits defaults = RequestLimits.DEFAULT;
+    return new RequestLimits(
+        (int) positive(limits, "maxHeaderBytes", defaults.maxHeadBytes(), MAX_HEAD_BYTES),
+        (int) positive(limits, "maxBodyBytes", defaults.maxBodyBytes(), MAX_BODY_BYTES),
+        positive(limits, "headerTimeoutMs", defaults.headTimeoutMillis(), MAX_TIMEOUT_MILLIS),
+        positive(limits, "idleTimeoutMs", defaults.idleTimeoutMillis(), MAX_TIMEOUT_MILLIS));
+  }
+
+  private static long positive(JsonNode limits, String field, long fallback, long max) {
+    JsonNode value = limits.path(field);
+    return value.canConvertToLong() && value.isIntegralNumber() && value.asLong() > 0
+        ? Math.min(value.asLong(), max)
+        : fallback;
   }
 
   /** Returns the upstreams whose workers start whatever they are told to. */
--- a/src/test/java/org/marjoramhoist/ArchitectureTest.java
+++ b/src/test/java/org/marjoramhoist/ArchitectureTest.java
@@ -15,6 +15,7 @@
 class ArchitectureTest {
 
   private static final String[] DECISIONS = {
+    "org.marjoramhoist.connection",
     "org.marjoramhoist.decision",
     "org.marjoramhoist.dispatch",
     "org.marjoramhoist.lead",
@@ -29,6 +30,7 @@
           .should()
           .onlyDependOnClassesThat()
           .resideInAnyPackage(
+              "org.marjoramhoist.connection",
               "org.marjoramhoist.decision",
               "org.marjoramhoist.dispatch",
               "org.marjoramhoist.lead",
--- a/src/test/java/org/marjoramhoist/config/NodeSettingsTest.java
+++ b/src/test/java/org/marjoramhoist/config/NodeSettingsTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
+import org.marjoramhoist.connection.ConnectionLimits;
 import org.marjoramhoist.dispatch.SchedulingPolicy;
 import org.marjoramhoist.json.InvalidDocumentException;
 
@@ -46,6 +47,33 @@
     assertThat(settings.scheduling().jobValue(0)).isEqualTo(1);
   }
 
+  private static NodeSettings withClients(String clients) throws InvalidDocumentException {
+    return NodeSettings.parse(
+        "test", TEXT.substring(0, TEXT.length() - 1) + ",\"clients\":" + clients + "}");
+  }
+
+  @Test
+  void readsWhatClientsMayUse() throws InvalidDocumentException {
+    String clients =
+        "{\"maxConnections\":100,\"maxCheckConnections\":3,\"maxPeerConnections\":4,"
+            + "\"maxLingering\":5,"
+            + "\"maxUnfinishedKib\":3000,\"maxOpenKib\":4000,\"maxPeerKib\":5000}";
+    assertThat(withClients(clients).clients())
+        .isEqualTo(new ConnectionLimits(100, 3, 4, 5, 3_000 << 10, 4_000 << 10, 5_000 << 10));
+  }
+
+  @Test
+  void clientsLeaveHalfOfTheSocketsToOthers() throws InvalidDocumentException {
+    assertThat(withClients("{\"descriptors\":1200}").clients().maxCallers()).isEqualTo(500);
+  }
+
+  @Test
+  void memoryThatHoldsNoRequestIsAtFault() {
+    InvalidDocumentException error =
+        assertThrows(InvalidDocumentException.class, () -> withClients("{\"maxOpenKib\":10}"));
+    assertThat(error).hasMessageThat().contains("clients.maxOpenKib");
+  }
+
   @Test
   void namesAnUnknownChoice() {
     String scheduling = ",\"scheduling\":{\"overload\":\"drop\"}}";
@@ -85,11 +113,13 @@
             .replace("{{bounds.graceS}}", "6")
             .replace("{{limits.cpuShare}}", "0.75")
             .replace("{{limits.cores}}", "2")
-            .replace("{{limits.linkMbps}}", "200.0");
+            .replace("{{limits.linkMbps}}", "200.0")
+            .replace("{{limits.maxFds}}", "2212");
     assertThat(filled).doesNotContain("{{");
     NodeSettings settings = NodeSettings.parse("template", filled);
     assertThat(settings.listen().metrics()).isEqualTo("1.2.3.4:7735");
     assertThat(settings.farFactor()).isEqualTo(1.5);
     assertThat(settings.limits()).isEqualTo(new NodeSettings.Limits(1.5, 200));
+    assertThat(settings.clients().maxCallers()).isEqualTo(1_006);
   }
 }
--- a/src/test/java/org/marjoramhoist/entry/CallerListenerTest.java
+++ b/src/test/java/org/marjoramhoist/entry/CallerListenerTest.java
@@ -6,10 +6,10 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.http.Exchanges;
-import org.marjoramhoist.http.HostPort;
 import org.marjoramhoist.http.LoopbackServer;
 import org.marjoramhoist.http.RawCaller;
 import org.marjoramhoist.http.Replies;
+import org.marjoramhoist.listener.HttpListener;
 
 /** The listener for callers, with a handler that reads bodies. */
 class CallerListenerTest extends StoreFixture {
@@ -23,10 +23,9 @@
   @Test
   void bodyThatIsTooLongIsNotAnsweredAsServed() throws Exception {
     String address = "127.0.0.1:" + LoopbackServer.freePorts(1).get(0);
-    try (CallerListener listener =
-            new CallerListener(
-                worker,
-                HostPort.parse(address),
+    try (HttpListener listener =
+            listen(
+                address,
                 exchange ->
                     Exchanges.receive(
                         exchange, (same, bytes) -> Replies.json(same, 503, "refused")));
@@ -42,8 +41,7 @@
   @Test
   void connectionThatArrivesAsTheListenerClosesDoesNotOccupyTheLoop() throws Exception {
     String address = "127.0.0.1:" + LoopbackServer.freePorts(1).get(0);
-    CallerListener listener =
-        new CallerListener(worker, HostPort.parse(address), exchange -> exchange.endExchange());
+    HttpListener listener = listen(address, exchange -> exchange.endExchange());
     CountDownLatch blocked = new CountDownLatch(1);
     CountDownLatch connected = new CountDownLatch(1);
     CountDownLatch later = new CountDownLatch(1);
--- a/src/test/java/org/marjoramhoist/entry/HostShutdownTest.java
+++ b/src/test/java/org/marjoramhoist/entry/HostShutdownTest.java
@@ -13,11 +13,11 @@
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.dispatch.SchedulingPolicy;
 import org.marjoramhoist.http.Exchanges;
-import org.marjoramhoist.http.HostPort;
 import org.marjoramhoist.http.LoopbackServer;
 import org.marjoramhoist.http.RawCaller;
 import org.marjoramhoist.http.Replies;
 import org.marjoramhoist.lead.GracefulShutdown;
+import org.marjoramhoist.listener.HttpListener;
 
 /** The listener for callers while its host stops, with a handler that needs no leader. */
 class HostShutdownTest extends StoreFixture {
@@ -30,15 +30,14 @@
   private final AtomicInteger read = new AtomicInteger();
   private final AtomicInteger answered = new AtomicInteger();
   private String address;
-  private CallerListener listener;
+  private HttpListener listener;
   private HostShutdown hostShutdown;
   private String body = "served";
 
   @BeforeEach
-  void listen() throws IOException {
+  void startListener() throws IOException {
     address = "127.0.0.1:" + LoopbackServer.freePorts(1).get(0);
-    listener =
-        new CallerListener(worker, HostPort.parse(address), exchanges.counting(this::handle));
+    listener = listen(address, exchanges.counting(this::handle));
     LeaderTracker leaders = new LeaderTracker();
     hostShutdown =
         new HostShutdown(
--- a/src/test/java/org/marjoramhoist/http/RawCaller.java
+++ b/src/test/java/org/marjoramhoist/http/RawCaller.java
@@ -78,7 +78,7 @@
 
   /** Reads a response; fails if the connection ends before the response is whole. */
   public Response receive() throws IOException {
-    String[] lines = readHead().split("\r\n");
+    String[] lines = receiveHead().split("\r\n");
     Map<String, String> headers = new HashMap<>();
     for (int i = 1; i < lines.length; i++) {
       String[] field = lines[i].split(": ", 2);
@@ -106,7 +106,8 @@
     socket.close();
   }
 
-  private String readHead() throws IOException {
+  /** Reads the head of a response, which is all of an interim one. */
+  public String receiveHead() throws IOException {
     ByteArrayOutputStream head = new ByteArrayOutputStream();
     while (!head.toString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
       int next = in.read();
--- a/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
+++ b/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
@@ -21,6 +21,7 @@
 import org.marjoramhoist.job.RunRef;
 import org.marjoramhoist.job.StepSpec;
 import org.marjoramhoist.job.TaskRef;
+import org.marjoramhoist.model.RequestLimits;
 
 /** Tests the parsing of the platform's message formats. */
 class PlatformFormatsTest {
@@ -198,6 +199,23 @@
     assertThrows(IOException.class, () -> StoreDocuments.parseConfig(large));
   }
 
+  private static RequestLimits limitsOf(String limits) throws IOException {
+    return StoreDocuments.parseConfig("{\"version\":1,\"limits\":" + limits + "}").limits();
+  }
+
+  @Test
+  void parsesLimitsOfRequests() throws IOException {
+    String all =
+        "{\"maxHeaderBytes\":1,\"maxBodyBytes\":2,\"headerTimeoutMs\":3,\"idleTimeoutMs\":4}";
+    assertThat(limitsOf(all)).isEqualTo(new RequestLimits(1, 2, 3, 4));
+    String odd =
+        "{\"maxHeaderBytes\":0,\"maxBodyBytes\":\"2\",\"headerTimeoutMs\":-3,"
+            + "\"idleTimeoutMs\":99999999999999999999}";
+    assertThat(limitsOf(odd)).isEqualTo(RequestLimits.DEFAULT);
+    assertThat(limitsOf("{\"maxBodyBytes\":999999999999}").maxBodyBytes()).isEqualTo(8 << 20);
+    assertThat(limitsOf("[]")).isEqualTo(RequestLimits.DEFAULT);
+  }
+
   @Test
   void tellsWhoseWorkersStartBeyondTheirCapacity() throws IOException {
     RouteTable table =
