What the peer listener takes from anybody is bounded

What callers saw: a host's process ended, out of memory, after six connections to its peer listener that each announced a frame of 16 MiB and sent nothing, or sent it slowly.

Cause: FrameLink allocated what a frame's length said before a byte had come, for anybody who connected, and queued up to 8 MiB for each link that didn't read. Change: an accepted link is in the table of connections like a client: bounded in number and in bytes in sum with the other links, what waits to be sent included. The buffer grows as the frame arrives. Links that a host opened itself, to hosts that it knows from the store, have no new bounds.

--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -198,7 +198,7 @@
     ClientMetrics.register(metrics, connections);
     metrics.gauge("marjoramhoist.log.lines.left.out", EventLog::leftOutLines);
     this.network =
-        new FrameNetwork(worker, HostPort.parse(settings.listen().peers()), member);
+        new FrameNetwork(worker, HostPort.parse(settings.listen().peers()), connections, member);
     OpenExchanges exchanges = new OpenExchanges();
     metrics.gauge("marjoramhoist.exchanges.open", exchanges::count);
     JobHttpHandler jobHandler =
--- a/src/main/java/org/marjoramhoist/peer/FrameLink.java
+++ b/src/main/java/org/marjoramhoist/peer/FrameLink.java
@@ -29,7 +29,11 @@
     void closed(FrameLink link);
   }
 
-  private static final int READ_BYTES = 16 * 1024;
+  private static final int READ_BYTES = 4 * 1024;
+
+  /** Up to that size the buffer for what is received grows at once. */
+  private static final int SMALL_FRAME_BYTES = 64 * 1024;
+
   private static final int MAX_QUEUED_BYTES = 8 << 20;
 
   /** The port in the ID of a link whose connection was closed before the link was created. */
@@ -38,6 +42,7 @@
   private final StreamConnection connection;
   private final String id;
   private final Listener listener;
+  private final LinkGuard guard;
   private final Deque<ByteBuffer> queue = new ArrayDeque<>();
   private ByteBuffer inbound = ByteBuffer.allocate(READ_BYTES);
   private int queuedBytes;
@@ -51,6 +56,11 @@
    * @param listener hears of messages and the end
    */
   public FrameLink(StreamConnection connection, Listener listener) {
+    this(connection, listener, LinkGuard.NONE);
+  }
+
+  FrameLink(StreamConnection connection, Listener listener, LinkGuard guard) {
+    this.guard = guard;
     this.connection = connection;
     this.id = idOf(connection);
     this.listener = listener;
@@ -97,7 +107,9 @@
       EventLog.fault("frame of " + message.getClass().getSimpleName(), e);
       return;
     }
-    if (queuedBytes > MAX_QUEUED_BYTES) {
+    if (!hold()) {
+      close();
+    } else if (queuedBytes > MAX_QUEUED_BYTES) {
       EventLog.warn(LogEvent.PEER_QUEUE_FULL, "bytes={}", queuedBytes);
       close();
     } else if (!flushScheduled) {
@@ -156,7 +168,7 @@
     int wanted = READ_BYTES;
     while (!closed && inbound.remaining() >= Integer.BYTES) {
       int length = inbound.getInt(inbound.position());
-      if (length < 1 || length > FrameCodec.MAX_FRAME_BYTES) {
+      if (length < 1 || length > guard.maxFrameBytes()) {
         throw new IOException("frame length out of bounds: " + length);
       }
       if (inbound.remaining() < Integer.BYTES + length) {
@@ -166,13 +178,35 @@
       inbound.getInt();
       byte[] frame = new byte[length];
       inbound.get(frame);
-      deliver(FrameCodec.decode(frame, HostMessage.class));
+      HostMessage message = FrameCodec.decode(frame, HostMessage.class);
+      guard.messageReceived();
+      deliver(message);
     }
-    if (wanted > inbound.capacity()) {
-      inbound = ByteBuffer.allocate(wanted).put(inbound);
+    makeRoom(wanted);
+  }
+
+  /**
+   * Makes room for a frame, of which the announced length is not believed: the buffer grows as the
+   * frame arrives.
+   */
+  private void makeRoom(int wanted) {
+    int capacity = inbound.capacity();
+    boolean isFull = inbound.remaining() == capacity;
+    if (wanted > capacity && (isFull || capacity < SMALL_FRAME_BYTES)) {
+      int larger = Math.max(SMALL_FRAME_BYTES, 2 * capacity);
+      inbound = ByteBuffer.allocate(Math.min(wanted, larger)).put(inbound);
+    } else if (wanted == READ_BYTES && capacity > SMALL_FRAME_BYTES) {
+      inbound = ByteBuffer.allocate(Math.max(READ_BYTES, inbound.remaining())).put(inbound);
     } else {
       inbound.compact();
     }
+    if (!closed && !hold()) {
+      close();
+    }
+  }
+
+  private boolean hold() {
+    return guard.hold((long) inbound.capacity() + queuedBytes);
   }
 
   /** A message that can't be dealt with takes neither the link nor the process with it. */
@@ -186,6 +220,7 @@
     if (!closed) {
       closed = true;
       queue.clear();
+      guard.closed();
       IoUtils.safeClose(connection);
       listener.closed(this);
     }
--- a/src/main/java/org/marjoramhoist/peer/FrameNetwork.java
+++ b/src/main/java/org/marjoramhoist/peer/FrameNetwork.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.marjoramhoist.http.HostPort;
+import org.marjoramhoist.listener.Connections;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
 import org.xnio.ChannelListener;
@@ -37,7 +38,7 @@
   private final AcceptingChannel<StreamConnection> server;
 
   /**
-   * Starts to listen.
+   * Starts to listen, with connections of its own.
    *
    * @param worker the worker whose only I/O thread is used
    * @param address where to listen
@@ -46,16 +47,39 @@
    */
   public FrameNetwork(XnioWorker worker, InetSocketAddress address, FrameLink.Listener listener)
       throws IOException {
+    this(worker, address, new Connections(), listener);
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param worker the worker whose only I/O thread is used
+   * @param address where to listen
+   * @param connections bounds what accepted links hold
+   * @param listener hears what happens on accepted links
+   * @throws IOException if the address can't be used
+   */
+  public FrameNetwork(
+      XnioWorker worker,
+      InetSocketAddress address,
+      Connections connections,
+      FrameLink.Listener listener)
+      throws IOException {
     this.thread = worker.getIoThread();
+    AcceptedLinks accepted = new AcceptedLinks(connections);
     ChannelListener<AcceptingChannel<StreamConnection>> accept =
         ChannelListeners.openListenerAdapter(
-            connection -> connection.getIoThread().execute(() -> begin(connection, listener)));
+            connection ->
+                connection
+                    .getIoThread()
+                    .execute(() -> begin(connection, listener, accepted.guard(connection))));
     this.server = worker.createStreamConnectionServer(address, accept, OPTIONS);
     server.resumeAccepts();
   }
 
-  private static FrameLink begin(StreamConnection connection, FrameLink.Listener listener) {
-    FrameLink link = new FrameLink(connection, listener);
+  private static FrameLink begin(
+      StreamConnection connection, FrameLink.Listener listener, LinkGuard guard) {
+    FrameLink link = new FrameLink(connection, listener, guard);
     link.start();
     return link;
   }
@@ -83,7 +107,7 @@
     }
     IoFuture<StreamConnection> future =
         thread.openStreamConnection(
-            to, connection -> opened.accept(begin(connection, listener)), OPTIONS);
+            to, connection -> opened.accept(begin(connection, listener, LinkGuard.NONE)), OPTIONS);
     future.addNotifier(
         (done, nothing) -> {
           if (done.getStatus() != IoFuture.Status.DONE) {
--- a/src/test/java/org/marjoramhoist/peer/FrameNetworkTest.java
+++ b/src/test/java/org/marjoramhoist/peer/FrameNetworkTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -13,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.marjoramhoist.http.HostPort;
 import org.marjoramhoist.http.LoopbackServer;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.LeaderQuery;
@@ -110,6 +112,27 @@
     }
   }
 
+  private void assertLinkEnds(byte[] sent) throws Exception {
+    try (Socket socket = new Socket()) {
+      socket.connect(HostPort.parse(address));
+      socket.setSoTimeout((int) PATIENCE_MILLIS);
+      socket.getOutputStream().write(sent);
+      assertThat(socket.getInputStream().read()).isEqualTo(-1);
+    }
+  }
+
+  /** Before the first message anybody may be at the other end. */
+  @Test
+  void longFirstFrameEndsTheLink() throws Exception {
+    assertLinkEnds(new byte[] {1, 0, 0, 0});
+    assertLinkEnds(new byte[] {0, 2, 0, 0, 1});
+  }
+
+  @Test
+  void emptyFrameEndsTheLink() throws Exception {
+    assertLinkEnds(new byte[] {0, 0, 0, 0});
+  }
+
   @Test
   void faultInOneMessageLeavesTheLinkOpen() throws Exception {
     CompletableFuture<FrameLink> opened = new CompletableFuture<>();
