--- a/src/test/java/org/marjoramhoist/entry/ListenerLimitsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/ListenerLimitsTest.java
@@ -24,9 +24,12 @@
   private static final String GET = "GET /a HTTP/1.1\r\nHost: h\r\n";
   private static final String POST = "POST /a HTTP/1.1\r\nHost: h\r\n";
 
+  private static final int LARGE_RESPONSE_BYTES = 32 << 20;
+
   private final AtomicInteger handled = new AtomicInteger();
   private HttpListener listener;
   private RawCaller caller;
+  private volatile int responseBytes;
 
   @BeforeEach
   void startListener() throws IOException {
@@ -37,8 +40,11 @@
             exchange -> {
               handled.incrementAndGet();
               String path = exchange.getRequestPath();
+              String large = "x".repeat(responseBytes);
               Exchanges.receive(
-                  exchange, (same, bytes) -> Replies.json(same, 200, path + " " + bytes.length));
+                  exchange,
+                  (same, bytes) ->
+                      Replies.json(same, 200, large.isEmpty() ? path + " " + bytes.length : large));
             });
     caller = new RawCaller(address);
   }
@@ -162,6 +168,25 @@
     assertThat(handled.get()).isEqualTo(0);
   }
 
+  /** The response is larger than what the kernel holds for a client that reads nothing. */
+  @Test
+  void responseThatNobodyReadsEndsInTime() throws IOException, InterruptedException {
+    limits = new RequestLimits(HEAD_BYTES, BODY_BYTES, 15_000, 300);
+    responseBytes = LARGE_RESPONSE_BYTES;
+    send(GET + "\r\n");
+    Thread.sleep(2_000);
+    assertThrows(IOException.class, caller::receive);
+  }
+
+  @Test
+  void responseThatIsReadSlowlyIsWhole() throws IOException, InterruptedException {
+    limits = new RequestLimits(HEAD_BYTES, BODY_BYTES, 15_000, 2_000);
+    responseBytes = LARGE_RESPONSE_BYTES;
+    send(GET + "\r\n");
+    Thread.sleep(500);
+    assertThat(caller.receive().body()).hasLength(LARGE_RESPONSE_BYTES);
+  }
+
   @Test
   void idleConnectionIsClosedInTimeAndEmptyLinesDoNotKeepIt() throws IOException {
     limits = new RequestLimits(HEAD_BYTES, BODY_BYTES, 15_000, 200);
