--- a/src/main/java/org/marjoramhoist/config/ClientSettings.java
+++ b/src/main/java/org/marjoramhoist/config/ClientSettings.java
@@ -55,10 +55,7 @@
       return new ConnectionLimits(
           (int)
               clients.number(
-                  "maxConnections",
-                  MIN_CONNECTIONS,
-                  MAX_CONNECTIONS,
-                  Math.min(connections, MAX_CONNECTIONS)),
+                  "maxConnections", MIN_CONNECTIONS, descriptors - FILE_DESCRIPTORS, connections),
           (int) clients.number("maxCheckConnections", 1, MAX_CONNECTIONS, CHECK_CONNECTIONS),
           (int) clients.number("maxPeerConnections", 1, MAX_CONNECTIONS, PEER_CONNECTIONS),
           (int) clients.number("maxLingering", 1, MAX_CONNECTIONS, LINGERING_CONNECTIONS),
--- a/src/main/java/org/marjoramhoist/listener/Connections.java
+++ b/src/main/java/org/marjoramhoist/listener/Connections.java
@@ -42,6 +42,10 @@
   private static final Set<CloseCause> FINAL_CAUSES =
       EnumSet.of(CloseCause.DISPLACED, CloseCause.NO_PLACE, CloseCause.NO_MEMORY);
 
+  /** Connections that are closed for these are counted, but not logged. */
+  private static final Set<CloseCause> USUAL_CAUSES =
+      EnumSet.of(CloseCause.IDLE, CloseCause.REFUSED);
+
   private static final int READ_BYTES = 16 * 1_024;
   private static final long LOG_INTERVAL_MICROS = 1_000_000;
   private static final LongSupplier CLOCK = () -> TimeUnit.NANOSECONDS.toMicros(System.nanoTime());
@@ -119,11 +123,6 @@
     step(new ConnectionEvent.AcceptFailed(group));
   }
 
-  /** Closes a connection for whose request there is no memory. */
-  public void closeForMemory(ConnectionId id) {
-    close(new ConnectionAction(id, CloseCause.NO_MEMORY));
-  }
-
   void refused(ConnectionId id, Refusal refusal) {
     hold(id, MemoryPool.UNFINISHED, 0);
     refused.merge(refusal, 1, Integer::sum);
@@ -137,15 +136,12 @@
   }
 
   private void close(ConnectionAction action) {
-    Client client = open.get(action.id());
-    boolean isGoing = action.cause() == CloseCause.REFUSED;
-    if (!isGoing) {
-      closed.merge(action.cause(), 1, Integer::sum);
+    closed.merge(action.cause(), 1, Integer::sum);
+    if (!USUAL_CAUSES.contains(action.cause())) {
       closedSinceLog.merge(action.cause(), 1, Integer::sum);
     }
-    if (FINAL_CAUSES.contains(action.cause())) {
-      open.remove(action.id());
-    }
+    boolean isFinal = FINAL_CAUSES.contains(action.cause());
+    Client client = isFinal ? open.remove(action.id()) : open.get(action.id());
     if (client != null) {
       client.close(action.cause());
     }
