Revert "The listeners of serve use the same door"

What callers of serve saw with it: a request that was half read as the host's stop began was cut, not answered. Cause: the door hands on whole requests only, and GracefulShutdownHandler counts those that were handed on; HostShutdown asks the listener for the half read ones, EntryHost doesn't. So serve has the listeners, and the bounds, that it had before; to be done with the listener's halfReadCount.

--- a/src/main/java/org/marjoramhoist/host/EntryHost.java
+++ b/src/main/java/org/marjoramhoist/host/EntryHost.java
@@ -1,8 +1,11 @@
 package org.marjoramhoist.host;
 
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.handlers.GracefulShutdownHandler;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
@@ -14,6 +17,7 @@
 import org.marjoramhoist.decision.Event;
 import org.marjoramhoist.decision.HostCore;
 import org.marjoramhoist.decision.Policy;
+import org.marjoramhoist.http.HostPort;
 import org.marjoramhoist.http.HttpCaller;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.Faults;
@@ -43,7 +47,11 @@
   private static final int TICKS_UNTIL_IDLE = 40;
   private static final int IDLE_TICK_INTERVAL = 4;
   private static final int WORKER_IO_THREADS = 2;
+  private static final int LISTENER_IO_THREADS = 2;
+  private static final int HEADER_BYTES = 16 * 1024;
+  private static final int IDLE_MILLIS = 60_000;
   private static final long MIN_RESPONSE_MILLIS = 100;
+  private static final int SLOW_BODY_MILLIS = 30_000;
 
   private final Settings settings;
   private final HostRef self;
@@ -224,8 +232,22 @@
     return Part.of(() -> beats.cancel(false));
   }
 
-  private Part listener(String address, HttpHandler handler) throws IOException {
-    return Part.of(new HostListener(address, settings.limits(), handler)::close);
+  private Part listener(String address, HttpHandler handler) {
+    InetSocketAddress listen = HostPort.parse(address);
+    Undertow server =
+        Undertow.builder()
+            .addHttpListener(listen.getPort(), listen.getHostString())
+            .setIoThreads(LISTENER_IO_THREADS)
+            .setWorkerThreads(1)
+            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, HEADER_BYTES)
+            .setServerOption(UndertowOptions.IDLE_TIMEOUT, IDLE_MILLIS)
+            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MILLIS)
+            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, SLOW_BODY_MILLIS)
+            .setServerOption(UndertowOptions.MAX_CONCURRENT_REQUESTS_PER_CONNECTION, 1)
+            .setHandler(handler)
+            .build();
+    server.start();
+    return Part.of(server::stop);
   }
 
   private boolean isReady() {
