--- a/src/main/java/org/marjoramhoist/connection/ConnectionTable.java
+++ b/src/main/java/org/marjoramhoist/connection/ConnectionTable.java
@@ -75,6 +75,11 @@
     return held.get(pool).sum();
   }
 
+  /** Returns the most open connections of a group. */
+  public int maxCount(ConnectionGroup group) {
+    return bounds.maxOf(group);
+  }
+
   /** Returns the number of open connections of a group. */
   public int count(ConnectionGroup group) {
     return counts.getOrDefault(group, 0);
--- a/src/main/java/org/marjoramhoist/entry/EntryNode.java
+++ b/src/main/java/org/marjoramhoist/entry/EntryNode.java
@@ -208,7 +208,6 @@
             worker,
             connections,
             ConnectionGroup.CALLERS,
-            settings.clients().maxCallers(),
             CALLERS_FORM,
             HostPort.parse(settings.listen().callers()),
             exchanges.counting(jobHandler));
@@ -280,13 +279,7 @@
 
   private HttpListener checkListener(String address, HttpHandler handler) throws IOException {
     return new HttpListener(
-        worker,
-        connections,
-        ConnectionGroup.CHECKS,
-        settings.clients().maxChecks(),
-        CHECKS_FORM,
-        HostPort.parse(address),
-        handler);
+        worker, connections, ConnectionGroup.CHECKS, CHECKS_FORM, HostPort.parse(address), handler);
   }
 
   /**
--- a/src/main/java/org/marjoramhoist/listener/Connections.java
+++ b/src/main/java/org/marjoramhoist/listener/Connections.java
@@ -172,6 +172,11 @@
     refusedSinceLog.clear();
   }
 
+  /** Returns the most connections of a group. */
+  int maxCount(ConnectionGroup group) {
+    return table.maxCount(group);
+  }
+
   /** Returns the number of connections of a group. */
   public int count(ConnectionGroup group) {
     return table.count(group);
--- a/src/main/java/org/marjoramhoist/listener/HttpListener.java
+++ b/src/main/java/org/marjoramhoist/listener/HttpListener.java
@@ -58,7 +58,6 @@
    * @param worker its only I/O thread is used
    * @param connections bounds the connections
    * @param group which of the bounds holds
-   * @param maxConnections that bound
    * @param form what the handler uses of a request's head
    * @param address where to listen
    * @param handler handles requests on the I/O thread
@@ -68,7 +67,6 @@
       XnioWorker worker,
       Connections connections,
       ConnectionGroup group,
-      int maxConnections,
       HeadForm form,
       InetSocketAddress address,
       HttpHandler handler)
@@ -86,6 +84,7 @@
                 .set(UndertowOptions.RECORD_REQUEST_START_TIME, false)
                 .getMap());
     server.setRootHandler(tracking(handler));
+    int highWater = connections.maxCount(group) + ACCEPT_BURST;
     socket =
         worker.createStreamConnectionServer(
             address,
@@ -94,8 +93,8 @@
                 .set(Options.TCP_NODELAY, true)
                 .set(Options.REUSE_ADDRESSES, true)
                 .set(Options.BACKLOG, ACCEPT_BACKLOG)
-                .set(Options.CONNECTION_HIGH_WATER, maxConnections + ACCEPT_BURST)
-                .set(Options.CONNECTION_LOW_WATER, maxConnections + ACCEPT_BURST - 1)
+                .set(Options.CONNECTION_HIGH_WATER, highWater)
+                .set(Options.CONNECTION_LOW_WATER, highWater - 1)
                 .getMap());
     socket.resumeAccepts();
   }
--- a/src/test/java/org/marjoramhoist/entry/StoreFixture.java
+++ b/src/test/java/org/marjoramhoist/entry/StoreFixture.java
@@ -66,7 +66,6 @@
         worker,
         connections,
         ConnectionGroup.CALLERS,
-        MAX_CONNECTIONS,
         new HeadForm(Set.of(), false),
         HostPort.parse(address),
         handler);
