--- a/review/lab-3/Check.java
+++ b/review/lab-3/Check.java
@@ -247,6 +247,30 @@
     return false;
   }
 
+  /** Tells whether a job of one task is not done and has nothing running. */
+  synchronized boolean stands(Job job) {
+    String task = job.id + ".0.0.0";
+    boolean done = ends.getOrDefault(task, List.of()).stream().anyMatch(end -> end.how.equals("done"));
+    boolean running = starts.getOrDefault(task, List.of()).stream().anyMatch(start -> start.endAt == Long.MAX_VALUE);
+    return !done && !running;
+  }
+
+  synchronized boolean startedWithin(Job job, int millis) {
+    long from = now() - millis;
+    return starts.getOrDefault(job.id + ".0.0.0", List.of()).stream().anyMatch(start -> start.at >= from);
+  }
+
+  /** Returns the cpu of all that runs on workers. */
+  synchronized int cpuInUse() {
+    int sum = 0;
+    for (Map.Entry<String, List<Start>> each : starts.entrySet()) {
+      for (Start start : each.getValue()) {
+        sum += start.endAt == Long.MAX_VALUE ? cpuOf(each.getKey()) : 0;
+      }
+    }
+    return sum;
+  }
+
   synchronized int startsOf(String task) {
     return starts.getOrDefault(task, List.of()).size();
   }
--- a/review/lab-3/Deployment.java
+++ b/review/lab-3/Deployment.java
@@ -15,7 +15,8 @@
   static final String HOST = "nony24.example";
   static final String PREFIX = "/lohu930/";
   private static final int USUAL_ATTEMPTS = 3;
-  private static final String[] ZONES = {"osl-a", "osl-b", "osl-c"};
+  private static final String[] ZONES = {"osl-a", "osl-b", "osl-c", "osl-d"};
+  private static final int WORKERS_PER_RACK = 6;
   private static final int READY_SECONDS = 20;
   private static final int CANNOT_RUN = 2;
   private static final int RESTART_MILLIS = 700;
@@ -70,7 +71,8 @@
     for (int i = 0; i < workerCount; i++) {
       String id = "i-" + (7_000 + i);
       workers.add(
-          new StandInWorker(id, "huvo11a", ZONES[i % ZONES.length], workerCpu, 1, store, check, random.nextLong()));
+          new StandInWorker(
+              id, "huvo11a", zoneOf(i), rackOf(i), workerCpu, 1, store, check, random.nextLong()));
     }
     for (int i = 0; i < hostCount; i++) {
       hosts.add(
@@ -86,6 +88,14 @@
     check.note("all hosts are ready");
   }
 
+  private static String zoneOf(int number) {
+    return ZONES[number % ZONES.length];
+  }
+
+  private static String rackOf(int number) {
+    return "r-" + zoneOf(number) + "-" + number / ZONES.length / WORKERS_PER_RACK;
+  }
+
   void awaitReady() throws InterruptedException, IOException {
     long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
     while (!hosts.stream().allMatch(Host::isReady)) {
--- a/review/lab-3/Soak.java
+++ b/review/lab-3/Soak.java
@@ -85,7 +85,7 @@
     store.put("op/config", config(3));
     for (int i = 0; i < 9; i++) {
       double speed = i % 3 == 2 ? 1.7 : 0.7;
-      workers.add(new StandInWorker("i-" + (7000 + i), "huvo11a", zones[i % 3], 16_000, speed, store, check, random.nextLong()));
+      workers.add(new StandInWorker("i-" + (7000 + i), "huvo11a", zones[i % 3], "r-" + zones[i % 3], 16_000, speed, store, check, random.nextLong()));
       workers.get(i).guards = System.getenv("UNGUARDED") == null;
     }
     for (int i = 0; i < 5; i++) {
--- a/review/lab-3/StandInWorker.java
+++ b/review/lab-3/StandInWorker.java
@@ -58,6 +58,7 @@
 
   final String id;
   final String zone;
+  final String rack;
   final String service;
   final int cpu;
   final double speed;
@@ -99,11 +100,12 @@
   volatile boolean guards = true;
 
   StandInWorker(
-      String id, String service, String zone, int cpu, double speed, StandInStore store, Observer observer, long seed)
+      String id, String service, String zone, String rack, int cpu, double speed, StandInStore store, Observer observer, long seed)
       throws IOException {
     this.id = id;
     this.service = service;
     this.zone = zone;
+    this.rack = rack;
     this.cpu = cpu;
     this.speed = speed;
     this.store = store;
@@ -190,7 +192,7 @@
     root.put("slots", 8).put("state", state).put("warmupLeftMs", 0).put("clockMs", clock()).put("seq", seq);
     root.put("born", born);
     root.putObject("capacity").put("cpu", cpu).put("memMb", 65_536).put("gpu", 0);
-    root.putArray("labels").add("a").add("r-" + zone);
+    root.putArray("labels").add("a").add(rack);
     store.put("servers/" + id, root.toString());
   }
 
