--- a/review/lab-3/Check.java
+++ b/review/lab-3/Check.java
@@ -17,6 +17,8 @@
     String spec;
     boolean durable;
     int attempts;
+    int maxPerServer;
+    String label = "";
     List<int[]> steps = new ArrayList<>(); // count, cpu
     List<List<Integer>> after = new ArrayList<>();
     boolean accepted;
@@ -52,7 +54,7 @@
   private static final int CANCEL_MILLIS = 3_000;
 
   private final Map<String, Job> jobs = new HashMap<>();
-  private final Map<String, List<Start>> starts = new TreeMap<>();
+  private final TreeMap<String, List<Start>> starts = new TreeMap<>();
   private final Map<String, List<End>> ends = new HashMap<>();
   private final Map<String, List<End>> unnoted = new HashMap<>();
   private final List<String> broken = new ArrayList<>();
@@ -114,6 +116,18 @@
         violation("TWICE", task + " run " + run + " on " + worker.id + " beside run " + other.run + " on " + other.worker);
       }
     }
+    if (job.maxPerServer > 0) {
+      String prefix = task.substring(0, task.lastIndexOf('.') + 1);
+      long beside =
+          starts.subMap(prefix, prefix + "~").entrySet().stream()
+              .filter(each -> each.getKey().startsWith(prefix))
+              .flatMap(each -> each.getValue().stream())
+              .filter(start -> start.endAt == Long.MAX_VALUE && start.worker.equals(worker.id))
+              .count();
+      if (beside >= job.maxPerServer) {
+        violation("ROUTE", task + " is the " + (beside + 1) + ". of its step on " + worker.id);
+      }
+    }
     for (int before : job.after.get(stepOf(task))) {
       for (int i = 0; i < job.steps.get(before)[0]; i++) {
         String name = job.id + ".0." + before + "." + i;
--- a/review/lab-3/Deployment.java
+++ b/review/lab-3/Deployment.java
@@ -185,6 +185,9 @@
     for (int i = 0; i < job.steps.size(); i++) {
       text.append(i > 0 ? "," : "").append("{\"count\":").append(job.steps.get(i)[0]);
       text.append(",\"cpu\":").append(job.steps.get(i)[1]).append(",\"memMb\":1,\"estimateMs\":").append(estimateMillis);
+      if (!job.label.isEmpty()) {
+        text.append(",\"requiredLabel\":\"").append(job.label).append("\"");
+      }
       if (i > 0) {
         text.append(",\"after\":").append(job.after.get(i));
       }
--- a/review/lab-3/Soak.java
+++ b/review/lab-3/Soak.java
@@ -134,6 +134,7 @@
       worker.applyLate = 0;
       worker.failsAll = false;
       worker.restart();
+      worker.setCpu(16_000);
       worker.setState("ready");
     }
     for (Host host : hosts) {
@@ -209,6 +210,7 @@
       job.durable = random.nextDouble() < durableShare;
       job.attempts = ATTEMPTS;
       int fails = random.nextInt(20) == 0 ? random.nextInt(4) : 0;
+      job.maxPerServer = random.nextInt(4) == 0 ? 1 + random.nextInt(2) : 0;
       job.spec = "ms=" + (60 + random.nextInt(900)) + " fail=" + fails + " for=" + job.id;
       int steps = job.durable ? 1 + random.nextInt(3) : 1;
       for (int i = 0; i < steps; i++) {
@@ -225,6 +227,9 @@
     for (int i = 0; i < job.steps.size(); i++) {
       text.append(i > 0 ? "," : "").append("{\"count\":").append(job.steps.get(i)[0]);
       text.append(",\"cpu\":").append(job.steps.get(i)[1]).append(",\"memMb\":64,\"estimateMs\":400");
+      if (job.maxPerServer > 0) {
+        text.append(",\"maxPerServer\":").append(job.maxPerServer);
+      }
       if (i > 0) {
         text.append(",\"after\":").append(job.after.get(i));
       }
@@ -303,7 +308,7 @@
   private void faults() {
     String[] all = {
       "kill", "kill", "stop", "term", "storeDown", "storeLost", "storeLate", "storeSlow", "crash", "crash", "cut",
-      "mute", "late", "failing", "killAll", "compact", "config", "turnAway", "turnAway", "storeMute", "drain"
+      "mute", "late", "failing", "killAll", "compact", "config", "turnAway", "turnAway", "storeMute", "drain", "shrink", "other", "leave"
     };
     List<String> chosen =
         kinds.equals("all") ? List.of(all) : List.of(kinds.split(","));
@@ -443,6 +448,31 @@
           worker.mute = true;
           later(millis, () -> worker.mute = false);
         }
+        case "shrink" -> {
+          worker.setCpu(6_000);
+          later(4_000 + millis, () -> worker.setCpu(16_000));
+        }
+        case "other" -> {
+          String old = worker.id;
+          worker.crash();
+          later(100 + millis / 2, () -> worker.restartAs("i-" + (9_000 + next(1_000_000))));
+          later(4_500, () -> store.delete("servers/" + old));
+        }
+        case "leave" -> {
+          worker.setState("draining");
+          later(
+              2_500,
+              () -> {
+                worker.crash();
+                worker.unlist();
+              });
+          later(
+              4_500,
+              () -> {
+                worker.state = "ready";
+                worker.restartAs("i-" + (9_000 + next(1_000_000)));
+              });
+        }
         case "drain" -> {
           worker.setState("draining");
           later(2_200 + millis, () -> worker.setState("ready"));
--- a/review/lab-3/StandInWorker.java
+++ b/review/lab-3/StandInWorker.java
@@ -21,6 +21,9 @@
   private static final int STOP_MILLIS = 30;
   private static final int HEARTBEAT_MILLIS = 1_500;
   private static final int DEADLY_MILLIS = 50;
+
+  /** A room that has shrunk counts after the settle window and a heartbeat. */
+  private static final int SHRUNK_COUNTS_MILLIS = 3_000 + HEARTBEAT_MILLIS;
   private static final ObjectMapper JSON = new ObjectMapper();
 
   /** Hears what the worker does; times are those of {@link System#nanoTime}. */
@@ -56,11 +59,14 @@
 
   private record End(long number, String task, int run, String how) {}
 
-  final String id;
+  volatile String id;
   final String zone;
   final String rack;
   final String service;
-  final int cpu;
+  volatile int cpu;
+
+  /** Since when its capacity is smaller than before. */
+  volatile long shrunkAt;
   final double speed;
   private final StandInStore store;
   private final Observer observer;
@@ -84,6 +90,12 @@
   /** Whether calls get no answer and are not carried out. */
   volatile boolean cut;
 
+  /** Whether it is cut off from the machines that call it, silently, and still reaches the store. */
+  volatile boolean cutFromMachines;
+
+  /** Its first label. */
+  volatile String kind = "a";
+
   /** Whether calls are carried out and their answers are lost. */
   volatile boolean mute;
 
@@ -177,6 +189,36 @@
     timer.schedule(StandInStore.task(this::beat), 0);
   }
 
+  /** Starts again at the same address as another worker. */
+  synchronized void restartAs(String nextId) throws IOException {
+    if (crashed) {
+      id = nextId;
+      restart();
+    }
+  }
+
+  /** Changes its first label. */
+  void setKind(String next) {
+    kind = next;
+    beat();
+  }
+
+  /** Crashes and starts again under its id, without a connection that is reset. */
+  synchronized void crashBehindCut() {
+    for (Run run : List.copyOf(runs.values())) {
+      observer.ended(this, born, 0, run.task, run.number, "crashed");
+    }
+    begin();
+    notifyAll();
+  }
+
+  /** Changes the capacity that it tells of. */
+  void setCpu(int next) {
+    shrunkAt = next < cpu ? now() : shrunkAt;
+    cpu = next;
+    beat();
+  }
+
   private void beat() {
     synchronized (this) {
       if (crashed || !registered) {
@@ -192,7 +234,7 @@
     root.put("slots", 8).put("state", state).put("warmupLeftMs", 0).put("clockMs", clock()).put("seq", seq);
     root.put("born", born);
     root.putObject("capacity").put("cpu", cpu).put("memMb", 65_536).put("gpu", 0);
-    root.putArray("labels").add("a").add(rack);
+    root.putArray("labels").add(kind).add(rack);
     store.put("servers/" + id, root.toString());
   }
 
@@ -239,7 +281,7 @@
   }
 
   private StandInHttp.Reply handle(StandInHttp.Request request) throws Exception {
-    if (cut) {
+    if (cut || cutFromMachines) {
       return StandInHttp.Reply.SILENCE;
     }
     long lifeAtArrival = life();
@@ -263,7 +305,7 @@
       return StandInHttp.Reply.SILENCE;
     }
     StandInHttp.Reply reply = carryOut(request.path(), target, call);
-    return mute || cut ? StandInHttp.Reply.SILENCE : reply;
+    return mute || cut || cutFromMachines ? StandInHttp.Reply.SILENCE : reply;
   }
 
   private synchronized double draw() {
@@ -339,6 +381,7 @@
       if (guards) {
         return answer(409, "room");
       }
+      if (now() - shrunkAt > SHRUNK_COUNTS_MILLIS)
       observer.overfilled(this, task, used + need);
     }
     String spec = call.path("spec").asText();
@@ -408,7 +451,7 @@
       wait(Math.max(1, until - now()));
     }
     if (crashed || born != life) {
-      return StandInHttp.Reply.RESET;
+      return cutFromMachines ? StandInHttp.Reply.SILENCE : StandInHttp.Reply.RESET;
     }
     ObjectNode root = JSON.createObjectNode();
     root.put("clockMs", clock()).put("born", born);
