--- a/review/lab-3/RebornBehindCut.java
+++ b/review/lab-3/RebornBehindCut.java
@@ -21,7 +21,7 @@
 
   public static void main(String[] args) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    Deployment deployment = new Deployment(Path.of(args[0]), 12);
+    Deployment deployment = new Deployment(Path.of(args[0]), 16);
     deployment.start(3, WORKERS, 16_000);
     deployment.superviseHosts();
     List<StandInWorker> cut = deployment.workers.subList(0, CUT);
