Case 12: a job runs twice at once when its caller is back in the first second of a term

A job that is not known to have been with an earlier leader starts at once in the first second of a term, also if a worker that runs it is out of reach and the lost leader's lease there holds.

--- a/review/lab-3/Check.java
+++ b/review/lab-3/Check.java
@@ -285,6 +285,15 @@
     return sum;
   }
 
+  /** Returns the worker that runs a task; empty if none does. */
+  synchronized String workerOf(String task) {
+    return starts.getOrDefault(task, List.of()).stream()
+        .filter(start -> start.endAt == Long.MAX_VALUE)
+        .map(start -> start.worker)
+        .findFirst()
+        .orElse("");
+  }
+
   synchronized int startsOf(String task) {
     return starts.getOrDefault(task, List.of()).size();
   }
--- a/review/lab-3/DeadlyJob.java
+++ b/review/lab-3/DeadlyJob.java
@@ -22,7 +22,7 @@
 
   public static void main(String[] args) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    Deployment deployment = new Deployment(Path.of(args[0]), 15);
+    Deployment deployment = new Deployment(Path.of(args[0]), 17);
     deployment.check.calm = true;
     deployment.start(3, 12, 16_000);
     deployment.superviseHosts();
--- a/review/lab-3/LargeJob.java
+++ b/review/lab-3/LargeJob.java
@@ -23,7 +23,7 @@
 
   public static void main(String[] args) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    Deployment deployment = new Deployment(Path.of(args[0]), 12);
+    Deployment deployment = new Deployment(Path.of(args[0]), 15);
     deployment.attempts = ATTEMPTS;
     deployment.check.calm = true;
     deployment.start(3, 8, 16_000);
