--- a/review/lab-3/EarlyReturn.java
+++ b/review/lab-3/EarlyReturn.java
@@ -8,13 +8,15 @@
 final class EarlyReturn {
 
   private static final int ROUNDS = 5;
-  private static final int TASK_MILLIS = 4_000;
-  private static final int RUNS_BEFORE_MILLIS = 1_000;
+  private static final int TASK_MILLIS = 2_500;
+  private static final int ESTIMATE_MILLIS = 900;
+  private static final int RUNS_BEFORE_MILLIS = 200;
+  private static final int STARTS_WITHIN_MILLIS = 800;
   private static final int CUT_AFTER_MILLIS = 700;
   private static final int LEADER_KILL_AFTER_MILLIS = 800;
   private static final int RESEND_MILLIS = 1_300;
-  private static final int DEADLINE_MILLIS = 10_000;
-  private static final int PAUSE_MILLIS = 6_000;
+  private static final int DEADLINE_MILLIS = 1_500;
+  private static final int PAUSE_MILLIS = 5_000;
 
   private EarlyReturn() {}
 
@@ -39,7 +41,12 @@
     client.start();
     Thread.sleep(RUNS_BEFORE_MILLIS);
     String id = deployment.check.workerOf(job.id + ".0.0.0");
-    StandInWorker worker = deployment.workers.stream().filter(each -> each.id.equals(id)).findFirst().orElseThrow();
+    for (int i = 0; id.isEmpty() && i < STARTS_WITHIN_MILLIS; i += 10) {
+      Thread.sleep(10);
+      id = deployment.check.workerOf(job.id + ".0.0.0");
+    }
+    String runs = id;
+    StandInWorker worker = deployment.workers.stream().filter(each -> each.id.equals(runs)).findFirst().orElseThrow();
     deployment.check.note("leader " + leader.name + ", entry " + entry.name + ", worker " + id);
     if (trouble) {
       long begin = deployment.check.now();
@@ -63,16 +70,16 @@
     deployment.awaitReady();
   }
 
-  /** Submits a job, and again elsewhere if the connection breaks. */
+  /** Submits a job, and again elsewhere after a broken connection or a 504. */
   private static void call(Deployment deployment, Host entry, Host next, Check.Job job) {
-    Caller.Answer answer = deployment.submit(entry, job, TASK_MILLIS, DEADLINE_MILLIS);
-    if (answer.status() == 0) {
+    Caller.Answer answer = deployment.submit(entry, job, ESTIMATE_MILLIS, DEADLINE_MILLIS);
+    if (answer.status() == 0 || answer.status() == 504) {
       try {
         Thread.sleep(RESEND_MILLIS);
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       }
-      deployment.submit(next, job, TASK_MILLIS, DEADLINE_MILLIS);
+      deployment.submit(next, job, ESTIMATE_MILLIS, DEADLINE_MILLIS);
     }
   }
 
--- a/review/lab-3/StoredCrowd.java
+++ b/review/lab-3/StoredCrowd.java
@@ -20,6 +20,7 @@
   private static final int FINISH_MILLIS = 14_000;
   private static final int ORDINARY_JOBS = 20;
   private static final int ASKED_TIMES = 2;
+  private static final int ASK_SECONDS = 30;
 
   private StoredCrowd() {}
 
@@ -41,7 +42,10 @@
     }
     deployment.check.note("the traffic has ended");
     Thread.sleep(FINISH_MILLIS);
-    ordinary.parallelStream().filter(job -> job.accepted).forEach(job -> ask(deployment, job));
+    ExecutorService callers = Executors.newFixedThreadPool(ORDINARY_JOBS);
+    ordinary.stream().filter(job -> job.accepted).forEach(job -> callers.execute(() -> ask(deployment, job)));
+    callers.shutdown();
+    callers.awaitTermination(ASK_SECONDS, TimeUnit.SECONDS);
     if (deployment.endedByItself.get() > 0) {
       deployment.check.violation("CLIENTS", deployment.endedByItself.get() + " times a process of a host ended by itself");
     }
