--- a/review/lab-3/Deployment.java
+++ b/review/lab-3/Deployment.java
@@ -230,9 +230,7 @@
     supervised = false;
     try {
       for (Host host : hosts) {
-        if (host.process != null) {
-          host.kill();
-        }
+        host.end();
       }
       if (System.getenv("KEEP_LOGS") == null) {
         try (Stream<Path> files = Files.list(folder)) {
@@ -242,7 +240,7 @@
         }
         Files.delete(folder);
       }
-    } catch (InterruptedException | IOException e) {
+    } catch (IOException e) {
       check.note("end of the hosts: " + e);
     }
     check.close();
--- a/review/lab-3/Host.java
+++ b/review/lab-3/Host.java
@@ -24,6 +24,7 @@
   private final String store;
   volatile Process process;
   int starts;
+  private boolean ended;
 
   /** The value of LANG that the process gets; null for none. */
   String lang = System.getenv("LANG");
@@ -75,8 +76,11 @@
     return front;
   }
 
-  /** Starts the process with the deploy file's line, but for the path of the settings. */
-  void start() throws IOException {
+  /** Starts the process with the deploy file's line, but for the path of the settings; not after the end. */
+  synchronized void start() throws IOException {
+    if (ended) {
+      return;
+    }
     String run =
         Files.readAllLines(Path.of("deploy/system.toml")).stream()
             .filter(line -> line.startsWith("run = "))
@@ -107,6 +111,15 @@
     process.waitFor(10, TimeUnit.SECONDS);
   }
 
+  /** Ends the process for good: whoever starts it again later starts nothing. */
+  synchronized void end() {
+    ended = true;
+    if (process != null) {
+      process.destroyForcibly();
+      process.onExit().orTimeout(10, TimeUnit.SECONDS).exceptionally(error -> null).join();
+    }
+  }
+
   /** SIGTERM. */
   void terminate() {
     process.destroy();
--- a/review/lab-3/Soak.java
+++ b/review/lab-3/Soak.java
@@ -50,19 +50,12 @@
     Runtime.getRuntime()
         .addShutdownHook(
             new Thread(
-                () ->
-                    soak.hosts.stream()
-                        .filter(Host::isAlive)
-                        .forEach(host -> host.process.destroyForcibly())));
+                () -> soak.hosts.forEach(Host::end)));
     List<String> broken = List.of("did not run");
     try {
       broken = soak.run(seconds);
     } finally {
-      for (Host host : soak.hosts) {
-        if (host.isAlive()) {
-          host.kill();
-        }
-      }
+      soak.hosts.forEach(Host::end);
     }
     System.out.println("seed " + seed + " starts " + soak.check.startCount() + " broken " + broken.size());
     broken.stream().limit(12).forEach(System.out::println);
