Log and count why an order to a worker was not answered

Nothing is mended here; on-call gets what tells the hypotheses apart.

Cause of the missing evidence: RUN_UNANSWERED said only whether the worker may have got the order, marjoramhoist_orders_total only that it was unanswered, and a call that could not be made counted as one without a reply in time.

Change: RUN_UNANSWERED has failure and reason, the counter marjoramhoist_order_failures_total has kind and failure, CallFailure tells INVALID from SILENT, and an exception without a message is named by its class.

DispatcherTest.logsWhyStartWasNotAnswered passes.

--- a/src/main/java/org/marjoramhoist/dispatch/CallFailure.java
+++ b/src/main/java/org/marjoramhoist/dispatch/CallFailure.java
@@ -7,5 +7,7 @@
   /** The connection ended before the reply. */
   BROKEN,
   /** Nothing was heard in time. */
-  SILENT
+  SILENT,
+  /** The call could not be made, or its reply could not be read. */
+  INVALID
 }
--- a/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -190,9 +190,15 @@
   /**
    * A start order was not answered.
    *
+   * @param worker the worker's id
+   * @param run the run
    * @param mayRun whether the worker may have executed the order, or may still execute it
+   * @param failure why there was no answer
+   * @param reason what the failed call tells of it
    */
-  record StartUnanswered(String worker, RunRef run, boolean mayRun) implements WorkerEvent {}
+  record StartUnanswered(
+      String worker, RunRef run, boolean mayRun, CallFailure failure, String reason)
+      implements WorkerEvent {}
 
   /**
    * A stop order was answered or failed.
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -287,7 +287,7 @@
       runController.startAnswered(
           worker, answered.run(), answered.sentAt(), answered.reply(), now, out);
     } else if (event instanceof StartUnanswered unanswered) {
-      runController.startUnanswered(worker, unanswered.run(), unanswered.mayRun(), now, out);
+      runController.startUnanswered(worker, unanswered, now, out);
     } else if (event instanceof StopEnded ended) {
       runController.stopEnded(worker, ended.run(), ended.answered(), now, out);
     }
--- a/src/main/java/org/marjoramhoist/dispatch/RunController.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunController.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
+import org.marjoramhoist.dispatch.DispatchEvent.StartUnanswered;
 import org.marjoramhoist.dispatch.WorkerReport.ActiveRun;
 import org.marjoramhoist.dispatch.WorkerReport.Completion;
 import org.marjoramhoist.dispatch.WorkerReport.RunOutcome;
@@ -140,15 +141,14 @@
   }
 
   /** Handles a start order that was not answered. */
-  void startUnanswered(
-      Worker worker, RunRef ref, boolean mayRun, long now, List<DispatchAction> out) {
+  void startUnanswered(Worker worker, StartUnanswered order, long now, List<DispatchAction> out) {
     worker.recordCallFailure(now);
-    Run run = worker.runs.get(ref);
+    Run run = worker.runs.get(order.run());
     if (run == null || run.phase != Run.Phase.STARTING) {
       return;
     }
-    out.add(new Log(LogEvent.RUN_UNANSWERED, describe(run) + " mayRun=" + mayRun));
-    if (mayRun) {
+    out.add(new Log(LogEvent.RUN_UNANSWERED, describe(run) + " " + describe(order)));
+    if (order.mayRun()) {
       stop(run, out);
     } else {
       removeRun(run);
@@ -417,6 +417,16 @@
         + tasks;
   }
 
+  private static String describe(StartUnanswered order) {
+    return "mayRun="
+        + order.mayRun()
+        + " failure="
+        + order.failure()
+        + " reason=\""
+        + order.reason()
+        + '"';
+  }
+
   static String describe(Run run) {
     return "job="
         + run.ref.task().job()
--- a/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
+++ b/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
+import org.marjoramhoist.dispatch.CallFailure;
 import org.marjoramhoist.dispatch.DispatchSnapshot;
 import org.marjoramhoist.dispatch.ServedShares;
 import org.marjoramhoist.job.JobOutcome;
@@ -182,6 +183,13 @@
     registry.counter("marjoramhoist.orders", "kind", kind, "result", result).increment();
   }
 
+  /** Counts an order to a worker that was not answered, by why it was not. */
+  void countOrderFailure(String kind, CallFailure failure) {
+    registry
+        .counter("marjoramhoist.order.failures", "kind", kind, "failure", failure.name())
+        .increment();
+  }
+
   /**
    * Sets the drained failure domains; the gauges of domains that are no longer drained remain, at
    * 0.
--- a/src/main/java/org/marjoramhoist/entry/WorkerOrders.java
+++ b/src/main/java/org/marjoramhoist/entry/WorkerOrders.java
@@ -71,8 +71,8 @@
                 events.accept(
                     new DispatchEvent.StartAnswered(worker.id(), start.run(), sentAt, reply));
               } else {
-                boolean mayRun = HttpException.mayHaveArrived(error);
-                events.accept(new DispatchEvent.StartUnanswered(worker.id(), start.run(), mayRun));
+                metrics.countOrderFailure("start", failureOf(error));
+                events.accept(startUnanswered(start, error));
               }
             });
   }
@@ -88,6 +88,9 @@
               recordResponseTime(sentAt, 0, error);
               boolean confirmed = error == null && stopped;
               metrics.countOrder("stop", confirmed ? "CONFIRMED" : "UNANSWERED");
+              if (error != null) {
+                metrics.countOrderFailure("stop", failureOf(error));
+              }
               events.accept(new DispatchEvent.StopEnded(worker.id(), stop.run(), confirmed));
             });
   }
@@ -112,16 +115,29 @@
               if (error == null) {
                 events.accept(new DispatchEvent.RenewalAnswered(worker.id(), sentAt, report));
               } else {
-                events.accept(new DispatchEvent.RenewalFailed(worker.id(), failureOf(error)));
+                CallFailure failure = failureOf(error);
+                metrics.countOrderFailure("renew", failure);
+                events.accept(new DispatchEvent.RenewalFailed(worker.id(), failure));
               }
             });
   }
 
+  private static DispatchEvent.StartUnanswered startUnanswered(
+      DispatchAction.Start start, Throwable error) {
+    return new DispatchEvent.StartUnanswered(
+        start.worker().id(),
+        start.run(),
+        HttpException.mayHaveArrived(error),
+        failureOf(error),
+        HttpException.reasonOf(error));
+  }
+
   private static CallFailure failureOf(Throwable error) {
     return switch (HttpException.kindOf(error)) {
       case REFUSED -> CallFailure.REFUSED;
       case BROKEN -> CallFailure.BROKEN;
-      default -> CallFailure.SILENT;
+      case TIMED_OUT -> CallFailure.SILENT;
+      case INVALID -> CallFailure.INVALID;
     };
   }
 
--- a/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchFleet.java
@@ -683,12 +683,14 @@
             from.take(
                 reply.isPresent()
                     ? new DispatchEvent.StartAnswered(id, run, sentAt, reply.get())
-                    : new DispatchEvent.StartUnanswered(id, run, true)),
+                    : new DispatchEvent.StartUnanswered(
+                        id, run, true, CallFailure.SILENT, "no reply")),
         process ->
             from.take(
                 process == LeasedWorker.Process.REPLACED
                     ? new DispatchEvent.StartAnswered(id, run, sentAt, OTHER_WORKER)
-                    : new DispatchEvent.StartUnanswered(id, run, false)));
+                    : new DispatchEvent.StartUnanswered(
+                        id, run, false, CallFailure.REFUSED, "connection refused")));
   }
 
   /** Returns a worker, or null if a leader does not reach it. */
--- a/src/main/java/org/marjoramhoist/http/HttpCaller.java
+++ b/src/main/java/org/marjoramhoist/http/HttpCaller.java
@@ -158,7 +158,7 @@
 
                 @Override
                 public void failed(IOException e) {
-                  pending.fail(false, kindOf(e), "can't connect: " + e.getMessage());
+                  pending.fail(false, kindOf(e), "can't connect: " + describe(e));
                 }
               },
               uri,
@@ -175,6 +175,11 @@
     return refused ? Kind.REFUSED : Kind.BROKEN;
   }
 
+  /** Describes a failure, also one without a message, as that of a closed channel. */
+  private static String describe(IOException e) {
+    return e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage();
+  }
+
   /** One call from its start to its reply; ends exactly once. */
   private final class Pending {
     private final HttpCall call;
@@ -296,7 +301,7 @@
 
             @Override
             public void failed(IOException e) {
-              pending.fail(true, Kind.BROKEN, "connection lost: " + e.getMessage());
+              pending.fail(true, Kind.BROKEN, "connection lost: " + describe(e));
             }
           });
       new StringWriteChannelListener(pending.call.body()).setup(exchange.getRequestChannel());
@@ -318,7 +323,7 @@
 
     @Override
     public void failed(IOException e) {
-      pending.fail(true, Kind.BROKEN, "connection lost: " + e.getMessage());
+      pending.fail(true, Kind.BROKEN, "connection lost: " + describe(e));
     }
   }
 
--- a/src/main/java/org/marjoramhoist/http/HttpException.java
+++ b/src/main/java/org/marjoramhoist/http/HttpException.java
@@ -52,6 +52,11 @@
     return unwrap(error) instanceof HttpException failure ? failure.kind : Kind.INVALID;
   }
 
+  /** Returns what the failure of a call's future tells of its cause. */
+  public static String reasonOf(Throwable error) {
+    return String.valueOf(unwrap(error).getMessage());
+  }
+
   private static Throwable unwrap(Throwable error) {
     boolean wrapped = error instanceof CompletionException && error.getCause() != null;
     return wrapped ? error.getCause() : error;
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherFixture.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherFixture.java
@@ -104,4 +104,10 @@
     StartReply reply = new StartReply(Verdict.STARTED, now / MICROS_PER_MILLI);
     step(0, new DispatchEvent.StartAnswered(worker, run, now, reply));
   }
+
+  /** Returns that a start order got no answer in time. */
+  static DispatchEvent.StartUnanswered unanswered(String worker, RunRef run, boolean mayRun) {
+    return new DispatchEvent.StartUnanswered(
+        worker, run, mayRun, CallFailure.SILENT, "no reply in time");
+  }
 }
--- a/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DispatcherTest.java
@@ -129,11 +129,24 @@
     assertThat(takeActions(DispatchAction.Start.class)).isEmpty();
   }
 
+  @Test
+  void logsWhyStartWasNotAnswered() {
+    submit(1, 0);
+    RunRef run = takeActions(DispatchAction.Start.class).get(0).run();
+    takeActions(DispatchAction.Log.class);
+    step(
+        6,
+        new DispatchEvent.StartUnanswered(
+            "w", run, true, CallFailure.BROKEN, "connection lost: reset"));
+    assertThat(takeActions(DispatchAction.Log.class).get(0).detail())
+        .endsWith("worker=w mayRun=true failure=BROKEN reason=\"connection lost: reset\"");
+  }
+
   @Test
   void restartsTaskOfUnansweredStartOnlyOnceItsRunIsOver() {
     submit(1, 0);
     RunRef run = takeActions(DispatchAction.Start.class).get(0).run();
-    step(200, new DispatchEvent.StartUnanswered("w", run, true));
+    step(200, unanswered("w", run, true));
     assertThat(takeActions(DispatchAction.Stop.class)).hasSize(1);
     assertThat(takeActions(DispatchAction.Start.class)).isEmpty();
     step(5, new DispatchEvent.StopEnded("w", run, true));
@@ -151,7 +164,7 @@
     RunRef unansweredRun = starts.get(1).run();
     confirmStart("w", activeRun);
     assertThat(takeActions(DispatchAction.Renew.class)).hasSize(1);
-    step(120, new DispatchEvent.StartUnanswered("w", unansweredRun, true));
+    step(120, unanswered("w", unansweredRun, true));
     step(2, new DispatchEvent.StopEnded("w", unansweredRun, true));
     assertThat(takeActions(DispatchAction.Renew.class)).hasSize(1);
     report("w", List.of(new WorkerReport.ActiveRun(activeRun, 10)));
--- a/src/test/java/org/marjoramhoist/dispatch/StartWindowTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/StartWindowTest.java
@@ -75,7 +75,7 @@
     answer(2, takeOrderedRuns());
     takeOrderedRuns();
     for (RunRef run : first.subList(4, 24)) {
-      step(0, new DispatchEvent.StartUnanswered("w", run, true));
+      step(0, unanswered("w", run, true));
     }
     assertThat(dispatcher.snapshot(now).runs().unansweredStarts()).isEqualTo(24);
   }
--- a/src/test/java/org/marjoramhoist/dispatch/SuspectTasksTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/SuspectTasksTest.java
@@ -385,7 +385,7 @@
     RunRef run = takeActions(DispatchAction.Start.class).get(0).run();
     fail("w", CallFailure.BROKEN);
     fail("w", CallFailure.REFUSED);
-    step(0, new DispatchEvent.StartUnanswered("w", run, false));
+    step(0, unanswered("w", run, false));
     assertThat(suspects()).isEqualTo(0);
   }
 
