Decode frames of other hosts in UTF-8 whatever the environment

What callers saw: nothing yet.

Cause: jackson-dataformat-msgpack, up to its newest version, decodes texts of up to 64 bytes in the default charset of the process, ASCII with Java 17 where the environment names no language. Short specs, labels, racks and names in messages between hosts had U+FFFD for each byte of a letter beyond ASCII.

FrameCodecTest.keepsLettersWhateverTheDefaultCharset failed before.

Change: msgpack-core itself, which decodes in UTF-8 always, reads frames into Jackson's tokens. The bytes that are sent stay as they were, so hosts of both versions understand each other.

--- a/src/main/java/org/marjoramhoist/peer/FrameCodec.java
+++ b/src/main/java/org/marjoramhoist/peer/FrameCodec.java
@@ -1,5 +1,6 @@
 package org.marjoramhoist.peer;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -49,8 +50,8 @@
    * @throws IOException if the bytes are not such a value
    */
   public static <T> T decode(byte[] bytes, Class<T> type) throws IOException {
-    try {
-      T value = MAPPER.readValue(bytes, type);
+    try (JsonParser tokens = MessagePackTokens.read(bytes, MAPPER).asParserOnFirstToken()) {
+      T value = MAPPER.readValue(tokens, type);
       if (value == null) {
         throw new IOException("frame holds no " + type.getSimpleName());
       }
--- a/src/main/java/org/marjoramhoist/platform/standin/PlatformWorkerStandIn.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/PlatformWorkerStandIn.java
@@ -5,7 +5,9 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
+import java.util.HashMap;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.marjoramhoist.dispatch.StartReply;
@@ -25,8 +27,8 @@
 /**
  * A stand-in for a worker of the platform: the emulated worker, served over HTTP in real time.
  *
- * <p>A job's payload is the run time of each of its tasks, in milliseconds. Safe for use by several
- * threads.
+ * <p>A job's payload is the run time of each of its tasks, in milliseconds, and may go on after a
+ * space. Safe for use by several threads.
  */
 public final class PlatformWorkerStandIn implements AutoCloseable {
 
@@ -43,6 +45,7 @@
   private final LoopbackServer server;
   private final Resources taskNeed;
   private final ScheduledExecutorService timer = DaemonTimer.create("worker-stand-in");
+  private final Map<JobId, String> payloads = new HashMap<>();
   private boolean unresponsive;
 
   /**
@@ -75,6 +78,11 @@
     worker.crash();
   }
 
+  /** Returns the payload in the latest start order for a task of a job; null if there was none. */
+  public synchronized String payloadOf(JobId job) {
+    return payloads.get(job);
+  }
+
   /** Returns the worker's registration. */
   public String registration(boolean draining) {
     WorkerInfo info = worker.info();
@@ -137,9 +145,11 @@
   }
 
   private void start(HttpServerExchange exchange, JsonNode call, long fence) {
-    double micros = Double.parseDouble(call.path("spec").asText()) * MICROS_PER_MILLI;
+    String payload = call.path("spec").asText();
+    double micros = Double.parseDouble(payload.split(" ")[0]) * MICROS_PER_MILLI;
     StartReply startReply =
         worker.start(parseRun(call), taskNeed, micros, call.path("deadlineMs").asLong(), fence);
+    payloads.put(parseRun(call).task().job(), payload);
     int status =
         switch (startReply.verdict()) {
           case STARTED -> OK;
--- a/src/main/java/org/marjoramhoist/platform/standin/SampleDocuments.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/SampleDocuments.java
@@ -19,6 +19,9 @@
        "priority":0,"service":"%s","attempts":3,"stretch":1.6}],"services":[]}
       """;
 
+  /** Letters of each length in UTF-8, as callers may send. */
+  public static final String LETTERS = "æ Š 測 😀";
+
   private static final String JOB =
       """
       {"spec":"%d","steps":[{"count":%d,"cpu":%d,"memMb":64,"estimateMs":%d}],"bestEffort":%s}
--- a/src/test/java/org/marjoramhoist/http/RawCaller.java
+++ b/src/test/java/org/marjoramhoist/http/RawCaller.java
@@ -54,16 +54,32 @@
 
   /** Returns the bytes of a request. */
   public static byte[] request(String method, String authority, String path, String body) {
+    return request(method, authority, path, "", body);
+  }
+
+  /**
+   * Returns the bytes of a request.
+   *
+   * @param fields further lines of the head, each with its end
+   */
+  public static byte[] request(
+      String method, String authority, String path, String fields, String body) {
+    byte[] bodyBytes = body.getBytes(StandardCharsets.UTF_8);
     String head =
         method
             + " "
             + path
             + " HTTP/1.1\r\nHost: "
             + authority
-            + "\r\nContent-Length: "
-            + body.length()
+            + "\r\n"
+            + fields
+            + "Content-Length: "
+            + bodyBytes.length
             + "\r\n\r\n";
-    return (head + body).getBytes(StandardCharsets.US_ASCII);
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    bytes.writeBytes(head.getBytes(StandardCharsets.US_ASCII));
+    bytes.writeBytes(bodyBytes);
+    return bytes.toByteArray();
   }
 
   /** Sends bytes of a request. */
--- a/src/test/java/org/marjoramhoist/peer/FrameCodecTest.java
+++ b/src/test/java/org/marjoramhoist/peer/FrameCodecTest.java
@@ -7,10 +7,13 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.marjoramhoist.dispatch.RetryForecast;
+import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.PeerMessage;
 import org.marjoramhoist.message.PeerMessage.ClaimEntry;
 import org.marjoramhoist.model.ClassId;
@@ -23,6 +26,7 @@
 import org.marjoramhoist.model.TaskSpec;
 import org.marjoramhoist.model.TeamId;
 import org.marjoramhoist.model.WorkerId;
+import org.marjoramhoist.platform.standin.SampleDocuments;
 
 class FrameCodecTest {
 
@@ -60,6 +64,17 @@
     }
   }
 
+  /** Guards against texts that reach the other host with other letters, names of keys included. */
+  @Example
+  void keepsLettersWhateverTheDefaultCharset() throws IOException {
+    for (String text : List.of(SampleDocuments.LETTERS, SampleDocuments.LETTERS.repeat(50))) {
+      HostMessage.Heartbeat heartbeat =
+          new HostMessage.Heartbeat(7, text, 3, 5, Map.of(text, 2), 0.5, 99, RetryForecast.NONE);
+      assertThat(FrameCodec.decode(FrameCodec.encode(heartbeat), HostMessage.class))
+          .isEqualTo(heartbeat);
+    }
+  }
+
   @Example
   void refusesLengthsOutOfBounds() {
     byte[] tooLong = {0x7f, 0, 0, 0};
--- a/src/test/java/org/marjoramhoist/trial/HostProcess.java
+++ b/src/test/java/org/marjoramhoist/trial/HostProcess.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -173,17 +172,9 @@
 
   /** Returns the bytes of a request that submits a short job. */
   byte[] ordinaryRequest() {
-    String body = PlatformCluster.job(1, 20);
-    String head =
-        "POST "
-            + nextJobPath()
-            + " HTTP/1.1\r\nHost: "
-            + PlatformCluster.AUTHORITY
-            + "\r\nContent-Type: application/json\r\nX-Marjoramhoist-Deadline-Ms: 15000"
-            + "\r\nContent-Length: "
-            + body.length()
-            + "\r\n\r\n";
-    return (head + body).getBytes(StandardCharsets.US_ASCII);
+    String fields = "Content-Type: application/json\r\nX-Marjoramhoist-Deadline-Ms: 15000\r\n";
+    return RawCaller.request(
+        "POST", PlatformCluster.AUTHORITY, nextJobPath(), fields, PlatformCluster.job(1, 20));
   }
 
   boolean isAlive() {
