Write requests in the charset in which their bytes are counted

Cause: HttpCaller counted the body's bytes in UTF-8 and had Undertow write them in the default charset, one "?" for each letter. The request was shorter than it said; Undertow ended the connection at once, and the order counted as one that may have arrived, again and again.

Change: one constant for counting and writing.

--- a/src/main/java/org/marjoramhoist/http/HttpCaller.java
+++ b/src/main/java/org/marjoramhoist/http/HttpCaller.java
@@ -13,6 +13,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.URI;
+import java.nio.charset.Charset;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -40,6 +41,9 @@
  */
 public final class HttpCaller implements AutoCloseable {
 
+  /** Bodies are counted and written in it; a request that is shorter than it says ends broken. */
+  private static final Charset BODY_CHARSET = StandardCharsets.UTF_8;
+
   private static final int BUFFER_BYTES = 16 * 1024;
   private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(15);
   private static final long LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
@@ -241,7 +245,7 @@
       request.setMethod(HttpString.tryFromString(call.method()));
       request.setPath(call.path());
       request.getRequestHeaders().put(Headers.HOST, call.authority());
-      byte[] body = call.body().getBytes(StandardCharsets.UTF_8);
+      byte[] body = call.body().getBytes(BODY_CHARSET);
       request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
       if (body.length > 0) {
         request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
@@ -304,7 +308,8 @@
               pending.fail(true, Kind.BROKEN, "connection lost: " + describe(e));
             }
           });
-      new StringWriteChannelListener(pending.call.body()).setup(exchange.getRequestChannel());
+      new StringWriteChannelListener(pending.call.body(), BODY_CHARSET)
+          .setup(exchange.getRequestChannel());
     }
 
     private void read(ClientExchange exchange) {
--- a/src/main/java/org/marjoramhoist/platform/standin/SampleDocuments.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/SampleDocuments.java
@@ -24,7 +24,7 @@
 
   private static final String JOB =
       """
-      {"spec":"%d","steps":[{"count":%d,"cpu":%d,"memMb":64,"estimateMs":%d}],"bestEffort":%s}
+      {"spec":"%d %s","steps":[{"count":%d,"cpu":%d,"memMb":64,"estimateMs":%d}],"bestEffort":%s}
       """;
 
   private SampleDocuments() {}
@@ -43,6 +43,6 @@
 
   /** Returns the body of a job whose tasks run for {@code millis} each. */
   public static String job(int tasks, int millis, int cpuMillis, boolean durable) {
-    return JOB.formatted(millis, tasks, cpuMillis, millis, !durable);
+    return JOB.formatted(millis, LETTERS, tasks, cpuMillis, millis, !durable);
   }
 }
--- a/src/test/java/org/marjoramhoist/http/HttpCallerTest.java
+++ b/src/test/java/org/marjoramhoist/http/HttpCallerTest.java
@@ -5,10 +5,13 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.marjoramhoist.platform.standin.SampleDocuments;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -62,6 +65,27 @@
     }
   }
 
+  /** Guards against requests that are shorter than they say wherever the language isn't set. */
+  @Test
+  void sendsBodyInUtf8WhateverTheDefaultCharset() throws Exception {
+    String body = "{\"spec\":\"" + SampleDocuments.LETTERS + "\"}";
+    try (LoopbackServer echo =
+            new LoopbackServer(
+                "127.0.0.1:0",
+                exchange ->
+                    Exchanges.receive(
+                        exchange, (same, bytes) -> Exchanges.reply(same, 200, hex(bytes))));
+        HttpCaller caller = new HttpCaller("test", 1)) {
+      long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+      HttpReply reply = caller.call(HttpCall.of(echo.address(), "POST", "/", body, deadline)).get();
+      assertThat(reply).isEqualTo(new HttpReply(200, hex(body.getBytes(StandardCharsets.UTF_8))));
+    }
+  }
+
+  private static String hex(byte[] bytes) {
+    return HexFormat.of().formatHex(bytes);
+  }
+
   private static HttpException.Kind failureAt(HttpCaller caller, String address) {
     long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(300);
     return caller
--- a/src/test/java/org/marjoramhoist/trial/PlatformClusterTest.java
+++ b/src/test/java/org/marjoramhoist/trial/PlatformClusterTest.java
@@ -6,12 +6,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.http.HttpReply;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.platform.standin.SampleDocuments;
 
 /** Runs hosts over HTTP and TCP with stand-ins for the platform's store and workers. */
 class PlatformClusterTest {
@@ -239,6 +244,25 @@
     awaitStatus(1, "0000000000000d04", SUCCEEDED);
   }
 
+  /** Guards against jobs that never run for a letter in their spec, or run with another spec. */
+  @Test
+  void workersGetSpecLetterForLetter() throws InterruptedException {
+    assertThat(send(0, 1, 20).join()).isEqualTo(new HttpReply(200, SUCCEEDED));
+    String durable = "0000000000000d09";
+    assertThat(submitDurable(1, durable, 1, 20).status()).isEqualTo(200);
+    awaitStatus(2, durable, SUCCEEDED);
+    String spec = "20 " + SampleDocuments.LETTERS;
+    assertThat(payloadsOf(String.format(Locale.ROOT, "%016x", jobs))).containsExactly(spec);
+    assertThat(payloadsOf(durable)).containsExactly(spec);
+  }
+
+  private Set<String> payloadsOf(String job) {
+    return cluster.workers().stream()
+        .map(worker -> worker.payloadOf(new JobId(job)))
+        .filter(Objects::nonNull)
+        .collect(Collectors.toSet());
+  }
+
   @Test
   void countsWaitingJobs() {
     assertThat(cluster.send(1, "GET", "", "").join())
