--- a/src/main/java/org/marjoramhoist/cli/DevCommand.java
+++ b/src/main/java/org/marjoramhoist/cli/DevCommand.java
@@ -102,7 +102,10 @@
     while (reply.status() == ACCEPTED) {
       JsonNode status = operators.json("GET", "/v1/status", "", TIMEOUT_MILLIS);
       System.out.printf(
-          "  waiting %s, running %s%n", status.path("waitingTasks"), status.path("attempts"));
+          Locale.ROOT,
+          "  waiting %s, running %s%n",
+          status.path("waitingTasks"),
+          status.path("attempts"));
       reply = callers.call("GET", path, "", TIMEOUT_MILLIS);
     }
     double millis = (System.nanoTime() - startNanos) / 1e6;
--- a/src/main/java/org/marjoramhoist/cli/ExplainCommand.java
+++ b/src/main/java/org/marjoramhoist/cli/ExplainCommand.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.stream.Stream;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
@@ -67,7 +68,8 @@
       return ExitCode.FAILED;
     }
     for (LogLine line : story.lines()) {
-      System.out.printf("%s  %s  %s  %s%n", line.time(), line.host(), line.event(), line.detail());
+      System.out.printf(
+          Locale.ROOT, "%s  %s  %s  %s%n", line.time(), line.host(), line.event(), line.detail());
     }
     story.clocks().forEach(sentence -> System.out.println("Note: " + sentence + "."));
     return ExitCode.OK;
--- a/src/main/java/org/marjoramhoist/cli/ReportCommand.java
+++ b/src/main/java/org/marjoramhoist/cli/ReportCommand.java
@@ -7,6 +7,7 @@
 import java.time.format.DateTimeParseException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 
@@ -87,7 +88,7 @@
 
   private static List<String> header(JsonNode report) {
     List<String> header = new ArrayList<>();
-    report.path("columns").forEach(column -> header.add(column.asText().toUpperCase()));
+    report.path("columns").forEach(column -> header.add(column.asText().toUpperCase(Locale.ROOT)));
     header.addAll(List.of("TASKS", "OK", "REFUSED", "FAILED", "COST_SECONDS"));
     return header;
   }
@@ -101,7 +102,8 @@
       cells.add(row.path("ok").asText());
       cells.add(row.path("refused").asText());
       cells.add(row.path("failed").asText());
-      cells.add(String.format("%.3f", row.path("costMicros").asLong() / MICROS_PER_SECOND));
+      cells.add(
+          String.format(Locale.ROOT, "%.3f", row.path("costMicros").asLong() / MICROS_PER_SECOND));
       rows.add(cells);
     }
     return rows;
--- a/src/main/java/org/marjoramhoist/dispatch/RunController.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunController.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
 import org.marjoramhoist.dispatch.DispatchEvent.StartUnanswered;
@@ -136,7 +137,9 @@
     }
     removeRun(run);
     out.add(
-        new Log(LogEvent.RUN_REJECTED, describe(run) + " verdict=" + verdict.name().toLowerCase()));
+        new Log(
+            LogEvent.RUN_REJECTED,
+            describe(run) + " verdict=" + verdict.name().toLowerCase(Locale.ROOT)));
     listener.runLost(run, LossCause.REJECTED, now, out);
   }
 
--- a/src/main/java/org/marjoramhoist/experiment/DispatchLoad.java
+++ b/src/main/java/org/marjoramhoist/experiment/DispatchLoad.java
@@ -1,6 +1,7 @@
 package org.marjoramhoist.experiment;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.marjoramhoist.dispatch.WorkerInfo;
@@ -231,7 +232,7 @@
     String rack = drawRack(kind);
     StepSpec step =
         new StepSpec(count, new Resources(cpu, MEMORY_MIB, 0), estimate, List.of(), "", rack, 0);
-    JobId id = new JobId(String.format("%016x", ++made));
+    JobId id = new JobId(String.format(Locale.ROOT, "%016x", ++made));
     if (kind == kinds.get(0) && isDrawn(crashingShare)) {
       fleet.crashingTasks().add(new TaskRef(id, 0, 0));
     }
--- a/src/main/java/org/marjoramhoist/experiment/VirtualStore.java
+++ b/src/main/java/org/marjoramhoist/experiment/VirtualStore.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -155,7 +156,7 @@
   }
 
   private static String batchKey(long epoch, long batch) {
-    return String.format("%016d-%012d", epoch, batch);
+    return String.format(Locale.ROOT, "%016d-%012d", epoch, batch);
   }
 
   private Event log(Action.LogClaims a) {
--- a/src/main/java/org/marjoramhoist/platform/StoreKeys.java
+++ b/src/main/java/org/marjoramhoist/platform/StoreKeys.java
@@ -1,5 +1,6 @@
 package org.marjoramhoist.platform;
 
+import java.util.Locale;
 import org.marjoramhoist.resource.ResourceKey;
 
 /**
@@ -46,11 +47,11 @@
 
   /** Returns the key of a batch of logged claims; later batches sort after earlier ones. */
   public static String claimBatch(String shard, long epoch, long batch) {
-    return claims(shard) + String.format("%016d-%012d", epoch, batch);
+    return claims(shard) + String.format(Locale.ROOT, "%016d-%012d", epoch, batch);
   }
 
   /** Returns the key of a batch of accounts. */
   public static String accountBatch(String host, long boot, long seq) {
-    return ACCOUNTS + host + "/" + boot + "/" + String.format("%012d", seq);
+    return ACCOUNTS + host + "/" + boot + "/" + String.format(Locale.ROOT, "%012d", seq);
   }
 }
--- a/src/main/java/org/marjoramhoist/platform/standin/SampleDocuments.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/SampleDocuments.java
@@ -1,5 +1,6 @@
 package org.marjoramhoist.platform.standin;
 
+import java.util.Locale;
 import org.marjoramhoist.platform.StoreDocuments;
 import org.marjoramhoist.platform.WorkerEntries;
 
@@ -32,7 +33,9 @@
   /** Stores a configuration with one request class. */
   public static void putConfig(
       PlatformStoreStandIn store, long version, String authority, String prefix, String upstream) {
-    store.put(StoreDocuments.CONFIG_KEY, CONFIG.formatted(version, authority, prefix, upstream));
+    store.put(
+        StoreDocuments.CONFIG_KEY,
+        String.format(Locale.ROOT, CONFIG, version, authority, prefix, upstream));
   }
 
   /** Stores a worker's registration. */
@@ -43,6 +46,6 @@
 
   /** Returns the body of a job whose tasks run for {@code millis} each. */
   public static String job(int tasks, int millis, int cpuMillis, boolean durable) {
-    return JOB.formatted(millis, LETTERS, tasks, cpuMillis, millis, !durable);
+    return String.format(Locale.ROOT, JOB, millis, LETTERS, tasks, cpuMillis, millis, !durable);
   }
 }
--- a/src/main/java/org/marjoramhoist/standin/DevCluster.java
+++ b/src/main/java/org/marjoramhoist/standin/DevCluster.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import org.marjoramhoist.config.Settings;
 import org.marjoramhoist.host.EntryHost;
 import org.marjoramhoist.http.LoopbackServer;
@@ -18,6 +19,23 @@
   private static final int SLOTS = 8;
   private static final String LOOPBACK = "127.0.0.1:";
 
+  private static final String SETTINGS =
+      """
+      {
+        "host": "dev-%d",
+        "domain": "%s",
+        "domains": ["%s"],
+        "listen": {
+          "callers": "127.0.0.1:%d",
+          "operators": "127.0.0.1:%d",
+          "peers": "127.0.0.1:%d",
+        },
+        "peers": [%s],
+        "store": {"endpoints": ["%s"], "callsPerSecond": 200},
+        "timing": {"heartbeatMillis": 100, "suspectMillis": 400, "deadMillis": 800},
+      }
+      """;
+
   private static final String WORKER =
       """
       {"name": "%s", "address": "%s", "domain": "%s", "slots": %d, "cores": 16,
@@ -72,30 +90,17 @@
       }
     }
     String text =
-        """
-        {
-          "host": "dev-%d",
-          "domain": "%s",
-          "domains": ["%s"],
-          "listen": {
-            "callers": "127.0.0.1:%d",
-            "operators": "127.0.0.1:%d",
-            "peers": "127.0.0.1:%d",
-          },
-          "peers": [%s],
-          "store": {"endpoints": ["%s"], "callsPerSecond": 200},
-          "timing": {"heartbeatMillis": 100, "suspectMillis": 400, "deadMillis": 800},
-        }
-        """
-            .formatted(
-                index + 1,
-                domain,
-                domain,
-                ports.get(index * 3),
-                ports.get(index * 3 + 1),
-                ports.get(index * 3 + 2),
-                String.join(", ", peers),
-                store.address());
+        String.format(
+            Locale.ROOT,
+            SETTINGS,
+            index + 1,
+            domain,
+            domain,
+            ports.get(index * 3),
+            ports.get(index * 3 + 1),
+            ports.get(index * 3 + 2),
+            String.join(", ", peers),
+            store.address());
     return Settings.parse("embedded settings", text);
   }
 
@@ -104,9 +109,11 @@
     List<String> list = new ArrayList<>();
     for (int i = 0; i < workers.size(); i++) {
       WorkerStandIn worker = workers.get(i);
-      list.add(WORKER.formatted(worker.name(), worker.address(), domain, SLOTS, i / 2));
+      list.add(
+          String.format(
+              Locale.ROOT, WORKER, worker.name(), worker.address(), domain, SLOTS, i / 2));
     }
-    return DECLARATIONS.formatted(String.join(",\n", list));
+    return String.format(Locale.ROOT, DECLARATIONS, String.join(",\n", list));
   }
 
   /** Returns the store. */
--- a/src/test/java/org/marjoramhoist/dispatch/FairShareWeightsTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/FairShareWeightsTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -109,7 +110,7 @@
   }
 
   private static JobId id(int number) {
-    return new JobId(String.format("%016x", number));
+    return new JobId(String.format(Locale.ROOT, "%016x", number));
   }
 
   private void submit(int number, String origin) {
--- a/src/test/java/org/marjoramhoist/dispatch/LoadShedderTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/LoadShedderTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
@@ -45,7 +46,7 @@
   }
 
   private DispatchEvent.JobSubmitted job(int priority, int generation) {
-    JobId id = new JobId(String.format("%016x", ++lastJobNumber));
+    JobId id = new JobId(String.format(Locale.ROOT, "%016x", ++lastJobNumber));
     JobDescription job = new JobDescription(id, "p", List.of(tasks(1, List.of())), Set.of());
     return new DispatchEvent.JobSubmitted(
         job, requestClass(priority), "entry", now, now + TIMEOUT_MICROS, generation);
@@ -89,7 +90,7 @@
     running.forEach(start -> confirmStart("w", start.run()));
     now += 10 * MICROS_PER_MILLI;
     submit(HIGH, 1);
-    JobId valuable = new JobId(String.format("%016x", lastJobNumber));
+    JobId valuable = new JobId(String.format(Locale.ROOT, "%016x", lastJobNumber));
     RunRef first = running.get(0).run();
     report("w", List.of(), new WorkerReport.Completion(1, first, WorkerReport.RunOutcome.DONE));
     assertThat(takeActions(DispatchAction.Start.class).get(0).run().task().job())
--- a/src/test/java/org/marjoramhoist/dispatch/OpenTasksTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/OpenTasksTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -31,7 +32,7 @@
   }
 
   private JobId submit(int taskCount) {
-    JobId id = new JobId(String.format("%016x", ++jobs));
+    JobId id = new JobId(String.format(Locale.ROOT, "%016x", ++jobs));
     List<StepSpec> steps = List.of(tasks(taskCount, List.of()));
     JobDescription job = new JobDescription(id, "p", steps, Set.<JobFeature>of());
     step(0, new DispatchEvent.JobSubmitted(job, REQUEST_CLASS, "e", now, now + DEADLINE_MICROS, 0));
--- a/src/test/java/org/marjoramhoist/dispatch/QueueOrderTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/QueueOrderTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.job.JobDescription;
@@ -20,7 +21,7 @@
   private static Job job(int number, long arrivedAt) {
     JobDescription description =
         new JobDescription(
-            new JobId(String.format("%016x", number)),
+            new JobId(String.format(Locale.ROOT, "%016x", number)),
             "p",
             List.of(DispatcherFixture.tasks(2, List.of())),
             Set.<JobFeature>of());
--- a/src/test/java/org/marjoramhoist/dispatch/RefusalCapacityTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/RefusalCapacityTest.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -61,7 +62,7 @@
     int tasks = 1 + random.nextInt(3);
     long cpuMillis = random.nextBoolean() ? 1_000 : 3_000;
     int priority = random.nextInt(2);
-    JobId id = new JobId(String.format("%016x", submitted.size() + 1));
+    JobId id = new JobId(String.format(Locale.ROOT, "%016x", submitted.size() + 1));
     StepSpec step =
         new StepSpec(tasks, new Resources(cpuMillis, 1, 0), ESTIMATE_MILLIS, List.of(), "", "", 0);
     RequestClass requestClass =
--- a/src/test/java/org/marjoramhoist/dispatch/RefusedJobRetryTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/RefusedJobRetryTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -31,7 +32,7 @@
     listWorkers(worker("w", 1_000, false));
     report("w", List.of());
     for (int i = 0; i < JOBS; i++) {
-      JobId id = new JobId(String.format("%016x", i * 0x9e3779b97f4a7c15L));
+      JobId id = new JobId(String.format(Locale.ROOT, "%016x", i * 0x9e3779b97f4a7c15L));
       JobDescription job =
           new JobDescription(id, "p", List.of(tasks(10, List.of())), Set.<JobFeature>of());
       step(
--- a/src/test/java/org/marjoramhoist/dispatch/RetryScheduleTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/RetryScheduleTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
@@ -24,7 +25,7 @@
 
   private static JobId id(int number) {
     // Caller-supplied ids are random, so the ids of this test must not be consecutive.
-    return new JobId(String.format("%016x", number * 0x9e3779b97f4a7c15L));
+    return new JobId(String.format(Locale.ROOT, "%016x", number * 0x9e3779b97f4a7c15L));
   }
 
   /** Simulates a period in which jobs are started at a constant rate while others wait. */
--- a/src/test/java/org/marjoramhoist/dispatch/SlackPlacementStrategyTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/SlackPlacementStrategyTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -68,7 +69,7 @@
 
   private Task task(long arrivedAt, String rack, Resources need) {
     StepSpec step = new StepSpec(1, need, WORK_MILLIS, List.of(), "", rack, 0);
-    JobId id = new JobId(String.format("%016x", ++lastJobNumber));
+    JobId id = new JobId(String.format(Locale.ROOT, "%016x", ++lastJobNumber));
     JobDescription description = new JobDescription(id, "p", List.of(step), Set.of());
     return new Job(description, DispatcherFixture.REQUEST_CLASS, arrivedAt, Long.MAX_VALUE, 0)
         .task(0, 0);
--- a/src/test/java/org/marjoramhoist/dispatch/WorkerCapacityTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/WorkerCapacityTest.java
@@ -56,7 +56,9 @@
     report("w", List.of());
     submit(tasks(2, List.of()));
     assertThat(starts()).isEqualTo(2);
-    step(1, new DispatchEvent.JobWithdrawn(new JobId(String.format("%016x", jobs)), "e"));
+    step(
+        1,
+        new DispatchEvent.JobWithdrawn(new JobId(String.format(Locale.ROOT, "%016x", jobs)), "e"));
     listWorkers(SMALL);
     submit(tasks(2, List.of()));
     List<RunRef> stopped = confirmStops();
--- a/src/test/java/org/marjoramhoist/dispatch/WorkerSelectorCostTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/WorkerSelectorCostTest.java
@@ -6,6 +6,7 @@
 import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.job.JobDescription;
@@ -33,7 +34,7 @@
   private int lastSequence;
 
   private void submit(int tasks, long cpuMillis) {
-    JobId id = new JobId(String.format("%016x", ++nextJobNumber));
+    JobId id = new JobId(String.format(Locale.ROOT, "%016x", ++nextJobNumber));
     StepSpec step = new StepSpec(tasks, new Resources(cpuMillis, 1, 0), 50, List.of(), "", "", 0);
     JobDescription job = new JobDescription(id, "p", List.of(step), Set.of());
     step(
--- a/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/OpenJobsTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
@@ -284,7 +285,7 @@
     leaderTracker.leaderFound(leaderChannel("partition", 7));
     jobs.setAdmittedShare(0.25);
     for (int i = 0; i < 100; i++) {
-      submit(new JobId(String.format("%016x", i)));
+      submit(new JobId(String.format(Locale.ROOT, "%016x", i)));
     }
     assertThat(sent).hasSize(25);
     assertThat(outcomes).hasSize(75);
--- a/src/test/java/org/marjoramhoist/explain/StoryTest.java
+++ b/src/test/java/org/marjoramhoist/explain/StoryTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import org.junit.jupiter.api.Test;
 
 class StoryTest {
@@ -13,8 +14,12 @@
   private void line(String host, int second, int millis, String event, String detail) {
     String json =
         String.format(
+            Locale.ROOT,
             "{\"time\":\"2026-01-01T00:00:%02d.%03dZ\",\"event\":\"%s\",\"detail\":\"%s\"}",
-            second, millis, event, detail);
+            second,
+            millis,
+            event,
+            detail);
     log.add(LogLine.parse("file", "  1.5 " + host + " " + json).orElseThrow());
   }
 
--- a/src/test/java/org/marjoramhoist/host/EntryHostTest.java
+++ b/src/test/java/org/marjoramhoist/host/EntryHostTest.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -99,7 +100,7 @@
         IntStream.range(0, tasks)
             .mapToObj(i -> "{\"id\": \"t" + i + "\", \"payload\": \"" + payload + "\"}")
             .toList();
-    return JOB.formatted(deadline, String.join(",", items));
+    return String.format(Locale.ROOT, JOB, deadline, String.join(",", items));
   }
 
   private static int starts(String submission, int task) {
--- a/src/test/java/org/marjoramhoist/trial/SteadyCallers.java
+++ b/src/test/java/org/marjoramhoist/trial/SteadyCallers.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -73,7 +74,7 @@
 
   /** Sends a job and returns whether the connection can be used again. */
   private boolean callOnce(RawCaller caller) throws IOException {
-    String id = String.format(idFormat, jobs.incrementAndGet());
+    String id = String.format(Locale.ROOT, idFormat, jobs.incrementAndGet());
     caller.send(submission(id, PlatformCluster.job(1, taskMillis)));
     try {
       RawCaller.Response response = caller.receive();
