Write log lines in UTF-8 whatever the environment

What on-call saw: on hosts whose environment names no language each letter beyond ASCII was logged as "?": names that differ in one such letter look the same.

Cause: Log4j's layout takes the default charset unless it is told one.

Evidence: LoggingTest.keepsLettersWhateverTheDefaultCharset failed before, with "host=? ? ? ?" for four letters, and passes. Lines stayed JSON all the while.

Change: the layout is told UTF-8, in which explain reads logs.

--- a/src/main/java/org/marjoramhoist/log/ConsoleConfiguration.java
+++ b/src/main/java/org/marjoramhoist/log/ConsoleConfiguration.java
@@ -1,5 +1,6 @@
 package org.marjoramhoist.log;
 
+import java.nio.charset.StandardCharsets;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.core.Appender;
 import org.apache.logging.log4j.core.appender.AsyncAppender;
@@ -67,6 +68,7 @@
         PatternLayout.newBuilder()
             .setConfiguration(this)
             .setPattern(pattern)
+            .setCharset(StandardCharsets.UTF_8)
             .setAlwaysWriteExceptions(false)
             .build();
     ConsoleAppender.Target target =
--- a/src/test/java/org/marjoramhoist/log/LoggingTest.java
+++ b/src/test/java/org/marjoramhoist/log/LoggingTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.json.JsonText;
+import org.marjoramhoist.platform.standin.SampleDocuments;
 
 class LoggingTest {
 
@@ -57,6 +58,16 @@
     assertThat(line.path("unixMillis").asLong()).isGreaterThan(0);
   }
 
+  /** Guards against log lines that have lost the names they tell of, and hide the cause. */
+  @Test
+  void keepsLettersWhateverTheDefaultCharset() throws Exception {
+    String text = SampleDocuments.LETTERS;
+    JsonNode event = logged(() -> EventLog.info(LogEvent.STORE_UP, "host={}", text));
+    assertThat(event.path("detail").asText()).isEqualTo("host=" + text);
+    JsonNode error = logged(() -> LogManager.getLogger("some.library").error(text));
+    assertThat(error.path("detail").asText()).isEqualTo("some.library " + text);
+  }
+
   @Test
   void writesEventAsOneJsonObjectPerLine() throws Exception {
     JsonNode event = logged(() -> EventLog.info(LogEvent.STORE_UP, "a \"quoted\"\nline {}", 7));
