Write the command line's output in UTF-8 whatever the environment

What users saw: without a language in the environment, "?" for each letter beyond ASCII in all output, JSON and CSV included; an argument with such a letter reached the program as U+FFFD, so that a command acts on another name.

Cause: Java 17 takes the environment's charset for standard output and arguments.

Change: standard output and error are UTF-8; an argument that could not be decoded is bad input.

--- a/src/main/java/org/marjoramhoist/cli/Main.java
+++ b/src/main/java/org/marjoramhoist/cli/Main.java
@@ -26,6 +26,7 @@
 
   /** Runs a command and ends the process with its exit code. */
   public static void main(String[] arguments) {
+    StandardStreams.useUtf8();
     Thread.setDefaultUncaughtExceptionHandler(
         (thread, error) -> Faults.report("thread " + thread.getName(), error));
     System.exit(run(arguments).code());
@@ -33,6 +34,11 @@
 
   /** Runs a command. */
   public static ExitCode run(String... arguments) {
+    if (!StandardStreams.areReadable(arguments)) {
+      System.err.println(
+          "an argument has letters that the environment's charset lacks; set LC_ALL=C.UTF-8");
+      return ExitCode.BAD_INPUT;
+    }
     Map<String, Command> commands = new LinkedHashMap<>();
     for (Command command : commands()) {
       commands.put(command.name(), command);
