Refuse texts that UTF-8 can't hold where they come in

What callers saw: a job with half of a surrogate pair in its spec ("\ud83d x") was accepted with 200 and its tasks ran with the spec "? x" (UNASKED), in every language.

Cause: JSON can escape what no text in UTF-8 holds, and String.getBytes writes "?" for it: on the way to workers, between hosts and to the store.

Change: one rule, Utf8.canHold, at the doors: jobs (400), workers' entries, the roster, stored jobs, and all JSON of serve.

--- a/src/main/java/org/marjoramhoist/entry/StoredJobCheck.java
+++ b/src/main/java/org/marjoramhoist/entry/StoredJobCheck.java
@@ -7,6 +7,7 @@
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.RequestClass;
 import org.marjoramhoist.job.StepSpec;
+import org.marjoramhoist.json.Utf8;
 import org.marjoramhoist.platform.JobBodies;
 import org.marjoramhoist.platform.WorkerEntries;
 
@@ -27,6 +28,7 @@
         && job.id() != null
         && job.id().value().equals(id)
         && job.payload() != null
+        && Utf8.canHold(job.payload())
         && isUsable(record.requestClass())
         && record.acceptedMillis() >= 0
         && record.acceptedMillis() <= WorkerEntries.MAX_TIME_MILLIS
@@ -50,7 +52,9 @@
           step.count() > 0
               && step.need() != null
               && step.requiredLabel() != null
+              && Utf8.canHold(step.requiredLabel())
               && step.preferredRack() != null
+              && Utf8.canHold(step.preferredRack())
               && step.after().stream().allMatch(before -> before >= 0 && before < number);
       if (!isUsable) {
         return false;
--- a/src/main/java/org/marjoramhoist/json/CheckedObject.java
+++ b/src/main/java/org/marjoramhoist/json/CheckedObject.java
@@ -100,6 +100,9 @@
     if (text.chars().anyMatch(Character::isISOControl)) {
       throw new IOException(field + " has control characters");
     }
+    if (!Utf8.canHold(text)) {
+      throw new IOException(field + " " + Utf8.HALF_PAIR);
+    }
     return text;
   }
 
--- a/src/main/java/org/marjoramhoist/json/LocatedParser.java
+++ b/src/main/java/org/marjoramhoist/json/LocatedParser.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonFactoryBuilder;
+import com.fasterxml.jackson.core.JsonParseException;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
@@ -66,7 +67,7 @@
     return switch (token) {
       case START_OBJECT -> new LocatedNode(line, readObject(parser));
       case START_ARRAY -> new LocatedNode(line, readArray(parser));
-      case VALUE_STRING -> new LocatedNode(line, parser.getText());
+      case VALUE_STRING -> new LocatedNode(line, checked(parser.getText(), parser));
       case VALUE_TRUE -> new LocatedNode(line, Boolean.TRUE);
       case VALUE_FALSE -> new LocatedNode(line, Boolean.FALSE);
       case VALUE_NULL -> new LocatedNode(line, null);
@@ -76,10 +77,17 @@
     };
   }
 
+  private static String checked(String text, JsonParser parser) throws IOException {
+    if (!Utf8.canHold(text)) {
+      throw new JsonParseException(parser, "a string " + Utf8.HALF_PAIR);
+    }
+    return text;
+  }
+
   private static Map<String, LocatedNode> readObject(JsonParser parser) throws IOException {
     Map<String, LocatedNode> fields = new LinkedHashMap<>();
     while (parser.nextToken() != JsonToken.END_OBJECT) {
-      String name = parser.currentName();
+      String name = checked(parser.currentName(), parser);
       parser.nextToken();
       fields.put(name, read(parser));
     }
--- a/src/main/java/org/marjoramhoist/platform/JobBodies.java
+++ b/src/main/java/org/marjoramhoist/platform/JobBodies.java
@@ -18,6 +18,7 @@
 import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.job.StepSpec;
 import org.marjoramhoist.json.JsonText;
+import org.marjoramhoist.json.Utf8;
 
 /**
  * Parses the job requests of callers and formats the response bodies.
@@ -189,7 +190,11 @@
 
   private static String parseText(JsonParser in, String field) throws IOException {
     requireToken(in.currentToken(), JsonToken.VALUE_STRING, field);
-    return in.getText();
+    String text = in.getText();
+    if (!Utf8.canHold(text)) {
+      throw new IOException(field + " " + Utf8.HALF_PAIR);
+    }
+    return text;
   }
 
   private static void requireToken(JsonToken token, JsonToken expected, String element)
--- a/src/test/java/org/marjoramhoist/cli/MainTest.java
+++ b/src/test/java/org/marjoramhoist/cli/MainTest.java
@@ -94,6 +94,9 @@
             Map.entry("{", "doc.jsonc:1: not valid JSON"),
             Map.entry("[1]", "doc.jsonc:1: [0]: must be an object"),
             Map.entry("{}\n{}", "doc.jsonc:2: more text follows"),
+            Map.entry(
+                "{\n\"name\": \"\\ud83d\"}", "doc.jsonc:2: not valid JSON: a string has half"),
+            Map.entry("{\"\\udc00\": 1}", "a string has half of a surrogate pair"),
             Map.entry("{\"kind\": \"team\"}", "name: is missing"),
             Map.entry("{\"kind\": \"squad\", \"name\": \"a\"}", "use upstream, team or class"),
             Map.entry("{\"kind\": \"team\", \"name\": \"a b\"}", "name holds a character"),
--- a/src/test/java/org/marjoramhoist/entry/OddJobRecordsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/OddJobRecordsTest.java
@@ -109,6 +109,16 @@
     assertThat(statusAfterLoading(records, List.of()).isTerminal()).isFalse();
   }
 
+  /** Guards against a stored job that would be run with another text than it holds. */
+  @ParameterizedTest
+  @ValueSource(strings = {"payload\":\"", "preferredRack\":\"", "requiredLabel\":\""})
+  void recordWithTextThatUtf8CannotHoldIsLeftOut(String field) {
+    String odd = JsonText.of(job(ODD)).replace(field, field + "\\ud83d");
+    List<Item> records = List.of(record(ODD, odd), record(GOOD, JsonText.of(job(GOOD))));
+    assertThat(JobRecords.readOpen(records, List.of())).hasSize(1);
+    assertThat(statusAfterLoading(records, List.of()).isTerminal()).isFalse();
+  }
+
   @ParameterizedTest
   @ValueSource(
       strings = {
--- a/src/test/java/org/marjoramhoist/host/EntryHostTest.java
+++ b/src/test/java/org/marjoramhoist/host/EntryHostTest.java
@@ -177,6 +177,7 @@
     String good = job(1, "5");
     assertRefused("bad-json", "{\"team\": ", "BAD_REQUEST");
     assertRefused("twice", good.replace("]", ", {\"id\": \"t0\"}]"), "BAD_REQUEST");
+    assertRefused("half-pair", good.replace("\"5\"", "\"5\\ud83d\""), "BAD_REQUEST");
     assertRefused("unknown-key", good.replace("\"team\"", "\"x\": 1, \"team\""), "BAD_REQUEST");
     assertRefused("no-team", good.replace("demo", "nobody"), "UNDECLARED");
     assertRefused("no-class", good.replace("plume-snapshot", "nothing"), "UNDECLARED");
--- a/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
+++ b/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
@@ -87,6 +87,26 @@
     }
   }
 
+  /** Guards against tasks that run with another spec, as what is sent on can't be the caller's. */
+  @Test
+  void rejectsTextThatUtf8CannotHold() throws IOException {
+    for (String half : List.of("\\ud83d x", "\\udc00 x", "x \\ude00\\ud83d")) {
+      for (String job :
+          List.of(
+              "{\"spec\":\"" + half + "\",\"steps\":[{\"count\":1}]}",
+              "{\"steps\":[{\"count\":1,\"requiredLabel\":\"" + half + "\"}]}",
+              "{\"steps\":[{\"count\":1,\"preferredRack\":\"" + half + "\"}]}")) {
+        assertThrows(IOException.class, () -> parse(job), job);
+      }
+    }
+    // The same half as bytes, which no encoder of UTF-8 writes.
+    byte[] body = "{\"spec\":\"___\",\"steps\":[{\"count\":1}]}".getBytes(StandardCharsets.UTF_8);
+    System.arraycopy(new byte[] {(byte) 0xED, (byte) 0xA0, (byte) 0xBD}, 0, body, 9, 3);
+    assertThrows(IOException.class, () -> JobBodies.parseJob(ID, body));
+    String pair = "{\"spec\":\"\\ud83d\\ude00\",\"steps\":[{\"count\":1}]}";
+    assertThat(parse(pair).payload()).isEqualTo("😀");
+  }
+
   @Property(tries = 500)
   void arbitraryBodyIsParsedOrRejected(@ForAll byte[] body) {
     try {
--- a/src/test/java/org/marjoramhoist/trial/PlatformClusterTest.java
+++ b/src/test/java/org/marjoramhoist/trial/PlatformClusterTest.java
@@ -153,6 +153,9 @@
     String tooLarge = "{\"spec\":\"10\",\"steps\":[{\"count\":1,\"cpu\":99000}]}";
     assertThat(cluster.send(0, "POST", id, tooLarge).join().status()).isEqualTo(503);
     assertThat(cluster.send(0, "POST", id, "no json").join().status()).isEqualTo(400);
+    String halfPair =
+        PlatformCluster.durableJob(1, 10).replace("\"steps\"", "\"spec\":\"\\ud83d\",\"steps\"");
+    assertThat(cluster.send(0, "POST", id, halfPair).join().status()).isEqualTo(400);
     assertThat(cluster.send(0, "POST", "short", gang).join().status()).isEqualTo(404);
     assertThat(cluster.send(0, "GET", id, "").join().status()).isEqualTo(410);
     String huge = "{\"spec\":\"10\",\"steps\":[{\"count\":1,\"cpu\":99000}],\"bestEffort\":true}";
