Limit a job's spec to 4,000 bytes, as its page says

What callers saw: a spec of 5,000 bytes was accepted, though the platform's page allows "a string of up to 4,000 bytes".

Cause: only the whole body had a limit.

Evidence: PlatformFormatsTest.payloadIsLimitedInBytes failed without the check, for letters of one, two and four bytes.

--- a/src/main/java/org/marjoramhoist/json/Utf8.java
+++ b/src/main/java/org/marjoramhoist/json/Utf8.java
@@ -20,4 +20,9 @@
   public static boolean canHold(String text) {
     return StandardCharsets.UTF_8.newEncoder().canEncode(text);
   }
+
+  /** Returns the length of a text in bytes. */
+  public static int lengthOf(String text) {
+    return text.getBytes(StandardCharsets.UTF_8).length;
+  }
 }
--- a/src/main/java/org/marjoramhoist/platform/JobBodies.java
+++ b/src/main/java/org/marjoramhoist/platform/JobBodies.java
@@ -33,6 +33,9 @@
   private static final HttpString DEADLINE_HEADER = new HttpString(DEADLINE_HEADER_NAME);
   private static final int MAX_STEPS = 1_000;
 
+  /** The longest payload, in bytes of UTF-8. */
+  public static final int MAX_PAYLOAD_BYTES = 4_000;
+
   /** The most tasks of a job: its progress must fit into one value of the store. */
   public static final int MAX_TASKS = 10_000;
 
@@ -70,7 +73,7 @@
         String field = in.currentName();
         in.nextToken();
         switch (field) {
-          case "spec" -> payload = parseText(in, field);
+          case "spec" -> payload = parsePayload(in, field);
           case "steps" -> steps = parseSteps(in, features);
           // The caller waits for the outcome and does not query the status later.
           case "bestEffort" -> {
@@ -188,6 +191,16 @@
     return numbers;
   }
 
+  private static String parsePayload(JsonParser in, String field) throws IOException {
+    String payload = parseText(in, field);
+    int bytes = Utf8.lengthOf(payload);
+    if (bytes > MAX_PAYLOAD_BYTES) {
+      throw new IOException(
+          field + " may have at most " + MAX_PAYLOAD_BYTES + " bytes, but has " + bytes);
+    }
+    return payload;
+  }
+
   private static String parseText(JsonParser in, String field) throws IOException {
     requireToken(in.currentToken(), JsonToken.VALUE_STRING, field);
     String text = in.getText();
--- a/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
+++ b/src/test/java/org/marjoramhoist/platform/PlatformFormatsTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
@@ -107,6 +108,17 @@
     assertThat(parse(pair).payload()).isEqualTo("😀");
   }
 
+  /** Guards against a limit that is counted in letters, or not at all. */
+  @Test
+  void payloadIsLimitedInBytes() throws IOException {
+    String job = "{\"spec\":\"%s\",\"steps\":[{\"count\":1}]}";
+    for (String longest : List.of("x".repeat(4_000), "å".repeat(2_000), "😀".repeat(1_000))) {
+      assertThat(parse(String.format(Locale.ROOT, job, longest)).payload()).isEqualTo(longest);
+      assertThrows(
+          IOException.class, () -> parse(String.format(Locale.ROOT, job, longest + "x")), longest);
+    }
+  }
+
   @Property(tries = 500)
   void arbitraryBodyIsParsedOrRejected(@ForAll byte[] body) {
     try {
