--- a/src/main/java/org/marjoramhoist/cli/Main.java
+++ b/src/main/java/org/marjoramhoist/cli/Main.java
@@ -1,5 +1,7 @@
 package org.marjoramhoist.cli;
 
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -54,7 +56,7 @@
     } catch (HelpScreenException e) {
       return ExitCode.OK;
     } catch (ArgumentParserException e) {
-      parser.handleError(e);
+      parser.handleError(e, new PrintWriter(System.err, true, StandardCharsets.UTF_8));
       return ExitCode.BAD_INPUT;
     } catch (CommandFailure e) {
       System.err.println(e.getMessage());
