Order a task that no worker answers ever more rarely, and say so

What on-call saw: 4,982 lines of RUN_UNANSWERED in 15 s for six tasks, no worker suspected, no waiting job.

Cause: a run whose start isn't answered is stopped and its task free again within 20 ms, and nothing remembers that it happened before.

Change: after five such orders in a row the task pauses, 50 ms at first and 1 s at most; TASK_UNANSWERED names the job, the worker and the last failure, and a gauge counts such tasks. Orders to workers that are out of reach don't count.

--- a/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchSnapshot.java
@@ -13,6 +13,7 @@
  * @param drain the drained failure domains
  * @param starts the runs ordered in this term
  * @param suspects the tasks that may have crashed workers
+ * @param unansweredTasks the number of tasks whose start orders no worker answers
  * @param startsAllowed whether new runs may be started
  * @param settled whether no run of a previous leader can be running unnoticed
  * @param waitingJobs the number of jobs with tasks that can start now
@@ -26,6 +27,7 @@
     Drain drain,
     Starts starts,
     Suspects suspects,
+    int unansweredTasks,
     boolean startsAllowed,
     boolean settled,
     int waitingJobs,
@@ -41,6 +43,7 @@
           new Drain(false, List.of(), 0, 0),
           new Starts(0, 0, 0, 0),
           new Suspects(0, 0, 0),
+          0,
           false,
           false,
           0,
@@ -200,6 +203,8 @@
         + drain.describe()
         + starts.describe()
         + suspects.describe()
+        + " unansweredTasks="
+        + unansweredTasks
         + " startsAllowed="
         + startsAllowed
         + " settled="
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -402,6 +402,7 @@
       runController.tick(worker, now, out);
     }
     workerLosses.tick(now, out);
+    runController.unansweredStarts().prune(id -> jobs.find(id) != null);
     workerRegistry.logSettled(now, out);
     workerRegistry.logIdleDomains(out);
     if (guard != null) {
@@ -540,6 +541,7 @@
             suspects.count(TaskLosses.Handling.EXCLUSIVE, now),
             suspects.count(TaskLosses.Handling.HELD, now),
             exclusiveStarts.reservedWorkers()),
+        runController.unansweredStarts().count(),
         startsAllowed,
         workerRegistry.isSettled(now),
         jobs.waiting().size(),
--- a/src/main/java/org/marjoramhoist/dispatch/Run.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Run.java
@@ -59,6 +59,9 @@
    */
   long answeredAt;
 
+  /** How its start order failed; null if that was answered, or may still be. */
+  DispatchEvent.StartUnanswered unanswered;
+
   int progressPercent;
   long progressedAt;
 
@@ -127,6 +130,22 @@
     };
   }
 
+  /**
+   * Tells whether its start order was not answered though nothing is known against its worker,
+   * given why it is over.
+   */
+  boolean isLeftUnanswered(LossCause cause) {
+    if (unanswered == null) {
+      return false;
+    }
+    return switch (cause) {
+      case NOT_THERE -> orderedAt >= worker.restartedAt;
+      case STOPPED -> true;
+      case NOT_SENT -> unanswered.failure() == CallFailure.INVALID;
+      default -> false;
+    };
+  }
+
   /** Tells whether reports have shown no progress for longer than the stall timeout. */
   boolean isStalled() {
     boolean running =
--- a/src/main/java/org/marjoramhoist/dispatch/RunController.java
+++ b/src/main/java/org/marjoramhoist/dispatch/RunController.java
@@ -39,6 +39,7 @@
   private final EarlierRuns earlierRuns;
   private final StartWindow window;
   private final LeaseRenewals renewals;
+  private final UnansweredStarts unansweredStarts = new UnansweredStarts();
 
   RunController(DispatchPolicy policy, RunListener listener) {
     this.policy = policy;
@@ -53,6 +54,11 @@
     return window;
   }
 
+  /** Returns the tasks whose start orders are left unanswered. */
+  UnansweredStarts unansweredStarts() {
+    return unansweredStarts;
+  }
+
   /** Returns the renewals of the workers' leases. */
   LeaseRenewals renewals() {
     return renewals;
@@ -92,6 +98,7 @@
       long now,
       List<DispatchAction> out) {
     worker.recordCallSuccess(now);
+    unansweredStarts.answered(ref.task());
     boolean otherClock = worker.clock.isInconsistentWith(reply.clockMillis(), sentAt, now);
     worker.mayHaveRestarted |= otherClock;
     worker.clock.update(reply.clockMillis(), sentAt, now);
@@ -140,7 +147,7 @@
         new Log(
             LogEvent.RUN_REJECTED,
             describe(run) + " verdict=" + verdict.name().toLowerCase(Locale.ROOT)));
-    listener.runLost(run, LossCause.REJECTED, now, out);
+    lost(run, LossCause.REJECTED, now, out);
   }
 
   /** Handles a start order that was not answered. */
@@ -150,12 +157,13 @@
     if (run == null || run.phase != Run.Phase.STARTING) {
       return;
     }
+    run.unanswered = order;
     out.add(new Log(LogEvent.RUN_UNANSWERED, describe(run) + " " + describe(order)));
     if (order.mayRun()) {
       stop(run, out);
     } else {
       removeRun(run);
-      listener.runLost(run, LossCause.NOT_SENT, now, out);
+      lost(run, LossCause.NOT_SENT, now, out);
     }
     renewals.renewIfDue(worker, now, out);
   }
@@ -268,7 +276,7 @@
     switch (completion.outcome()) {
       case DONE -> listener.runDone(run, now, out);
       case FAILED -> listener.runFailed(run, now, out);
-      default -> listener.runLost(run, LossCause.of(completion.outcome()), now, out);
+      default -> lost(run, LossCause.of(completion.outcome()), now, out);
     }
     run.task.job.holdCompletionUntilStored(worker, completion);
   }
@@ -306,6 +314,7 @@
     if (run != null) {
       if (run.phase == Run.Phase.STARTING) {
         run.startConfirmed(now);
+        unansweredStarts.answered(run.ref.task());
       }
       run.recordProgress(activeRun.progressPercent(), now);
       return;
@@ -346,7 +355,7 @@
       boolean tooLateToStart = clockMillis > run.startLeaseMillis() + LEASE_EXPIRY_MARGIN_MILLIS;
       if (requestedLater || tooLateToStart) {
         removeRun(run);
-        listener.runLost(run, LossCause.NOT_THERE, now, out);
+        lost(run, LossCause.NOT_THERE, now, out);
       }
     }
   }
@@ -380,6 +389,11 @@
     }
   }
 
+  private void lost(Run run, LossCause cause, long now, List<DispatchAction> out) {
+    unansweredStarts.runLost(run, cause, now, out);
+    listener.runLost(run, cause, now, out);
+  }
+
   private void removeRun(Run run) {
     run.worker.remove(run);
     if (run.task.run == run) {
@@ -395,7 +409,7 @@
       if (unresponsive
           && worker.clock.hasCertainlyPassed(lease + LEASE_EXPIRY_MARGIN_MILLIS, now)) {
         removeRun(run);
-        listener.runLost(run, LossCause.LEASE_EXPIRED, now, out);
+        lost(run, LossCause.LEASE_EXPIRED, now, out);
       } else if (run.phase == Run.Phase.RUNNING && run.answeredAt == Long.MAX_VALUE) {
         stop(run, out);
       }
@@ -420,7 +434,7 @@
         + tasks;
   }
 
-  private static String describe(StartUnanswered order) {
+  static String describe(StartUnanswered order) {
     return "mayRun="
         + order.mayRun()
         + " failure="
--- a/src/main/java/org/marjoramhoist/dispatch/Task.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Task.java
@@ -33,6 +33,7 @@
 
   private String avoidedWorker;
   private long avoidedUntil;
+  private long pausedUntil;
 
   Task(Job job, int step, int index, int lastRunNumber) {
     this.job = job;
@@ -57,14 +58,19 @@
     avoidedUntil = until;
   }
 
+  /** Avoids all workers until a time. */
+  void pauseUntil(long time) {
+    pausedUntil = time;
+  }
+
   /** Tells whether it is not to be started on a worker now. */
   boolean avoids(Worker worker, long now) {
-    return now < avoidedUntil && worker.id().equals(avoidedWorker);
+    return now < pausedUntil || now < avoidedUntil && worker.id().equals(avoidedWorker);
   }
 
   /** Tells whether there is a worker that it is not to be started on now. */
   boolean avoidsAnyWorker(long now) {
-    return now < avoidedUntil;
+    return now < avoidedUntil || now < pausedUntil;
   }
 
   /** Tells whether the run with the given number is known to have failed. */
--- a/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
+++ b/src/main/java/org/marjoramhoist/entry/NodeMetrics.java
@@ -76,6 +76,7 @@
     gauge("marjoramhoist.leader.starts.far", () -> starts().far());
     gauge("marjoramhoist.leader.tasks.suspected", () -> suspects().exclusive());
     gauge("marjoramhoist.leader.tasks.held", () -> suspects().held());
+    gauge("marjoramhoist.leader.tasks.unanswered", () -> status.dispatch().unansweredTasks());
     gauge("marjoramhoist.leader.workers.reserved", () -> suspects().reservedWorkers());
     gauge("marjoramhoist.leader.starts.allowed", () -> flag(status.dispatch().startsAllowed()));
     gauge("marjoramhoist.leader.orders.allowed", () -> flag(status.mayOrder()));
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -124,6 +124,8 @@
   JOB_SENT(4021, true),
   /** A host sent its open jobs or calls to a leader again. */
   JOBS_RESUBMITTED(4022),
+  /** Workers that answer all else leave the orders to start a task unanswered, again and again. */
+  TASK_UNANSWERED(4023),
   /** An attempt ended without a known outcome. */
   ATTEMPT_UNKNOWN(4101),
   /** A worker refused an attempt. */
