Test queues, labels and racks of any letters, and look for surrogates first

Change: workers of the cluster of tests are in a rack with a letter beyond ASCII, and a test submits to a queue whose prefix has one and needs a label that has one. Utf8.canHold asks an encoder only about texts with surrogates, as it is asked about each text of each worker's entry.

--- a/src/main/java/org/marjoramhoist/json/Utf8.java
+++ b/src/main/java/org/marjoramhoist/json/Utf8.java
@@ -18,7 +18,17 @@
 
   /** Tells whether a text has a form in UTF-8, from which it is read back letter for letter. */
   public static boolean canHold(String text) {
-    return StandardCharsets.UTF_8.newEncoder().canEncode(text);
+    return !hasSurrogates(text) || StandardCharsets.UTF_8.newEncoder().canEncode(text);
+  }
+
+  /** Tells whether a text has any; most have none, and need no encoder. */
+  private static boolean hasSurrogates(String text) {
+    for (int i = 0; i < text.length(); i++) {
+      if (Character.isSurrogate(text.charAt(i))) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Returns the length of a text in bytes. */
--- a/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
+++ b/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
@@ -44,6 +44,9 @@
   /** The path prefix of the sample request class. */
   public static final String PATH_PREFIX = "/check/";
 
+  /** The rack of all workers, one of their labels; it has a letter beyond ASCII as others may. */
+  static final String RACK = "rack-å";
+
   private static final String UPSTREAM = "reviews";
   private static final int PORTS_PER_HOST = 3;
   private static final NodeSettings.Limits DEFAULT_LIMITS = new NodeSettings.Limits(1, 1_000);
@@ -147,16 +150,7 @@
   private void addWorker(String name, String domain, LeasedWorker.Observer observer) {
     WorkerInfo info =
         new WorkerInfo(
-            name,
-            UPSTREAM,
-            "",
-            domain,
-            WORKER_CAPACITY,
-            "a",
-            "rack-1",
-            Set.of("a", "rack-1"),
-            false,
-            1);
+            name, UPSTREAM, "", domain, WORKER_CAPACITY, "a", RACK, Set.of("a", RACK), false, 1);
     PlatformWorkerStandIn worker = new PlatformWorkerStandIn(info, TASK_RESOURCES, observer);
     workers.add(worker);
     SampleDocuments.putWorker(store, name, worker);
--- a/src/test/java/org/marjoramhoist/trial/PlatformClusterTest.java
+++ b/src/test/java/org/marjoramhoist/trial/PlatformClusterTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.http.HttpReply;
+import org.marjoramhoist.http.RawCaller;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.platform.standin.SampleDocuments;
 
@@ -259,6 +260,26 @@
     assertThat(payloadsOf(durable)).containsExactly(spec);
   }
 
+  /** Guards against queues and labels that are found only if their letters are ASCII. */
+  @Test
+  void findsQueueAndWorkersByNamesOfAnyLetters() throws IOException, InterruptedException {
+    SampleDocuments.putConfig(cluster.store(), 5, PlatformCluster.AUTHORITY, "/prøve/", "reviews");
+    String needs = "\"requiredLabel\":\"" + PlatformCluster.RACK + "\",\"count\"";
+    String job = PlatformCluster.job(1, 20).replace("\"count\"", needs);
+    long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MILLIS);
+    int status = 0;
+    while (status != 200 && System.nanoTime() < deadline) {
+      String path = "/pr%C3%B8ve/" + String.format(Locale.ROOT, "%016x", ++jobs);
+      try (RawCaller caller = new RawCaller(cluster.address(0))) {
+        caller.send(RawCaller.post(PlatformCluster.AUTHORITY, path, job));
+        RawCaller.Response response = caller.receive();
+        status = response.status();
+        assertThat(response.body()).isAnyOf(SUCCEEDED, "{}");
+      }
+    }
+    assertThat(status).isEqualTo(200);
+  }
+
   private Set<String> payloadsOf(String job) {
     return cluster.workers().stream()
         .map(worker -> worker.payloadOf(new JobId(job)))
