Give hosts under test ports that no other socket takes

Cause: LoopbackServer.freePorts asked the system for ports, gave them back, and the host bound them a second later. Meanwhile the test's stand-ins listen on ports that the system chooses, and each attempt to connect takes one; the system may choose the same ones.

A host of MisbehavingClientsTest needs four ports and there are some 60 such hosts a run.

Change: LoopbackPorts gives out ports below the system's own range, none twice in a process.

--- a/src/main/java/org/marjoramhoist/http/LoopbackServer.java
+++ b/src/main/java/org/marjoramhoist/http/LoopbackServer.java
@@ -2,12 +2,7 @@
 
 import io.undertow.Undertow;
 import io.undertow.server.HttpHandler;
-import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.util.ArrayList;
-import java.util.List;
 
 /**
  * A small HTTP server on one address.
@@ -47,25 +42,6 @@
     return address;
   }
 
-  /**
-   * Returns loopback ports that are free at present.
-   *
-   * @throws IOException if there are not so many
-   */
-  public static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> held = new ArrayList<>();
-    List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      held.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : held) {
-      socket.close();
-    }
-    return ports;
-  }
-
   @Override
   public void close() {
     server.stop();
--- a/src/main/java/org/marjoramhoist/standin/DevCluster.java
+++ b/src/main/java/org/marjoramhoist/standin/DevCluster.java
@@ -5,7 +5,7 @@
 import java.util.Locale;
 import org.marjoramhoist.config.Settings;
 import org.marjoramhoist.host.EntryHost;
-import org.marjoramhoist.http.LoopbackServer;
+import org.marjoramhoist.http.LoopbackPorts;
 import org.marjoramhoist.json.InvalidDocumentException;
 
 /**
@@ -73,7 +73,7 @@
       worker.setFaults(WorkerFaults.slow(SLOWNESS[i % SLOWNESS.length]));
       workers.add(worker);
     }
-    List<Integer> ports = LoopbackServer.freePorts(hostCount * 3);
+    List<Integer> ports = LoopbackPorts.free(hostCount * 3);
     for (int i = 0; i < hostCount; i++) {
       settings.add(settingsOf(i, ports));
     }
--- a/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
+++ b/src/main/java/org/marjoramhoist/trial/PlatformCluster.java
@@ -20,7 +20,7 @@
 import org.marjoramhoist.http.HttpCall;
 import org.marjoramhoist.http.HttpCaller;
 import org.marjoramhoist.http.HttpReply;
-import org.marjoramhoist.http.LoopbackServer;
+import org.marjoramhoist.http.LoopbackPorts;
 import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.json.InvalidDocumentException;
 import org.marjoramhoist.json.JsonText;
@@ -137,7 +137,7 @@
     for (int i = 0; i < workerDomains.size(); i++) {
       addWorker("worker-" + i, workerDomains.get(i), observer);
     }
-    List<Integer> ports = LoopbackServer.freePorts(entryHosts.size() * PORTS_PER_HOST);
+    List<Integer> ports = LoopbackPorts.free(entryHosts.size() * PORTS_PER_HOST);
     for (int i = 0; i < entryHosts.size(); i++) {
       List<Integer> hostPorts = ports.subList(i * PORTS_PER_HOST, ports.size());
       settings.add(parseSettings("host-" + i, entryHosts.get(i), hostPorts));
--- a/src/test/java/org/marjoramhoist/cli/EntryProcessTest.java
+++ b/src/test/java/org/marjoramhoist/cli/EntryProcessTest.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.marjoramhoist.http.LoopbackServer;
+import org.marjoramhoist.http.LoopbackPorts;
 import org.marjoramhoist.json.JsonText;
 import org.marjoramhoist.platform.standin.PlatformStoreStandIn;
 
@@ -55,7 +55,7 @@
   }
 
   private Process startHost(String store) throws IOException {
-    List<Integer> ports = LoopbackServer.freePorts(3);
+    List<Integer> ports = LoopbackPorts.free(3);
     Map<String, Object> listen =
         Map.of(
             "callers", LOOPBACK_PREFIX + ports.get(0),
--- a/src/test/java/org/marjoramhoist/entry/CallerListenerTest.java
+++ b/src/test/java/org/marjoramhoist/entry/CallerListenerTest.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.http.Exchanges;
-import org.marjoramhoist.http.LoopbackServer;
+import org.marjoramhoist.http.LoopbackPorts;
 import org.marjoramhoist.http.RawCaller;
 import org.marjoramhoist.http.Replies;
 import org.marjoramhoist.listener.HttpListener;
@@ -22,7 +22,7 @@
   /** Its caller would take a response of 200 for the acceptance of its job. */
   @Test
   void bodyThatIsTooLongIsNotAnsweredAsServed() throws Exception {
-    String address = "127.0.0.1:" + LoopbackServer.freePorts(1).get(0);
+    String address = "127.0.0.1:" + LoopbackPorts.free(1).get(0);
     try (HttpListener listener =
             listen(
                 address,
@@ -40,7 +40,7 @@
   /** The I/O thread called the listener for it again and again, and ran nothing that was due. */
   @Test
   void connectionThatArrivesAsTheListenerClosesDoesNotOccupyTheLoop() throws Exception {
-    String address = "127.0.0.1:" + LoopbackServer.freePorts(1).get(0);
+    String address = "127.0.0.1:" + LoopbackPorts.free(1).get(0);
     HttpListener listener = listen(address, exchange -> exchange.endExchange());
     CountDownLatch blocked = new CountDownLatch(1);
     CountDownLatch connected = new CountDownLatch(1);
--- a/src/test/java/org/marjoramhoist/entry/DrainExchangeTest.java
+++ b/src/test/java/org/marjoramhoist/entry/DrainExchangeTest.java
@@ -15,7 +15,7 @@
 import org.marjoramhoist.config.NodeSettings;
 import org.marjoramhoist.dispatch.RetryForecast;
 import org.marjoramhoist.http.HostPort;
-import org.marjoramhoist.http.LoopbackServer;
+import org.marjoramhoist.http.LoopbackPorts;
 import org.marjoramhoist.json.JsonText;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.DomainHeartbeat;
@@ -72,7 +72,7 @@
 
   @BeforeEach
   void startHost() throws Exception {
-    List<Integer> ports = LoopbackServer.freePorts(4);
+    List<Integer> ports = LoopbackPorts.free(4);
     hostAddress = LOOPBACK + ports.get(2);
     String peerAddress = LOOPBACK + ports.get(3);
     network = new FrameNetwork(worker, HostPort.parse(peerAddress), peer);
--- a/src/test/java/org/marjoramhoist/entry/FollowerLinksTest.java
+++ b/src/test/java/org/marjoramhoist/entry/FollowerLinksTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.dispatch.RetryForecast;
 import org.marjoramhoist.http.HostPort;
-import org.marjoramhoist.http.LoopbackServer;
+import org.marjoramhoist.http.LoopbackPorts;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.Heartbeat;
 import org.marjoramhoist.message.HostMessage.LeaderQuery;
@@ -57,7 +57,7 @@
 
   @BeforeEach
   void openNetwork() throws Exception {
-    String address = "127.0.0.1:" + LoopbackServer.freePorts(1).get(0);
+    String address = "127.0.0.1:" + LoopbackPorts.free(1).get(0);
     network = new FrameNetwork(worker, HostPort.parse(address), host);
     links =
         new FollowerLinks(
--- a/src/test/java/org/marjoramhoist/entry/HostShutdownTest.java
+++ b/src/test/java/org/marjoramhoist/entry/HostShutdownTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.dispatch.SchedulingPolicy;
 import org.marjoramhoist.http.Exchanges;
-import org.marjoramhoist.http.LoopbackServer;
+import org.marjoramhoist.http.LoopbackPorts;
 import org.marjoramhoist.http.RawCaller;
 import org.marjoramhoist.http.Replies;
 import org.marjoramhoist.lead.GracefulShutdown;
@@ -36,7 +36,7 @@
 
   @BeforeEach
   void startListener() throws IOException {
-    address = "127.0.0.1:" + LoopbackServer.freePorts(1).get(0);
+    address = "127.0.0.1:" + LoopbackPorts.free(1).get(0);
     listener = listen(address, exchanges.counting(this::handle));
     LeaderTracker leaders = new LeaderTracker();
     hostShutdown =
--- a/src/test/java/org/marjoramhoist/entry/LeaderPollTest.java
+++ b/src/test/java/org/marjoramhoist/entry/LeaderPollTest.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.http.HostPort;
-import org.marjoramhoist.http.LoopbackServer;
+import org.marjoramhoist.http.LoopbackPorts;
 import org.marjoramhoist.lead.ElectionEvent;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.LeaderQuery;
@@ -40,7 +40,7 @@
   /** A cut that refuses connections looks like the end of the leader's process. */
   @Test
   void refusalDoesNotProveThatLeaderStoppedWhichAnotherHostHears() throws Exception {
-    List<Integer> ports = LoopbackServer.freePorts(2);
+    List<Integer> ports = LoopbackPorts.free(2);
     String other = "127.0.0.1:" + ports.get(0);
     String refusing = "127.0.0.1:" + ports.get(1);
     Map<String, String> hosts = Map.of("other", other, "leader", refusing);
--- a/src/test/java/org/marjoramhoist/entry/ListenerLimitsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/ListenerLimitsTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.http.Exchanges;
-import org.marjoramhoist.http.LoopbackServer;
+import org.marjoramhoist.http.LoopbackPorts;
 import org.marjoramhoist.http.RawCaller;
 import org.marjoramhoist.http.Replies;
 import org.marjoramhoist.listener.HttpListener;
@@ -33,7 +33,7 @@
 
   @BeforeEach
   void startListener() throws IOException {
-    String address = "127.0.0.1:" + LoopbackServer.freePorts(1).get(0);
+    String address = "127.0.0.1:" + LoopbackPorts.free(1).get(0);
     listener =
         listen(
             address,
--- a/src/test/java/org/marjoramhoist/entry/LostLeaderTest.java
+++ b/src/test/java/org/marjoramhoist/entry/LostLeaderTest.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramhoist.dispatch.RetryForecast;
-import org.marjoramhoist.http.LoopbackServer;
+import org.marjoramhoist.http.LoopbackPorts;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.RequestClass;
@@ -57,7 +57,7 @@
 
   @BeforeEach
   void startHost() throws IOException {
-    port = LoopbackServer.freePorts(1).get(0);
+    port = LoopbackPorts.free(1).get(0);
     StoreHealth health = new StoreHealth();
     HostRegistration registration =
         new HostRegistration(
--- a/src/test/java/org/marjoramhoist/http/HttpCallerTest.java
+++ b/src/test/java/org/marjoramhoist/http/HttpCallerTest.java
@@ -3,8 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
 import java.util.concurrent.CompletableFuture;
@@ -96,9 +94,7 @@
 
   /** Returns an address at which nothing listens. */
   private static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return "127.0.0.1:" + socket.getLocalPort();
-    }
+    return "127.0.0.1:" + LoopbackPorts.free(1).get(0);
   }
 
   private static void awaitPast(CountDownLatch answered, long deadline) {
--- a/src/test/java/org/marjoramhoist/peer/FrameNetworkTest.java
+++ b/src/test/java/org/marjoramhoist/peer/FrameNetworkTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramhoist.http.HostPort;
-import org.marjoramhoist.http.LoopbackServer;
+import org.marjoramhoist.http.LoopbackPorts;
 import org.marjoramhoist.message.HostMessage;
 import org.marjoramhoist.message.HostMessage.LeaderQuery;
 import org.xnio.OptionMap;
@@ -52,7 +52,7 @@
 
   @BeforeEach
   void listen() throws Exception {
-    int port = LoopbackServer.freePorts(1).get(0);
+    int port = LoopbackPorts.free(1).get(0);
     address = "127.0.0.1:" + port;
     worker =
         Xnio.getInstance()
@@ -82,7 +82,7 @@
   /** Logs of two hosts can only be compared if both call the link between them the same. */
   @Test
   void bothEndsOfLinkHaveTheSameId() throws Exception {
-    int port = LoopbackServer.freePorts(1).get(0);
+    int port = LoopbackPorts.free(1).get(0);
     CompletableFuture<String> acceptedId = new CompletableFuture<>();
     CompletableFuture<String> openedId = new CompletableFuture<>();
     FrameLink.Listener acceptor =
--- a/src/test/java/org/marjoramhoist/peer/PeerNetworkTest.java
+++ b/src/test/java/org/marjoramhoist/peer/PeerNetworkTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.marjoramhoist.http.LoopbackPorts;
 import org.marjoramhoist.message.PeerMessage;
 import org.marjoramhoist.model.HostId;
 import org.marjoramhoist.model.HostRef;
@@ -46,9 +47,7 @@
   }
 
   private static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return "127.0.0.1:" + socket.getLocalPort();
-    }
+    return "127.0.0.1:" + LoopbackPorts.free(1).get(0);
   }
 
   private static Hello hello(String name, String address, int protocol, String layout) {
--- a/src/test/java/org/marjoramhoist/trial/HostProcess.java
+++ b/src/test/java/org/marjoramhoist/trial/HostProcess.java
@@ -13,7 +13,7 @@
 import java.util.stream.Stream;
 import org.marjoramhoist.cli.Main;
 import org.marjoramhoist.dispatch.WorkerInfo;
-import org.marjoramhoist.http.LoopbackServer;
+import org.marjoramhoist.http.LoopbackPorts;
 import org.marjoramhoist.http.RawCaller;
 import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.json.JsonText;
@@ -41,7 +41,7 @@
 
   private final PlatformStoreStandIn store = new PlatformStoreStandIn(LOOPBACK_PREFIX + 0);
   private final List<PlatformWorkerStandIn> workers = new ArrayList<>();
-  private final List<Integer> ports = LoopbackServer.freePorts(4);
+  private final List<Integer> ports = LoopbackPorts.free(4);
   private final Path log;
   private final Process process;
   private int jobs;
