Name the address that a host can't bind

It has up to four listeners, and the message named none.

Cause: the system's failure has no address; HttpListener, FrameNetwork and PeerNetwork passed it on, and Undertow wraps it.

Change: Listening.at names the address in front of what the system told, at all four places that listen.

This says nothing of who has the address.

--- a/src/main/java/org/marjoramhoist/host/EntryHost.java
+++ b/src/main/java/org/marjoramhoist/host/EntryHost.java
@@ -19,6 +19,7 @@
 import org.marjoramhoist.decision.Policy;
 import org.marjoramhoist.http.HostPort;
 import org.marjoramhoist.http.HttpCaller;
+import org.marjoramhoist.http.Listening;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.Faults;
 import org.marjoramhoist.log.LogEvent;
@@ -232,7 +233,7 @@
     return Part.of(() -> beats.cancel(false));
   }
 
-  private Part listener(String address, HttpHandler handler) {
+  private Part listener(String address, HttpHandler handler) throws IOException {
     InetSocketAddress listen = HostPort.parse(address);
     Undertow server =
         Undertow.builder()
@@ -246,7 +247,12 @@
             .setServerOption(UndertowOptions.MAX_CONCURRENT_REQUESTS_PER_CONNECTION, 1)
             .setHandler(handler)
             .build();
-    server.start();
+    Listening.at(
+        listen,
+        () -> {
+          server.start();
+          return server;
+        });
     return Part.of(server::stop);
   }
 
--- a/src/main/java/org/marjoramhoist/listener/HttpListener.java
+++ b/src/main/java/org/marjoramhoist/listener/HttpListener.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.marjoramhoist.connection.ConnectionGroup;
+import org.marjoramhoist.http.Listening;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
 import org.xnio.ChannelListener;
@@ -85,17 +86,17 @@
                 .getMap());
     server.setRootHandler(tracking(handler));
     int highWater = connections.maxCount(group) + ACCEPT_BURST;
+    OptionMap options =
+        OptionMap.builder()
+            .set(Options.TCP_NODELAY, true)
+            .set(Options.REUSE_ADDRESSES, true)
+            .set(Options.BACKLOG, ACCEPT_BACKLOG)
+            .set(Options.CONNECTION_HIGH_WATER, highWater)
+            .set(Options.CONNECTION_LOW_WATER, highWater - 1)
+            .getMap();
     socket =
-        worker.createStreamConnectionServer(
-            address,
-            this::acceptNext,
-            OptionMap.builder()
-                .set(Options.TCP_NODELAY, true)
-                .set(Options.REUSE_ADDRESSES, true)
-                .set(Options.BACKLOG, ACCEPT_BACKLOG)
-                .set(Options.CONNECTION_HIGH_WATER, highWater)
-                .set(Options.CONNECTION_LOW_WATER, highWater - 1)
-                .getMap());
+        Listening.at(
+            address, () -> worker.createStreamConnectionServer(address, this::acceptNext, options));
     socket.resumeAccepts();
   }
 
--- a/src/main/java/org/marjoramhoist/peer/FrameNetwork.java
+++ b/src/main/java/org/marjoramhoist/peer/FrameNetwork.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.marjoramhoist.http.HostPort;
+import org.marjoramhoist.http.Listening;
 import org.marjoramhoist.listener.Connections;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.LogEvent;
@@ -73,7 +74,8 @@
                 connection
                     .getIoThread()
                     .execute(() -> begin(connection, listener, accepted.guard(connection))));
-    this.server = worker.createStreamConnectionServer(address, accept, OPTIONS);
+    this.server =
+        Listening.at(address, () -> worker.createStreamConnectionServer(address, accept, OPTIONS));
     server.resumeAccepts();
   }
 
--- a/src/main/java/org/marjoramhoist/peer/PeerNetwork.java
+++ b/src/main/java/org/marjoramhoist/peer/PeerNetwork.java
@@ -4,6 +4,7 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Collection;
@@ -12,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import org.marjoramhoist.http.HostPort;
+import org.marjoramhoist.http.Listening;
 import org.marjoramhoist.log.EventLog;
 import org.marjoramhoist.log.Faults;
 import org.marjoramhoist.log.LogEvent;
@@ -54,7 +56,13 @@
     this.sockets = sockets;
     this.listener = sockets.server();
     listener.setReuseAddress(true);
-    listener.bind(HostPort.parse(self.address()), BACKLOG);
+    InetSocketAddress address = HostPort.parse(self.address());
+    Listening.at(
+        address,
+        () -> {
+          listener.bind(address, BACKLOG);
+          return listener;
+        });
     start(this::accept, "peer-accept");
   }
 
--- a/src/test/java/org/marjoramhoist/entry/CallerListenerTest.java
+++ b/src/test/java/org/marjoramhoist/entry/CallerListenerTest.java
@@ -1,7 +1,9 @@
 package org.marjoramhoist.entry;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.net.BindException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -60,6 +62,19 @@
     }
   }
 
+  /** On-call saw a host end with "Address already in use", and not which of its four. */
+  @Test
+  void addressInUseIsNamed() throws Exception {
+    String address = "127.0.0.1:" + LoopbackPorts.free(1).get(0);
+    try (HttpListener first = listen(address, exchange -> exchange.endExchange())) {
+      first.handleNewConnectionsWith(exchange -> exchange.endExchange());
+      BindException e =
+          assertThrows(
+              BindException.class, () -> listen(address, exchange -> exchange.endExchange()));
+      assertThat(e).hasMessageThat().startsWith(address + ": ");
+    }
+  }
+
   private static void awaitUnchecked(CountDownLatch latch) {
     try {
       latch.await();
--- a/src/test/java/org/marjoramhoist/peer/FrameNetworkTest.java
+++ b/src/test/java/org/marjoramhoist/peer/FrameNetworkTest.java
@@ -1,7 +1,9 @@
 package org.marjoramhoist.peer;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.List;
@@ -79,6 +81,14 @@
     assertThat(refused.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isFalse();
   }
 
+  @Test
+  void addressInUseIsNamed() {
+    BindException e =
+        assertThrows(
+            BindException.class, () -> new FrameNetwork(worker, HostPort.parse(address), listener));
+    assertThat(e).hasMessageThat().startsWith(address + ": ");
+  }
+
   /** Logs of two hosts can only be compared if both call the link between them the same. */
   @Test
   void bothEndsOfLinkHaveTheSameId() throws Exception {
--- a/src/test/java/org/marjoramhoist/peer/PeerNetworkTest.java
+++ b/src/test/java/org/marjoramhoist/peer/PeerNetworkTest.java
@@ -1,10 +1,12 @@
 package org.marjoramhoist.peer;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -59,6 +61,17 @@
     return new PeerNetwork(hello, events, SocketMaker.PLAIN);
   }
 
+  @Test
+  void addressInUseIsNamed() throws Exception {
+    String address = freeAddress();
+    Hello hello = hello("a", address, 1, "x");
+    try (PeerNetwork first = network(hello, new Recorder())) {
+      first.dial(address);
+      BindException e = assertThrows(BindException.class, () -> network(hello, new Recorder()));
+      assertThat(e).hasMessageThat().startsWith(address + ": ");
+    }
+  }
+
   @Test
   void carriesMessagesBothWays() throws Exception {
     Recorder atA = new Recorder();
