Write the progress of a job in ranges, so that it fits into a value of the store

Cause: JobProgress listed each done task, each failed run and each lost run; the tasks of a job are bounded, its failed runs aren't. The first of two causes: why one job's value holds up the others is a fault of its own.

Evidence: JobRecordsTest.progressOfLargestJobFitsIntoOneValue with a third failed run for each task fails before, 1,365,616 bytes of 1,048,576.

Change: NumberSet holds indexes and run numbers as ranges, ProgressGroups merges what differs in its tasks only. A value for one run has the text of before; progress that earlier versions wrote is read as it was.

--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -170,9 +170,11 @@
       return;
     }
     started = true;
-    progress.done().forEach(position -> markDone(task(position.step(), position.index())));
-    for (JobProgress.FailedRun failed : progress.failed()) {
-      task(failed.step(), failed.index()).recordFailure(failed.run());
+    for (JobProgress.DoneTasks done : progress.done()) {
+      done.tasks().forEach(index -> markDone(task(done.step(), index)));
+    }
+    for (JobProgress.FailedRuns failed : progress.failed()) {
+      failed.tasks().forEach(index -> task(failed.step(), index).recordFailures(failed.runs()));
     }
   }
 
@@ -188,9 +190,9 @@
 
   /** Returns the current progress, for storage. */
   JobProgress progress() {
-    List<JobProgress.TaskPosition> done = new ArrayList<>();
-    List<JobProgress.FailedRun> failed = new ArrayList<>();
-    List<JobProgress.LostRun> lost = new ArrayList<>();
+    List<JobProgress.DoneTasks> done = new ArrayList<>();
+    List<JobProgress.FailedRuns> failed = new ArrayList<>();
+    List<JobProgress.LostRuns> lost = new ArrayList<>();
     if (!status.isTerminal()) {
       steps.forEach(tasks -> tasks.forEach(task -> task.addTo(done, failed, lost)));
     }
@@ -290,7 +292,7 @@
   }
 
   /** Returns the stored losses of workers with runs of this job. */
-  List<JobProgress.LostRun> storedLosses() {
+  List<JobProgress.LostRuns> storedLosses() {
     return storedProgress == null ? List.of() : storedProgress.lost();
   }
 
--- a/src/main/java/org/marjoramhoist/dispatch/JobProgress.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobProgress.java
@@ -1,6 +1,7 @@
 package org.marjoramhoist.dispatch;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
 import org.marjoramhoist.dispatch.WorkerReport.RunOutcome;
 import org.marjoramhoist.job.JobStatus;
@@ -10,7 +11,10 @@
 /**
  * The stored progress of a durable job.
  *
- * <p>Immutable and safe for use by several threads.
+ * <p>Invariant: what tasks of a step have in common is held and written once for all of them, in
+ * ranges, so that the size follows from how often neighbours differ and hardly from the number of
+ * tasks. A value for one run of one task has the form of earlier versions, which can read it.
+ * Immutable and safe for use by several threads.
  *
  * @param status its status; {@link JobStatus#RUNNING} while it is open
  * @param done the completed tasks, if it is open
@@ -21,38 +25,66 @@
  */
 public record JobProgress(
     JobStatus status,
-    List<TaskPosition> done,
-    List<FailedRun> failed,
+    List<DoneTasks> done,
+    List<FailedRuns> failed,
     long endedMillis,
-    @JsonInclude(JsonInclude.Include.NON_EMPTY) List<LostRun> lost) {
+    @JsonInclude(JsonInclude.Include.NON_EMPTY) List<LostRuns> lost) {
 
-  /** Creates a value with copies of the lists. */
+  /** Creates a value with the lists merged. */
   public JobProgress {
-    done = List.copyOf(done);
-    failed = List.copyOf(failed);
-    lost = lost == null ? List.of() : List.copyOf(lost);
+    done = ProgressGroups.ofDone(done);
+    failed = ProgressGroups.ofFailed(failed);
+    lost = lost == null ? List.of() : ProgressGroups.ofLost(lost);
   }
 
   /** Creates the progress of a job that has lost no worker. */
   public JobProgress(
-      JobStatus status, List<TaskPosition> done, List<FailedRun> failed, long endedMillis) {
+      JobStatus status, List<DoneTasks> done, List<FailedRuns> failed, long endedMillis) {
     this(status, done, failed, endedMillis, List.of());
   }
 
   /** Tells whether it includes the outcome of a run, so that the completion may be acknowledged. */
   boolean covers(RunRef run, RunOutcome outcome) {
     TaskRef task = run.task();
-    return done.contains(new TaskPosition(task.step(), task.index()))
+    return done.stream()
+            .anyMatch(each -> each.step() == task.step() && each.tasks().contains(task.index()))
         || outcome == RunOutcome.FAILED
-            && failed.contains(new FailedRun(task.step(), task.index(), run.number()));
+            && failed.stream()
+                .anyMatch(
+                    each ->
+                        each.step() == task.step()
+                            && each.tasks().contains(task.index())
+                            && each.runs().contains(run.number()));
   }
 
-  /** The step of a task and its index in the step. */
-  public record TaskPosition(int step, int index) {}
+  /** Completed tasks: a step and the indexes of tasks in it. */
+  public record DoneTasks(int step, @JsonProperty("index") NumberSet tasks) {
 
-  /** A failed run: the step and the index of its task, and the run number. */
-  public record FailedRun(int step, int index, int run) {}
+    /** Creates the value for one task. */
+    public DoneTasks(int step, int index) {
+      this(step, NumberSet.of(index));
+    }
+  }
+
+  /** Failed runs: a step, the indexes of tasks in it, and the numbers of runs of each of these. */
+  public record FailedRuns(
+      int step, @JsonProperty("index") NumberSet tasks, @JsonProperty("run") NumberSet runs) {
+
+    /** Creates the value for one run. */
+    public FailedRuns(int step, int index, int run) {
+      this(step, NumberSet.of(index), NumberSet.of(run));
+    }
+  }
+
+  /**
+   * Runs that were lost with their worker: a step, the indexes of tasks in it, and the loss that
+   * each of these has suffered.
+   */
+  public record LostRuns(int step, @JsonProperty("index") NumberSet tasks, WorkerLoss loss) {
 
-  /** A run that was lost with its worker: the step and the index of its task, and the loss. */
-  public record LostRun(int step, int index, WorkerLoss loss) {}
+    /** Creates the value for one task. */
+    public LostRuns(int step, int index, WorkerLoss loss) {
+      this(step, NumberSet.of(index), loss);
+    }
+  }
 }
--- a/src/main/java/org/marjoramhoist/dispatch/SuspectTasks.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SuspectTasks.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -54,10 +55,14 @@
   /**
    * Gives the tasks of a job what is held against them, by this leader or stored by earlier ones.
    */
-  void attach(Job job, Collection<JobProgress.LostRun> stored, long now) {
-    for (JobProgress.LostRun each : stored) {
-      TaskRef ref = new TaskRef(job.id(), each.step(), each.index());
-      lossesOf(ref).add(each.loss(), now);
+  void attach(Job job, Collection<JobProgress.LostRuns> stored, long now) {
+    // Tasks share the stored values, whose order is that of none of them.
+    List<JobProgress.LostRuns> oldestFirst =
+        stored.stream().sorted(Comparator.comparingInt(each -> each.loss().run())).toList();
+    for (JobProgress.LostRuns each : oldestFirst) {
+      each.tasks()
+          .forEach(
+              index -> lossesOf(new TaskRef(job.id(), each.step(), index)).add(each.loss(), now));
     }
     for (TaskLosses losses : tasks.values()) {
       TaskRef ref = losses.task();
--- a/src/main/java/org/marjoramhoist/dispatch/Task.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Task.java
@@ -1,8 +1,6 @@
 package org.marjoramhoist.dispatch;
 
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import org.marjoramhoist.job.StepSpec;
 import org.marjoramhoist.job.TaskRef;
 
@@ -26,7 +24,7 @@
   int lastRunNumber;
 
   /** The numbers of the failed runs; empty for most tasks. */
-  private Set<Integer> failedRuns = Set.of();
+  private NumberSet failedRuns = NumberSet.EMPTY;
 
   /** The workers that were lost with a run of this task; null if there are none. */
   TaskLosses losses;
@@ -47,9 +45,12 @@
 
   /** Records a failed run. */
   void recordFailure(int number) {
-    Set<Integer> updated = new HashSet<>(failedRuns);
-    updated.add(number);
-    failedRuns = updated;
+    recordFailures(NumberSet.of(number));
+  }
+
+  /** Records failed runs. */
+  void recordFailures(NumberSet numbers) {
+    failedRuns = failedRuns.union(numbers);
   }
 
   /** Avoids a worker, on which a run failed or made no progress, until a time. */
@@ -105,19 +106,20 @@
 
   /** Adds what must outlive a leader to the job progress to be stored. */
   void addTo(
-      List<JobProgress.TaskPosition> doneTasks,
-      List<JobProgress.FailedRun> allFailedRuns,
-      List<JobProgress.LostRun> allLostRuns) {
+      List<JobProgress.DoneTasks> doneTasks,
+      List<JobProgress.FailedRuns> allFailedRuns,
+      List<JobProgress.LostRuns> allLostRuns) {
+    NumberSet index = NumberSet.of(ref.index());
     if (done) {
-      doneTasks.add(new JobProgress.TaskPosition(ref.step(), ref.index()));
+      doneTasks.add(new JobProgress.DoneTasks(ref.step(), index));
     }
-    for (int number : failedRuns) {
-      allFailedRuns.add(new JobProgress.FailedRun(ref.step(), ref.index(), number));
+    if (!failedRuns.isEmpty()) {
+      allFailedRuns.add(new JobProgress.FailedRuns(ref.step(), index, failedRuns));
     }
     if (losses != null && !done) {
       losses.all().stream()
           .filter(loss -> loss.evidence() != WorkerLoss.Evidence.SILENT)
-          .map(loss -> new JobProgress.LostRun(ref.step(), ref.index(), loss))
+          .map(loss -> new JobProgress.LostRuns(ref.step(), index, loss))
           .forEach(allLostRuns::add);
     }
   }
--- a/src/main/java/org/marjoramhoist/entry/StoredJobCheck.java
+++ b/src/main/java/org/marjoramhoist/entry/StoredJobCheck.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import org.marjoramhoist.dispatch.JobProgress;
-import org.marjoramhoist.dispatch.JobProgress.TaskPosition;
+import org.marjoramhoist.dispatch.NumberSet;
 import org.marjoramhoist.dispatch.StoredJob;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.RequestClass;
@@ -67,23 +67,23 @@
   /** Returns whether progress is that of a job. */
   static boolean isUsable(JobProgress progress, JobDescription job) {
     return progress.status() != null
-        && progress.done().stream().allMatch(task -> hasTask(job, task))
+        && progress.done().stream().allMatch(each -> hasTasks(job, each.step(), each.tasks()))
         && progress.failed().stream()
-            .allMatch(run -> hasTask(job, new TaskPosition(run.step(), run.index())))
+            .allMatch(each -> hasTasks(job, each.step(), each.tasks()) && !each.runs().isEmpty())
         && progress.lost().stream().allMatch(run -> isUsable(run, job));
   }
 
-  private static boolean isUsable(JobProgress.LostRun run, JobDescription job) {
-    return hasTask(job, new TaskPosition(run.step(), run.index()))
+  private static boolean isUsable(JobProgress.LostRuns run, JobDescription job) {
+    return hasTasks(job, run.step(), run.tasks())
         && run.loss() != null
         && run.loss().worker() != null
         && run.loss().evidence() != null;
   }
 
-  private static boolean hasTask(JobDescription job, TaskPosition task) {
-    return task.step() >= 0
-        && task.step() < job.steps().size()
-        && task.index() >= 0
-        && task.index() < job.steps().get(task.step()).count();
+  private static boolean hasTasks(JobDescription job, int step, NumberSet tasks) {
+    return step >= 0
+        && step < job.steps().size()
+        && !tasks.isEmpty()
+        && tasks.max() < job.steps().get(step).count();
   }
 }
--- a/src/test/java/org/marjoramhoist/dispatch/SuspectTasksTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/SuspectTasksTest.java
@@ -402,7 +402,7 @@
             List.of(),
             List.of(),
             0,
-            List.of(new JobProgress.LostRun(0, 0, first), new JobProgress.LostRun(0, 0, second)));
+            List.of(new JobProgress.LostRuns(0, 0, first), new JobProgress.LostRuns(0, 0, second)));
     beginTerm(now);
     listWorkers(worker("w", 2_000, false), worker("b", 2_000, false));
     report("w", List.of());
@@ -432,7 +432,7 @@
     assertThat(stores).isNotEmpty();
     assertThat(stores.get(0).batch().progress().get(FIRST).lost())
         .containsExactly(
-            new JobProgress.LostRun(
+            new JobProgress.LostRuns(
                 0, 0, new WorkerLoss(run.number(), "w", false, true, WorkerLoss.Evidence.REFUSED)));
   }
 }
--- a/src/test/java/org/marjoramhoist/entry/JobRecordsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/JobRecordsTest.java
@@ -8,11 +8,15 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramhoist.dispatch.DispatchEvent.LoadedJob;
 import org.marjoramhoist.dispatch.JobProgress;
 import org.marjoramhoist.dispatch.JournalBatch;
+import org.marjoramhoist.dispatch.NumberSet;
 import org.marjoramhoist.dispatch.StoredJob;
 import org.marjoramhoist.dispatch.WorkerLoss;
+import org.marjoramhoist.dispatch.WorkerLoss.Evidence;
 import org.marjoramhoist.job.JobDescription;
 import org.marjoramhoist.job.JobFeature;
 import org.marjoramhoist.job.JobId;
@@ -20,6 +24,8 @@
 import org.marjoramhoist.job.RequestClass;
 import org.marjoramhoist.job.Resources;
 import org.marjoramhoist.job.StepSpec;
+import org.marjoramhoist.json.JsonText;
+import org.marjoramhoist.json.Utf8;
 import org.marjoramhoist.platform.JobBodies;
 import org.marjoramhoist.platform.KeyValueClient.Item;
 
@@ -38,7 +44,7 @@
       new StoredJob(
           new JobDescription(ID, "p", List.of(STEP), Set.of(JobFeature.DURABLE)), CLASS, 10_000);
   private static final JobProgress PROGRESS =
-      new JobProgress(JobStatus.RUNNING, List.of(new JobProgress.TaskPosition(0, 1)), List.of(), 0);
+      new JobProgress(JobStatus.RUNNING, List.of(new JobProgress.DoneTasks(0, 1)), List.of(), 0);
 
   private static List<Item> items(JournalBatch batch) {
     return JobRecords.puts(batch).stream().map(put -> new Item(put.key(), put.value(), 1)).toList();
@@ -67,7 +73,7 @@
             PROGRESS.done(),
             List.of(),
             0,
-            List.of(new JobProgress.LostRun(0, 1, loss)));
+            List.of(new JobProgress.LostRuns(0, 1, loss)));
     List<Item> stored = items(new JournalBatch(2, List.of(), Map.of(ID, progress), List.of()));
     assertThat(read(stored)).isEqualTo(new LoadedJob(RECORD, Optional.of(progress)));
     String earlier =
@@ -80,18 +86,70 @@
   }
 
   /** A value that the store refuses was written again and again, so nothing was stored any more. */
-  @Test
-  void progressOfLargestJobFitsIntoOneValue() {
-    List<JobProgress.TaskPosition> done = new ArrayList<>();
-    List<JobProgress.FailedRun> failed = new ArrayList<>();
+  @ParameterizedTest
+  @ValueSource(ints = {2, 3, 20})
+  void progressOfLargestJobFitsIntoOneValue(int failedRuns) {
+    List<JobProgress.DoneTasks> done = new ArrayList<>();
+    List<JobProgress.FailedRuns> failed = new ArrayList<>();
     for (int i = 0; i < JobBodies.MAX_TASKS; i++) {
-      done.add(new JobProgress.TaskPosition(999, i));
-      failed.add(new JobProgress.FailedRun(999, i, 1_000));
-      failed.add(new JobProgress.FailedRun(999, i, 1_001));
+      done.add(new JobProgress.DoneTasks(999, i));
+      for (int run = 0; run < failedRuns; run++) {
+        failed.add(new JobProgress.FailedRuns(999, i, 1_000 + run));
+      }
     }
     JobProgress progress = new JobProgress(JobStatus.RUNNING, done, failed, 0);
+    assertThat(sizeOf(progress)).isAtMost(MAX_VALUE_BYTES);
+  }
+
+  /** The same with tasks of which no two neighbours have the same runs behind them. */
+  @Test
+  void progressOfLargestJobFitsIntoOneValueIfNeighboursDiffer() throws Exception {
+    List<JobProgress.DoneTasks> done = new ArrayList<>();
+    List<JobProgress.FailedRuns> failed = new ArrayList<>();
+    List<JobProgress.LostRuns> lost = new ArrayList<>();
+    for (int i = 0; i < JobBodies.MAX_TASKS; i++) {
+      if (i % 2 == 0) {
+        done.add(new JobProgress.DoneTasks(999, i));
+      }
+      for (int run = 0; run < 20; run++) {
+        if ((i * 31 + run * 7) % 5 != 0) {
+          failed.add(new JobProgress.FailedRuns(999, i, 1_000 + run));
+        }
+      }
+      WorkerLoss loss =
+          new WorkerLoss(1_020 + i % 3, "server-" + i % 100, false, i % 2 == 1, Evidence.CRASHED);
+      lost.add(new JobProgress.LostRuns(999, i, loss));
+    }
+    JobProgress progress = new JobProgress(JobStatus.RUNNING, done, failed, 0, lost);
+    assertThat(sizeOf(progress)).isAtMost(MAX_VALUE_BYTES);
+    String value = valueOf(progress);
+    assertThat(JsonText.MAPPER.readValue(value, JobProgress.class)).isEqualTo(progress);
+  }
+
+  @Test
+  void readsProgressOfEarlierVersions() {
+    String earlier =
+        "{\"status\":\"RUNNING\",\"done\":[{\"step\":0,\"index\":0}],\"failed\":["
+            + "{\"step\":0,\"index\":1,\"run\":65},{\"step\":0,\"index\":1,\"run\":66}],"
+            + "\"endedMillis\":0,\"lost\":[{\"step\":0,\"index\":1,\"loss\":{\"run\":67,"
+            + "\"worker\":\"w\",\"exclusive\":true,\"latest\":false,\"evidence\":\"CRASHED\"}}]}";
+    JobProgress progress =
+        read(List.of(new Item(JobRecords.PROGRESS + ID, earlier, 1))).progress().orElseThrow();
+    assertThat(progress.done()).containsExactly(new JobProgress.DoneTasks(0, 0));
+    assertThat(progress.failed())
+        .containsExactly(new JobProgress.FailedRuns(0, NumberSet.of(1), NumberSet.parse("65-66")));
+    assertThat(progress.lost())
+        .containsExactly(
+            new JobProgress.LostRuns(0, 1, new WorkerLoss(67, "w", true, false, Evidence.CRASHED)));
+  }
+
+  private static String valueOf(JobProgress progress) {
     JournalBatch batch = new JournalBatch(2, List.of(), Map.of(ID, progress), List.of());
-    assertThat(JobRecords.puts(batch).get(0).value().length()).isAtMost(MAX_VALUE_BYTES);
+    return JobRecords.puts(batch).get(0).value();
+  }
+
+  private static int sizeOf(JobProgress progress) {
+    return Utf8.lengthOf(valueOf(progress));
   }
 
   @Test
