Tell what the store refuses for its content from an outage

Evidence: JobStoreTest.refusalOfContentIsNoOutage (400, 413, 422) and valueThatIsTooLongIsNotSent: 4 of 4 fail if the refusal is handled like an outage (no event within 5 s), and pass.

Change: StoreException.isRefusal; the client refuses keys and values that are too long itself; a refused batch is taken apart into one for each job, and one that is refused alone ends its own job only: 503 for a record, failed for progress, tried again each second for an end. JOB_NOT_STORED tells which, and is counted as all events are.

--- a/src/main/java/org/marjoramhoist/dispatch/DispatchAction.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchAction.java
@@ -57,7 +57,8 @@
       implements DispatchAction {}
 
   /**
-   * Stores changes of durable jobs. Completion is reported by {@link DispatchEvent.BatchStored}.
+   * Stores changes of durable jobs. Completion is reported by {@link DispatchEvent.BatchStored}, a
+   * refusal by {@link DispatchEvent.BatchRefused}.
    */
   record Store(JournalBatch batch) implements DispatchAction {}
 
--- a/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DispatchEvent.java
@@ -280,6 +280,14 @@
   /** A journal batch was stored. */
   record BatchStored(long number) implements DispatchEvent {}
 
+  /**
+   * The store refused a journal batch for what it contains, and would do so again; nothing of it is
+   * stored.
+   *
+   * @param reason what the store said, for logs
+   */
+  record BatchRefused(long number, String reason) implements DispatchEvent {}
+
   /**
    * The worker roster stored by previous leaders was loaded. No other leader can change it from now
    * on.
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
+import org.marjoramhoist.dispatch.DispatchEvent.BatchRefused;
 import org.marjoramhoist.dispatch.DispatchEvent.BatchStored;
 import org.marjoramhoist.dispatch.DispatchEvent.DomainsDrained;
 import org.marjoramhoist.dispatch.DispatchEvent.DomainsShared;
@@ -241,6 +242,9 @@
     } else if (event instanceof BatchStored batch) {
       durableJobs.confirmBatch(batch.number(), out).forEach(jobs::markWaiting);
       allocationDue = true;
+    } else if (event instanceof BatchRefused batch) {
+      jobCalls.handleRefusedBatch(batch, now, out);
+      allocationDue = true;
     } else if (event instanceof StartsAllowed allowed) {
       startsAllowed = allowed.allowed();
       allocationDue = true;
--- a/src/main/java/org/marjoramhoist/dispatch/DurableJobs.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DurableJobs.java
@@ -10,11 +10,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
+import org.marjoramhoist.dispatch.DispatchAction.Log;
 import org.marjoramhoist.dispatch.DispatchAction.Reply;
 import org.marjoramhoist.dispatch.DispatchEvent.EndedJob;
 import org.marjoramhoist.dispatch.DispatchEvent.JobCallReceived;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobStatus;
+import org.marjoramhoist.log.LogEvent;
 
 /**
  * The durable jobs of a term as their callers see them: a change is reported only once it is
@@ -267,6 +270,47 @@
     return accepted;
   }
 
+  /**
+   * Handles that the store has refused a batch for what it contains.
+   *
+   * @return the open jobs that can't be stored, or no further
+   */
+  List<Job> refuseBatch(DispatchEvent.BatchRefused event, long now, List<DispatchAction> out) {
+    List<Job> refused = new ArrayList<>();
+    journal.refuseBatch(
+        event.number(),
+        now,
+        (job, progress) -> {
+          out.add(new Log(LogEvent.JOB_NOT_STORED, describe(job, progress, event.reason())));
+          if (progress == null || !job.status.isTerminal()) {
+            refused.add(job);
+          }
+        });
+    return refused;
+  }
+
+  private static String describe(Job job, JobProgress progress, String reason) {
+    boolean isEnd = progress != null && progress.status().isTerminal();
+    String part = progress == null ? "record" : isEnd ? "end" : "progress";
+    return "job=" + job.id() + " part=" + part + " reason=" + reason;
+  }
+
+  /** Forgets a job whose record the store refuses. */
+  void forget(
+      Job job, Function<JobCallReceived, DispatchAction> refusal, List<DispatchAction> out) {
+    journal.forget(job);
+    ending.remove(job.id());
+    List<JobCallReceived> calls = callsAwaitingStore.remove(job);
+    if (calls != null) {
+      for (JobCallReceived call : calls) {
+        out.add(
+            call.kind() == JobCallKind.SUBMIT
+                ? refusal.apply(call)
+                : new Reply(call, JobCallResult.UNKNOWN_JOB, null));
+      }
+    }
+  }
+
   private void answerCallsAwaitingStore(
       Job job, Set<JobCallKind> kinds, JobStatus status, List<DispatchAction> out) {
     List<JobCallReceived> calls = callsAwaitingStore.get(job);
--- a/src/main/java/org/marjoramhoist/dispatch/Job.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Job.java
@@ -231,6 +231,11 @@
     removeUnstoredCompletions().forEach(CompletionHold::release);
   }
 
+  /** Adds completions that are held and were not stored. */
+  void addUnstoredCompletions(List<CompletionHold> completions) {
+    unstoredCompletions.addAll(completions);
+  }
+
   /** Returns and clears the completions held since the last call. */
   List<CompletionHold> removeUnstoredCompletions() {
     List<CompletionHold> completions = List.copyOf(unstoredCompletions);
--- a/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
+import org.marjoramhoist.dispatch.DispatchEvent.BatchRefused;
 import org.marjoramhoist.dispatch.DispatchEvent.JobCallReceived;
 import org.marjoramhoist.dispatch.DispatchEvent.JobsLoaded;
 import org.marjoramhoist.dispatch.RecentOutcomes.Outcome;
@@ -109,14 +110,29 @@
   private static void refuse(
       JobCallReceived call, String reason, long retryAfterMillis, List<DispatchAction> out) {
     out.add(new Log(LogEvent.JOB_REFUSED, "job=" + call.job() + " reason=" + reason));
-    out.add(
-        new DispatchAction.Reply(
-            call.entry(),
-            call.call(),
-            JobCallResult.REFUSED,
-            null,
-            retryAfterMillis,
-            call.sentCount()));
+    out.add(refusal(call, retryAfterMillis));
+  }
+
+  private static DispatchAction refusal(JobCallReceived call, long retryAfterMillis) {
+    return new DispatchAction.Reply(
+        call.entry(), call.call(), JobCallResult.REFUSED, null, retryAfterMillis, call.sentCount());
+  }
+
+  /**
+   * Handles that the store has refused changes of jobs for what they contain. A job whose record is
+   * refused was never accepted; one whose progress is refused fails, as a later leader would not
+   * know what has run.
+   */
+  void handleRefusedBatch(BatchRefused event, long now, List<DispatchAction> out) {
+    for (Job job : durableJobs.refuseBatch(event, now, out)) {
+      if (job.stored) {
+        jobFinisher.end(job, JobOutcome.FAILED, "its progress can't be stored", now, out);
+      } else {
+        long retryAfterMillis = retryDelays.retryAfterMillis(job.record(), now);
+        durableJobs.forget(job, call -> refusal(call, retryAfterMillis), out);
+        jobs.end(job, JobOutcome.REFUSED, "it can't be stored", retryAfterMillis, now, out);
+      }
+    }
   }
 
   /** Returns why a durable job cannot be accepted now; null if it can. */
--- a/src/main/java/org/marjoramhoist/dispatch/Journal.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Journal.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.marjoramhoist.job.JobId;
@@ -12,8 +13,9 @@
 /**
  * Groups the changes of durable jobs into batches, of which one is being stored at a time.
  *
- * <p>Invariant: a batch holds the state of its jobs at its creation; later changes are in a later
- * batch. Confined to one thread.
+ * <p>Invariants: a batch holds the state of its jobs at its creation; later changes are in a later
+ * batch. What the store refuses holds up no other job: the jobs of a refused batch are stored one
+ * by one. Confined to one thread.
  */
 final class Journal {
 
@@ -34,6 +36,9 @@
 
   private static final long STALL_TIMEOUT_MICROS = 700_000;
 
+  /** How long the end of a job waits after the store has refused it. */
+  private static final long END_RETRY_MICROS = 1_000_000;
+
   /**
    * A job in a batch.
    *
@@ -47,6 +52,11 @@
   private final Set<Job> progressedJobs = new LinkedHashSet<>();
   private final Set<JobId> deletedJobs = new LinkedHashSet<>();
   private final List<BatchedJob> batchedJobs = new ArrayList<>();
+  private final List<JobId> batchedDeletions = new ArrayList<>();
+
+  /** The jobs of refused batches, each to be stored by itself, and when at the earliest. */
+  private final Map<Job, Long> separate = new LinkedHashMap<>();
+
   private long batchNumber;
   private long sentAt;
   private long progressPendingSince;
@@ -63,6 +73,16 @@
     void jobStored(Job job, JobProgress progress);
   }
 
+  /** Receives what the store has refused. */
+  interface RefusalListener {
+    /**
+     * A job or its progress was refused, and is not tried again; the end of a job is.
+     *
+     * @param progress the progress that was refused; null if the job itself was
+     */
+    void jobRefused(Job job, JobProgress progress);
+  }
+
   void add(Job job) {
     acceptedJobs.add(job);
   }
@@ -70,12 +90,26 @@
   /** Records that the end of a job is to be stored. */
   void recordEnd(Job job) {
     progressedJobs.remove(job);
-    endedJobs.add(job);
+    if (!isStoredSeparately(job)) {
+      endedJobs.add(job);
+    }
+  }
+
+  /** Tells whether the state of a stored job is to be in a batch of its own. */
+  private boolean isStoredSeparately(Job job) {
+    return job.stored && separate.containsKey(job);
+  }
+
+  /** Forgets a job that is not stored and never will be. */
+  void forget(Job job) {
+    acceptedJobs.remove(job);
+    endedJobs.remove(job);
+    separate.remove(job);
   }
 
   /** Records that tasks of a job completed. */
   void recordProgress(Job job, long now) {
-    if (!endedJobs.contains(job)) {
+    if (!endedJobs.contains(job) && !isStoredSeparately(job)) {
       if (progressedJobs.isEmpty()) {
         progressPendingSince = now;
       }
@@ -106,17 +140,40 @@
     boolean due =
         urgent
             || !progressedJobs.isEmpty() && now - progressPendingSince > MAX_PROGRESS_DELAY_MICROS;
-    if (batchPending
-        || !due && deletedJobs.size() < MAX_BATCH_ENTRIES
-        || now - sentAt < MIN_BATCH_INTERVAL_MICROS) {
+    if (batchPending || now - sentAt < MIN_BATCH_INTERVAL_MICROS) {
       return;
     }
-    out.add(new DispatchAction.Store(nextBatch()));
-    progressIsUrgent = !progressedJobs.isEmpty() && progressIsUrgent;
+    Optional<Job> alone =
+        separate.entrySet().stream()
+            .filter(each -> each.getValue() <= now)
+            .map(Map.Entry::getKey)
+            .findFirst();
+    if (alone.isPresent()) {
+      send(batchOf(alone.get()), now, out);
+    } else if (due || deletedJobs.size() >= MAX_BATCH_ENTRIES) {
+      send(nextBatch(), now, out);
+      progressIsUrgent = !progressedJobs.isEmpty() && progressIsUrgent;
+    }
+  }
+
+  private void send(JournalBatch batch, long now, List<DispatchAction> out) {
+    out.add(new DispatchAction.Store(batch));
     batchPending = true;
     sentAt = now;
   }
 
+  /** Returns the batch that stores the present state of one job and nothing else. */
+  private JournalBatch batchOf(Job job) {
+    separate.remove(job);
+    if (!job.stored) {
+      batchedJobs.add(new BatchedJob(job, List.of(), null));
+      return new JournalBatch(++batchNumber, List.of(job.record()), Map.of(), List.of());
+    }
+    JobProgress current = job.progress();
+    batchedJobs.add(new BatchedJob(job, job.removeUnstoredCompletions(), current));
+    return new JournalBatch(++batchNumber, List.of(), Map.of(job.id(), current), List.of());
+  }
+
   private JournalBatch nextBatch() {
     List<StoredJob> jobs = new ArrayList<>();
     for (Job job : removeFirst(acceptedJobs, MAX_BATCH_ENTRIES, job -> true)) {
@@ -137,6 +194,7 @@
     }
     remaining -= changed.size() - ended;
     List<JobId> deleted = removeFirst(deletedJobs, remaining, id -> true);
+    batchedDeletions.addAll(deleted);
     return new JournalBatch(++batchNumber, jobs, progress, deleted);
   }
 
@@ -163,6 +221,7 @@
       return;
     }
     batchPending = false;
+    batchedDeletions.clear();
     List<BatchedJob> stored = List.copyOf(batchedJobs);
     batchedJobs.clear();
     for (BatchedJob each : stored) {
@@ -176,4 +235,44 @@
       listener.jobStored(each.job(), each.progress());
     }
   }
+
+  /**
+   * Handles that the store has refused a batch for what it contains: if that was one job, its
+   * content is at fault; otherwise each job of the batch is stored by itself.
+   */
+  void refuseBatch(long batch, long now, RefusalListener listener) {
+    if (!batchPending || batch != batchNumber) {
+      return;
+    }
+    batchPending = false;
+    List<BatchedJob> refused = List.copyOf(batchedJobs);
+    batchedJobs.clear();
+    refused.forEach(each -> each.job().addUnstoredCompletions(each.holds()));
+    if (refused.size() > 1) {
+      refused.forEach(each -> separate(each.job(), now));
+    } else {
+      refused.forEach(each -> refuse(each, now, listener));
+    }
+    // Deletions alone are left to the next leader.
+    if (!refused.isEmpty()) {
+      deletedJobs.addAll(batchedDeletions);
+    }
+    batchedDeletions.clear();
+  }
+
+  private void refuse(BatchedJob refused, long now, RefusalListener listener) {
+    JobProgress progress = refused.progress();
+    if (progress != null && progress.status().isTerminal()) {
+      separate(refused.job(), now + END_RETRY_MICROS);
+    }
+    listener.jobRefused(refused.job(), progress);
+  }
+
+  private void separate(Job job, long notBefore) {
+    separate.put(job, notBefore);
+    if (job.stored) {
+      progressedJobs.remove(job);
+      endedJobs.remove(job);
+    }
+  }
 }
--- a/src/main/java/org/marjoramhoist/entry/JobStore.java
+++ b/src/main/java/org/marjoramhoist/entry/JobStore.java
@@ -14,6 +14,7 @@
 import org.marjoramhoist.platform.KeyValueClient.Page;
 import org.marjoramhoist.platform.KeyValueClient.Put;
 import org.marjoramhoist.platform.KeyValueClient.TxnReply;
+import org.marjoramhoist.platform.StoreException;
 
 /**
  * Reads and writes durable jobs for one term.
@@ -152,7 +153,7 @@
                     }));
   }
 
-  /** Writes a batch and retries until it is stored; only one batch may be in flight. */
+  /** Writes a batch and retries until it is stored or refused; only one may be in flight. */
   void write(JournalBatch next) {
     batch = next;
     writeBatch();
@@ -164,7 +165,11 @@
   }
 
   private void handleBatchReply(TxnReply reply, Throwable error) {
-    if (error != null) {
+    if (StoreException.isRefusal(error)) {
+      // The store is at work, so that this is no outage; the batch would be refused again.
+      recordSuccess();
+      events.accept(new DispatchEvent.BatchRefused(batch.number(), error.getMessage()));
+    } else if (error != null) {
       retry(error, this::writeBatch);
     } else if (reply.committed()) {
       completeBatch(reply.revision());
--- a/src/main/java/org/marjoramhoist/log/LogEvent.java
+++ b/src/main/java/org/marjoramhoist/log/LogEvent.java
@@ -126,6 +126,8 @@
   JOBS_RESUBMITTED(4022),
   /** Workers that answer all else leave the orders to start a task unanswered, again and again. */
   TASK_UNANSWERED(4023),
+  /** The store refuses what it is to hold of a job; the others are stored without it. */
+  JOB_NOT_STORED(4024),
   /** An attempt ended without a known outcome. */
   ATTEMPT_UNKNOWN(4101),
   /** A worker refused an attempt. */
--- a/src/main/java/org/marjoramhoist/platform/KeyValueClient.java
+++ b/src/main/java/org/marjoramhoist/platform/KeyValueClient.java
@@ -11,6 +11,8 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -19,6 +21,7 @@
 import org.marjoramhoist.http.HttpException;
 import org.marjoramhoist.http.HttpReply;
 import org.marjoramhoist.json.JsonText;
+import org.marjoramhoist.json.Utf8;
 import org.marjoramhoist.log.Faults;
 
 /**
@@ -36,21 +39,43 @@
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int UNAVAILABLE = 503;
 
+  private static final int MAX_KEY_BYTES = 200;
+
+  /** The longest value that the store takes unless it is told otherwise, in bytes. */
+  public static final int DEFAULT_VALUE_BYTES = 1 << 20;
+
+  /** Responses to a call that is at fault itself: bad request, too large, can't be processed. */
+  private static final Set<Integer> REFUSALS = Set.of(400, 413, 422);
+
   private final String address;
   private final HttpCaller caller;
   private final long timeoutNanos;
+  private final int maxValueBytes;
 
   /**
-   * Creates a client.
+   * Creates a client of a store that takes values of {@link #DEFAULT_VALUE_BYTES}.
    *
    * @param address {@code host:port} of the store
    * @param caller the HTTP client
    * @param timeoutMillis the timeout of a call, in milliseconds; a watch adds its wait time
    */
   public KeyValueClient(String address, HttpCaller caller, long timeoutMillis) {
+    this(address, caller, timeoutMillis, DEFAULT_VALUE_BYTES);
+  }
+
+  /**
+   * Creates a client.
+   *
+   * @param address {@code host:port} of the store
+   * @param caller the HTTP client
+   * @param timeoutMillis the timeout of a call, in milliseconds; a watch adds its wait time
+   * @param maxValueBytes the longest value that the store takes, in bytes
+   */
+  public KeyValueClient(String address, HttpCaller caller, long timeoutMillis, int maxValueBytes) {
     this.address = address;
     this.caller = caller;
     this.timeoutNanos = TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+    this.maxValueBytes = maxValueBytes;
   }
 
   /**
@@ -138,9 +163,16 @@
     return call("GET", path, "", waitMillis, false, KeyValueClient::parseWatchReply);
   }
 
-  /** Applies changes atomically if all conditions hold. */
+  /**
+   * Applies changes atomically if all conditions hold. A key or a value that is too long for the
+   * store is refused here, as the store may end the connection in place of an answer.
+   */
   public CompletableFuture<TxnReply> txn(
       List<Condition> conditions, List<Put> puts, List<String> deletes) {
+    Optional<String> excess = puts.stream().map(this::excess).flatMap(Optional::stream).findFirst();
+    if (excess.isPresent()) {
+      return CompletableFuture.failedFuture(StoreException.refusal(excess.get()));
+    }
     ObjectNode body = JsonText.MAPPER.createObjectNode();
     ArrayNode conditionNodes = body.putArray("expectedRev");
     for (Condition condition : conditions) {
@@ -161,6 +193,26 @@
     return call("POST", "/v1/kv-txn", body.toString(), 0, true, KeyValueClient::parseTxnReply);
   }
 
+  /** Returns what is too long in a change; empty if nothing is. */
+  private Optional<String> excess(Put put) {
+    int keyBytes = Utf8.lengthOf(put.key());
+    int valueBytes = Utf8.lengthOf(put.value());
+    if (keyBytes <= MAX_KEY_BYTES && valueBytes <= maxValueBytes) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        "key="
+            + put.key()
+            + " of "
+            + keyBytes
+            + " bytes, at most "
+            + MAX_KEY_BYTES
+            + ", with a value of "
+            + valueBytes
+            + " bytes, at most "
+            + maxValueBytes);
+  }
+
   /** Grants a lease and returns its id. */
   public CompletableFuture<Long> grantLease(long ttlMillis) {
     String body = "{\"ttlMs\":" + ttlMillis + "}";
@@ -288,6 +340,11 @@
           new StoreException(false, "the store returned status " + reply.status()));
       return;
     }
+    if (REFUSALS.contains(reply.status())) {
+      result.completeExceptionally(
+          StoreException.refusal("the store returned status " + reply.status()));
+      return;
+    }
     try {
       result.complete(parser.apply(reply));
     } catch (RuntimeException e) {
--- a/src/main/java/org/marjoramhoist/platform/standin/PlatformStoreStandIn.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/PlatformStoreStandIn.java
@@ -58,6 +58,8 @@
   private final Map<String, String> routes = new HashMap<>();
   private boolean isDown;
   private int repliesToLose;
+  private String refusedText = "";
+  private int refusalStatus;
 
   /**
    * Starts a store.
@@ -85,6 +87,17 @@
     isDown = down;
   }
 
+  /**
+   * Makes the store refuse transactions that set a value with a text.
+   *
+   * @param text the text; empty to refuse none
+   * @param status the status of the response
+   */
+  public synchronized void refuseValuesThatContain(String text, int status) {
+    refusedText = text;
+    refusalStatus = status;
+  }
+
   /** Makes the next transactions take effect without a reply. */
   public synchronized void loseReplies(int count) {
     repliesToLose = count;
@@ -251,6 +264,8 @@
     boolean isTooLarge = conditions.size() + puts.size() + deletes.size() > MAX_ENTRIES;
     if (isTooLarge || !puts.stream().allMatch(PlatformStoreStandIn::isWithinLimits)) {
       Exchanges.reply(exchange, BAD_REQUEST, "{}");
+    } else if (puts.stream().anyMatch(this::isRefused)) {
+      Exchanges.reply(exchange, refusalStatus, "{}");
     } else if (puts.stream().anyMatch(put -> blockedKeys.contains(put.key()))) {
       Exchanges.reply(exchange, UNAVAILABLE, "{}");
     } else if (!failed.isEmpty()) {
@@ -266,6 +281,10 @@
     }
   }
 
+  private boolean isRefused(Put put) {
+    return !refusedText.isEmpty() && put.value().contains(refusedText);
+  }
+
   private static boolean isWithinLimits(Put put) {
     return put.key().getBytes(StandardCharsets.UTF_8).length <= MAX_KEY_BYTES
         && put.value().getBytes(StandardCharsets.UTF_8).length <= MAX_VALUE_BYTES;
--- a/src/test/java/org/marjoramhoist/dispatch/DurableDispatchTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DurableDispatchTest.java
@@ -16,6 +16,7 @@
 import org.marjoramhoist.job.RunRef;
 import org.marjoramhoist.job.StepSpec;
 import org.marjoramhoist.job.TaskRef;
+import org.marjoramhoist.log.LogEvent;
 
 /** What callers and workers learn of durable jobs before and after changes are stored. */
 class DurableDispatchTest extends DispatcherFixture {
@@ -369,4 +370,103 @@
     step(1, new DispatchEvent.JobsLoaded(1, List.of(), List.of()));
     assertThat(dispatcher.waitingJobsByClass()).isEqualTo(Optional.of(Map.of()));
   }
+
+  private static final JobId OTHER = new JobId("00000000000000bb");
+
+  private JournalBatch nextBatch() {
+    step(30, new DispatchEvent.Tick());
+    return takeActions(DispatchAction.Store.class).get(0).batch();
+  }
+
+  private JournalBatch refuseBatch() {
+    JournalBatch batch = nextBatch();
+    step(5, new DispatchEvent.BatchRefused(batch.number(), "status 400"));
+    return batch;
+  }
+
+  /** One job's progress that the store refused kept every other durable job from being stored. */
+  @Test
+  void refusedProgressEndsItsOwnJobOnly() {
+    completeFirstOfTwoTasks();
+    submit(OTHER);
+    actions.removeIf(DispatchAction.Reply.class::isInstance);
+    JournalBatch both = takeActions(DispatchAction.Store.class).get(0).batch();
+    assertThat(both.progress()).containsKey(ID);
+    step(5, new DispatchEvent.BatchRefused(both.number(), "status 400"));
+    JournalBatch first = nextBatch();
+    assertThat(first.added()).hasSize(1);
+    assertThat(first.progress()).isEmpty();
+    step(5, new DispatchEvent.BatchStored(first.number()));
+    assertThat(takeReplyStatus()).isEqualTo(JobStatus.PENDING);
+    assertThat(takeActions(DispatchAction.Stop.class)).isEmpty();
+    assertThat(refuseBatch().progress().keySet()).containsExactly(ID);
+    assertThat(takeActions(DispatchAction.Stop.class)).hasSize(1);
+    assertThat(notStored()).containsExactly("job=" + ID + " part=progress reason=status 400");
+    JournalBatch end = storeBatch();
+    assertThat(end.progress().get(ID).status()).isEqualTo(JobStatus.FAILED);
+    call(JobCallKind.STATUS);
+    assertThat(takeReplyStatus()).isEqualTo(JobStatus.FAILED);
+  }
+
+  private List<String> notStored() {
+    return takeActions(DispatchAction.Log.class).stream()
+        .filter(log -> log.event() == LogEvent.JOB_NOT_STORED)
+        .map(DispatchAction.Log::detail)
+        .toList();
+  }
+
+  /** Its completion must not be acknowledged: nothing of it is stored. */
+  @Test
+  void completionInRefusedBatchIsAcknowledgedOnlyOnceTheEndIsStored() {
+    final RunRef run = completeFirstOfTwoTasks();
+    step(210, new DispatchEvent.Tick());
+    JournalBatch progress = takeActions(DispatchAction.Store.class).get(0).batch();
+    takeActions(DispatchAction.Renew.class);
+    step(5, new DispatchEvent.BatchRefused(progress.number(), "status 400"));
+    final JournalBatch end = nextBatch();
+    step(100, new DispatchEvent.Tick());
+    report(new WorkerReport.Completion(1, run, RunOutcome.DONE));
+    step(100, new DispatchEvent.Tick());
+    assertThat(takeAcknowledged()).isEqualTo(0);
+    step(1, new DispatchEvent.BatchStored(end.number()));
+    report(new WorkerReport.Completion(1, run, RunOutcome.DONE));
+    step(100, new DispatchEvent.Tick());
+    assertThat(takeAcknowledged()).isEqualTo(1);
+  }
+
+  @Test
+  void jobWhoseRecordIsRefusedIsRefusedAndCanBeSubmittedAgain() {
+    call(JobCallKind.SUBMIT);
+    final JournalBatch batch = takeActions(DispatchAction.Store.class).get(0).batch();
+    call(JobCallKind.CANCEL);
+    step(5, new DispatchEvent.BatchRefused(batch.number(), "status 413"));
+    List<DispatchAction.Reply> replies = takeActions(DispatchAction.Reply.class);
+    assertThat(replies.stream().map(DispatchAction.Reply::result))
+        .containsExactly(JobCallResult.REFUSED, JobCallResult.UNKNOWN_JOB);
+    step(2_000, new DispatchEvent.Tick());
+    assertThat(takeActions(DispatchAction.Store.class)).isEmpty();
+    call(JobCallKind.SUBMIT);
+    storeBatch();
+    assertThat(takeReplyStatus()).isEqualTo(JobStatus.PENDING);
+    assertThat(takeActions(DispatchAction.Start.class)).hasSize(1);
+  }
+
+  @Test
+  void refusedEndIsTriedAgainAndHoldsUpNoOtherJob() {
+    call(JobCallKind.SUBMIT);
+    storeBatch();
+    actions.clear();
+    call(JobCallKind.CANCEL);
+    assertThat(refuseBatch().progress().get(ID).status()).isEqualTo(JobStatus.CANCELLED);
+    submit(OTHER);
+    JournalBatch other = storeBatch();
+    assertThat(other.added()).hasSize(1);
+    assertThat(other.progress()).isEmpty();
+    assertThat(takeReplyStatus()).isEqualTo(JobStatus.PENDING);
+    step(1_000, new DispatchEvent.Tick());
+    JournalBatch again = takeActions(DispatchAction.Store.class).get(0).batch();
+    assertThat(again.progress().get(ID).status()).isEqualTo(JobStatus.CANCELLED);
+    step(5, new DispatchEvent.BatchStored(again.number()));
+    assertThat(takeReplyStatus()).isEqualTo(JobStatus.CANCELLED);
+  }
 }
--- a/src/test/java/org/marjoramhoist/entry/JobStoreTest.java
+++ b/src/test/java/org/marjoramhoist/entry/JobStoreTest.java
@@ -3,12 +3,24 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramhoist.dispatch.DispatchEvent;
+import org.marjoramhoist.dispatch.JournalBatch;
+import org.marjoramhoist.dispatch.StoredJob;
+import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobFeature;
+import org.marjoramhoist.job.JobId;
+import org.marjoramhoist.job.RequestClass;
+import org.marjoramhoist.job.Resources;
+import org.marjoramhoist.job.StepSpec;
+import org.marjoramhoist.platform.KeyValueClient;
 import org.marjoramhoist.platform.KeyValueClient.Put;
 
 /** A leader's start on the stored jobs, against an in-process store stand-in. */
@@ -17,15 +29,24 @@
   private static final long WAIT_MILLIS = 5_000;
   private static final String LAST_WRITE_KEY = JobRecords.ROOT + "writer/0";
 
-  private void assertJobsAreLoaded() throws Exception {
+  private final BlockingQueue<DispatchEvent> events = new LinkedBlockingQueue<>();
+  private final StoreHealth health = new StoreHealth();
+
+  private JobStore startStore() throws Exception {
     Put leader = new Put(HostRegistration.LEADER, "{}", 0);
     long term = client.txn(List.of(), List.of(leader), List.of()).get().revision();
-    CompletableFuture<DispatchEvent> loaded = new CompletableFuture<>();
-    JobStore jobs =
-        new JobStore(term, client, new StoreHealth(), loop, loaded::complete, reason -> {});
+    JobStore jobs = new JobStore(term, client, health, loop, events::add, reason -> {});
     loop.execute(jobs::start);
-    DispatchEvent event = loaded.get(WAIT_MILLIS, TimeUnit.MILLISECONDS);
-    assertThat(event).isInstanceOf(DispatchEvent.JobsLoaded.class);
+    return jobs;
+  }
+
+  private DispatchEvent nextEvent() throws InterruptedException {
+    return events.poll(WAIT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void assertJobsAreLoaded() throws Exception {
+    startStore();
+    assertThat(nextEvent()).isInstanceOf(DispatchEvent.JobsLoaded.class);
   }
 
   @Test
@@ -40,4 +61,40 @@
     store.put(LAST_WRITE_KEY, odd);
     assertJobsAreLoaded();
   }
+
+  private static JournalBatch batch(long number, String payload) {
+    RequestClass requestClass =
+        new RequestClass("check", "h", "/p/", "reviews", 0, 3, 1.6, 60, false);
+    StepSpec step = new StepSpec(1, new Resources(1_000, 1, 0), 50, List.of(), "", "", 0);
+    JobDescription job =
+        new JobDescription(
+            new JobId("00000000000000aa"), payload, List.of(step), Set.of(JobFeature.DURABLE));
+    StoredJob record = new StoredJob(job, requestClass, 10_000);
+    return new JournalBatch(number, List.of(record), Map.of(), List.of());
+  }
+
+  /** It was taken for an outage and written again for ever, before anything else of any job. */
+  @ParameterizedTest
+  @ValueSource(ints = {400, 413, 422})
+  void refusalOfContentIsNoOutage(int status) throws Exception {
+    JobStore jobs = startStore();
+    assertThat(nextEvent()).isInstanceOf(DispatchEvent.JobsLoaded.class);
+    store.refuseValuesThatContain("odd", status);
+    loop.execute(() -> jobs.write(batch(1, "odd")));
+    assertThat(nextEvent())
+        .isEqualTo(new DispatchEvent.BatchRefused(1, "the store returned status " + status));
+    assertThat(health.isAvailable()).isTrue();
+    loop.execute(() -> jobs.write(batch(2, "plain")));
+    assertThat(nextEvent()).isEqualTo(new DispatchEvent.BatchStored(2));
+  }
+
+  /** A store may end the connection over a body that is too long, which looks like an outage. */
+  @Test
+  void valueThatIsTooLongIsNotSent() throws Exception {
+    JobStore jobs = startStore();
+    assertThat(nextEvent()).isInstanceOf(DispatchEvent.JobsLoaded.class);
+    store.setDown(true);
+    loop.execute(() -> jobs.write(batch(1, "x".repeat(KeyValueClient.DEFAULT_VALUE_BYTES))));
+    assertThat(nextEvent()).isInstanceOf(DispatchEvent.BatchRefused.class);
+  }
 }
