Load stored jobs one page at a time

Cause: the load read all pages of records, progress and ends as text before it parsed any, and gave each job a copy of its class.

Evidence: KeyValueClientTest.itemsArePassedOnBeforeTheNextPageIsAskedFor has no counterpart in the code before, which completed with all items only; JobStoreTest.jobsOfSeveralPagesAreLoaded asks for the shared class.

Change: KeyValueClient.readEach passes each item on before it asks for the next page; StoredJobs keeps the job of an item and not its text. The store's stand-in has the platform's pages (500 items or 1 MB), which it lacked.

Measured: the tests named; ends, progress and records are now read one after the other, two more round trips at the start of a term.

--- a/src/main/java/org/marjoramhoist/entry/JobStore.java
+++ b/src/main/java/org/marjoramhoist/entry/JobStore.java
@@ -131,26 +131,23 @@
     }
   }
 
+  /** Reads the stored jobs page by page; one page is held at a time, beside the jobs themselves. */
   private void load() {
-    CompletableFuture<Page> records = store.readAll(JobRecords.RECORDS);
-    CompletableFuture<Page> progress = store.readAll(JobRecords.PROGRESS);
-    CompletableFuture<Page> ended = store.readAll(JobRecords.ENDED);
-    CompletableFuture.allOf(records, progress, ended)
-        .whenComplete(
-            (ignored, error) ->
-                executeUnlessClosed(
-                    () -> {
-                      if (error != null) {
-                        retry(error, this::load);
-                        return;
-                      }
-                      recordSuccess();
-                      events.accept(
-                          new DispatchEvent.JobsLoaded(
-                              ordinal,
-                              JobRecords.readOpen(records.join().items(), progress.join().items()),
-                              JobRecords.readEnded(ended.join().items())));
-                    }));
+    StoredJobs jobs = new StoredJobs();
+    store
+        .readEach(JobRecords.ENDED, jobs::addEnded)
+        .thenCompose(asOf -> store.readEach(JobRecords.PROGRESS, jobs::addProgress))
+        .thenCompose(asOf -> store.readEach(JobRecords.RECORDS, jobs::addRecord))
+        .whenComplete((asOf, error) -> executeUnlessClosed(() -> handleJobs(jobs, error)));
+  }
+
+  private void handleJobs(StoredJobs jobs, Throwable error) {
+    if (error != null) {
+      retry(error, this::load);
+      return;
+    }
+    recordSuccess();
+    events.accept(new DispatchEvent.JobsLoaded(ordinal, jobs.open(), jobs.ended()));
   }
 
   /** Writes a batch and retries until it is stored or refused; only one may be in flight. */
--- a/src/main/java/org/marjoramhoist/platform/KeyValueClient.java
+++ b/src/main/java/org/marjoramhoist/platform/KeyValueClient.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.marjoramhoist.http.HttpCall;
 import org.marjoramhoist.http.HttpCaller;
@@ -138,21 +139,33 @@
 
   /** Reads all items under a prefix, page by page; the result is not a consistent snapshot. */
   public CompletableFuture<Page> readAll(String prefix) {
-    return readPagesAfter(prefix, "", new ArrayList<>(), 0);
+    List<Item> items = new ArrayList<>();
+    return readEach(prefix, items::add).thenApply(asOf -> new Page(items, false, asOf));
+  }
+
+  /**
+   * Reads all items under a prefix and passes each on before the next page is asked for, so that
+   * one page is held at a time; they are not a consistent snapshot.
+   *
+   * @param consumer takes an item; called on an I/O thread, until the future ends
+   * @return the store revision of the first page
+   */
+  public CompletableFuture<Long> readEach(String prefix, Consumer<Item> consumer) {
+    return readPagesAfter(prefix, "", consumer, 0);
   }
 
-  private CompletableFuture<Page> readPagesAfter(
-      String prefix, String after, List<Item> items, long firstAsOf) {
+  private CompletableFuture<Long> readPagesAfter(
+      String prefix, String after, Consumer<Item> consumer, long firstAsOf) {
     return range(prefix, after)
         .thenCompose(
             page -> {
-              items.addAll(page.items());
+              page.items().forEach(consumer);
               long asOf = firstAsOf == 0 ? page.revision() : firstAsOf;
               if (!page.hasMore() || page.items().isEmpty()) {
-                return CompletableFuture.completedFuture(new Page(items, false, asOf));
+                return CompletableFuture.completedFuture(asOf);
               }
               String last = page.items().get(page.items().size() - 1).key();
-              return readPagesAfter(prefix, last, items, asOf);
+              return readPagesAfter(prefix, last, consumer, asOf);
             });
   }
 
--- a/src/main/java/org/marjoramhoist/platform/standin/PlatformStoreStandIn.java
+++ b/src/main/java/org/marjoramhoist/platform/standin/PlatformStoreStandIn.java
@@ -47,6 +47,11 @@
   private static final int MAX_VALUE_BYTES = 1 << 20;
   private static final int MAX_ENTRIES = 32;
 
+  /** The platform's limits of a page. */
+  private static final int MAX_PAGE_ITEMS = 500;
+
+  private static final int MAX_PAGE_BYTES = 1 << 20;
+
   private record Watcher(
       HttpServerExchange exchange, String prefix, long afterRevision, long deadlineMillis) {}
 
@@ -201,8 +206,20 @@
   private void range(HttpServerExchange exchange) {
     ObjectNode root = JsonText.MAPPER.createObjectNode();
     ArrayNode items = root.putArray("items");
-    model.range(queryParameter(exchange, "prefix")).forEach(item -> items.add(itemNode(item)));
-    root.put("hasMore", false).put("asOf", model.revision());
+    String after = queryParameter(exchange, "after");
+    int bytes = 0;
+    boolean hasMore = false;
+    for (Item item : model.range(queryParameter(exchange, "prefix"))) {
+      hasMore = items.size() >= MAX_PAGE_ITEMS || bytes >= MAX_PAGE_BYTES;
+      if (hasMore) {
+        break;
+      }
+      if (item.key().compareTo(after) > 0) {
+        items.add(itemNode(item));
+        bytes += item.value().length();
+      }
+    }
+    root.put("hasMore", hasMore).put("asOf", model.revision());
     Exchanges.reply(exchange, OK, root.toString());
   }
 
--- a/src/test/java/org/marjoramhoist/entry/JobRecordsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/JobRecordsTest.java
@@ -52,7 +52,7 @@
 
   private static LoadedJob read(List<Item> progress) {
     List<Item> records = items(new JournalBatch(1, List.of(RECORD), Map.of(), List.of()));
-    List<LoadedJob> jobs = JobRecords.readOpen(records, progress);
+    List<LoadedJob> jobs = StoredJobReads.open(records, progress);
     assertThat(jobs).hasSize(1);
     return jobs.get(0);
   }
--- a/src/test/java/org/marjoramhoist/entry/JobStoreTest.java
+++ b/src/test/java/org/marjoramhoist/entry/JobStoreTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
@@ -62,6 +63,25 @@
     assertJobsAreLoaded();
   }
 
+  @Test
+  void jobsOfSeveralPagesAreLoaded() throws Exception {
+    int count = 1_200;
+    for (int i = 0; i < count; i++) {
+      String id = String.format(Locale.ROOT, "%016x", i);
+      JournalBatch one = batch(1, "p");
+      Put put = JobRecords.puts(one).get(0);
+      String value = put.value().replace("00000000000000aa", id);
+      store.put(JobRecords.RECORDS + id, value);
+    }
+    startStore();
+    DispatchEvent.JobsLoaded loaded = (DispatchEvent.JobsLoaded) nextEvent();
+    assertThat(loaded.open().stream().map(each -> each.record().job().id()).distinct().count())
+        .isEqualTo(count);
+    // Jobs of a class hold one copy of it.
+    assertThat(loaded.open().get(1).record().requestClass())
+        .isSameInstanceAs(loaded.open().get(0).record().requestClass());
+  }
+
   private static JournalBatch batch(long number, String payload) {
     RequestClass requestClass =
         new RequestClass("check", "h", "/p/", "reviews", 0, 3, 1.6, 60, false);
--- a/src/test/java/org/marjoramhoist/entry/OddJobRecordsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/OddJobRecordsTest.java
@@ -56,7 +56,7 @@
   private static JobStatus statusAfterLoading(List<Item> records, List<Item> progress) {
     Dispatcher dispatcher = new Dispatcher(POLICY, NOW, NOW, 0);
     dispatcher.step(NOW, new DispatchEvent.RosterLoaded(List.of()));
-    List<LoadedJob> jobs = JobRecords.readOpen(records, progress);
+    List<LoadedJob> jobs = StoredJobReads.open(records, progress);
     dispatcher.step(NOW, new DispatchEvent.JobsLoaded(1, jobs, List.of()));
     dispatcher.step(NOW + 10_000, new DispatchEvent.Tick());
     DispatchEvent query =
@@ -115,7 +115,7 @@
   void recordWithTextThatUtf8CannotHoldIsLeftOut(String field) {
     String odd = JsonText.of(job(ODD)).replace(field, field + "\\ud83d");
     List<Item> records = List.of(record(ODD, odd), record(GOOD, JsonText.of(job(GOOD))));
-    assertThat(JobRecords.readOpen(records, List.of())).hasSize(1);
+    assertThat(StoredJobReads.open(records, List.of())).hasSize(1);
     assertThat(statusAfterLoading(records, List.of()).isTerminal()).isFalse();
   }
 
@@ -143,7 +143,7 @@
     JobProgress good = new JobProgress(JobStatus.RUNNING, List.of(), List.of(), 0);
     List<Item> progress = List.of(progress(ODD, odd), progress(GOOD, JsonText.of(good)));
     assertThat(statusAfterLoading(records, progress).isTerminal()).isFalse();
-    assertThat(JobRecords.readOpen(records, progress)).hasSize(2);
+    assertThat(StoredJobReads.open(records, progress)).hasSize(2);
   }
 
   @ParameterizedTest
@@ -154,7 +154,7 @@
         values.entrySet().stream()
             .map(each -> new Item(JobRecords.ENDED + each.getKey(), each.getValue(), 1))
             .toList();
-    assertThat(JobRecords.readEnded(items))
+    assertThat(StoredJobReads.ended(items))
         .containsExactly(new DispatchEvent.EndedJob(GOOD, JobStatus.SUCCEEDED, 5));
   }
 }
--- a/src/test/java/org/marjoramhoist/platform/KeyValueClientTest.java
+++ b/src/test/java/org/marjoramhoist/platform/KeyValueClientTest.java
@@ -5,6 +5,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -55,6 +57,28 @@
     assertThatOddIsEmpty("{\"key\":\"p/odd\",\"revision\":7}");
   }
 
+  /** A leader that held all pages before it used the first lacked the memory for them. */
+  @Test
+  void itemsArePassedOnBeforeTheNextPageIsAskedFor() {
+    AtomicInteger passedOn = new AtomicInteger();
+    List<Integer> passedOnAtRequest = new CopyOnWriteArrayList<>();
+    try (LoopbackServer pages =
+        new LoopbackServer(
+            "127.0.0.1:0",
+            exchange -> {
+              passedOnAtRequest.add(passedOn.get());
+              int page = passedOnAtRequest.size();
+              String next = item("p/" + page, "\"" + GOOD + "\"");
+              String body = "{\"items\":[" + next + "],\"hasMore\":" + (page < 3) + ",\"asOf\":9}";
+              exchange.getResponseSender().send(body);
+            })) {
+      KeyValueClient client = new KeyValueClient(pages.address(), caller, 2_000);
+      assertThat(client.readEach("p/", item -> passedOn.incrementAndGet()).join()).isEqualTo(9);
+    }
+    assertThat(passedOnAtRequest).containsExactly(0, 1, 2).inOrder();
+    assertThat(passedOn.get()).isEqualTo(3);
+  }
+
   private void assertThatOddIsEmpty(String odd) {
     items = odd + "," + item("p/good", "\"" + GOOD + "\"");
     KeyValueClient client = new KeyValueClient(server.address(), caller, 2_000);
