Count open jobs by the bytes that they take, with the same sum at each leader

Ordinary jobs that were accepted before got 504 for good.

Cause: admission counted the tasks of open jobs and not what a job holds.

Change: JobFootprint estimates the bytes of a job from its description alone, so that door, leader and load come to the same sum; scheduling.maxOpenKib bounds it, by default a fifth of the heap, shared as the bound on tasks is. Ended jobs count until they are forgotten.

SchedulingPolicy.DEFAULT, which the emulator uses, has 96 MiB.

--- a/src/main/java/org/marjoramhoist/config/SchedulingSettings.java
+++ b/src/main/java/org/marjoramhoist/config/SchedulingSettings.java
@@ -26,6 +26,15 @@
 
   private static final int MAX_OPEN_TASKS = 10_000_000;
 
+  /** The part of the heap for open jobs. */
+  private static final int OPEN_JOBS_PART = 5;
+
+  /** One half of it has room for the largest job of the default limits. */
+  private static final long MIN_OPEN_KIB = 6_144;
+
+  private static final long MAX_OPEN_KIB = 64 << 20;
+  private static final long KIB = 1_024;
+
   private SchedulingSettings() {}
 
   /** Reads the settings; what is absent has the default policy's value. */
@@ -40,10 +49,18 @@
           scheduling.decimal("lateValue", 0, 1, fallback.lateValue()),
           (int)
               scheduling.number(
-                  "maxOpenTasks", MIN_OPEN_TASKS, MAX_OPEN_TASKS, fallback.maxOpenTasks()));
+                  "maxOpenTasks", MIN_OPEN_TASKS, MAX_OPEN_TASKS, fallback.maxOpenTasks()),
+          readMaxOpenBytes(scheduling));
     }
   }
 
+  private static long readMaxOpenBytes(StrictObject scheduling) {
+    long fallback = Runtime.getRuntime().maxMemory() / OPEN_JOBS_PART / KIB;
+    return KIB
+        * scheduling.number(
+            "maxOpenKib", MIN_OPEN_KIB, MAX_OPEN_KIB, Math.max(MIN_OPEN_KIB, fallback));
+  }
+
   private static Map<Integer, Double> readValues(StrictObject scheduling) {
     Map<Integer, Double> values = new HashMap<>();
     for (StrictObject each : scheduling.objects("jobValues")) {
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -119,7 +119,8 @@
     boolean succeedsLeader = policy.scope() == DispatchPolicy.Scope.DOMAIN_SUCCESSOR;
     this.guard = policy.leadsDomain() ? new DomainWorkerGuard(now, succeedsLeader) : null;
     this.fairShareWeights = new FairShareWeights(policy.scheduling().fairShares(), now);
-    this.jobs = new JobRegistry(policy.scheduling().maxOpenTasks());
+    this.jobs =
+        new JobRegistry(policy.scheduling().maxOpenTasks(), policy.scheduling().maxOpenBytes());
     boolean shedsLoad = policy.scheduling().overload() == SchedulingPolicy.Overload.SHED;
     this.durations = new DurationModel(shedsLoad);
     this.queueOrder = new QueueOrder(durations, fairShareWeights, policy.scheduling());
@@ -327,8 +328,9 @@
       end(job, job.outcomeIfGivenUp(), handOverReason, now, out);
       return;
     }
-    if (!job.started && !jobs.hasRoomFor(job)) {
-      end(job, job.outcomeIfGivenUp(), JobRegistry.TOO_MANY_TASKS, now, out);
+    Optional<String> lack = jobs.lackOfRoom(job, durableJobs.endedBytes());
+    if (!job.started && lack.isPresent()) {
+      end(job, job.outcomeIfGivenUp(), lack.get(), now, out);
       return;
     }
     if (predecessorJobs.contains(job.id()) && now <= predecessorRunsUntil) {
--- a/src/main/java/org/marjoramhoist/dispatch/DurableJobs.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DurableJobs.java
@@ -15,6 +15,7 @@
 import org.marjoramhoist.dispatch.DispatchAction.Reply;
 import org.marjoramhoist.dispatch.DispatchEvent.EndedJob;
 import org.marjoramhoist.dispatch.DispatchEvent.JobCallReceived;
+import org.marjoramhoist.job.JobFootprint;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobStatus;
 import org.marjoramhoist.log.LogEvent;
@@ -121,6 +122,11 @@
     return ended.containsKey(id) || ending.containsKey(id);
   }
 
+  /** Returns the memory that jobs take which have ended, by an upper estimate. */
+  long endedBytes() {
+    return (long) (ended.size() + ending.size()) * JobFootprint.ENDED_JOB_BYTES;
+  }
+
   /** Tells whether the store has confirmed nothing for so long that no job can be accepted. */
   boolean isStalled(long now) {
     return journal.isStalled(now);
--- a/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
@@ -1,6 +1,7 @@
 package org.marjoramhoist.dispatch;
 
 import java.util.List;
+import java.util.Optional;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
 import org.marjoramhoist.dispatch.DispatchEvent.BatchRefused;
 import org.marjoramhoist.dispatch.DispatchEvent.JobCallReceived;
@@ -146,8 +147,9 @@
     if (workers.requiresDrainedDomain(record.job(), record.requestClass())) {
       return DomainDrains.ONLY_DRAINED_DOMAINS;
     }
-    if (!jobs.hasRoomFor(record.job())) {
-      return JobRegistry.TOO_MANY_TASKS;
+    Optional<String> lack = jobs.lackOfRoom(record.job(), durableJobs.endedBytes());
+    if (lack.isPresent()) {
+      return lack.get();
     }
     return backlog.totalMicros() > MAX_BACKLOG_MICROS ? "too much waits" : null;
   }
--- a/src/main/java/org/marjoramhoist/dispatch/JobRegistry.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobRegistry.java
@@ -7,11 +7,13 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
 import org.marjoramhoist.dispatch.DispatchEvent.JobSubmitted;
 import org.marjoramhoist.dispatch.RecentOutcomes.Outcome;
 import org.marjoramhoist.job.JobDescription;
+import org.marjoramhoist.job.JobFootprint;
 import org.marjoramhoist.job.JobId;
 import org.marjoramhoist.job.JobOutcome;
 import org.marjoramhoist.job.SubmissionNumber;
@@ -29,40 +31,73 @@
   /** Why a job is refused for which there is no room. */
   static final String TOO_MANY_TASKS = "too many tasks are open";
 
+  /** Why a job is refused that would take more memory than there is for jobs. */
+  static final String TOO_MANY_BYTES = "open jobs take too much memory";
+
   private static final long MICROS_PER_MILLI = 1_000;
 
   private final SharedBound taskBound;
+  private final SharedBound byteBound;
   private final Map<JobId, Job> open = new LinkedHashMap<>();
   private final Map<JobId, Job> terminating = new HashMap<>();
   private final RecentOutcomes outcomes = new RecentOutcomes();
   private final Set<Job> waiting = new LinkedHashSet<>();
   private final List<Job> newlyWaiting = new ArrayList<>();
   private long openTasks;
+  private long openBytes;
 
   /**
    * Creates a registry without jobs.
    *
    * @param maxOpenTasks the most tasks of open jobs
+   * @param maxOpenBytes the most memory for jobs, in bytes
    */
-  JobRegistry(int maxOpenTasks) {
+  JobRegistry(int maxOpenTasks, long maxOpenBytes) {
     this.taskBound = new SharedBound(maxOpenTasks);
+    this.byteBound = new SharedBound(maxOpenBytes);
   }
 
-  /** Returns whether there is room for the tasks of a job, which is not open yet. */
-  boolean hasRoomFor(JobDescription job) {
-    return taskBound.admits(openTasks, job.taskCount());
+  /**
+   * Returns why there is no room for a job that is not open yet; empty if there is.
+   *
+   * @param otherBytes the memory that jobs take which are not open
+   */
+  Optional<String> lackOfRoom(JobDescription job, long otherBytes) {
+    return lackOfRoom(
+        openTasks, job.taskCount(), openBytes + otherBytes, JobFootprint.bytesOf(job));
   }
 
-  /** Returns whether there is room for the tasks of an open job beside those of the others. */
-  boolean hasRoomFor(Job job) {
+  /** Returns why there is no room for an open job beside the others; empty if there is. */
+  Optional<String> lackOfRoom(Job job, long otherBytes) {
     int tasks = job.description().taskCount();
-    return taskBound.admits(openTasks - tasks, tasks);
+    long bytes = JobFootprint.bytesOf(job.description());
+    return lackOfRoom(openTasks - tasks, tasks, openBytes - bytes + otherBytes, bytes);
+  }
+
+  private Optional<String> lackOfRoom(
+      long tasksOfOthers, int tasks, long bytesOfOthers, long bytes) {
+    if (!taskBound.admits(tasksOfOthers, tasks)) {
+      return Optional.of(TOO_MANY_TASKS);
+    }
+    return byteBound.admits(bytesOfOthers, bytes) ? Optional.empty() : Optional.of(TOO_MANY_BYTES);
+  }
+
+  /** Returns the memory that open jobs take, by the estimate of {@link JobFootprint}. */
+  long openBytes() {
+    return openBytes;
   }
 
   private void open(Job job) {
+    count(job, 1);
     Job replaced = open.put(job.id(), job);
-    openTasks += job.description().taskCount();
-    openTasks -= replaced == null ? 0 : replaced.description().taskCount();
+    if (replaced != null) {
+      count(replaced, -1);
+    }
+  }
+
+  private void count(Job job, int sign) {
+    openTasks += sign * job.description().taskCount();
+    openBytes += sign * JobFootprint.bytesOf(job.description());
   }
 
   Job find(JobId id) {
@@ -221,7 +256,9 @@
       long now,
       List<DispatchAction> out) {
     Job removed = open.remove(job.id());
-    openTasks -= removed == null ? 0 : removed.description().taskCount();
+    if (removed != null) {
+      count(removed, -1);
+    }
     waiting.remove(job);
     List<Run> runs = job.runs();
     if (!job.isDurable()) {
--- a/src/main/java/org/marjoramhoist/dispatch/SchedulingPolicy.java
+++ b/src/main/java/org/marjoramhoist/dispatch/SchedulingPolicy.java
@@ -15,6 +15,8 @@
  *     class
  * @param lateValue the value of a job that misses its objective, as a fraction of its full value
  * @param maxOpenTasks the most tasks of the jobs that a leader holds, which take memory
+ * @param maxOpenBytes the most memory for the jobs that a leader holds, in bytes, by the estimate
+ *     of {@link org.marjoramhoist.job.JobFootprint}
  */
 public record SchedulingPolicy(
     Placement placement,
@@ -22,7 +24,8 @@
     boolean fairShares,
     Map<Integer, Double> jobValues,
     double lateValue,
-    int maxOpenTasks) {
+    int maxOpenTasks,
+    long maxOpenBytes) {
 
   /** The value of a job of average size whose priority has no configured value. */
   private static final double DEFAULT_JOB_VALUE = 1;
@@ -33,6 +36,9 @@
   /** The default bound on the tasks of open jobs. */
   public static final int DEFAULT_MAX_OPEN_TASKS = 60_000;
 
+  /** The bound on the memory for jobs where the heap is not known, in bytes. */
+  public static final long DEFAULT_MAX_OPEN_BYTES = 96L << 20;
+
   /** Strategies for choosing a worker for a task. */
   public enum Placement {
     /** Chooses the worker on which the task finishes first. */
@@ -62,16 +68,24 @@
           false,
           Map.of(),
           DEFAULT_LATE_VALUE,
-          DEFAULT_MAX_OPEN_TASKS);
+          DEFAULT_MAX_OPEN_TASKS,
+          DEFAULT_MAX_OPEN_BYTES);
 
-  /** Creates a policy with the default bound on the tasks of open jobs. */
+  /** Creates a policy with the default bounds on open jobs. */
   public SchedulingPolicy(
       Placement placement,
       Overload overload,
       boolean fairShares,
       Map<Integer, Double> jobValues,
       double lateValue) {
-    this(placement, overload, fairShares, jobValues, lateValue, DEFAULT_MAX_OPEN_TASKS);
+    this(
+        placement,
+        overload,
+        fairShares,
+        jobValues,
+        lateValue,
+        DEFAULT_MAX_OPEN_TASKS,
+        DEFAULT_MAX_OPEN_BYTES);
   }
 
   /** Creates a policy with a copy of the job values. */
@@ -82,7 +96,13 @@
   /** Returns a copy of this policy with the given placement. */
   public SchedulingPolicy withPlacement(Placement newPlacement) {
     return new SchedulingPolicy(
-        newPlacement, overload, fairShares, jobValues, lateValue, maxOpenTasks);
+        newPlacement, overload, fairShares, jobValues, lateValue, maxOpenTasks, maxOpenBytes);
+  }
+
+  /** Returns a copy of this policy with the given bound on the memory for jobs. */
+  public SchedulingPolicy withMaxOpenBytes(long newMaxOpenBytes) {
+    return new SchedulingPolicy(
+        placement, overload, fairShares, jobValues, lateValue, maxOpenTasks, newMaxOpenBytes);
   }
 
   /** Returns the value of a job of average size with the given priority. */
