--- a/src/main/java/org/marjoramhoist/dispatch/ProgressGroups.java
+++ b/src/main/java/org/marjoramhoist/dispatch/ProgressGroups.java
@@ -32,7 +32,7 @@
     return List.copyOf(merged);
   }
 
-  /** Returns one value for each step and set of runs; no task is in two of a step. */
+  /** Returns one value for each step and set of runs. */
   static List<FailedRuns> ofFailed(List<FailedRuns> failed) {
     // Earlier versions wrote a value for each run.
     Map<Tasks, NumberSet> runsByTasks =
--- a/src/test/java/org/marjoramhoist/entry/JobRecordsTest.java
+++ b/src/test/java/org/marjoramhoist/entry/JobRecordsTest.java
@@ -99,6 +99,9 @@
     }
     JobProgress progress = new JobProgress(JobStatus.RUNNING, done, failed, 0);
     assertThat(sizeOf(progress)).isAtMost(MAX_VALUE_BYTES);
+    // Tasks that have the same behind them are written once.
+    assertThat(progress.done()).hasSize(1);
+    assertThat(progress.failed()).hasSize(1);
   }
 
   /** The same with tasks of which no two neighbours have the same runs behind them. */
