Take what outcomes of runs mean for their jobs out of Dispatcher

TaskOutcomes has done, failed, avoidance and the note of progress; the events stay where they were. No change of what is decided: nine test classes of the dispatcher pass unchanged.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -55,12 +55,6 @@
    */
   private static final long PREDECESSOR_RUN_MICROS = 2_300_000;
 
-  /** How long a task avoids a worker that failed it while others could run it. */
-  private static final long AVOIDANCE_MICROS = 2_000_000;
-
-  /** How long a task waits for the only worker that could run it and that failed it. */
-  private static final long RETRY_PAUSE_MICROS = 500_000;
-
   private static final long MIN_RETRY_AFTER_MILLIS = 1_000;
 
   private static final double MICROS_PER_MILLI = 1_000.0;
@@ -86,6 +80,7 @@
   private final SuspectTasks suspects = new SuspectTasks();
   private final ProcessEnds processEnds = new ProcessEnds();
   private final WorkerLossHandler workerLosses;
+  private final TaskOutcomes taskOutcomes;
   private final ExclusiveStarts exclusiveStarts;
 
   /** Null unless load shedding is enabled. */
@@ -147,6 +142,7 @@
     this.workerLosses =
         new WorkerLossHandler(
             suspects, jobs, workerRegistry, runController, durableJobs, this::end, processEnds);
+    this.taskOutcomes = new TaskOutcomes(jobs, suspects, workerRegistry, durableJobs, this::end);
     this.withdrawals = new Withdrawals(jobs, this::end);
     this.jobCalls =
         new JobCallHandler(
@@ -362,12 +358,6 @@
     return job.requestClass().startsBeyondCapacity() && workerRegistry.isAnyShared();
   }
 
-  private void recordProgress(Job job, long now) {
-    if (job.isDurable()) {
-      durableJobs.recordProgress(job, now);
-    }
-  }
-
   /**
    * Ends a job that no known worker could ever run: as failed if there are no others, otherwise as
    * refused. The leader of a failure domain does not know the workers of other domains.
@@ -576,22 +566,7 @@
       }
       workerSelector.recordCompletion(run, now);
       allocationDue = true;
-      taskDone(run.task, now, out);
-    }
-
-    private void taskDone(Task task, long now, List<DispatchAction> out) {
-      Job job = task.job;
-      if (jobs.find(job.id()) != job) {
-        return;
-      }
-      job.markDone(task);
-      suspects.taskDone(task);
-      recordProgress(job, now);
-      if (job.isComplete()) {
-        end(job, JobOutcome.SUCCEEDED, "done", now, out);
-      } else {
-        jobs.markWaiting(job);
-      }
+      taskOutcomes.done(run.task, now, out);
     }
 
     @Override
@@ -602,29 +577,7 @@
       if (!task.job.hasFailures() && run.worker.recordFailure(now)) {
         out.add(new Log(LogEvent.WORKER_EJECTED, "worker=" + run.worker.id() + " fails runs"));
       }
-      taskFailed(task, run.ref.number(), run.worker.id(), now, out);
-    }
-
-    private void taskFailed(Task task, int run, String worker, long now, List<DispatchAction> out) {
-      Job job = task.job;
-      task.recordFailure(run);
-      avoid(task, worker, now);
-      if (jobs.find(job.id()) != job) {
-        return;
-      }
-      recordProgress(job, now);
-      int failed = task.failedRunCount();
-      if (failed >= job.requestClass().attempts()) {
-        end(job, JobOutcome.FAILED, "a task failed " + failed + " times", now, out);
-      } else {
-        jobs.markWaiting(job);
-      }
-    }
-
-    /** Avoids a worker for a time, which is short if no other one could run the task. */
-    private void avoid(Task task, String worker, long now) {
-      boolean hasAlternative = workerRegistry.canRunElsewhere(task, worker, now);
-      task.avoid(worker, now + (hasAlternative ? AVOIDANCE_MICROS : RETRY_PAUSE_MICROS));
+      taskOutcomes.failed(task, run.ref.number(), run.worker.id(), now, out);
     }
 
     @Override
@@ -634,7 +587,7 @@
         return;
       }
       out.add(new Log(LogEvent.RUN_FAILED, "run=" + run + " of a previous leader"));
-      taskFailed(task, run.number(), worker, now, out);
+      taskOutcomes.failed(task, run.number(), worker, now, out);
     }
 
     @Override
@@ -654,7 +607,7 @@
 
     @Override
     public void completionHeld(Job job, long now) {
-      recordProgress(job, now);
+      taskOutcomes.recordProgress(job, now);
     }
 
     @Override
@@ -664,7 +617,7 @@
 
     @Override
     public void runStalled(Run run, long now, List<DispatchAction> out) {
-      avoid(run.task, run.worker.id(), now);
+      taskOutcomes.avoid(run.task, run.worker.id(), now);
       if (run.worker.recordFailure(now)) {
         out.add(new Log(LogEvent.WORKER_EJECTED, "worker=" + run.worker.id() + " stalls"));
       }
@@ -716,7 +669,7 @@
       if (task.run != null) {
         runController.stop(task.run, out);
       }
-      taskDone(task, now, out);
+      taskOutcomes.done(task, now, out);
     }
 
     @Override
