Say where a settings file is not in UTF-8

What on-call saw: "can't read settings.jsonc: Input length = 1" for a file in another charset; the decoder's message names neither the reason nor the place.

Change: Utf8.read decodes the files that the command line and the hosts read, and tells the first byte that is not in UTF-8. The name of what refuses half pairs says so: UNPAIRED_SURROGATE.

--- a/src/main/java/org/marjoramhoist/cli/Arguments.java
+++ b/src/main/java/org/marjoramhoist/cli/Arguments.java
@@ -1,10 +1,10 @@
 package org.marjoramhoist.cli;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.Namespace;
+import org.marjoramhoist.json.Utf8;
 
 /**
  * Arguments that several commands share.
@@ -51,7 +51,7 @@
   /** Reads a file; one that can't be read is bad input. */
   static String read(Path file) throws CommandFailure {
     try {
-      return Files.readString(file);
+      return Utf8.read(file);
     } catch (IOException e) {
       throw new CommandFailure(ExitCode.BAD_INPUT, "can't read " + file + ": " + e.getMessage());
     }
--- a/src/main/java/org/marjoramhoist/config/NodeSettings.java
+++ b/src/main/java/org/marjoramhoist/config/NodeSettings.java
@@ -1,13 +1,13 @@
 package org.marjoramhoist.config;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import org.marjoramhoist.connection.ConnectionLimits;
 import org.marjoramhoist.dispatch.SchedulingPolicy;
 import org.marjoramhoist.json.InvalidDocumentException;
 import org.marjoramhoist.json.Problems;
 import org.marjoramhoist.json.StrictObject;
+import org.marjoramhoist.json.Utf8;
 import org.marjoramhoist.log.EventLog;
 
 /**
@@ -78,7 +78,7 @@
    * @throws InvalidDocumentException with every fault found
    */
   public static NodeSettings load(Path file) throws IOException, InvalidDocumentException {
-    return parse(file.toString(), Files.readString(file));
+    return parse(file.toString(), Utf8.read(file));
   }
 
   /**
--- a/src/main/java/org/marjoramhoist/config/Settings.java
+++ b/src/main/java/org/marjoramhoist/config/Settings.java
@@ -1,10 +1,10 @@
 package org.marjoramhoist.config;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import org.marjoramhoist.json.InvalidDocumentException;
+import org.marjoramhoist.json.Utf8;
 import org.marjoramhoist.model.DomainId;
 import org.marjoramhoist.model.HostId;
 
@@ -99,7 +99,7 @@
    * @throws InvalidDocumentException with every fault found
    */
   public static Settings load(Path file) throws IOException, InvalidDocumentException {
-    return SettingsParser.parse(file.toString(), Files.readString(file));
+    return SettingsParser.parse(file.toString(), Utf8.read(file));
   }
 
   /**
--- a/src/main/java/org/marjoramhoist/json/CheckedObject.java
+++ b/src/main/java/org/marjoramhoist/json/CheckedObject.java
@@ -101,7 +101,7 @@
       throw new IOException(field + " has control characters");
     }
     if (!Utf8.canHold(text)) {
-      throw new IOException(field + " " + Utf8.HALF_PAIR);
+      throw new IOException(field + " " + Utf8.UNPAIRED_SURROGATE);
     }
     return text;
   }
--- a/src/main/java/org/marjoramhoist/json/LocatedParser.java
+++ b/src/main/java/org/marjoramhoist/json/LocatedParser.java
@@ -79,7 +79,7 @@
 
   private static String checked(String text, JsonParser parser) throws IOException {
     if (!Utf8.canHold(text)) {
-      throw new JsonParseException(parser, "a string " + Utf8.HALF_PAIR);
+      throw new JsonParseException(parser, "a string " + Utf8.UNPAIRED_SURROGATE);
     }
     return text;
   }
--- a/src/main/java/org/marjoramhoist/json/Utf8.java
+++ b/src/main/java/org/marjoramhoist/json/Utf8.java
@@ -1,22 +1,29 @@
 package org.marjoramhoist.json;
 
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.CharBuffer;
+import java.nio.charset.CoderResult;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 
 /**
  * What texts are in UTF-8, in which all is sent and stored.
  *
  * <p>JSON can escape half of a surrogate pair, which no text in UTF-8 holds: it would be sent on as
- * another letter. Such a text is refused where it comes in. Stateless and safe for use by several
- * threads.
+ * another character. Such a text is refused where it comes in. Stateless and safe for use by
+ * several threads.
  */
 public final class Utf8 {
 
   /** Why a text that {@link #canHold} tells of is refused. */
-  public static final String HALF_PAIR = "has half of a surrogate pair, which UTF-8 can't hold";
+  public static final String UNPAIRED_SURROGATE =
+      "has half of a surrogate pair, which UTF-8 can't hold";
 
   private Utf8() {}
 
-  /** Tells whether a text has a form in UTF-8, from which it is read back letter for letter. */
+  /** Tells whether a text has a form in UTF-8, from which it is read back as it was. */
   public static boolean canHold(String text) {
     return !hasSurrogates(text) || StandardCharsets.UTF_8.newEncoder().canEncode(text);
   }
@@ -31,6 +38,23 @@
     return false;
   }
 
+  /**
+   * Reads a text file.
+   *
+   * @throws IOException if the file can't be read or isn't in UTF-8
+   */
+  public static String read(Path file) throws IOException {
+    byte[] bytes = Files.readAllBytes(file);
+    ByteBuffer in = ByteBuffer.wrap(bytes);
+    // A byte makes a char at most.
+    CharBuffer out = CharBuffer.allocate(bytes.length);
+    CoderResult result = StandardCharsets.UTF_8.newDecoder().decode(in, out, true);
+    if (result.isError()) {
+      throw new IOException("not in UTF-8 at byte " + in.position() + ", counted from 0");
+    }
+    return out.flip().toString();
+  }
+
   /** Returns the length of a text in bytes. */
   public static int lengthOf(String text) {
     return text.getBytes(StandardCharsets.UTF_8).length;
--- a/src/main/java/org/marjoramhoist/platform/JobBodies.java
+++ b/src/main/java/org/marjoramhoist/platform/JobBodies.java
@@ -205,7 +205,7 @@
     requireToken(in.currentToken(), JsonToken.VALUE_STRING, field);
     String text = in.getText();
     if (!Utf8.canHold(text)) {
-      throw new IOException(field + " " + Utf8.HALF_PAIR);
+      throw new IOException(field + " " + Utf8.UNPAIRED_SURROGATE);
     }
     return text;
   }
