Let the task at work end before a host closes what it uses

Cause, traced: EntryNode.close marks the event loop as closed and shuts its thread down; a decision that is at work on that thread then orders starts, whose timers the thread refuses.

EventLoopTest.closeWaitsForTheTaskAtWork fails without the change.

Change: EventLoop.close waits for the task at work, a second at most, unless that task closes the loop itself.

--- a/src/main/java/org/marjoramhoist/entry/EventLoop.java
+++ b/src/main/java/org/marjoramhoist/entry/EventLoop.java
@@ -1,5 +1,7 @@
 package org.marjoramhoist.entry;
 
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.marjoramhoist.log.Faults;
@@ -13,6 +15,7 @@
 final class EventLoop implements AutoCloseable {
 
   private static final long MICROS_PER_MILLI = 1_000;
+  private static final long CLOSE_SECONDS = 1;
 
   private final XnioIoThread thread;
   private volatile boolean closed;
@@ -69,9 +72,29 @@
     }
   }
 
-  /** Discards all tasks that have not started. */
+  /**
+   * Discards all tasks that have not started, and waits for the one that is at work, a second at
+   * most: what it uses may be closed next.
+   */
   @Override
   public void close() {
     closed = true;
+    if (Thread.currentThread() != thread) {
+      awaitTaskAtWork();
+    }
+  }
+
+  private void awaitTaskAtWork() {
+    CountDownLatch over = new CountDownLatch(1);
+    try {
+      thread.execute(over::countDown);
+      // A task that takes longer must not keep the process from its end.
+      over.await(CLOSE_SECONDS, TimeUnit.SECONDS);
+    } catch (RejectedExecutionException e) {
+      // The thread has ended, and its tasks with it.
+      return;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 }
--- a/src/test/java/org/marjoramhoist/entry/EventLoopTest.java
+++ b/src/test/java/org/marjoramhoist/entry/EventLoopTest.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 
 /** The loop after a task that failed. */
@@ -54,4 +55,32 @@
                 }))
         .isTrue();
   }
+
+  /** Each stop of a busy host logged faults, as its last task used what was closed meanwhile. */
+  @Test
+  void closeWaitsForTheTaskAtWork() throws InterruptedException {
+    CountDownLatch begun = new CountDownLatch(1);
+    AtomicInteger ended = new AtomicInteger();
+    loop.execute(
+        () -> {
+          begun.countDown();
+          LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(200));
+          ended.incrementAndGet();
+        });
+    loop.execute(ended::incrementAndGet);
+    begun.await();
+    loop.close();
+    assertThat(ended.get()).isEqualTo(1);
+  }
+
+  @Test
+  void taskMayCloseItsLoop() throws InterruptedException {
+    CountDownLatch closed = new CountDownLatch(1);
+    loop.execute(
+        () -> {
+          loop.close();
+          closed.countDown();
+        });
+    assertThat(closed.await(500, TimeUnit.MILLISECONDS)).isTrue();
+  }
 }
