Blame a job for a refusal only while the store takes other batches

What callers would see: a store that answers 400 to everything for a while would have ended each job that makes progress then as failed; since a job whose batch is refused alone was held for the cause.

Change: after such a refusal a batch without any job is written. Once it is taken, the job is at fault; if it is refused too, nobody is, new durable jobs get 503 as in an outage, and what was refused is tried again after a second.

Evidence: DurableDispatchTest.jobIsNotBlamedByStoreThatRefusesAll; the four tests of refusals hold with the batch between.

--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -237,11 +237,11 @@
       }
       allocationDue = true;
     } else if (event instanceof BatchStored batch) {
-      durableJobs.confirmBatch(batch.number(), out).forEach(jobs::markWaiting);
+      durableJobs.confirmBatch(batch.number(), now, out).forEach(jobs::markWaiting);
+      jobCalls.endUnstorableJobs(now, out);
       allocationDue = true;
     } else if (event instanceof BatchRefused batch) {
-      jobCalls.handleRefusedBatch(batch, now, out);
-      allocationDue = true;
+      durableJobs.refuseBatch(batch, now);
     } else if (event instanceof StartsAllowed allowed) {
       startsAllowed = allowed.allowed();
       allocationDue = true;
--- a/src/main/java/org/marjoramhoist/dispatch/DurableJobs.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DurableJobs.java
@@ -53,6 +53,10 @@
   private final Map<Job, List<JobCallReceived>> callsAwaitingStore = new HashMap<>();
   private final List<JobCallReceived> deferredCalls = new ArrayList<>();
   private final Deque<DeferredStatus> deferredStatuses = new ArrayDeque<>();
+
+  /** Open jobs that the store refuses; they are to be ended. */
+  private final List<Job> unstorable = new ArrayList<>();
+
   private boolean loaded;
   private int termOrdinal;
 
@@ -257,48 +261,58 @@
    *
    * @return the jobs whose tasks may start now
    */
-  List<Job> confirmBatch(long number, List<DispatchAction> out) {
-    List<Job> accepted = new ArrayList<>();
-    journal.confirmBatch(
-        number,
-        (job, progress) -> {
-          if (progress == null) {
-            job.stored = true;
-            accepted.add(job);
-            answerCallsAwaitingStore(job, Set.of(JobCallKind.SUBMIT), statusOf(job), out);
-          } else if (progress.status().isTerminal()) {
-            ending.remove(job.id());
-            ended.put(job.id(), new EndedJob(job.id(), progress.status(), progress.endedMillis()));
-            answerCallsAwaitingStore(
-                job, Set.of(JobCallKind.CANCEL, JobCallKind.STATUS), progress.status(), out);
-          }
-        });
-    return accepted;
+  List<Job> confirmBatch(long number, long now, List<DispatchAction> out) {
+    StoreResults results = new StoreResults(out);
+    journal.confirmBatch(number, now, results);
+    return results.accepted;
   }
 
-  /**
-   * Handles that the store has refused a batch for what it contains.
-   *
-   * @return the open jobs that can't be stored, or no further
-   */
-  List<Job> refuseBatch(DispatchEvent.BatchRefused event, long now, List<DispatchAction> out) {
-    List<Job> refused = new ArrayList<>();
-    journal.refuseBatch(
-        event.number(),
-        now,
-        (job, progress) -> {
-          out.add(new Log(LogEvent.JOB_NOT_STORED, describe(job, progress, event.reason())));
-          if (progress == null || !job.status.isTerminal()) {
-            refused.add(job);
-          }
-        });
-    return refused;
-  }
-
-  private static String describe(Job job, JobProgress progress, String reason) {
-    boolean isEnd = progress != null && progress.status().isTerminal();
-    String part = progress == null ? "record" : isEnd ? "end" : "progress";
-    return "job=" + job.id() + " part=" + part + " reason=" + reason;
+  /** Handles that the store has refused a batch. */
+  void refuseBatch(DispatchEvent.BatchRefused event, long now) {
+    journal.refuseBatch(event.number(), event.reason(), now);
+  }
+
+  /** Removes and returns the open jobs that the store is known to refuse. */
+  List<Job> removeUnstorable() {
+    List<Job> jobs = List.copyOf(unstorable);
+    unstorable.clear();
+    return jobs;
+  }
+
+  /** Takes what the store has done with the jobs of a batch. */
+  private final class StoreResults implements Journal.Listener {
+
+    private final List<DispatchAction> out;
+    private final List<Job> accepted = new ArrayList<>();
+
+    StoreResults(List<DispatchAction> out) {
+      this.out = out;
+    }
+
+    @Override
+    public void jobStored(Job job, JobProgress progress) {
+      if (progress == null) {
+        job.stored = true;
+        accepted.add(job);
+        answerCallsAwaitingStore(job, Set.of(JobCallKind.SUBMIT), statusOf(job), out);
+      } else if (progress.status().isTerminal()) {
+        ending.remove(job.id());
+        ended.put(job.id(), new EndedJob(job.id(), progress.status(), progress.endedMillis()));
+        answerCallsAwaitingStore(
+            job, Set.of(JobCallKind.CANCEL, JobCallKind.STATUS), progress.status(), out);
+      }
+    }
+
+    @Override
+    public void jobRefused(Job job, JobProgress progress, String reason) {
+      boolean isEnd = progress != null && progress.status().isTerminal();
+      String part = progress == null ? "record" : isEnd ? "end" : "progress";
+      String detail = "job=" + job.id() + " part=" + part + " reason=" + reason;
+      out.add(new Log(LogEvent.JOB_NOT_STORED, detail));
+      if (progress == null || !job.status.isTerminal()) {
+        unstorable.add(job);
+      }
+    }
   }
 
   /** Forgets a job whose record the store refuses. */
--- a/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.marjoramhoist.dispatch.DispatchAction.Log;
-import org.marjoramhoist.dispatch.DispatchEvent.BatchRefused;
 import org.marjoramhoist.dispatch.DispatchEvent.JobCallReceived;
 import org.marjoramhoist.dispatch.DispatchEvent.JobsLoaded;
 import org.marjoramhoist.dispatch.RecentOutcomes.Outcome;
@@ -120,12 +119,12 @@
   }
 
   /**
-   * Handles that the store has refused changes of jobs for what they contain. A job whose record is
-   * refused was never accepted; one whose progress is refused fails, as a later leader would not
-   * know what has run.
+   * Ends the jobs that the store refuses for what they contain. A job whose record is refused was
+   * never accepted; one whose progress is refused fails, as a later leader would not know what has
+   * run.
    */
-  void handleRefusedBatch(BatchRefused event, long now, List<DispatchAction> out) {
-    for (Job job : durableJobs.refuseBatch(event, now, out)) {
+  void endUnstorableJobs(long now, List<DispatchAction> out) {
+    for (Job job : durableJobs.removeUnstorable()) {
       if (job.stored) {
         jobFinisher.end(job, JobOutcome.FAILED, "its progress can't be stored", now, out);
       } else {
--- a/src/main/java/org/marjoramhoist/dispatch/Journal.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Journal.java
@@ -15,7 +15,8 @@
  *
  * <p>Invariants: a batch holds the state of its jobs at its creation; later changes are in a later
  * batch. What the store refuses holds up no other job: the jobs of a refused batch are stored one
- * by one. Confined to one thread.
+ * by one. A job is blamed for a refusal only once the store has taken a batch without any job after
+ * it. Confined to one thread.
  */
 final class Journal {
 
@@ -36,8 +37,8 @@
 
   private static final long STALL_TIMEOUT_MICROS = 700_000;
 
-  /** How long the end of a job waits after the store has refused it. */
-  private static final long END_RETRY_MICROS = 1_000_000;
+  /** How long what the store has refused waits until it is tried again, if it is. */
+  private static final long RETRY_MICROS = 1_000_000;
 
   /**
    * A job in a batch.
@@ -57,6 +58,18 @@
   /** The jobs of refused batches, each to be stored by itself, and when at the earliest. */
   private final Map<Job, Long> separate = new LinkedHashMap<>();
 
+  /** What the store has refused though it was alone in its batch; null if there is nothing. */
+  private BatchedJob accused;
+
+  private String accusation;
+
+  /** Whether the batch that is being stored has no job, to show whether the store takes any. */
+  private boolean probing;
+
+  /** Whether the store has refused such a batch, and taken none since. */
+  private boolean refusesAll;
+
+  private long pausedUntil;
   private long batchNumber;
   private long sentAt;
   private long progressPendingSince;
@@ -71,16 +84,14 @@
      * @param progress the progress that was stored; null if the job itself was
      */
     void jobStored(Job job, JobProgress progress);
-  }
 
-  /** Receives what the store has refused. */
-  interface RefusalListener {
     /**
-     * A job or its progress was refused, and is not tried again; the end of a job is.
+     * The store refuses a job or its progress, which is not tried again; the end of a job is.
      *
      * @param progress the progress that was refused; null if the job itself was
+     * @param reason what the store said, for logs
      */
-    void jobRefused(Job job, JobProgress progress);
+    void jobRefused(Job job, JobProgress progress, String reason);
   }
 
   void add(Job job) {
@@ -131,7 +142,7 @@
    * Tells whether the store has confirmed no batch for so long that new jobs cannot be accepted.
    */
   boolean isStalled(long now) {
-    return batchPending && now - sentAt > STALL_TIMEOUT_MICROS;
+    return refusesAll || batchPending && now - sentAt > STALL_TIMEOUT_MICROS;
   }
 
   /** Creates the next batch if one is due. */
@@ -140,15 +151,14 @@
     boolean due =
         urgent
             || !progressedJobs.isEmpty() && now - progressPendingSince > MAX_PROGRESS_DELAY_MICROS;
-    if (batchPending || now - sentAt < MIN_BATCH_INTERVAL_MICROS) {
+    if (batchPending || now - sentAt < MIN_BATCH_INTERVAL_MICROS || now < pausedUntil) {
       return;
     }
-    Optional<Job> alone =
-        separate.entrySet().stream()
-            .filter(each -> each.getValue() <= now)
-            .map(Map.Entry::getKey)
-            .findFirst();
-    if (alone.isPresent()) {
+    Optional<Job> alone = nextAlone(now);
+    if (accused != null) {
+      probing = true;
+      send(new JournalBatch(++batchNumber, List.of(), Map.of(), List.of()), now, out);
+    } else if (alone.isPresent()) {
       send(batchOf(alone.get()), now, out);
     } else if (due || deletedJobs.size() >= MAX_BATCH_ENTRIES) {
       send(nextBatch(), now, out);
@@ -156,6 +166,13 @@
     }
   }
 
+  private Optional<Job> nextAlone(long now) {
+    return separate.entrySet().stream()
+        .filter(each -> each.getValue() <= now)
+        .map(Map.Entry::getKey)
+        .findFirst();
+  }
+
   private void send(JournalBatch batch, long now, List<DispatchAction> out) {
     out.add(new DispatchAction.Store(batch));
     batchPending = true;
@@ -216,12 +233,16 @@
    * Handles the confirmation that a batch is stored: the completions that it holds may be
    * acknowledged.
    */
-  void confirmBatch(long batch, Listener listener) {
+  void confirmBatch(long batch, long now, Listener listener) {
     if (!batchPending || batch != batchNumber) {
       return;
     }
     batchPending = false;
+    refusesAll = false;
     batchedDeletions.clear();
+    if (probing) {
+      blame(now, listener);
+    }
     List<BatchedJob> stored = List.copyOf(batchedJobs);
     batchedJobs.clear();
     for (BatchedJob each : stored) {
@@ -236,11 +257,24 @@
     }
   }
 
+  /** The store takes batches, and yet refused the accused job: its content is at fault. */
+  private void blame(long now, Listener listener) {
+    probing = false;
+    BatchedJob refused = accused;
+    accused = null;
+    JobProgress progress = refused.progress();
+    if (progress != null && progress.status().isTerminal()) {
+      separate(refused.job(), now + RETRY_MICROS);
+    }
+    listener.jobRefused(refused.job(), progress, accusation);
+  }
+
   /**
-   * Handles that the store has refused a batch for what it contains: if that was one job, its
-   * content is at fault; otherwise each job of the batch is stored by itself.
+   * Handles that the store has refused a batch. If that had several jobs, each is stored by itself;
+   * if it had one, a batch without any shows whether the job is at fault; if it had none, the store
+   * refuses all, and what it refused is tried again later.
    */
-  void refuseBatch(long batch, long now, RefusalListener listener) {
+  void refuseBatch(long batch, String reason, long now) {
     if (!batchPending || batch != batchNumber) {
       return;
     }
@@ -248,10 +282,17 @@
     List<BatchedJob> refused = List.copyOf(batchedJobs);
     batchedJobs.clear();
     refused.forEach(each -> each.job().addUnstoredCompletions(each.holds()));
-    if (refused.size() > 1) {
-      refused.forEach(each -> separate(each.job(), now));
+    if (probing) {
+      probing = false;
+      refusesAll = true;
+      pausedUntil = now + RETRY_MICROS;
+      separate(accused.job(), pausedUntil);
+      accused = null;
+    } else if (refused.size() == 1) {
+      accused = refused.get(0);
+      accusation = reason;
     } else {
-      refused.forEach(each -> refuse(each, now, listener));
+      refused.forEach(each -> separate(each.job(), now));
     }
     // Deletions alone are left to the next leader.
     if (!refused.isEmpty()) {
@@ -260,14 +301,6 @@
     batchedDeletions.clear();
   }
 
-  private void refuse(BatchedJob refused, long now, RefusalListener listener) {
-    JobProgress progress = refused.progress();
-    if (progress != null && progress.status().isTerminal()) {
-      separate(refused.job(), now + END_RETRY_MICROS);
-    }
-    listener.jobRefused(refused.job(), progress);
-  }
-
   private void separate(Job job, long notBefore) {
     separate.put(job, notBefore);
     if (job.stored) {
--- a/src/test/java/org/marjoramhoist/dispatch/DurableDispatchTest.java
+++ b/src/test/java/org/marjoramhoist/dispatch/DurableDispatchTest.java
@@ -384,6 +384,14 @@
     return batch;
   }
 
+  /** Confirms the batch without a job that shows that the store takes batches. */
+  private void storeProbe() {
+    JournalBatch probe = storeBatch();
+    assertThat(probe.added()).isEmpty();
+    assertThat(probe.progress()).isEmpty();
+    assertThat(probe.deleted()).isEmpty();
+  }
+
   /** One job's progress that the store refused kept every other durable job from being stored. */
   @Test
   void refusedProgressEndsItsOwnJobOnly() {
@@ -400,6 +408,8 @@
     assertThat(takeReplyStatus()).isEqualTo(JobStatus.PENDING);
     assertThat(takeActions(DispatchAction.Stop.class)).isEmpty();
     assertThat(refuseBatch().progress().keySet()).containsExactly(ID);
+    assertThat(takeActions(DispatchAction.Stop.class)).isEmpty();
+    storeProbe();
     assertThat(takeActions(DispatchAction.Stop.class)).hasSize(1);
     assertThat(notStored()).containsExactly("job=" + ID + " part=progress reason=status 400");
     JournalBatch end = storeBatch();
@@ -423,6 +433,7 @@
     JournalBatch progress = takeActions(DispatchAction.Store.class).get(0).batch();
     takeActions(DispatchAction.Renew.class);
     step(5, new DispatchEvent.BatchRefused(progress.number(), "status 400"));
+    storeProbe();
     final JournalBatch end = nextBatch();
     step(100, new DispatchEvent.Tick());
     report(new WorkerReport.Completion(1, run, RunOutcome.DONE));
@@ -440,6 +451,7 @@
     final JournalBatch batch = takeActions(DispatchAction.Store.class).get(0).batch();
     call(JobCallKind.CANCEL);
     step(5, new DispatchEvent.BatchRefused(batch.number(), "status 413"));
+    storeProbe();
     List<DispatchAction.Reply> replies = takeActions(DispatchAction.Reply.class);
     assertThat(replies.stream().map(DispatchAction.Reply::result))
         .containsExactly(JobCallResult.REFUSED, JobCallResult.UNKNOWN_JOB);
@@ -458,6 +470,7 @@
     actions.clear();
     call(JobCallKind.CANCEL);
     assertThat(refuseBatch().progress().get(ID).status()).isEqualTo(JobStatus.CANCELLED);
+    storeProbe();
     submit(OTHER);
     JournalBatch other = storeBatch();
     assertThat(other.added()).hasSize(1);
@@ -469,4 +482,31 @@
     step(5, new DispatchEvent.BatchStored(again.number()));
     assertThat(takeReplyStatus()).isEqualTo(JobStatus.CANCELLED);
   }
+
+  /** Else a store that refuses everything for a while would end every job that runs. */
+  @Test
+  void jobIsNotBlamedByStoreThatRefusesAll() {
+    completeFirstOfTwoTasks();
+    step(210, new DispatchEvent.Tick());
+    JournalBatch progress = takeActions(DispatchAction.Store.class).get(0).batch();
+    for (int i = 0; i < 3; i++) {
+      actions.clear();
+      step(5, new DispatchEvent.BatchRefused(progress.number(), "status 400"));
+      refuseBatch();
+      assertThat(notStored()).isEmpty();
+      submit(new JobId("00000000000000c" + i));
+      assertThat(takeActions(DispatchAction.Reply.class).get(0).result())
+          .isEqualTo(JobCallResult.REFUSED);
+      step(500, new DispatchEvent.Tick());
+      assertThat(takeActions(DispatchAction.Store.class)).isEmpty();
+      step(500, new DispatchEvent.Tick());
+      progress = takeActions(DispatchAction.Store.class).get(0).batch();
+      assertThat(progress.progress().get(ID).status()).isEqualTo(JobStatus.RUNNING);
+    }
+    step(5, new DispatchEvent.BatchStored(progress.number()));
+    actions.clear();
+    submit(OTHER);
+    storeBatch();
+    assertThat(takeReplyStatus()).isEqualTo(JobStatus.PENDING);
+  }
 }
