--- a/src/main/java/org/marjoramhoist/config/ClientSettings.java
+++ b/src/main/java/org/marjoramhoist/config/ClientSettings.java
@@ -30,7 +30,6 @@
   /** One half of a pool has room for a request of the default limits. */
   private static final long MIN_POOL_KIB = 2_560;
 
-  private static final long MAX_POOL_KIB = 64 << 20;
   private static final int MIN_CONNECTIONS = 16;
   private static final int MAX_CONNECTIONS = 100_000;
   private static final int CHECK_CONNECTIONS = 32;
@@ -39,7 +38,6 @@
   private static final int UNKNOWN_DESCRIPTORS = 1_024;
   private static final long MIN_DESCRIPTORS = 256;
   private static final long MAX_DESCRIPTORS = 10_000_000;
-  private static final long KIB = 1_024;
 
   private ClientSettings() {}
 
@@ -66,8 +64,7 @@
   }
 
   private static long bytes(StrictObject clients, String key) {
-    long fallback = Math.max(MIN_POOL_KIB, Runtime.getRuntime().maxMemory() / POOL_PART / KIB);
-    return KIB * clients.number(key, MIN_POOL_KIB, MAX_POOL_KIB, fallback);
+    return HeapPart.bytes(clients, key, POOL_PART, MIN_POOL_KIB);
   }
 
   private static long processDescriptors() {
--- a/src/main/java/org/marjoramhoist/config/SchedulingSettings.java
+++ b/src/main/java/org/marjoramhoist/config/SchedulingSettings.java
@@ -32,9 +32,6 @@
   /** One half of it has room for the largest job of the default limits. */
   private static final long MIN_OPEN_KIB = 6_144;
 
-  private static final long MAX_OPEN_KIB = 64 << 20;
-  private static final long KIB = 1_024;
-
   private SchedulingSettings() {}
 
   /** Reads the settings; what is absent has the default policy's value. */
@@ -50,17 +47,10 @@
           (int)
               scheduling.number(
                   "maxOpenTasks", MIN_OPEN_TASKS, MAX_OPEN_TASKS, fallback.maxOpenTasks()),
-          readMaxOpenBytes(scheduling));
+          HeapPart.bytes(scheduling, "maxOpenKib", OPEN_JOBS_PART, MIN_OPEN_KIB));
     }
   }
 
-  private static long readMaxOpenBytes(StrictObject scheduling) {
-    long fallback = Runtime.getRuntime().maxMemory() / OPEN_JOBS_PART / KIB;
-    return KIB
-        * scheduling.number(
-            "maxOpenKib", MIN_OPEN_KIB, MAX_OPEN_KIB, Math.max(MIN_OPEN_KIB, fallback));
-  }
-
   private static Map<Integer, Double> readValues(StrictObject scheduling) {
     Map<Integer, Double> values = new HashMap<>();
     for (StrictObject each : scheduling.objects("jobValues")) {
--- a/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Dispatcher.java
@@ -237,8 +237,7 @@
       }
       allocationDue = true;
     } else if (event instanceof BatchStored batch) {
-      durableJobs.confirmBatch(batch.number(), now, out).forEach(jobs::markWaiting);
-      jobCalls.endUnstorableJobs(now, out);
+      jobCalls.handleStoredBatch(batch.number(), now, out);
       allocationDue = true;
     } else if (event instanceof BatchRefused batch) {
       durableJobs.refuseBatch(batch, now);
@@ -607,7 +606,7 @@
 
     @Override
     public void completionHeld(Job job, long now) {
-      taskOutcomes.recordProgress(job, now);
+      durableJobs.recordProgress(job, now);
     }
 
     @Override
--- a/src/main/java/org/marjoramhoist/dispatch/DurableJobs.java
+++ b/src/main/java/org/marjoramhoist/dispatch/DurableJobs.java
@@ -54,9 +54,6 @@
   private final List<JobCallReceived> deferredCalls = new ArrayList<>();
   private final Deque<DeferredStatus> deferredStatuses = new ArrayDeque<>();
 
-  /** Open jobs that the store refuses; they are to be ended. */
-  private final List<Job> unstorable = new ArrayList<>();
-
   private boolean loaded;
   private int termOrdinal;
 
@@ -229,16 +226,19 @@
     return new Reply(call, JobCallResult.DONE, status);
   }
 
-  /** Records that tasks of a job completed. */
+  /** Records that the progress of a job has changed, if it is durable. */
   void recordProgress(Job job, long now) {
-    if (!job.status.isTerminal()) {
+    if (job.isDurable() && !job.status.isTerminal()) {
       journal.recordProgress(job, now);
     }
   }
 
-  /** Records that a worker was lost with a run of a job; this is stored with the next batch. */
+  /**
+   * Records that a worker was lost with a run of a job; this is stored with the next batch, if the
+   * job is durable.
+   */
   void recordLoss(Job job, long now) {
-    if (!job.status.isTerminal()) {
+    if (job.isDurable() && !job.status.isTerminal()) {
       journal.recordUrgentProgress(job, now);
     }
   }
@@ -259,12 +259,12 @@
   /**
    * Handles the confirmation that a batch is stored.
    *
-   * @return the jobs whose tasks may start now
+   * @return the jobs whose tasks may start now, and those that the store refuses
    */
-  List<Job> confirmBatch(long number, long now, List<DispatchAction> out) {
+  StoreResults confirmBatch(long number, long now, List<DispatchAction> out) {
     StoreResults results = new StoreResults(out);
     journal.confirmBatch(number, now, results);
-    return results.accepted;
+    return results;
   }
 
   /** Handles that the store has refused a batch. */
@@ -272,20 +272,14 @@
     journal.refuseBatch(event.number(), event.reason(), now);
   }
 
-  /** Removes and returns the open jobs that the store is known to refuse. */
-  List<Job> removeUnstorable() {
-    List<Job> jobs = List.copyOf(unstorable);
-    unstorable.clear();
-    return jobs;
-  }
-
   /** Takes what the store has done with the jobs of a batch. */
-  private final class StoreResults implements Journal.Listener {
+  final class StoreResults implements Journal.Listener {
 
     private final List<DispatchAction> out;
     private final List<Job> accepted = new ArrayList<>();
+    private final List<Job> refused = new ArrayList<>();
 
-    StoreResults(List<DispatchAction> out) {
+    private StoreResults(List<DispatchAction> out) {
       this.out = out;
     }
 
@@ -310,9 +304,19 @@
       String detail = "job=" + job.id() + " part=" + part + " reason=" + reason;
       out.add(new Log(LogEvent.JOB_NOT_STORED, detail));
       if (progress == null || !job.status.isTerminal()) {
-        unstorable.add(job);
+        refused.add(job);
       }
     }
+
+    /** Returns the jobs whose tasks may start now. */
+    List<Job> accepted() {
+      return accepted;
+    }
+
+    /** Returns the open jobs that the store refuses; they are to be ended. */
+    List<Job> refused() {
+      return refused;
+    }
   }
 
   /** Forgets a job whose record the store refuses. */
--- a/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobCallHandler.java
@@ -119,20 +119,26 @@
   }
 
   /**
-   * Ends the jobs that the store refuses for what they contain. A job whose record is refused was
-   * never accepted; one whose progress is refused fails, as a later leader would not know what has
-   * run.
+   * Handles the confirmation that a batch is stored, which may show that the store refuses a job.
    */
-  void endUnstorableJobs(long now, List<DispatchAction> out) {
-    for (Job job : durableJobs.removeUnstorable()) {
-      if (job.stored) {
-        jobFinisher.end(job, JobOutcome.FAILED, "its progress can't be stored", now, out);
-      } else {
-        long retryAfterMillis = retryDelays.retryAfterMillis(job.record(), now);
-        durableJobs.forget(job, call -> refusal(call, retryAfterMillis), out);
-        jobs.end(job, JobOutcome.REFUSED, "it can't be stored", retryAfterMillis, now, out);
-      }
+  void handleStoredBatch(long number, long now, List<DispatchAction> out) {
+    DurableJobs.StoreResults results = durableJobs.confirmBatch(number, now, out);
+    results.accepted().forEach(jobs::markWaiting);
+    results.refused().forEach(job -> endUnstorable(job, now, out));
+  }
+
+  /**
+   * Ends a job that the store refuses for what it contains. A job whose record is refused was never
+   * accepted; one whose progress is refused fails, as a later leader would not know what has run.
+   */
+  private void endUnstorable(Job job, long now, List<DispatchAction> out) {
+    if (job.stored) {
+      jobFinisher.end(job, JobOutcome.FAILED, "its progress can't be stored", now, out);
+      return;
     }
+    long retryAfterMillis = retryDelays.retryAfterMillis(job.record(), now);
+    durableJobs.forget(job, call -> refusal(call, retryAfterMillis), out);
+    jobs.end(job, JobOutcome.REFUSED, "it can't be stored", retryAfterMillis, now, out);
   }
 
   /** Returns why a durable job cannot be accepted now; null if it can. */
--- a/src/main/java/org/marjoramhoist/dispatch/JobRegistry.java
+++ b/src/main/java/org/marjoramhoist/dispatch/JobRegistry.java
@@ -44,6 +44,8 @@
   private final Set<Job> waiting = new LinkedHashSet<>();
   private final List<Job> newlyWaiting = new ArrayList<>();
   private long openTasks;
+
+  /** The memory that open jobs take, by the estimate of {@link JobFootprint}. */
   private long openBytes;
 
   /**
@@ -82,11 +84,6 @@
     return byteBound.admits(bytesOfOthers, bytes) ? Optional.empty() : Optional.of(TOO_MANY_BYTES);
   }
 
-  /** Returns the memory that open jobs take, by the estimate of {@link JobFootprint}. */
-  long openBytes() {
-    return openBytes;
-  }
-
   private void open(Job job) {
     count(job, 1);
     Job replaced = open.put(job.id(), job);
--- a/src/main/java/org/marjoramhoist/dispatch/Journal.java
+++ b/src/main/java/org/marjoramhoist/dispatch/Journal.java
@@ -58,14 +58,14 @@
   /** The jobs of refused batches, each to be stored by itself, and when at the earliest. */
   private final Map<Job, Long> separate = new LinkedHashMap<>();
 
-  /** What the store has refused though it was alone in its batch; null if there is nothing. */
+  /**
+   * What the store has refused though it was alone in its batch; null if there is nothing. The next
+   * batch has no job then, to show whether the store takes any.
+   */
   private BatchedJob accused;
 
   private String accusation;
 
-  /** Whether the batch that is being stored has no job, to show whether the store takes any. */
-  private boolean probing;
-
   /** Whether the store has refused such a batch, and taken none since. */
   private boolean refusesAll;
 
@@ -156,7 +156,6 @@
     }
     Optional<Job> alone = nextAlone(now);
     if (accused != null) {
-      probing = true;
       send(new JournalBatch(++batchNumber, List.of(), Map.of(), List.of()), now, out);
     } else if (alone.isPresent()) {
       send(batchOf(alone.get()), now, out);
@@ -183,19 +182,29 @@
   private JournalBatch batchOf(Job job) {
     separate.remove(job);
     if (!job.stored) {
-      batchedJobs.add(new BatchedJob(job, List.of(), null));
-      return new JournalBatch(++batchNumber, List.of(job.record()), Map.of(), List.of());
+      return new JournalBatch(++batchNumber, List.of(takeRecord(job)), Map.of(), List.of());
     }
+    Map<JobId, JobProgress> progress = Map.of(job.id(), takeProgress(job));
+    return new JournalBatch(++batchNumber, List.of(), progress, List.of());
+  }
+
+  /** Puts the record of a job into the next batch. */
+  private StoredJob takeRecord(Job job) {
+    batchedJobs.add(new BatchedJob(job, List.of(), null));
+    return job.record();
+  }
+
+  /** Puts the present progress of a job into the next batch. */
+  private JobProgress takeProgress(Job job) {
     JobProgress current = job.progress();
     batchedJobs.add(new BatchedJob(job, job.removeUnstoredCompletions(), current));
-    return new JournalBatch(++batchNumber, List.of(), Map.of(job.id(), current), List.of());
+    return current;
   }
 
   private JournalBatch nextBatch() {
     List<StoredJob> jobs = new ArrayList<>();
     for (Job job : removeFirst(acceptedJobs, MAX_BATCH_ENTRIES, job -> true)) {
-      jobs.add(job.record());
-      batchedJobs.add(new BatchedJob(job, List.of(), null));
+      jobs.add(takeRecord(job));
     }
     Map<JobId, JobProgress> progress = new LinkedHashMap<>();
     int remaining = MAX_BATCH_ENTRIES - jobs.size();
@@ -205,9 +214,7 @@
     remaining -= ended * ENTRIES_PER_END;
     changed.addAll(removeFirst(progressedJobs, remaining, job -> true));
     for (Job job : changed) {
-      JobProgress current = job.progress();
-      progress.put(job.id(), current);
-      batchedJobs.add(new BatchedJob(job, job.removeUnstoredCompletions(), current));
+      progress.put(job.id(), takeProgress(job));
     }
     remaining -= changed.size() - ended;
     List<JobId> deleted = removeFirst(deletedJobs, remaining, id -> true);
@@ -240,7 +247,7 @@
     batchPending = false;
     refusesAll = false;
     batchedDeletions.clear();
-    if (probing) {
+    if (accused != null) {
       blame(now, listener);
     }
     List<BatchedJob> stored = List.copyOf(batchedJobs);
@@ -259,7 +266,6 @@
 
   /** The store takes batches, and yet refused the accused job: its content is at fault. */
   private void blame(long now, Listener listener) {
-    probing = false;
     BatchedJob refused = accused;
     accused = null;
     JobProgress progress = refused.progress();
@@ -282,8 +288,7 @@
     List<BatchedJob> refused = List.copyOf(batchedJobs);
     batchedJobs.clear();
     refused.forEach(each -> each.job().addUnstoredCompletions(each.holds()));
-    if (probing) {
-      probing = false;
+    if (accused != null) {
       refusesAll = true;
       pausedUntil = now + RETRY_MICROS;
       separate(accused.job(), pausedUntil);
--- a/src/main/java/org/marjoramhoist/dispatch/TaskOutcomes.java
+++ b/src/main/java/org/marjoramhoist/dispatch/TaskOutcomes.java
@@ -44,7 +44,7 @@
     }
     job.markDone(task);
     suspects.taskDone(task);
-    recordProgress(job, now);
+    durableJobs.recordProgress(job, now);
     if (job.isComplete()) {
       jobFinisher.end(job, JobOutcome.SUCCEEDED, "done", now, out);
     } else {
@@ -60,7 +60,7 @@
     if (jobs.find(job.id()) != job) {
       return;
     }
-    recordProgress(job, now);
+    durableJobs.recordProgress(job, now);
     int failed = task.failedRunCount();
     if (failed >= job.requestClass().attempts()) {
       jobFinisher.end(job, JobOutcome.FAILED, "a task failed " + failed + " times", now, out);
@@ -74,11 +74,4 @@
     boolean hasAlternative = workers.canRunElsewhere(task, worker, now);
     task.avoid(worker, now + (hasAlternative ? AVOIDANCE_MICROS : RETRY_PAUSE_MICROS));
   }
-
-  /** Records that the progress of a job has changed. */
-  void recordProgress(Job job, long now) {
-    if (job.isDurable()) {
-      durableJobs.recordProgress(job, now);
-    }
-  }
 }
--- a/src/main/java/org/marjoramhoist/dispatch/WorkerLossHandler.java
+++ b/src/main/java/org/marjoramhoist/dispatch/WorkerLossHandler.java
@@ -124,9 +124,7 @@
         new Log(
             LogEvent.TASK_SUSPECTED,
             RunController.describe(run) + " next=" + next + " losses=" + describe(losses)));
-    if (job.isDurable()) {
-      durableJobs.recordLoss(job, now);
-    }
+    durableJobs.recordLoss(job, now);
     if (jobs.find(job.id()) == job) {
       reconsider(job, now, out);
     }
@@ -182,9 +180,7 @@
       Job job = jobs.find(losses.task().job());
       if (job != null) {
         reconsider(job, now, out);
-        if (job.isDurable()) {
-          durableJobs.recordProgress(job, now);
-        }
+        durableJobs.recordProgress(job, now);
       }
     }
   }
--- a/src/main/java/org/marjoramhoist/platform/KeyValueClient.java
+++ b/src/main/java/org/marjoramhoist/platform/KeyValueClient.java
@@ -42,8 +42,8 @@
 
   private static final int MAX_KEY_BYTES = 200;
 
-  /** The longest value that the store takes unless it is told otherwise, in bytes. */
-  public static final int DEFAULT_VALUE_BYTES = 1 << 20;
+  /** The longest value that the store takes, in bytes. */
+  public static final int MAX_VALUE_BYTES = 1 << 20;
 
   /** Responses to a call that is at fault itself: bad request, too large, can't be processed. */
   private static final Set<Integer> REFUSALS = Set.of(400, 413, 422);
@@ -51,18 +51,6 @@
   private final String address;
   private final HttpCaller caller;
   private final long timeoutNanos;
-  private final int maxValueBytes;
-
-  /**
-   * Creates a client of a store that takes values of {@link #DEFAULT_VALUE_BYTES}.
-   *
-   * @param address {@code host:port} of the store
-   * @param caller the HTTP client
-   * @param timeoutMillis the timeout of a call, in milliseconds; a watch adds its wait time
-   */
-  public KeyValueClient(String address, HttpCaller caller, long timeoutMillis) {
-    this(address, caller, timeoutMillis, DEFAULT_VALUE_BYTES);
-  }
 
   /**
    * Creates a client.
@@ -70,13 +58,11 @@
    * @param address {@code host:port} of the store
    * @param caller the HTTP client
    * @param timeoutMillis the timeout of a call, in milliseconds; a watch adds its wait time
-   * @param maxValueBytes the longest value that the store takes, in bytes
    */
-  public KeyValueClient(String address, HttpCaller caller, long timeoutMillis, int maxValueBytes) {
+  public KeyValueClient(String address, HttpCaller caller, long timeoutMillis) {
     this.address = address;
     this.caller = caller;
     this.timeoutNanos = TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-    this.maxValueBytes = maxValueBytes;
   }
 
   /**
@@ -210,7 +196,7 @@
   private Optional<String> excess(Put put) {
     int keyBytes = Utf8.lengthOf(put.key());
     int valueBytes = Utf8.lengthOf(put.value());
-    if (keyBytes <= MAX_KEY_BYTES && valueBytes <= maxValueBytes) {
+    if (keyBytes <= MAX_KEY_BYTES && valueBytes <= MAX_VALUE_BYTES) {
       return Optional.empty();
     }
     return Optional.of(
@@ -223,7 +209,7 @@
             + ", with a value of "
             + valueBytes
             + " bytes, at most "
-            + maxValueBytes);
+            + MAX_VALUE_BYTES);
   }
 
   /** Grants a lease and returns its id. */
--- a/src/test/java/org/marjoramhoist/entry/JobStoreTest.java
+++ b/src/test/java/org/marjoramhoist/entry/JobStoreTest.java
@@ -114,7 +114,7 @@
     JobStore jobs = startStore();
     assertThat(nextEvent()).isInstanceOf(DispatchEvent.JobsLoaded.class);
     store.setDown(true);
-    loop.execute(() -> jobs.write(batch(1, "x".repeat(KeyValueClient.DEFAULT_VALUE_BYTES))));
+    loop.execute(() -> jobs.write(batch(1, "x".repeat(KeyValueClient.MAX_VALUE_BYTES))));
     assertThat(nextEvent()).isInstanceOf(DispatchEvent.BatchRefused.class);
   }
 }
